--- /dev/null
+++ b/cmake/test_main.cc
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE cranberryhill
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/cranberryhill/base/json.cc
@@ -0,0 +1,146 @@
+#include "cranberryhill/base/json.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+namespace cranberryhill {
+namespace {
+
+// Long values are cut in error messages.
+constexpr size_t kMaxQuotedValue = 80;
+
+std::string Quote(const Json& value) {
+  std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  if (text.size() > kMaxQuotedValue)
+    text = text.substr(0, kMaxQuotedValue) + "...";
+  return text;
+}
+
+}  // namespace
+
+Result<Json> ParseJson(std::string_view text, std::string_view what) {
+  try {
+    return Json::parse(text, nullptr, true, true);
+  } catch (const Json::parse_error& error) {
+    return MakeError(ErrorCode::kInvalidArgument, what, "",
+                     fmt::format("is not valid JSON near byte {}", error.byte));
+  }
+}
+
+ObjectReader::ObjectReader(const Json& json, std::string_view path)
+    : json(json), path(path) {}
+
+std::string ObjectReader::PathOf(std::string_view name) const {
+  return this->path.empty() ? std::string(name)
+                            : fmt::format("{}.{}", this->path, name);
+}
+
+Result<void> ObjectReader::RequireObject() const {
+  if (!this->json.is_object()) {
+    return MakeError(ErrorCode::kInvalidArgument, this->path, Quote(this->json),
+                     "must be an object");
+  }
+  return {};
+}
+
+Result<const Json*> ObjectReader::Find(std::string_view name, bool required) {
+  BOOST_LEAF_CHECK(this->RequireObject());
+  this->known.emplace(name);
+  auto found = this->json.find(std::string(name));
+  if (found != this->json.end())
+    return &*found;
+  if (required) {
+    return MakeError(ErrorCode::kInvalidArgument, this->PathOf(name), "",
+                     "is required");
+  }
+  return nullptr;
+}
+
+Result<std::string> ObjectReader::String(std::string_view name,
+                                         std::optional<std::string> fallback) {
+  BOOST_LEAF_AUTO(value, this->Find(name, !fallback.has_value()));
+  if (value == nullptr)
+    return *fallback;
+  if (!value->is_string()) {
+    return MakeError(ErrorCode::kInvalidArgument, this->PathOf(name),
+                     Quote(*value), "must be a string");
+  }
+  return value->get<std::string>();
+}
+
+Result<int64_t> ObjectReader::Int(std::string_view name,
+                                  IntRange range,
+                                  std::optional<int64_t> fallback) {
+  BOOST_LEAF_AUTO(value, this->Find(name, !fallback.has_value()));
+  if (value == nullptr)
+    return *fallback;
+  bool fits = value->is_number_integer() &&
+              !(value->is_number_unsigned() &&
+                value->get<uint64_t>() > static_cast<uint64_t>(INT64_MAX));
+  if (!fits || value->get<int64_t>() < range.low ||
+      value->get<int64_t>() > range.high) {
+    return MakeError(
+        ErrorCode::kInvalidArgument, this->PathOf(name), Quote(*value),
+        fmt::format("must be an integer from {} to {}", range.low, range.high));
+  }
+  return value->get<int64_t>();
+}
+
+Result<double> ObjectReader::Double(std::string_view name,
+                                    DoubleRange range,
+                                    std::optional<double> fallback) {
+  BOOST_LEAF_AUTO(value, this->Find(name, !fallback.has_value()));
+  if (value == nullptr)
+    return *fallback;
+  if (!value->is_number() || value->get<double>() < range.low ||
+      value->get<double>() > range.high) {
+    return MakeError(
+        ErrorCode::kInvalidArgument, this->PathOf(name), Quote(*value),
+        fmt::format("must be a number from {} to {}", range.low, range.high));
+  }
+  return value->get<double>();
+}
+
+Result<bool> ObjectReader::Bool(std::string_view name,
+                                std::optional<bool> fallback) {
+  BOOST_LEAF_AUTO(value, this->Find(name, !fallback.has_value()));
+  if (value == nullptr)
+    return *fallback;
+  if (!value->is_boolean()) {
+    return MakeError(ErrorCode::kInvalidArgument, this->PathOf(name),
+                     Quote(*value), "must be true or false");
+  }
+  return value->get<bool>();
+}
+
+Result<const Json*> ObjectReader::Array(std::string_view name, bool required) {
+  BOOST_LEAF_AUTO(value, this->Find(name, required));
+  if (value != nullptr && !value->is_array()) {
+    return MakeError(ErrorCode::kInvalidArgument, this->PathOf(name),
+                     Quote(*value), "must be an array");
+  }
+  return value;
+}
+
+Result<const Json*> ObjectReader::Object(std::string_view name, bool required) {
+  BOOST_LEAF_AUTO(value, this->Find(name, required));
+  if (value != nullptr && !value->is_object()) {
+    return MakeError(ErrorCode::kInvalidArgument, this->PathOf(name),
+                     Quote(*value), "must be an object");
+  }
+  return value;
+}
+
+Result<void> ObjectReader::RefuseUnknownFields() const {
+  BOOST_LEAF_CHECK(this->RequireObject());
+  for (const auto& item : this->json.items()) {
+    if (!this->known.contains(item.key())) {
+      return MakeError(ErrorCode::kInvalidArgument, this->PathOf(item.key()),
+                       Quote(item.value()), "is not a known field");
+    }
+  }
+  return {};
+}
+
+}  // namespace cranberryhill
--- /dev/null
+++ b/cranberryhill/base/json_test.cc
@@ -0,0 +1,48 @@
+#include "cranberryhill/base/json.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace cranberryhill {
+namespace {
+
+// Guards against errors that do not say which field broke which rule.
+BOOST_AUTO_TEST_CASE(ErrorNamesFieldValueAndRule) {
+  Json json = {{"port", 70000}};
+  ObjectReader reader(json, "settings");
+  auto port = Capture([&] { return reader.Int("port", {1, 65535}); });
+  BOOST_REQUIRE(!port.ok());
+  BOOST_TEST(port.error().field == "settings.port");
+  BOOST_TEST(port.error().value == "70000");
+  BOOST_TEST(port.error().rule == "must be an integer from 1 to 65535");
+}
+
+// Guards against unsigned values above INT64_MAX wrapping to negative ones.
+BOOST_AUTO_TEST_CASE(HugeUnsignedIsRefused) {
+  Json json = {{"n", UINT64_MAX}};
+  ObjectReader reader(json, "");
+  BOOST_TEST(!Capture([&] { return reader.Int("n", {}); }).ok());
+}
+
+// Guards against misspelled settings that are silently ignored.
+BOOST_AUTO_TEST_CASE(UnknownFieldIsRefused) {
+  Json json = {{"port", 1}, {"prot", 2}};
+  ObjectReader reader(json, "settings");
+  auto checked = Capture([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(reader.Int("port", {}));
+    BOOST_LEAF_CHECK(reader.RefuseUnknownFields());
+    return true;
+  });
+  BOOST_REQUIRE(!checked.ok());
+  BOOST_TEST(checked.error().field == "settings.prot");
+}
+
+// Guards against a parser that rejects the comments that settings may have.
+BOOST_AUTO_TEST_CASE(CommentsAreAllowed) {
+  auto json = Capture([] { return ParseJson("{/* a */ \"b\": 1}", "x"); });
+  BOOST_REQUIRE(json.ok());
+  BOOST_TEST(json.value()["b"] == 1);
+}
+
+}  // namespace
+}  // namespace cranberryhill
