--- /dev/null
+++ b/cranberryhill/environment/endpoint.h
@@ -0,0 +1,30 @@
+#ifndef CRANBERRYHILL_ENVIRONMENT_ENDPOINT_H_
+#define CRANBERRYHILL_ENVIRONMENT_ENDPOINT_H_
+
+// An IP address and a TCP port, written "10.0.0.1:80" or "[::1]:80".
+//
+//   BOOST_LEAF_AUTO(endpoint, ParseEndpoint("127.0.0.1:8080", "platform"));
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "cranberryhill/base/result.h"
+
+namespace cranberryhill {
+
+struct Endpoint {
+  std::string ip;  ///< Without brackets.
+  uint16_t port = 0;
+
+  bool operator==(const Endpoint&) const = default;
+};
+
+/// @param text The address; host names are not accepted.
+/// @param field Name of the field, used in errors.
+/// @return The endpoint, or kInvalidArgument.
+Result<Endpoint> ParseEndpoint(std::string_view text, std::string_view field);
+
+}  // namespace cranberryhill
+
+#endif  // CRANBERRYHILL_ENVIRONMENT_ENDPOINT_H_
