--- /dev/null
+++ b/cranberryhill/cost/engine_speed.h
@@ -0,0 +1,76 @@
+#ifndef CRANBERRYHILL_COST_ENGINE_SPEED_H_
+#define CRANBERRYHILL_COST_ENGINE_SPEED_H_
+
+// Speed of engines, learned from the instance's own streams: a model shared by
+// the engines of one kind, and a slowdown factor for each engine.
+//
+//   SpeedModel model;
+//   model.ObservePrefill(4000, absl::Milliseconds(300));
+//   model.ObserveGap(24, absl::Milliseconds(18));
+//   double seconds = model.PrefillSeconds(8000);
+
+#include "absl/time/time.h"
+
+namespace cranberryhill {
+
+/// Values used until enough has been observed.
+struct SpeedPrior {
+  double prefill_tokens_per_s = 12000;
+  double gap_base_s = 0.010;         ///< Gap between tokens of a lone stream.
+  double gap_per_stream_s = 0.0003;  ///< Added by each further stream.
+};
+
+/// Expected prefill rate and gap between tokens. Not thread-safe.
+class SpeedModel {
+ public:
+  explicit SpeedModel(SpeedPrior prior = {});
+
+  /// @param tokens Prefill tokens processed, those ahead in the queue included.
+  /// @param elapsed Time from sending to the first token.
+  void ObservePrefill(double tokens, absl::Duration elapsed);
+
+  /// @param streams Streams that the engine ran at the time.
+  /// @param gap Mean gap between tokens of one stream.
+  void ObserveGap(double streams, absl::Duration gap);
+
+  /// @return Seconds to prefill `tokens` on an engine of normal speed.
+  double PrefillSeconds(double tokens) const;
+
+  /// @return Seconds between tokens with `streams` streams running.
+  double GapSeconds(double streams) const;
+
+ private:
+  double prefill_seconds_per_token;
+  // Decayed sums of a linear regression of the gap on the stream count. They
+  // start with the prior as pseudo-observations.
+  double sum_w = 0;
+  double sum_x = 0;
+  double sum_y = 0;
+  double sum_xx = 0;
+  double sum_xy = 0;
+  double gap_base;
+  double gap_slope;
+};
+
+/// Ratio of one engine's times to the times expected of a normal engine.
+/// Rises within a few observations and falls back as the engine recovers.
+/// Not thread-safe.
+class Slowdown {
+ public:
+  /// @param ratio Observed time divided by expected time.
+  /// @param now Reading of the clock.
+  void Observe(double ratio, absl::Time now);
+
+  /// @param now Reading of the clock. Without observations the factor returns
+  ///     to 1, so that the engine is tried again.
+  /// @return At least 1; 1 means normal speed.
+  double Factor(absl::Time now) const;
+
+ private:
+  double log_ratio = 0;
+  absl::Time last = absl::InfinitePast();
+};
+
+}  // namespace cranberryhill
+
+#endif  // CRANBERRYHILL_COST_ENGINE_SPEED_H_
