--- a/cranberryhill/environment/environment_document.h
+++ b/cranberryhill/environment/environment_document.h
@@ -15,12 +15,11 @@
 #include <string_view>
 #include <vector>
 
+#include "cranberryhill/base/engine_role.h"
 #include "cranberryhill/base/result.h"
 
 namespace cranberryhill {
 
-enum class EngineRole { kPrefill, kDecode, kMixed };
-
 inline constexpr std::array<EngineRole, 3> kEngineRoles = {
     EngineRole::kPrefill, EngineRole::kDecode, EngineRole::kMixed};
 
--- a/cranberryhill/roles/role.h
+++ b/cranberryhill/roles/role.h
@@ -9,10 +9,9 @@
 #include <optional>
 #include <string_view>
 
-namespace cranberryhill {
+#include "cranberryhill/base/engine_role.h"
 
-/// What an engine does: prompts, outputs or both.
-enum class EngineRole { kPrefill, kDecode, kMixed };
+namespace cranberryhill {
 
 /// @return "prefill", "decode" or "mixed".
 std::string_view RoleName(EngineRole role);
