--- /dev/null
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -0,0 +1,492 @@
+#include "cranberryhill/daemon/engine_fleet.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cranberryhill/base/json.h"
+#include "cranberryhill/base/log.h"
+#include "cranberryhill/daemon/internal/engine_messages.h"
+
+namespace cranberryhill {
+namespace {
+
+constexpr absl::Duration kPollInterval = absl::Seconds(1);
+// Keeps the polls of one instance within its control traffic when there are
+// hundreds of engines.
+constexpr double kMaxPollsPerSecond = 15;
+constexpr absl::Duration kPollTimeout = absl::Seconds(3);
+constexpr int kProbePriority = -100;
+constexpr size_t kMaxLineBytes = size_t{64} * 1024;
+
+}  // namespace
+
+struct EngineFleet::Engine {
+  EngineSpec spec;
+  IpAddress address;
+  uint32_t router_index = 0;
+  Router* router = nullptr;
+  std::unique_ptr<Http2Connection> connection;
+  std::optional<EngineReport> report;
+  bool configured = true;
+  bool polling = false;
+  absl::Time poll_sent;
+  absl::Time next_poll = absl::InfinitePast();
+  uint64_t incarnation = kUnknownIncarnation;
+};
+
+struct EngineFleet::Running {
+  std::string engine;
+  Router* router = nullptr;
+  uint64_t fingerprint = 0;
+  absl::Time started;
+  bool got_token = false;
+  bool refused = false;  // The engine answered with an error status.
+  std::string buffer;    // An incomplete line.
+  std::shared_ptr<Http2Stream> stream;
+};
+
+EngineFleet::EngineFleet(const FleetContext& context, AttemptListener& listener)
+    : context(context),
+      listener(listener),
+      alive(std::make_shared<bool>(true)) {}
+
+EngineFleet::~EngineFleet() {
+  *this->alive = false;
+}
+
+EngineFleet::Engine* EngineFleet::FindEngine(std::string_view id) {
+  auto found = this->engines.find(id);
+  return found == this->engines.end() ? nullptr : found->second.get();
+}
+
+const EngineFleet::Engine* EngineFleet::FindEngine(std::string_view id) const {
+  auto found = this->engines.find(id);
+  return found == this->engines.end() ? nullptr : found->second.get();
+}
+
+Router* EngineFleet::RouterOf(std::string_view model) {
+  auto found = this->routers.find(model);
+  return found == this->routers.end() ? nullptr : found->second.get();
+}
+
+std::optional<uint32_t> EngineFleet::RouterIndexOf(
+    std::string_view engine) const {
+  const Engine* found = this->FindEngine(engine);
+  if (found == nullptr)
+    return std::nullopt;
+  return found->router_index;
+}
+
+void EngineFleet::SetEngines(std::span<const EngineSpec> specs) {
+  for (auto& [id, engine] : this->engines)
+    engine->configured = false;
+  for (const EngineSpec& spec : specs) {
+    Engine* known = this->FindEngine(spec.id);
+    if (known != nullptr && known->spec.address == spec.address &&
+        known->spec.model == spec.model) {
+      known->spec = spec;
+      known->configured = true;
+      continue;
+    }
+    if (known != nullptr) {
+      known->router->SetUsable(known->router_index, false);
+      this->engines.erase(spec.id);
+    }
+    this->AddEngine(spec);
+  }
+  for (auto it = this->engines.begin(); it != this->engines.end();) {
+    Engine& engine = *it->second;
+    bool in_use = this->RunningOn(it->first) > 0;
+    if (!engine.configured)
+      engine.router->SetUsable(engine.router_index, false);
+    if (!engine.configured && !in_use)
+      it = this->engines.erase(it);
+    else
+      ++it;
+  }
+}
+
+void EngineFleet::AddEngine(const EngineSpec& spec) {
+  auto address = Capture([&] { return ParseIpAddress(spec.address); });
+  if (!address.ok()) {
+    LogLine("engine {} is not used: {}", spec.id, address.error().ToString());
+    return;
+  }
+  std::unique_ptr<Router>& router = this->routers[spec.model];
+  if (router == nullptr) {
+    RouterOptions options;
+    options.zone = this->context.availability_zone;
+    router = std::make_unique<Router>(this->context.clock, this->context.random,
+                                      options);
+  }
+  auto engine = std::make_unique<Engine>();
+  engine->spec = spec;
+  engine->address = address.value();
+  engine->router = router.get();
+  engine->router_index =
+      router->AddEngine(spec.id, spec.availability_zone, EngineRole::kMixed);
+  router->SetUsable(engine->router_index, false);
+  engine->connection = this->context.client.Connect(engine->address, {});
+  engine->connection->OnStateChange(
+      [this, id = spec.id, alive = this->alive](
+          Http2ConnectionState state, std::optional<CloseReason> reason) {
+        if (*alive)
+          this->OnConnectionState(id, state, reason);
+      });
+  this->context.members.AddConfigured(
+      {spec.id, spec.address, spec.availability_zone, MemberKind::kEngine});
+  this->engines[spec.id] = std::move(engine);
+}
+
+void EngineFleet::OnConnectionState(const std::string& id,
+                                    Http2ConnectionState state,
+                                    std::optional<CloseReason> reason) {
+  Engine* engine = this->FindEngine(id);
+  if (engine == nullptr)
+    return;
+  if (reason.has_value()) {
+    this->context.members.OnContactFailed(id);
+    // A connection that the engine's side closed while streams were running
+    // counts as a crash. Silence does not: it may be the network.
+    if (*reason == CloseReason::kConnectionLost && this->RunningOn(id) > 0)
+      this->OnCrash(*engine);
+  }
+  if (state == Http2ConnectionState::kOpen) {
+    this->context.members.OnContact(id, engine->incarnation);
+    engine->router->OnEngineRestarted(engine->router_index);
+    engine->next_poll = absl::InfinitePast();
+    engine->polling = false;
+  }
+  this->UpdateUsable(*engine);
+}
+
+void EngineFleet::OnCrash(Engine& engine) {
+  absl::Time now = this->context.clock.Now();
+  std::vector<CrashedStream> streams;
+  for (const auto& [key, attempt] : this->running) {
+    if (attempt->engine == engine.spec.id) {
+      streams.push_back(
+          {attempt->fingerprint, attempt->started, !attempt->got_token});
+    }
+  }
+  size_t noted = this->context.crashes.OnEngineCrashed(streams, now);
+  this->context.metrics.Count("cranberryhill_engine_crashes_total");
+  this->context.metrics.Count("cranberryhill_crash_suspects_total", {},
+                              static_cast<double>(noted));
+  LogLine(
+      "engine {} closed its connection with {} streams running; {} suspects",
+      engine.spec.id, streams.size(), noted);
+}
+
+void EngineFleet::UpdateUsable(Engine& engine) {
+  bool usable = engine.configured && engine.report.has_value() &&
+                engine.connection->state() == Http2ConnectionState::kOpen &&
+                this->context.members.MayReceiveWork(engine.spec.id) &&
+                this->context.permission.MayStart(engine.spec.id);
+  engine.router->SetUsable(engine.router_index, usable);
+}
+
+std::optional<Placement> EngineFleet::Place(const AttemptRequest& attempt,
+                                            RouteRequest route) {
+  Router* router = this->RouterOf(attempt.model);
+  if (router == nullptr)
+    return std::nullopt;
+  route.id = attempt.key.Packed();
+  std::optional<RouteDecision> decision = router->Choose(route);
+  if (!decision)
+    return std::nullopt;
+  Engine* engine = this->FindEngine(router->EngineId(decision->engine));
+  // The router's view is refreshed every 100 ms; the permission is asked again
+  // directly before the write.
+  if (engine == nullptr ||
+      !this->context.permission.MayStart(engine->spec.id)) {
+    router->SetUsable(decision->engine, false);
+    return std::nullopt;
+  }
+  router->OnSent(route, *decision);
+  this->SendGenerate(*engine, attempt);
+  return Placement{engine->spec.id, decision->first_token, decision->gap};
+}
+
+void EngineFleet::SendGenerate(Engine& engine, const AttemptRequest& attempt) {
+  auto run = std::make_unique<Running>();
+  run->engine = engine.spec.id;
+  run->router = engine.router;
+  run->fingerprint = attempt.fingerprint;
+  run->started = this->context.clock.Now();
+  const AttemptKey key = attempt.key;
+  Http2Callbacks callbacks;
+  callbacks.on_headers = [this, key, alive = this->alive](
+                             int status, const Headers& headers) {
+    auto found = *alive ? this->running.find(key) : this->running.end();
+    if (!*alive || found == this->running.end())
+      return;
+    found->second->refused = status != 200;
+    if (!FindHeader(headers, "x-leaving").empty()) {
+      this->context.members.OnLeavingMark(found->second->engine,
+                                          kUnknownIncarnation);
+    }
+  };
+  callbacks.on_data = [this, key, alive = this->alive](std::string_view chunk) {
+    if (*alive)
+      this->OnLines(key, chunk);
+  };
+  callbacks.on_end = [this, key, alive = this->alive] {
+    if (*alive)
+      this->OnEnd(key);
+  };
+  callbacks.on_failed = [this, key,
+                         alive = this->alive](const Http2Failure& failure) {
+    if (*alive)
+      this->OnFailure(key, failure);
+  };
+  Http2ClientRequest request{
+      "POST",
+      "/v1/generate",
+      {{"content-type", "application/json"}},
+      internal::GenerateBody(attempt, this->context.clock.Now())};
+  request.allow_send = [this, id = engine.spec.id, alive = this->alive] {
+    return *alive && this->context.permission.MayStart(id);
+  };
+  Running& stored = *(this->running[key] = std::move(run));
+  stored.stream =
+      engine.connection->Send(std::move(request), std::move(callbacks));
+}
+
+void EngineFleet::OnLines(const AttemptKey& key, std::string_view chunk) {
+  auto found = this->running.find(key);
+  if (found == this->running.end() || found->second->refused)
+    return;
+  found->second->buffer.append(chunk);
+  if (found->second->buffer.size() > kMaxLineBytes) {
+    this->FailAttempt(key, AttemptFailure::kBadStream);
+    return;
+  }
+  std::string buffer = std::move(found->second->buffer);
+  size_t begin = 0;
+  for (size_t end = buffer.find('\n'); end != std::string::npos;
+       end = buffer.find('\n', begin)) {
+    if (!this->OnLine(key, std::string_view(buffer).substr(begin, end - begin)))
+      return;
+    begin = end + 1;
+  }
+  found = this->running.find(key);
+  if (found != this->running.end())
+    found->second->buffer = buffer.substr(begin);
+}
+
+bool EngineFleet::OnLine(const AttemptKey& key, std::string_view line) {
+  auto parsed = Capture([line] { return internal::ParseStreamLine(line); });
+  if (!parsed.ok()) {
+    this->FailAttempt(key, AttemptFailure::kBadStream);
+    return false;
+  }
+  const internal::StreamLine& event = parsed.value();
+  Running& run = *this->running.at(key);
+  this->context.permission.OnUse(run.engine, this->context.clock.Now());
+  if (event.done) {
+    this->CloseAttempt(key, AttemptEnd::kCompleted);
+    this->listener.OnAttemptDone(key, event.finish_reason);
+    return false;
+  }
+  if (!run.got_token) {
+    run.got_token = true;
+    run.router->OnFirstToken(key.Packed());
+  } else {
+    run.router->OnTokens(key.Packed(), 1);
+  }
+  this->listener.OnAttemptToken(key, event.index, event.token);
+  return this->running.contains(key);
+}
+
+void EngineFleet::OnEnd(const AttemptKey& key) {
+  auto found = this->running.find(key);
+  if (found == this->running.end())
+    return;
+  // A stream that ends without its last line is incomplete.
+  this->FailAttempt(key, found->second->refused ? AttemptFailure::kRefused
+                                                : AttemptFailure::kBadStream);
+}
+
+void EngineFleet::OnFailure(const AttemptKey& key,
+                            const Http2Failure& failure) {
+  auto found = this->running.find(key);
+  if (found == this->running.end())
+    return;
+  AttemptFailure reason = AttemptFailure::kConnectionLost;
+  if (!failure.may_have_been_sent)
+    reason = AttemptFailure::kNotSent;
+  else if (failure.reason == CloseReason::kRefused || found->second->refused)
+    reason = AttemptFailure::kRefused;
+  else if (failure.reason == CloseReason::kConnectionLost)
+    reason = AttemptFailure::kEngineCrashed;
+  this->FailAttempt(key, reason);
+}
+
+void EngineFleet::FailAttempt(const AttemptKey& key, AttemptFailure failure) {
+  this->CloseAttempt(key, AttemptEnd::kFailed);
+  this->listener.OnAttemptFailed(key, failure);
+}
+
+void EngineFleet::CloseAttempt(const AttemptKey& key, AttemptEnd end) {
+  auto found = this->running.find(key);
+  if (found == this->running.end())
+    return;
+  std::unique_ptr<Running> run = std::move(found->second);
+  this->running.erase(found);
+  run->router->OnFinished(key.Packed(), end);
+  if (run->stream != nullptr)
+    run->stream->Cancel();
+  static constexpr std::string_view kEnds[] = {"completed", "cancelled",
+                                               "failed"};
+  this->context.metrics.Count("cranberryhill_attempts_total",
+                              {{"end", kEnds[static_cast<size_t>(end)]}});
+}
+
+void EngineFleet::Cancel(const AttemptKey& key) {
+  this->CloseAttempt(key, AttemptEnd::kCancelled);
+}
+
+void EngineFleet::Probe(std::string_view id) {
+  Engine* engine = this->FindEngine(id);
+  if (engine == nullptr ||
+      engine->connection->state() != Http2ConnectionState::kOpen) {
+    return;
+  }
+  AttemptRequest probe;
+  probe.request_id = "probe";
+  probe.model = engine->spec.model;
+  probe.prompt = "probe";
+  probe.prompt_tokens = 1;
+  probe.max_tokens = 1;
+  probe.priority = kProbePriority;
+  absl::Time now = this->context.clock.Now();
+  Http2Callbacks callbacks;
+  auto status = std::make_shared<int>(0);
+  callbacks.on_headers = [status](int code, const Headers&) { *status = code; };
+  callbacks.on_end = [this, id = std::string(id), now, status,
+                      alive = this->alive] {
+    if (*alive && *status == 200)
+      this->context.permission.OnUse(id, now);
+  };
+  Http2ClientRequest request{"POST",
+                             "/v1/generate",
+                             {{"content-type", "application/json"}},
+                             internal::GenerateBody(probe, now)};
+  request.allow_send = [this, id = std::string(id), alive = this->alive] {
+    return *alive && this->context.permission.MayStart(id);
+  };
+  engine->connection->Send(std::move(request), std::move(callbacks));
+  this->context.metrics.Count("cranberryhill_probes_total");
+}
+
+absl::Duration EngineFleet::PollInterval() const {
+  return std::max(kPollInterval,
+                  absl::Seconds(static_cast<double>(this->engines.size()) /
+                                kMaxPollsPerSecond));
+}
+
+void EngineFleet::Tick() {
+  absl::Time now = this->context.clock.Now();
+  for (auto& [id, engine] : this->engines) {
+    if (engine->polling && now - engine->poll_sent > kPollTimeout) {
+      engine->polling = false;
+      this->context.members.OnContactFailed(id);
+    }
+    if (!engine->polling && now >= engine->next_poll &&
+        engine->connection->state() == Http2ConnectionState::kOpen) {
+      this->PollStatus(*engine);
+    }
+    this->UpdateUsable(*engine);
+  }
+}
+
+void EngineFleet::PollStatus(Engine& engine) {
+  absl::Time now = this->context.clock.Now();
+  engine.polling = true;
+  engine.poll_sent = now;
+  // Jitter keeps the polls of several instances apart.
+  engine.next_poll =
+      now +
+      this->PollInterval() * (0.8 + 0.4 * this->context.random.UniformDouble());
+  auto body = std::make_shared<std::string>();
+  Http2Callbacks callbacks;
+  callbacks.on_data = [body](std::string_view chunk) {
+    if (body->size() + chunk.size() <= kMaxLineBytes)
+      body->append(chunk);
+  };
+  callbacks.on_end = [this, id = engine.spec.id, now, body,
+                      alive = this->alive] {
+    if (*alive)
+      this->OnStatus(id, now, *body);
+  };
+  callbacks.on_failed = [this, id = engine.spec.id,
+                         alive = this->alive](const Http2Failure&) {
+    Engine* polled = *alive ? this->FindEngine(id) : nullptr;
+    if (polled != nullptr)
+      polled->polling = false;
+  };
+  engine.connection->Send({"GET", "/v1/status", {}, ""}, std::move(callbacks));
+}
+
+void EngineFleet::OnStatus(const std::string& id,
+                           absl::Time asked,
+                           std::string_view body) {
+  Engine* engine = this->FindEngine(id);
+  if (engine == nullptr)
+    return;
+  engine->polling = false;
+  auto status = Capture([body] { return internal::ParseEngineStatus(body); });
+  if (!status.ok()) {
+    LogLine("engine {} answered a status that is not valid: {}", id,
+            status.error().ToString());
+    engine->report.reset();
+    this->UpdateUsable(*engine);
+    return;
+  }
+  const internal::EngineStatus& current = status.value();
+  this->context.members.OnContact(id, engine->incarnation);
+  if (current.report.leaving)
+    this->context.members.OnLeavingMark(id, engine->incarnation);
+  engine->report = current.report;
+  engine->router->SetRole(engine->router_index, current.role);
+  LoadReport load = current.load;
+  load.measured_at = asked - current.load_age;
+  engine->router->OnLoadReport(engine->router_index, load);
+  this->UpdateUsable(*engine);
+}
+
+std::vector<std::string> EngineFleet::EngineIds() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, engine] : this->engines) {
+    if (engine->configured)
+      ids.push_back(id);
+  }
+  return ids;
+}
+
+const EngineReport* EngineFleet::ReportOf(std::string_view engine) const {
+  const Engine* found = this->FindEngine(engine);
+  return found == nullptr || !found->report ? nullptr : &*found->report;
+}
+
+size_t EngineFleet::RunningOn(std::string_view engine) const {
+  return static_cast<size_t>(std::count_if(
+      this->running.begin(), this->running.end(),
+      [engine](const auto& item) { return item.second->engine == engine; }));
+}
+
+double EngineFleet::WorstSlowdown() const {
+  double worst = 1;
+  for (const auto& [id, engine] : this->engines)
+    worst = std::max(worst, engine->router->SlowdownOf(engine->router_index));
+  return worst;
+}
+
+const IpAddress* EngineFleet::AddressOf(std::string_view engine) const {
+  const Engine* found = this->FindEngine(engine);
+  return found == nullptr ? nullptr : &found->address;
+}
+
+}  // namespace cranberryhill
--- /dev/null
+++ b/cranberryhill/daemon/internal/refusals.h
@@ -0,0 +1,15 @@
+#ifndef CRANBERRYHILL_DAEMON_INTERNAL_REFUSALS_H_
+#define CRANBERRYHILL_DAEMON_INTERNAL_REFUSALS_H_
+
+// Translates the end of a request's life into what its caller is told.
+
+#include "cranberryhill/caller/refusal.h"
+#include "cranberryhill/request/request_life.h"
+
+namespace cranberryhill::internal {
+
+Refusal RefusalOf(const FinishFailure& failure);
+
+}  // namespace cranberryhill::internal
+
+#endif  // CRANBERRYHILL_DAEMON_INTERNAL_REFUSALS_H_
--- /dev/null
+++ b/cranberryhill/daemon/plan_views.cc
@@ -0,0 +1,104 @@
+#include "cranberryhill/daemon/plan_views.h"
+
+#include <utility>
+
+#include "cranberryhill/base/log.h"
+#include "cranberryhill/daemon/control_part.h"
+#include "cranberryhill/orders/plan_record.h"
+
+namespace cranberryhill {
+
+PlanViews::PlanViews(std::string environment, const Clock& clock)
+    : environment(std::move(environment)), clock(clock) {}
+
+void PlanViews::SetDocument(const EnvironmentDocument& document) {
+  this->zone_of.clear();
+  for (const EngineSpec& engine : document.engines) {
+    this->zone_of[engine.id] = engine.availability_zone;
+    std::unique_ptr<ViewGrant>& view = this->views[engine.availability_zone];
+    if (view == nullptr)
+      view = std::make_unique<ViewGrant>(ViewGrantSettings{}, this->clock);
+  }
+}
+
+std::string PlanViews::PlanPrefix() const {
+  return "plan/" + this->environment + "/";
+}
+
+void PlanViews::OnRows(const std::vector<Row>& rows, absl::Time asked) {
+  for (auto& [zone, view] : this->views) {
+    const Row* row =
+        FindRow(rows, PlanRowKey(this->environment, zone, kOnlyShard));
+    if (row == nullptr) {
+      view->OnView(PlanRecord{}, asked);
+      continue;
+    }
+    Outcome<PlanRecord> plan = ParsePlanRecord(row->value);
+    // A plan that cannot be read refreshes nothing, so that its engines are
+    // given up rather than used against it.
+    if (plan.ok())
+      view->OnView(plan.value(), asked);
+    else
+      LogLine("plan of zone {} cannot be read: {}", zone,
+              plan.error().ToString());
+  }
+}
+
+ViewGrant* PlanViews::ViewOf(std::string_view zone) {
+  auto found = this->views.find(zone);
+  return found == this->views.end() ? nullptr : found->second.get();
+}
+
+const ViewGrant* PlanViews::ViewOfEngine(std::string_view engine) const {
+  auto zone = this->zone_of.find(engine);
+  if (zone == this->zone_of.end())
+    return nullptr;
+  auto view = this->views.find(zone->second);
+  return view == this->views.end() ? nullptr : view->second.get();
+}
+
+bool PlanViews::MayStart(std::string_view engine) const {
+  const ViewGrant* view = this->ViewOfEngine(engine);
+  return view != nullptr && view->MayStart(engine);
+}
+
+void PlanViews::OnUse(std::string_view engine, absl::Time at) {
+  auto zone = this->zone_of.find(engine);
+  if (zone == this->zone_of.end())
+    return;
+  if (ViewGrant* view = this->ViewOf(zone->second))
+    view->OnUse(engine, at);
+}
+
+std::vector<std::string> PlanViews::ProbesDue() {
+  std::vector<std::string> due;
+  for (auto& [zone, view] : this->views) {
+    std::vector<std::string> engines;
+    for (const auto& [engine, engine_zone] : this->zone_of) {
+      if (engine_zone == zone)
+        engines.push_back(engine);
+    }
+    for (std::string& engine : view->ProbesDue(engines))
+      due.push_back(std::move(engine));
+  }
+  return due;
+}
+
+std::vector<std::string> PlanViews::DrainOverdue() const {
+  std::vector<std::string> overdue;
+  for (const auto& [engine, zone] : this->zone_of) {
+    const ViewGrant* view = this->ViewOfEngine(engine);
+    if (view != nullptr && view->DrainOverdue(engine))
+      overdue.push_back(engine);
+  }
+  return overdue;
+}
+
+size_t PlanViews::DrainingCount() const {
+  size_t count = 0;
+  for (const auto& [zone, view] : this->views)
+    count += view->plan().draining.size();
+  return count;
+}
+
+}  // namespace cranberryhill
--- a/cranberryhill/request/request_life.cc
+++ b/cranberryhill/request/request_life.cc
@@ -43,7 +43,7 @@
     // The fingerprint has run and crashed its engines, through this instance
     // or another, so "not run" would be misleading.
     this->may_have_run = true;
-    this->Fail("request_crashes_engines",
+    this->Fail(FailureCode::kCrashesEngines,
                "this request crashed two engines and is not run again",
                absl::ZeroDuration(), actions);
     return;
@@ -177,8 +177,8 @@
 
 void RequestLife::RetryOrWait(absl::Time now, RequestActions& actions) {
   if (this->last_attempt >= this->policy.max_attempts) {
-    this->Fail("too_many_attempts", "every attempt on an engine failed",
-               absl::Seconds(1), actions);
+    this->Fail(FailureCode::kTooManyAttempts,
+               "every attempt on an engine failed", absl::Seconds(1), actions);
     return;
   }
   if (this->permits.TryRetry(now)) {
@@ -219,8 +219,9 @@
     return actions;
   if (now >= this->request.deadline) {
     this->CancelAll(actions);
-    this->Fail("deadline_exceeded", "the request's deadline has passed",
-               absl::ZeroDuration(), actions);
+    this->Fail(FailureCode::kDeadlineExceeded,
+               "the request's deadline has passed", absl::ZeroDuration(),
+               actions);
     return actions;
   }
   this->CheckStalls(now, actions);
@@ -232,8 +233,8 @@
 
 void RequestLife::GiveUpWaiting(absl::Time now, RequestActions& actions) {
   if (now - this->waiting_since >= this->policy.max_wait) {
-    this->Fail("no_engine_available", "no engine could take the request",
-               absl::Seconds(2), actions);
+    this->Fail(FailureCode::kNoEngineAvailable,
+               "no engine could take the request", absl::Seconds(2), actions);
     return;
   }
   if (this->needs_permit && !this->permits.TryRetry(now)) {
@@ -309,14 +310,14 @@
   this->live.clear();
 }
 
-void RequestLife::Fail(std::string_view code,
+void RequestLife::Fail(FailureCode code,
                        std::string_view message,
                        absl::Duration retry_after,
                        RequestActions& actions) {
   this->ended = true;
   actions.emplace_back(FinishFailure{
-      this->may_have_run ? RunOutcome::kRunFailed : RunOutcome::kNotRun,
-      std::string(code), std::string(message), retry_after});
+      this->may_have_run ? RunOutcome::kRunFailed : RunOutcome::kNotRun, code,
+      std::string(message), retry_after});
 }
 
 }  // namespace cranberryhill
--- a/cranberryhill/request/request_life.h
+++ b/cranberryhill/request/request_life.h
@@ -52,9 +52,16 @@
   std::string finish_reason;
 };
 
+enum class FailureCode {
+  kDeadlineExceeded,
+  kNoEngineAvailable,
+  kCrashesEngines,
+  kTooManyAttempts,
+};
+
 struct FinishFailure {
   RunOutcome outcome = RunOutcome::kUnknown;
-  std::string code;  ///< Machine-readable, such as "deadline_exceeded".
+  FailureCode code = FailureCode::kTooManyAttempts;
   std::string message;
   absl::Duration retry_after = absl::ZeroDuration();  ///< Zero: not given.
 };
@@ -207,7 +214,7 @@
   void GiveUpWaiting(absl::Time now, RequestActions& actions);
   void CancelOthers(AttemptNumber winner, RequestActions& actions);
   void CancelAll(RequestActions& actions);
-  void Fail(std::string_view code,
+  void Fail(FailureCode code,
             std::string_view message,
             absl::Duration retry_after,
             RequestActions& actions);
