--- /dev/null
+++ b/cranberryhill/http2/http2_test.cc
@@ -0,0 +1,461 @@
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/http2/event_loop.h"
+#include "cranberryhill/http2/http2_client.h"
+#include "cranberryhill/http2/http2_server.h"
+
+namespace cranberryhill {
+namespace {
+
+constexpr int kMaxSteps = 20000;
+constexpr absl::Duration kStepWait = absl::Milliseconds(1);
+
+/// What the callbacks of one request have reported.
+struct Record {
+  int status = 0;
+  std::string body;
+  int ends = 0;
+  std::vector<Http2Failure> failures;
+
+  Http2Callbacks Callbacks() {
+    Http2Callbacks calls;
+    calls.on_headers = [this](int code, const Headers&) { status = code; };
+    calls.on_data = [this](std::string_view chunk) { body.append(chunk); };
+    calls.on_end = [this] { ++ends; };
+    calls.on_failed = [this](const Http2Failure& f) { failures.push_back(f); };
+    return calls;
+  }
+  bool finished() const { return this->ends > 0 || !this->failures.empty(); }
+};
+
+using RequestPointer = std::shared_ptr<Http2Request>;
+using WriterPointer = std::shared_ptr<Http2ResponseWriter>;
+
+/// A loop on a manual clock, a server and a client.
+struct Fixture {
+  ManualClock clock;
+  std::unique_ptr<EventLoop> loop = NewEventLoop(clock);
+  std::unique_ptr<Http2Client> client = NewHttp2Client(*loop);
+  std::unique_ptr<Http2Server> server;
+  std::unique_ptr<Http2Connection> connection;
+
+  void Serve(Http2Handler handler, const Http2ServerOptions& options = {}) {
+    auto result =
+        ListenHttp2(*loop, {"127.0.0.1", 0}, options, std::move(handler));
+    BOOST_REQUIRE(result);
+    this->server = std::move(result.value());
+    this->Connect(this->server->port());
+  }
+  void Connect(uint16_t port, const Http2ConnectionOptions& options = {}) {
+    this->connection = this->client->Connect({"127.0.0.1", port}, options);
+  }
+  /// Runs the loop until `condition` holds.
+  void Until(const std::function<bool()>& condition) {
+    for (int step = 0; step < kMaxSteps && !condition(); ++step)
+      this->loop->RunOnce(kStepWait);
+    BOOST_REQUIRE(condition());
+  }
+  void Settle() {
+    for (int step = 0; step < 50; ++step)
+      this->loop->RunOnce(kStepWait);
+  }
+};
+
+/// A TCP peer that speaks no HTTP/2 by itself.
+class RawPeer {
+ public:
+  RawPeer() : fd(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address = Loopback(0);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    BOOST_REQUIRE(bind(this->fd, generic, size) == 0);
+    BOOST_REQUIRE(getsockname(this->fd, generic, &size) == 0);
+    this->bound_port = ntohs(address.sin_port);
+  }
+  ~RawPeer() {
+    ::close(this->fd);
+    if (this->accepted >= 0)
+      ::close(this->accepted);
+  }
+  RawPeer(const RawPeer&) = delete;
+  RawPeer& operator=(const RawPeer&) = delete;
+
+  uint16_t port() const { return this->bound_port; }
+  void Listen() { BOOST_REQUIRE(listen(this->fd, 8) == 0); }
+  void ConnectAndSend(uint16_t port, const std::string& bytes) {
+    sockaddr_in address = Loopback(port);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    BOOST_REQUIRE(connect(this->fd, generic, sizeof(address)) == 0);
+    BOOST_REQUIRE(send(this->fd, bytes.data(), bytes.size(), 0) ==
+                  static_cast<ssize_t>(bytes.size()));
+  }
+  void AcceptAndSend(const std::string& bytes) {
+    this->accepted = accept(this->fd, nullptr, nullptr);
+    BOOST_REQUIRE(send(this->accepted, bytes.data(), bytes.size(), 0) ==
+                  static_cast<ssize_t>(bytes.size()));
+  }
+
+ private:
+  static sockaddr_in Loopback(uint16_t port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    return address;
+  }
+
+  int fd;
+  int accepted = -1;
+  uint16_t bound_port = 0;
+};
+
+void Echo(const RequestPointer& request, const WriterPointer& response) {
+  request->ReadWhole([response, path = request->path()](std::string body) {
+    response->SendHeaders(200, {{"x-path", path}});
+    response->SendBody(body);
+    response->End();
+  });
+}
+
+// Guards against a body that is cut off or never acknowledged when it exceeds
+// the flow-control window in both directions.
+BOOST_FIXTURE_TEST_CASE(WholeExchangeBeyondTheWindow, Fixture) {
+  this->Serve(Echo);
+  Record record;
+  std::string body;
+  for (int i = 0; i < 300000; ++i)
+    body += std::to_string(i);
+  this->connection->Send({"POST", "/echo", {}, body}, record.Callbacks());
+  this->Until([&] { return record.finished(); });
+  BOOST_TEST(record.status == 200);
+  BOOST_TEST((record.body == body));
+  BOOST_TEST(record.ends == 1);
+  BOOST_TEST(this->connection->active_streams() == 0U);
+}
+
+// Guards against chunks that wait until the response is complete.
+BOOST_FIXTURE_TEST_CASE(ChunksArriveWhileTheStreamIsOpen, Fixture) {
+  WriterPointer writer;
+  this->Serve([&](const RequestPointer&, const WriterPointer& response) {
+    writer = response;
+    writer->SendHeaders(200, {});
+  });
+  Record record;
+  this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until([&] { return record.status == 200; });
+  for (const char* expected : {"a", "ab", "abc"}) {
+    writer->SendBody(std::string(1, std::string_view(expected).back()));
+    this->Until([&] { return record.body == expected; });
+  }
+  BOOST_TEST(record.ends == 0);
+  writer->End();
+  this->Until([&] { return record.ends == 1; });
+}
+
+// Guards against a server that goes on working for a caller that has left,
+// and against callbacks after Cancel().
+BOOST_FIXTURE_TEST_CASE(CancelReachesTheServer, Fixture) {
+  WriterPointer writer;
+  std::vector<CloseReason> closed;
+  this->Serve([&](const RequestPointer&, const WriterPointer& response) {
+    writer = response;
+    writer->SendHeaders(200, {});
+    writer->OnClosed([&](CloseReason reason) { closed.push_back(reason); });
+  });
+  Record record;
+  auto stream =
+      this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until([&] { return record.status == 200; });
+  stream->Cancel();
+  this->Until([&] { return !closed.empty(); });
+  BOOST_TEST((closed[0] == CloseReason::kReset));
+  BOOST_TEST(!writer->open());
+  BOOST_TEST(!record.finished());
+  BOOST_TEST(this->server->active_streams() == 0U);
+}
+
+// Guards against a reset by the server that looks like a complete response.
+BOOST_FIXTURE_TEST_CASE(ServerResetFailsTheRequest, Fixture) {
+  this->Serve([](const RequestPointer&, const WriterPointer& response) {
+    response->SendHeaders(200, {});
+    response->Reset(Http2Error::kEnhanceYourCalm);
+  });
+  Record record;
+  this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until([&] { return record.finished(); });
+  BOOST_REQUIRE(record.failures.size() == 1U);
+  BOOST_TEST((record.failures[0].reason == CloseReason::kReset));
+  BOOST_TEST((record.failures[0].code == Http2Error::kEnhanceYourCalm));
+  BOOST_TEST(record.failures[0].may_have_been_sent);
+  BOOST_TEST(record.ends == 0);
+}
+
+// Guards against requests that hang for good on a connection gone silent.
+BOOST_FIXTURE_TEST_CASE(SilentPeerIsClosedByPings, Fixture) {
+  RawPeer silent;
+  silent.Listen();
+  this->Connect(silent.port());
+  Record record;
+  this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until(
+      [&] { return this->connection->state() == Http2ConnectionState::kOpen; });
+  this->clock.Advance(absl::Milliseconds(2900));
+  this->Settle();
+  BOOST_TEST(!record.finished());
+  this->clock.Advance(absl::Milliseconds(200));
+  this->Until([&] { return record.finished(); });
+  BOOST_TEST((record.failures[0].reason == CloseReason::kPingTimeout));
+  BOOST_TEST(record.failures[0].may_have_been_sent);
+}
+
+// Guards against a healthy connection that is closed by its own pings, and
+// against a round-trip time that is never measured.
+BOOST_FIXTURE_TEST_CASE(AnsweredPingsKeepTheConnection, Fixture) {
+  this->Serve(Echo);
+  this->Until([&] { return this->connection->last_round_trip().has_value(); });
+  for (int second = 0; second < 10; ++second) {
+    this->clock.Advance(absl::Seconds(1));
+    this->Settle();
+  }
+  BOOST_TEST((this->connection->state() == Http2ConnectionState::kOpen));
+}
+
+// Guards against a refused connection that is reported as possibly sent, which
+// would turn a call that never ran into an unknown outcome.
+BOOST_FIXTURE_TEST_CASE(RefusedConnectionSentNothing, Fixture) {
+  RawPeer bound_only;
+  this->Connect(bound_only.port());
+  Record record;
+  this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until([&] { return record.finished(); });
+  BOOST_TEST((record.failures[0].reason == CloseReason::kConnectFailed));
+  BOOST_TEST(!record.failures[0].may_have_been_sent);
+  // The connection opens by itself once the peer listens.
+  bound_only.Listen();
+  this->clock.Advance(absl::Seconds(1));
+  this->Until(
+      [&] { return this->connection->state() == Http2ConnectionState::kOpen; });
+}
+
+// Guards against a request that is written after its sender lost the right to
+// send it.
+BOOST_FIXTURE_TEST_CASE(DisallowedRequestIsNotSent, Fixture) {
+  int requests = 0;
+  this->Serve(
+      [&](const RequestPointer& request, const WriterPointer& response) {
+        ++requests;
+        Echo(request, response);
+      });
+  Record denied;
+  Record allowed;
+  this->connection->Send({"POST", "/", {}, "x", [] { return false; }},
+                         denied.Callbacks());
+  this->connection->Send({"POST", "/", {}, "y", [] { return true; }},
+                         allowed.Callbacks());
+  this->Until([&] { return denied.finished() && allowed.finished(); });
+  BOOST_REQUIRE(denied.failures.size() == 1U);
+  BOOST_TEST((denied.failures[0].reason == CloseReason::kNotAllowed));
+  BOOST_TEST(!denied.failures[0].may_have_been_sent);
+  BOOST_TEST(allowed.body == "y");
+  BOOST_TEST(requests == 1);
+}
+
+// Guards against an oversize body that is buffered, or that takes other
+// streams of its connection down with it.
+BOOST_FIXTURE_TEST_CASE(OversizeBodyIsAnsweredAlone, Fixture) {
+  Http2ServerOptions options;
+  options.max_body_bytes = 1000;
+  std::vector<CloseReason> closed;
+  this->Serve(
+      [&](const RequestPointer& request, const WriterPointer& response) {
+        response->OnClosed([&](CloseReason r) { closed.push_back(r); });
+        Echo(request, response);
+      },
+      options);
+  Record undeclared;
+  Record declared;
+  Record small;
+  this->connection->Send({"POST", "/", {}, std::string(500000, 'x')},
+                         undeclared.Callbacks());
+  this->connection->Send(
+      {"POST", "/", {{"content-length", "500000"}}, std::string(500000, 'x')},
+      declared.Callbacks());
+  this->connection->Send({"POST", "/", {}, "small"}, small.Callbacks());
+  this->Until([&] {
+    return undeclared.finished() && declared.finished() && small.finished();
+  });
+  BOOST_TEST(undeclared.status == 413);
+  BOOST_TEST(undeclared.ends == 1);
+  BOOST_TEST(undeclared.body.find("\"not_run\"") != std::string::npos);
+  BOOST_TEST(declared.status == 413);
+  BOOST_TEST(small.body == "small");
+  BOOST_REQUIRE(closed.size() == 1U);
+  BOOST_TEST((closed[0] == CloseReason::kBodyTooLarge));
+  this->Until([&] { return this->server->active_streams() == 0; });
+}
+
+// Guards against requests above the peer's limit of concurrent streams that
+// are dropped, refused or answered to the wrong caller.
+BOOST_FIXTURE_TEST_CASE(ManyStreamsAreAnsweredEachToItsOwn, Fixture) {
+  constexpr size_t kStreams = 2000;
+  constexpr size_t kLimit = 10;
+  Http2ServerOptions options;
+  options.limits.max_concurrent_streams = kLimit;
+  size_t most = 0;
+  this->Serve(
+      [&](const RequestPointer& request, const WriterPointer& response) {
+        most = std::max(most, this->server->active_streams());
+        Echo(request, response);
+      },
+      options);
+  // The limit is known to the client after the first exchange.
+  Record first;
+  this->connection->Send({"GET", "/", {}, ""}, first.Callbacks());
+  this->Until([&] { return first.finished(); });
+  std::vector<Record> records(kStreams);
+  for (size_t i = 0; i < kStreams; ++i) {
+    this->connection->Send({"POST", "/", {}, std::to_string(i)},
+                           records[i].Callbacks());
+  }
+  size_t next = 0;
+  this->Until([&] {
+    while (next < kStreams && records[next].finished())
+      ++next;
+    return next == kStreams;
+  });
+  for (size_t i = 0; i < kStreams; ++i)
+    BOOST_TEST(records[i].body == std::to_string(i));
+  BOOST_TEST(most <= kLimit);
+}
+
+// Guards against a slow reader that makes the sender buffer without bound, and
+// against a paused stream that blocks the others of its connection.
+BOOST_FIXTURE_TEST_CASE(PausedStreamStopsTheSender, Fixture) {
+  WriterPointer writer;
+  int writable = 0;
+  this->Serve(
+      [&](const RequestPointer& request, const WriterPointer& response) {
+        if (request->path() != "/slow")
+          return Echo(request, response);
+        writer = response;
+        writer->OnWritable([&] { ++writable; });
+        writer->SendHeaders(200, {});
+      });
+  Record slow;
+  auto stream =
+      this->connection->Send({"GET", "/slow", {}, ""}, slow.Callbacks());
+  this->Until([&] { return slow.status == 200; });
+  stream->Pause();
+  const std::string chunk(10000, 'c');
+  size_t sent = 0;
+  bool more = true;
+  for (int step = 0; step < 1000 && more; ++step) {
+    more = writer->SendBody(chunk);
+    sent += chunk.size();
+    this->loop->RunOnce(kStepWait);
+  }
+  BOOST_TEST(!more);
+  BOOST_TEST(sent < 2 * Http2Limits{}.stream_buffer_bytes + 2 * chunk.size());
+  Record other;
+  this->connection->Send({"POST", "/", {}, "o"}, other.Callbacks());
+  this->Until([&] { return other.finished(); });
+  BOOST_TEST(writable == 0);
+  stream->Resume();
+  this->Until([&] { return slow.body.size() == sent; });
+  BOOST_TEST(writable == 1);
+}
+
+// Guards against invalid bytes that stop the server or stay unanswered.
+BOOST_FIXTURE_TEST_CASE(MalformedBytesCloseOnlyTheirConnection, Fixture) {
+  this->Serve(Echo);
+  this->Until([&] { return this->server->connections() == 1; });
+  const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+  for (const std::string& bytes :
+       {std::string("GET / HTTP/1.1\r\n\r\n"),
+        preface + std::string(200, '\xff'),
+        // DATA on stream 0.
+        preface + std::string("\0\0\0\4\0\0\0\0\0\0\0\1\0\0\0\0\0\0x", 19)}) {
+    RawPeer peer;
+    peer.ConnectAndSend(this->server->port(), bytes);
+    this->Until([&] { return this->server->connections() == 2; });
+    this->Until([&] { return this->server->connections() == 1; });
+  }
+  Record record;
+  this->connection->Send({"POST", "/", {}, "ok"}, record.Callbacks());
+  this->Until([&] { return record.finished(); });
+  BOOST_TEST(record.body == "ok");
+}
+
+// Guards against a client that waits for a peer that speaks another protocol.
+BOOST_FIXTURE_TEST_CASE(PeerWithoutHttp2IsAProtocolError, Fixture) {
+  RawPeer peer;
+  peer.Listen();
+  this->Connect(peer.port());
+  Record record;
+  this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until(
+      [&] { return this->connection->state() == Http2ConnectionState::kOpen; });
+  peer.AcceptAndSend("HTTP/1.1 400 Bad Request\r\n\r\n");
+  this->Until([&] { return record.finished(); });
+  BOOST_TEST((record.failures[0].reason == CloseReason::kProtocolError));
+}
+
+// Guards against a planned stop that interrupts a request.
+BOOST_FIXTURE_TEST_CASE(ShutdownLetsOpenStreamsFinish, Fixture) {
+  WriterPointer writer;
+  this->Serve([&](const RequestPointer&, const WriterPointer& response) {
+    writer = response;
+    writer->SendHeaders(200, {});
+  });
+  Record record;
+  this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until([&] { return record.status == 200; });
+  this->server->Shutdown();
+  this->Until([&] {
+    return this->connection->state() == Http2ConnectionState::kBackoff;
+  });
+  Record refused;
+  this->connection->Send({"GET", "/", {}, ""}, refused.Callbacks());
+  this->Until([&] { return refused.finished(); });
+  BOOST_TEST(!refused.failures[0].may_have_been_sent);
+  writer->SendBody("rest");
+  writer->End();
+  this->Until([&] { return record.finished(); });
+  BOOST_TEST(record.body == "rest");
+  BOOST_TEST(record.ends == 1);
+  this->Until([&] { return this->server->connections() == 0; });
+}
+
+// Guards against use after free when a callback destroys its connection.
+BOOST_FIXTURE_TEST_CASE(CallbackMayDestroyTheConnection, Fixture) {
+  this->Serve(Echo);
+  Record other;
+  this->connection->Send({"POST", "/", {}, std::string(300000, 'x')},
+                         other.Callbacks());
+  bool destroyed = false;
+  Http2Callbacks callbacks;
+  callbacks.on_headers = [&](int, const Headers&) {
+    this->connection.reset();
+    destroyed = true;
+  };
+  this->connection->Send({"POST", "/", {}, "y"}, callbacks);
+  this->Until([&] { return destroyed && other.finished(); });
+  BOOST_REQUIRE(other.failures.size() == 1U);
+  BOOST_TEST((other.failures[0].reason == CloseReason::kClosedLocally));
+  this->Until([&] { return this->server->connections() == 0; });
+}
+
+}  // namespace
+}  // namespace cranberryhill
--- a/cranberryhill/http2/http2_types.cc
+++ b/cranberryhill/http2/http2_types.cc
@@ -1,5 +1,8 @@
 #include "cranberryhill/http2/http2_types.h"
 
+#include <arpa/inet.h>
+
+#include <array>
 #include <charconv>
 
 namespace cranberryhill {
@@ -38,6 +41,17 @@
   return "unknown";
 }
 
+namespace {
+
+// Host names are refused, because looking them up would block the loop.
+bool IsIpLiteral(const std::string& ip) {
+  std::array<unsigned char, sizeof(in6_addr)> bytes;
+  return inet_pton(AF_INET, ip.c_str(), bytes.data()) == 1 ||
+         inet_pton(AF_INET6, ip.c_str(), bytes.data()) == 1;
+}
+
+}  // namespace
+
 std::string IpAddress::ToString() const {
   bool v6 = this->ip.find(':') != std::string::npos;
   std::string text = v6 ? "[" + this->ip + "]" : this->ip;
@@ -66,6 +80,10 @@
     return MakeError(ErrorCode::kInvalidArgument, "address", text,
                      "must have a port from 0 to 65535");
   }
+  if (!IsIpLiteral(address.ip)) {
+    return MakeError(ErrorCode::kInvalidArgument, "address", text,
+                     "must have an IP address, not a name");
+  }
   return address;
 }
 
