http2: submit requests only when they can be written at once

nghttp2 compresses the header block before it asks whether a frame may be sent. A request that was dropped there left the compression state of both peers different, and the server closed the connection. Requests therefore wait in the client's own queue, which also bounds them.

--- a/cranberryhill/http2/http2_client.cc
+++ b/cranberryhill/http2/http2_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <utility>
 #include <vector>
@@ -33,9 +34,9 @@
   bool may_have_been_sent() const override { return this->sent; }
 
   /// Submits the request to `session`.
-  void Submit(const std::shared_ptr<ClientSession>& session,
+  /// @return False when that failed; the stream is then finished.
+  bool Submit(const std::shared_ptr<ClientSession>& session,
               const std::string& authority);
-  bool BeforeSent();
   void AddHeader(Header header);
   void FinishHeaders();
   void AddBody(std::string_view chunk);
@@ -44,7 +45,6 @@
   bool complete() const { return this->body_done; }
   void Fail(CloseReason reason, Http2Error code, const std::string& message);
   bool finished() const { return this->done; }
-  bool denied() const { return this->not_allowed; }
 
  private:
   void DeliverBuffered();
@@ -62,7 +62,6 @@
   std::string buffer;
   size_t unconsumed = 0;
   bool sent = false;
-  bool not_allowed = false;
   bool paused = false;
   bool headers_done = false;
   bool body_done = false;
@@ -85,15 +84,21 @@
  public:
   ClientSession(EventLoop& loop,
                 ClientSessionOwner& owner,
-                const Http2Limits& limits)
-      : owner(&owner), session(Session::NewClient(loop, *this, limits)) {}
+                const std::string& authority,
+                const Http2ConnectionOptions& options)
+      : loop(loop),
+        owner(&owner),
+        authority(authority),
+        max_queued(options.max_queued),
+        session(Session::NewClient(loop, *this, options.limits)) {}
   ~ClientSession() override { this->session->Close(); }
   ClientSession(const ClientSession&) = delete;
   ClientSession& operator=(const ClientSession&) = delete;
 
   void Connect(const IpAddress& address, const Http2ConnectionOptions& options);
-  void Send(const std::shared_ptr<ClientStream>& stream,
-            const std::string& authority);
+  /// Queues a request, which is submitted when the socket takes it and the
+  /// peer allows one more stream.
+  void Send(const std::shared_ptr<ClientStream>& stream);
   std::optional<int32_t> Submit(const std::shared_ptr<ClientStream>& stream,
                                 const Headers& fields,
                                 std::string_view body);
@@ -103,7 +108,7 @@
   }
   /// Forgets the owner and fails all streams.
   void Abandon(CloseReason reason, const std::string& message);
-  size_t streams() const { return this->open_streams.size(); }
+  size_t streams() const;
   const Session& http2() const { return *this->session; }
 
   void OnOpen() override;
@@ -111,7 +116,7 @@
   void OnHeadersDone(int32_t stream) override;
   void OnBody(int32_t stream, std::string_view chunk) override;
   void OnBodyEnd(int32_t stream) override;
-  bool BeforeRequestSent(int32_t stream) override;
+  bool SubmitNext() override;
   void OnStreamClosed(int32_t stream, uint32_t code) override;
   void OnGoaway() override;
   void OnSessionClosed(CloseReason reason, const std::string& message) override;
@@ -120,8 +125,16 @@
   std::shared_ptr<ClientStream> Find(int32_t stream) const;
   void FailAll(CloseReason reason, const std::string& message);
 
+  void OnIdsExhausted();
+
+  EventLoop& loop;
   ClientSessionOwner* owner;
+  const std::string authority;
+  const size_t max_queued;
   std::shared_ptr<Session> session;
+  // Submitted only when they can be sent at once: nghttp2 cannot drop a request
+  // in its own queue without breaking the header compression of later ones.
+  std::deque<std::shared_ptr<ClientStream>> waiting;
   std::map<int32_t, std::shared_ptr<ClientStream>> open_streams;
 };
 
@@ -147,8 +160,13 @@
     target->Consume(this->id, bytes);
 }
 
-void ClientStream::Submit(const std::shared_ptr<ClientSession>& target,
+bool ClientStream::Submit(const std::shared_ptr<ClientSession>& target,
                           const std::string& authority) {
+  if (this->request.allow_send && !this->request.allow_send()) {
+    this->Fail(CloseReason::kNotAllowed, Http2Error::kNoError,
+               "not allowed to send");
+    return false;
+  }
   Headers fields = {{":method", this->request.method},
                     {":scheme", "http"},
                     {":authority", authority},
@@ -160,19 +178,10 @@
   if (!stream) {
     this->Fail(CloseReason::kRefused, Http2Error::kNoError,
                "the connection takes no more requests");
-    return;
+    return false;
   }
   this->session = target;
   this->id = *stream;
-}
-
-bool ClientStream::BeforeSent() {
-  if (this->done)
-    return false;
-  if (this->request.allow_send && !this->request.allow_send()) {
-    this->not_allowed = true;
-    return false;
-  }
   this->sent = true;
   return true;
 }
@@ -265,9 +274,47 @@
                                      options.tcp_user_timeout);
 }
 
-void ClientSession::Send(const std::shared_ptr<ClientStream>& stream,
-                         const std::string& authority) {
-  stream->Submit(this->shared_from_this(), authority);
+void ClientSession::Send(const std::shared_ptr<ClientStream>& stream) {
+  if (this->waiting.size() >= this->max_queued) {
+    std::erase_if(this->waiting,
+                  [](const auto& other) { return other->finished(); });
+  }
+  if (this->waiting.size() >= this->max_queued) {
+    stream->Fail(CloseReason::kQueueFull, Http2Error::kNoError,
+                 "too many requests wait for a free stream");
+    return;
+  }
+  this->waiting.push_back(stream);
+  this->session->ScheduleFlush();
+}
+
+bool ClientSession::SubmitNext() {
+  while (!this->waiting.empty() &&
+         this->open_streams.size() < this->session->PeerMaxStreams()) {
+    std::shared_ptr<ClientStream> stream = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    if (!stream->finished() &&
+        stream->Submit(this->shared_from_this(), this->authority))
+      return true;
+  }
+  return false;
+}
+
+size_t ClientSession::streams() const {
+  return this->open_streams.size() +
+         std::count_if(this->waiting.begin(), this->waiting.end(),
+                       [](const auto& stream) { return !stream->finished(); });
+}
+
+// A connection has 2^30 stream ids for requests.
+void ClientSession::OnIdsExhausted() {
+  this->loop.Post([weak = this->weak_from_this()] {
+    auto self = weak.lock();
+    if (!self)
+      return;
+    self->session->ShutdownGracefully();
+    self->OnGoaway();
+  });
 }
 
 std::optional<int32_t> ClientSession::Submit(
@@ -277,6 +324,8 @@
   auto id = this->session->SubmitRequest(fields, body);
   if (id)
     this->open_streams[*id] = stream;
+  else
+    this->OnIdsExhausted();
   return id;
 }
 
@@ -320,11 +369,6 @@
     entry->FinishBody();
 }
 
-bool ClientSession::BeforeRequestSent(int32_t stream) {
-  auto entry = this->Find(stream);
-  return entry && entry->BeforeSent();
-}
-
 void ClientSession::OnStreamClosed(int32_t stream, uint32_t code) {
   auto entry = this->Find(stream);
   if (!entry)
@@ -332,11 +376,7 @@
   this->open_streams.erase(stream);
   if (entry->complete())
     return;  // A paused stream still delivers what it has buffered.
-  if (entry->denied()) {
-    entry->Fail(CloseReason::kNotAllowed, Http2Error::kNoError,
-                "not allowed to send");
-  } else if (code == NGHTTP2_REFUSED_STREAM || !entry->may_have_been_sent()) {
-    // The peer did not process it, or nghttp2 could not send it any more.
+  if (code == NGHTTP2_REFUSED_STREAM) {
     entry->Fail(CloseReason::kRefused, Http2Error::kRefusedStream,
                 "refused by the peer");
   } else {
@@ -346,17 +386,10 @@
 }
 
 void ClientSession::OnGoaway() {
-  // Requests that wait for a free stream would otherwise wait for the streams
-  // that the peer still finishes, only to fail then.
-  std::vector<int32_t> unsent;
-  for (const auto& [id, stream] : this->open_streams) {
-    if (!stream->may_have_been_sent())
-      unsent.push_back(id);
-  }
-  for (int32_t id : unsent) {
-    this->open_streams[id]->Fail(CloseReason::kRefused, Http2Error::kNoError,
-                                 "the peer is shutting down");
-    this->Cancel(id);
+  auto unsent = std::exchange(this->waiting, {});
+  for (const auto& stream : unsent) {
+    stream->Fail(CloseReason::kRefused, Http2Error::kNoError,
+                 "the peer is shutting down");
   }
   if (this->owner != nullptr)
     this->owner->OnSessionGoaway(*this);
@@ -376,6 +409,9 @@
     if (!stream->complete())
       stream->Fail(reason, Http2Error::kNoError, message);
   }
+  auto unsent = std::exchange(this->waiting, {});
+  for (const auto& stream : unsent)
+    stream->Fail(reason, Http2Error::kNoError, message);
 }
 
 void ClientSession::Abandon(CloseReason reason, const std::string& message) {
@@ -451,8 +487,8 @@
 }
 
 void ConnectionImpl::Open() {
-  this->current =
-      std::make_shared<ClientSession>(this->loop, *this, this->options.limits);
+  this->current = std::make_shared<ClientSession>(
+      this->loop, *this, this->authority, this->options);
   this->current->Connect(this->address, this->options);
 }
 
@@ -462,7 +498,7 @@
                                                std::move(callbacks));
   switch (this->current_state) {
     case Http2ConnectionState::kOpen:
-      this->current->Send(stream, this->authority);
+      this->current->Send(stream);
       break;
     case Http2ConnectionState::kConnecting:
       std::erase_if(this->queued,
@@ -534,7 +570,7 @@
   auto streams = std::exchange(this->queued, {});
   for (const auto& stream : streams) {
     if (!stream->finished())
-      this->current->Send(stream, this->authority);
+      this->current->Send(stream);
   }
   this->SetState(Http2ConnectionState::kOpen, std::nullopt);
 }
--- a/cranberryhill/http2/http2_client.h
+++ b/cranberryhill/http2/http2_client.h
@@ -98,7 +98,8 @@
   bool reconnect = true;
   /// TCP_USER_TIMEOUT of the socket; 0 keeps the system's default.
   absl::Duration tcp_user_timeout = absl::ZeroDuration();
-  /// Requests that may wait until the connection is open.
+  /// Requests that may wait until the connection is open, or until the peer
+  /// allows one more stream; further ones fail with kQueueFull.
   size_t max_queued = 1000;
 };
 
--- a/cranberryhill/http2/http2_test.cc
+++ b/cranberryhill/http2/http2_test.cc
@@ -320,6 +320,9 @@
         Echo(request, response);
       },
       options);
+  Http2ConnectionOptions client_options;
+  client_options.max_queued = kStreams;
+  this->Connect(this->server->port(), client_options);
   // The limit is known to the client after the first exchange.
   Record first;
   this->connection->Send({"GET", "/", {}, ""}, first.Callbacks());
--- a/cranberryhill/http2/internal/session.cc
+++ b/cranberryhill/http2/internal/session.cc
@@ -98,18 +98,6 @@
     return 0;
   }
 
-  static int BeforeFrameSent(nghttp2_session* /*session*/,
-                             const nghttp2_frame* frame,
-                             void* user) {
-    Session& self = Self(user);
-    bool request = frame->hd.type == NGHTTP2_HEADERS &&
-                   frame->headers.cat == NGHTTP2_HCAT_REQUEST;
-    if (request && !self.closed &&
-        !self.handler.BeforeRequestSent(frame->hd.stream_id))
-      return NGHTTP2_ERR_CANCEL;
-    return 0;
-  }
-
   static int OnFrameSent(nghttp2_session* /*session*/,
                          const nghttp2_frame* frame,
                          void* user) {
@@ -179,8 +167,6 @@
                                                             Callbacks::OnData);
   nghttp2_session_callbacks_set_on_stream_close_callback(
       calls, Callbacks::OnStreamClosed);
-  nghttp2_session_callbacks_set_before_frame_send_callback(
-      calls, Callbacks::BeforeFrameSent);
   nghttp2_session_callbacks_set_on_frame_send_callback(calls,
                                                        Callbacks::OnFrameSent);
   nghttp2_session_callbacks_set_on_invalid_frame_recv_callback(
@@ -254,13 +240,19 @@
 
 std::string Session::NextBytes() {
   std::string out;
-  while (out.size() < kWriteBytes) {
+  // A request goes out in the same write as it is submitted in, so that its
+  // allow_send check is recent.
+  while (out.size() < kWriteBytes || this->request_unsent) {
+    if (!this->request_unsent)
+      this->request_unsent = this->handler.SubmitNext();
     const uint8_t* bytes = nullptr;
     ssize_t size = nghttp2_session_mem_send(this->session, &bytes);
     if (size < 0)
       this->protocol_error = true;  // Out of memory, or a frame was refused.
-    if (size <= 0)
+    if (size <= 0) {
+      this->request_unsent = false;
       break;
+    }
     out.append(reinterpret_cast<const char*>(bytes), static_cast<size_t>(size));
   }
   return out;
@@ -373,6 +365,8 @@
 
 void Session::OnFrameSent(const nghttp2_frame& frame) {
   bool end = (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+  if (frame.hd.type == NGHTTP2_HEADERS)
+    this->request_unsent = false;
   if (frame.hd.type == NGHTTP2_GOAWAY)
     this->protocol_error |= frame.goaway.error_code != NGHTTP2_NO_ERROR;
   else if (end && !this->closed &&
@@ -394,10 +388,14 @@
     outgoing.bytes = body;
     outgoing.ended = true;
   }
-  this->ScheduleFlush();
   return stream;
 }
 
+uint32_t Session::PeerMaxStreams() const {
+  return nghttp2_session_get_remote_settings(
+      this->session, NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS);
+}
+
 bool Session::SubmitResponse(int32_t stream, const Headers& fields) {
   if (this->closed)
     return false;
--- a/cranberryhill/http2/internal/session.h
+++ b/cranberryhill/http2/internal/session.h
@@ -34,8 +34,9 @@
   virtual void OnHeadersDone(int32_t stream) = 0;
   virtual void OnBody(int32_t stream, std::string_view chunk) = 0;
   virtual void OnBodyEnd(int32_t stream) = 0;
-  /// @return False to keep the request of `stream` from being sent.
-  virtual bool BeforeRequestSent(int32_t /*stream*/) { return true; }
+  /// Frames are about to be written: submits the next request that waits.
+  /// @return Whether a request was submitted.
+  virtual bool SubmitNext() { return false; }
   /// The last frame of this side was handed to the socket.
   virtual void OnEndSent(int32_t /*stream*/) {}
   /// The outgoing body fell below half of the limit. Frames are being
@@ -67,9 +68,14 @@
   /// Begins HTTP/2 on the connected transport.
   void Start();
 
+  /// Called in SubmitNext() only.
   /// @return The stream, or nothing when the session takes no more requests.
   std::optional<int32_t> SubmitRequest(const Headers& fields,
                                        std::string_view body);
+  /// @return Streams that the peer lets this side have open.
+  uint32_t PeerMaxStreams() const;
+  /// Makes the loop ask for SubmitNext() and write frames.
+  void ScheduleFlush();
   bool SubmitResponse(int32_t stream, const Headers& fields);
   void AppendBody(int32_t stream, std::string_view chunk);
   void EndBody(int32_t stream);
@@ -117,7 +123,6 @@
   void CreateNghttp2(bool server);
   void SubmitSettings();
   void Flush();
-  void ScheduleFlush();
   std::string NextBytes();
   void SendPing();
   void CheckPing(uint64_t sequence);
@@ -136,6 +141,7 @@
   bool started = false;
   bool closed = false;
   bool flush_scheduled = false;
+  bool request_unsent = false;  // Submitted, and not yet serialised.
   bool protocol_error = false;
   std::unordered_map<int32_t, OutgoingBody> bodies;
   std::unordered_map<int32_t, size_t> header_bytes;
