environment: add document checks, operations and the follower

Operators need one accepted version at a time even when answers are lost, and instances need the newest production version while the table is down.

--- a/cranberryhill/environment/config_follower.h
+++ b/cranberryhill/environment/config_follower.h
@@ -151,11 +151,17 @@
     std::string peer;   // kPeer
   };
 
+  struct Announcement {
+    uint64_t generation = 0;
+    std::string digest;
+  };
+
   bool IsPending(RequestKind kind) const;
-  bool IsWanted(uint64_t generation) const;
-  std::optional<PendingRequest> TakeRequest(uint64_t request, RequestKind kind);
-  void Send(PendingRequest request, FollowerActions& actions);
+  bool IsWanted(uint64_t generation, const std::string& digest) const;
+  std::optional<PendingRequest> TakeRequest(uint64_t request);
+  uint64_t AddRequest(PendingRequest request);
   void StartPoll(absl::Time now, FollowerActions& actions);
+  void ReadProduction(absl::Time now, FollowerActions& actions);
   void ReadDocument(const StageRecord& stage,
                     absl::Time now,
                     FollowerActions& actions);
@@ -175,7 +181,7 @@
   void FetchFromPeer(const std::string& peer,
                      absl::Time now,
                      FollowerActions& actions);
-  void FinishStartRound(FollowerActions& actions);
+  void FinishStartRound(absl::Time now, FollowerActions& actions);
   bool Adopt(const ProductionVersion& version, FollowerActions& actions);
   void Refuse(const ProductionVersion& version,
               const Error& error,
@@ -190,15 +196,16 @@
   std::map<uint64_t, PendingRequest> pending;
   uint64_t next_request = 1;
   absl::Time next_poll = absl::InfiniteFuture();
-  // Last announced generation per peer, only those above the one in force.
-  std::map<std::string, uint64_t> announced;
-  // Announcers that failed since the last poll; asked again after the next.
-  std::set<std::string> failed_announcers;
+  // False while the last read has failed; peers are asked at once then.
+  bool table_answers = true;
+  // Last announcement per peer, only those above the generation in force. A
+  // peer that does not deliver is left out until it announces again.
+  std::map<std::string, Announcement> announced;
   // Documents that this build cannot read, by generation and digest.
   std::set<std::pair<uint64_t, std::string>> refused;
-  // Answers of the peers asked at a start without the table.
-  std::optional<ProductionVersion> best_start_answer;
+  // A start round asks several peers and takes the highest generation.
   bool start_round = false;
+  std::vector<ProductionVersion> start_answers;
   FollowerCounters count;
 };
 
--- /dev/null
+++ b/cranberryhill/environment/environment_document.cc
@@ -0,0 +1,480 @@
+#include "cranberryhill/environment/environment_document.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "cranberryhill/base/hash.h"
+#include "cranberryhill/base/json.h"
+#include "cranberryhill/environment/endpoint.h"
+
+namespace cranberryhill {
+namespace {
+
+constexpr size_t kMaxDocumentBytes = 4 << 20;
+constexpr size_t kMaxNameLength = 64;
+// Absorbs rounding, so that a share of 0.3 of 10 engines is 3 engines.
+constexpr double kShareTolerance = 1e-9;
+constexpr double kMaxWeight = 1e6;
+constexpr double kMaxRate = 1e9;
+constexpr int64_t kMaxBodyBytes = int64_t{1} << 30;
+constexpr int64_t kMaxPromptTokens = 100'000'000;
+
+constexpr std::array<std::string_view, 7> kHttpMethods = {
+    "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+
+boost::leaf::error_id Refuse(std::string_view field,
+                             std::string_view value,
+                             std::string_view rule) {
+  return MakeError(ErrorCode::kInvalidArgument, field, value, rule);
+}
+
+/// Remembers values that have to be unique within the document.
+class UniqueValues {
+ public:
+  explicit UniqueValues(std::string_view rule) : rule(rule) {}
+
+  Result<void> Add(const std::string& value, std::string_view field) {
+    if (!this->seen.insert(value).second)
+      return Refuse(field, value, this->rule);
+    return {};
+  }
+
+ private:
+  std::string rule;
+  std::set<std::string> seen;
+};
+
+/// Calls `parse(ObjectReader&, T&)` for each element of the array `name`.
+template <typename T, typename F>
+Result<std::vector<T>> ReadList(ObjectReader& reader,
+                                std::string_view name,
+                                bool required,
+                                F&& parse) {
+  std::vector<T> list;
+  BOOST_LEAF_AUTO(array, reader.Array(name, required));
+  if (array == nullptr)
+    return list;
+  for (size_t i = 0; i < array->size(); ++i) {
+    ObjectReader item(array->at(i),
+                      fmt::format("{}[{}]", reader.PathOf(name), i));
+    T value;
+    BOOST_LEAF_CHECK(parse(item, value));
+    BOOST_LEAF_CHECK(item.RefuseUnknownFields());
+    list.push_back(std::move(value));
+  }
+  return list;
+}
+
+Result<void> RefuseEmpty(bool empty, std::string_view field) {
+  if (empty)
+    return Refuse(field, "[]", "must have at least one element");
+  return {};
+}
+
+Result<std::string> ReadName(ObjectReader& reader,
+                             std::string_view name,
+                             std::optional<std::string> fallback = {}) {
+  BOOST_LEAF_AUTO(value, reader.String(name, std::move(fallback)));
+  BOOST_LEAF_CHECK(CheckName(value, reader.PathOf(name)));
+  return value;
+}
+
+Result<std::vector<std::string>> ReadNames(ObjectReader& reader,
+                                           std::string_view name,
+                                           bool required) {
+  std::vector<std::string> names;
+  BOOST_LEAF_AUTO(array, reader.Array(name, required));
+  if (array == nullptr)
+    return names;
+  UniqueValues unique("must be unique in this list");
+  for (size_t i = 0; i < array->size(); ++i) {
+    std::string field = fmt::format("{}[{}]", reader.PathOf(name), i);
+    const Json& item = array->at(i);
+    if (!item.is_string())
+      return Refuse(field, item.dump(), "must be a string");
+    auto value = item.get<std::string>();
+    BOOST_LEAF_CHECK(CheckName(value, field));
+    BOOST_LEAF_CHECK(unique.Add(value, field));
+    names.push_back(std::move(value));
+  }
+  return names;
+}
+
+Result<std::vector<ModelSpec>> ReadModels(ObjectReader& reader) {
+  UniqueValues names("must be unique among the models");
+  auto parse = [&](ObjectReader& item, ModelSpec& model) -> Result<void> {
+    BOOST_LEAF_ASSIGN(model.name, ReadName(item, "name"));
+    BOOST_LEAF_CHECK(names.Add(model.name, item.PathOf("name")));
+    BOOST_LEAF_ASSIGN(model.versions, ReadNames(item, "versions", true));
+    BOOST_LEAF_CHECK(
+        RefuseEmpty(model.versions.empty(), item.PathOf("versions")));
+    BOOST_LEAF_ASSIGN(model.adapters, ReadNames(item, "adapters", false));
+    return {};
+  };
+  BOOST_LEAF_AUTO(models, ReadList<ModelSpec>(reader, "models", true, parse));
+  BOOST_LEAF_CHECK(RefuseEmpty(models.empty(), reader.PathOf("models")));
+  return models;
+}
+
+/// Addresses and ids of all backend servers. Two entries for one engine would
+/// have two order rows, so the engine could receive conflicting orders.
+struct BackendServerNames {
+  UniqueValues ids{"must be unique among engines and backend servers"};
+  UniqueValues addresses{"must be unique among engines and backend servers"};
+};
+
+template <typename T>
+Result<void> ReadBackendServer(ObjectReader& item,
+                               BackendServerNames& names,
+                               T& server) {
+  BOOST_LEAF_ASSIGN(server.id, ReadName(item, "id"));
+  BOOST_LEAF_CHECK(names.ids.Add(server.id, item.PathOf("id")));
+  BOOST_LEAF_ASSIGN(server.address, item.String("address"));
+  BOOST_LEAF_CHECK(ParseEndpoint(server.address, item.PathOf("address")));
+  BOOST_LEAF_CHECK(names.addresses.Add(server.address, item.PathOf("address")));
+  BOOST_LEAF_ASSIGN(server.availability_zone,
+                    ReadName(item, "availability_zone"));
+  return {};
+}
+
+/// `model` may be left out when there is only one model.
+Result<std::string> ReadModelReference(ObjectReader& item,
+                                       const std::vector<ModelSpec>& models) {
+  std::optional<std::string> fallback;
+  if (models.size() == 1)
+    fallback = models[0].name;
+  BOOST_LEAF_AUTO(name, item.String("model", fallback));
+  bool known = std::any_of(models.begin(), models.end(),
+                           [&](const auto& m) { return m.name == name; });
+  if (!known)
+    return Refuse(item.PathOf("model"), name, "must be a name in models");
+  return name;
+}
+
+Result<std::vector<EngineSpec>> ReadEngines(
+    ObjectReader& reader,
+    const std::vector<ModelSpec>& models,
+    BackendServerNames& names) {
+  auto parse = [&](ObjectReader& item, EngineSpec& engine) -> Result<void> {
+    BOOST_LEAF_CHECK(ReadBackendServer(item, names, engine));
+    BOOST_LEAF_ASSIGN(engine.model, ReadModelReference(item, models));
+    BOOST_LEAF_ASSIGN(engine.checks_fencing, item.Bool("checks_fencing"));
+    return {};
+  };
+  BOOST_LEAF_AUTO(engines,
+                  ReadList<EngineSpec>(reader, "engines", true, parse));
+  BOOST_LEAF_CHECK(RefuseEmpty(engines.empty(), reader.PathOf("engines")));
+  return engines;
+}
+
+Result<std::vector<CustomerSpec>> ReadCustomers(ObjectReader& reader) {
+  UniqueValues names("must be unique among the customers");
+  auto parse = [&](ObjectReader& item, CustomerSpec& customer) -> Result<void> {
+    BOOST_LEAF_ASSIGN(customer.name, ReadName(item, "name"));
+    BOOST_LEAF_CHECK(names.Add(customer.name, item.PathOf("name")));
+    BOOST_LEAF_ASSIGN(customer.weight,
+                      item.Double("weight", {1e-6, kMaxWeight}, 1.0));
+    BOOST_LEAF_ASSIGN(customer.requests_per_s,
+                      item.Double("requests_per_s", {1e-6, kMaxRate}));
+    BOOST_LEAF_ASSIGN(customer.tokens_per_s,
+                      item.Double("tokens_per_s", {1e-6, kMaxRate}));
+    return {};
+  };
+  return ReadList<CustomerSpec>(reader, "customers", true, parse);
+}
+
+Result<void> CheckPath(std::string_view path, std::string_view field) {
+  bool valid = path.starts_with('/') && !path.ends_with('/') &&
+               path.find("//") == std::string_view::npos &&
+               path.find_first_of(" ?#%\t\r\n") == std::string_view::npos;
+  if (!valid) {
+    return Refuse(field, path,
+                  "must start with '/', must not end with it and must not "
+                  "contain \"//\", spaces, '?', '#' or '%'");
+  }
+  return {};
+}
+
+Result<std::vector<ServiceMethod>> ReadMethods(ObjectReader& reader) {
+  UniqueValues names("must be unique among the service's methods");
+  UniqueValues routes("must be unique among the service's methods");
+  auto parse = [&](ObjectReader& item, ServiceMethod& method) -> Result<void> {
+    BOOST_LEAF_ASSIGN(method.name, ReadName(item, "name"));
+    BOOST_LEAF_CHECK(names.Add(method.name, item.PathOf("name")));
+    BOOST_LEAF_ASSIGN(method.http_method, item.String("http_method"));
+    if (std::find(kHttpMethods.begin(), kHttpMethods.end(),
+                  method.http_method) == kHttpMethods.end()) {
+      return Refuse(item.PathOf("http_method"), method.http_method,
+                    "must be GET, HEAD, POST, PUT, PATCH, DELETE or OPTIONS");
+    }
+    BOOST_LEAF_ASSIGN(method.path, item.String("path", ""));
+    if (!method.path.empty())
+      BOOST_LEAF_CHECK(CheckPath(method.path, item.PathOf("path")));
+    BOOST_LEAF_CHECK(routes.Add(method.http_method + " " + method.path,
+                                item.PathOf("path")));
+    BOOST_LEAF_ASSIGN(method.idempotent, item.Bool("idempotent"));
+    return {};
+  };
+  BOOST_LEAF_AUTO(methods,
+                  ReadList<ServiceMethod>(reader, "methods", true, parse));
+  BOOST_LEAF_CHECK(RefuseEmpty(methods.empty(), reader.PathOf("methods")));
+  return methods;
+}
+
+Result<std::vector<ServiceSpec>> ReadServices(ObjectReader& reader,
+                                              BackendServerNames& names) {
+  UniqueValues prefixes("must be unique among the services");
+  auto parse_server = [&](ObjectReader& item, BackendServerSpec& server) {
+    return ReadBackendServer(item, names, server);
+  };
+  auto parse = [&](ObjectReader& item, ServiceSpec& service) -> Result<void> {
+    std::string field = item.PathOf("path_prefix");
+    BOOST_LEAF_ASSIGN(service.path_prefix, item.String("path_prefix"));
+    BOOST_LEAF_CHECK(CheckPath(service.path_prefix, field));
+    BOOST_LEAF_CHECK(prefixes.Add(service.path_prefix, field));
+    BOOST_LEAF_ASSIGN(service.backend_servers,
+                      ReadList<BackendServerSpec>(item, "backend_servers", true,
+                                                  parse_server));
+    BOOST_LEAF_CHECK(RefuseEmpty(service.backend_servers.empty(),
+                                 item.PathOf("backend_servers")));
+    BOOST_LEAF_ASSIGN(service.methods, ReadMethods(item));
+    return {};
+  };
+  return ReadList<ServiceSpec>(reader, "services", false, parse);
+}
+
+/// A role that is left out holds no engines.
+Result<RoleShare> ReadRole(ObjectReader& roles, std::string_view name) {
+  RoleShare share;
+  BOOST_LEAF_AUTO(json, roles.Object(name, false));
+  if (json == nullptr)
+    return share;
+  ObjectReader item(*json, roles.PathOf(name));
+  BOOST_LEAF_ASSIGN(share.min_share, item.Double("min_share", {0, 1}));
+  BOOST_LEAF_ASSIGN(share.max_share, item.Double("max_share", {0, 1}));
+  BOOST_LEAF_CHECK(item.RefuseUnknownFields());
+  return share;
+}
+
+/// Refuses shares that no assignment of roles to the engines satisfies.
+Result<void> CheckShares(const EnvironmentDocument& document) {
+  size_t engines = document.engines.size();
+  size_t low = 0;
+  size_t high = 0;
+  for (EngineRole role : kEngineRoles) {
+    const RoleShare& share = document.RoleShareOf(role);
+    std::string field = fmt::format("roles.{}", EngineRoleName(role));
+    std::string value =
+        fmt::format("{} to {}", share.min_share, share.max_share);
+    if (share.min_share > share.max_share)
+      return Refuse(field, value, "min_share must not exceed max_share");
+    RoleCount count = RoleCountOf(share, engines);
+    if (count.low > count.high) {
+      return Refuse(
+          field, value,
+          fmt::format("no whole number of the {} engines lies within the share",
+                      engines));
+    }
+    low += count.low;
+    high += count.high;
+  }
+  if (low > engines) {
+    return Refuse(
+        "roles", fmt::format("{}", low),
+        fmt::format("the min_share fields together need more than the {} "
+                    "engines",
+                    engines));
+  }
+  if (high < engines) {
+    return Refuse(
+        "roles", fmt::format("{}", high),
+        fmt::format("the max_share fields together allow fewer than the {} "
+                    "engines",
+                    engines));
+  }
+  return {};
+}
+
+Result<void> ReadRoles(ObjectReader& reader, EnvironmentDocument& document) {
+  BOOST_LEAF_AUTO(json, reader.Object("roles"));
+  ObjectReader roles(*json, reader.PathOf("roles"));
+  for (EngineRole role : kEngineRoles) {
+    BOOST_LEAF_AUTO(share, ReadRole(roles, EngineRoleName(role)));
+    document.roles[static_cast<size_t>(role)] = share;
+  }
+  return roles.RefuseUnknownFields();
+}
+
+Result<EnvironmentLimits> ReadLimits(ObjectReader& reader) {
+  EnvironmentLimits limits;
+  BOOST_LEAF_AUTO(json, reader.Object("limits"));
+  ObjectReader item(*json, reader.PathOf("limits"));
+  BOOST_LEAF_ASSIGN(limits.body_bytes,
+                    item.Int("body_bytes", {1, kMaxBodyBytes}));
+  BOOST_LEAF_ASSIGN(limits.prompt_tokens,
+                    item.Int("prompt_tokens", {1, kMaxPromptTokens}));
+  BOOST_LEAF_CHECK(item.RefuseUnknownFields());
+  return limits;
+}
+
+/// @return The rest of `path` after the whole segments of `prefix`.
+std::optional<std::string_view> RestAfter(std::string_view path,
+                                          std::string_view prefix) {
+  if (!path.starts_with(prefix))
+    return std::nullopt;
+  std::string_view rest = path.substr(prefix.size());
+  if (!rest.empty() && rest.front() != '/')
+    return std::nullopt;
+  return rest;
+}
+
+Json ServiceJson(const ServiceSpec& service) {
+  Json json = {{"path_prefix", service.path_prefix},
+               {"backend_servers", Json::array()},
+               {"methods", Json::array()}};
+  for (const BackendServerSpec& server : service.backend_servers) {
+    json["backend_servers"].push_back(
+        {{"id", server.id},
+         {"address", server.address},
+         {"availability_zone", server.availability_zone}});
+  }
+  for (const ServiceMethod& method : service.methods) {
+    json["methods"].push_back({{"name", method.name},
+                               {"http_method", method.http_method},
+                               {"path", method.path},
+                               {"idempotent", method.idempotent}});
+  }
+  return json;
+}
+
+}  // namespace
+
+std::string_view EngineRoleName(EngineRole role) {
+  switch (role) {
+    case EngineRole::kPrefill:
+      return "prefill";
+    case EngineRole::kDecode:
+      return "decode";
+    case EngineRole::kMixed:
+      return "mixed";
+  }
+  return "unknown";
+}
+
+RoleCount RoleCountOf(const RoleShare& share, size_t engines) {
+  auto total = static_cast<double>(engines);
+  return {
+      static_cast<size_t>(std::ceil(share.min_share * total - kShareTolerance)),
+      static_cast<size_t>(
+          std::floor(share.max_share * total + kShareTolerance))};
+}
+
+Result<void> CheckName(std::string_view name, std::string_view field) {
+  bool valid = !name.empty() && name.size() <= kMaxNameLength &&
+               std::all_of(name.begin(), name.end(), [](unsigned char c) {
+                 return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                        (c >= '0' && c <= '9') || c == '.' || c == '_' ||
+                        c == '-';
+               });
+  if (!valid) {
+    return Refuse(field, name.substr(0, kMaxNameLength + 1),
+                  "must be 1 to 64 letters, digits, '.', '_' or '-'");
+  }
+  return {};
+}
+
+Result<EnvironmentDocument> ParseEnvironmentDocument(std::string_view text) {
+  if (text.size() > kMaxDocumentBytes) {
+    return Refuse("document", fmt::format("{} bytes", text.size()),
+                  fmt::format("must have at most {} bytes", kMaxDocumentBytes));
+  }
+  BOOST_LEAF_AUTO(json, ParseJson(text, "document"));
+  ObjectReader reader(json, "");
+  EnvironmentDocument document;
+  BackendServerNames names;
+  BOOST_LEAF_ASSIGN(document.environment, ReadName(reader, "environment"));
+  BOOST_LEAF_ASSIGN(document.models, ReadModels(reader));
+  BOOST_LEAF_ASSIGN(document.engines,
+                    ReadEngines(reader, document.models, names));
+  BOOST_LEAF_CHECK(ReadRoles(reader, document));
+  BOOST_LEAF_ASSIGN(document.customers, ReadCustomers(reader));
+  BOOST_LEAF_ASSIGN(document.services, ReadServices(reader, names));
+  BOOST_LEAF_ASSIGN(document.limits, ReadLimits(reader));
+  BOOST_LEAF_CHECK(reader.RefuseUnknownFields());
+  BOOST_LEAF_CHECK(CheckShares(document));
+  return document;
+}
+
+std::string CanonicalText(const EnvironmentDocument& document) {
+  Json json = {{"environment", document.environment},
+               {"models", Json::array()},
+               {"roles", Json::object()},
+               {"engines", Json::array()},
+               {"customers", Json::array()},
+               {"services", Json::array()},
+               {"limits",
+                {{"body_bytes", document.limits.body_bytes},
+                 {"prompt_tokens", document.limits.prompt_tokens}}}};
+  for (const ModelSpec& model : document.models) {
+    json["models"].push_back({{"name", model.name},
+                              {"versions", model.versions},
+                              {"adapters", model.adapters}});
+  }
+  for (EngineRole role : kEngineRoles) {
+    const RoleShare& share = document.RoleShareOf(role);
+    json["roles"][std::string(EngineRoleName(role))] = {
+        {"min_share", share.min_share}, {"max_share", share.max_share}};
+  }
+  for (const EngineSpec& engine : document.engines) {
+    json["engines"].push_back({{"id", engine.id},
+                               {"address", engine.address},
+                               {"availability_zone", engine.availability_zone},
+                               {"model", engine.model},
+                               {"checks_fencing", engine.checks_fencing}});
+  }
+  for (const CustomerSpec& customer : document.customers) {
+    json["customers"].push_back({{"name", customer.name},
+                                 {"weight", customer.weight},
+                                 {"requests_per_s", customer.requests_per_s},
+                                 {"tokens_per_s", customer.tokens_per_s}});
+  }
+  for (const ServiceSpec& service : document.services)
+    json["services"].push_back(ServiceJson(service));
+  return json.dump();
+}
+
+std::string DocumentDigest(std::string_view canonical_text) {
+  return StableDigest(canonical_text);
+}
+
+ServiceMatch FindServiceMethod(const EnvironmentDocument& document,
+                               std::string_view http_method,
+                               std::string_view path) {
+  ServiceMatch match;
+  std::string_view rest;
+  for (const ServiceSpec& service : document.services) {
+    auto found = RestAfter(path, service.path_prefix);
+    if (found &&
+        (match.service == nullptr ||
+         service.path_prefix.size() > match.service->path_prefix.size())) {
+      match.service = &service;
+      rest = *found;
+    }
+  }
+  if (match.service == nullptr)
+    return match;
+  for (const ServiceMethod& method : match.service->methods) {
+    if (method.http_method == http_method && RestAfter(rest, method.path) &&
+        (match.method == nullptr ||
+         method.path.size() > match.method->path.size())) {
+      match.method = &method;
+    }
+  }
+  return match;
+}
+
+}  // namespace cranberryhill
--- a/cranberryhill/environment/environment_rows.h
+++ b/cranberryhill/environment/environment_rows.h
@@ -72,7 +72,8 @@
 
 /// `op/{token}`.
 struct OperationRecord {
-  bool abandoned = false;  ///< The operation never takes effect.
+  /// The operation never takes effect; the other fields are not set.
+  bool abandoned = false;
   OperationKind kind = OperationKind::kApply;
   uint64_t version = 0;
   uint64_t generation = 0;
