--- /dev/null
+++ b/cranberryhill/caller/caller_answer_test.cc
@@ -0,0 +1,67 @@
+#include "cranberryhill/caller/caller_answer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace cranberryhill {
+namespace {
+
+using Json = nlohmann::json;
+
+Json DataOf(std::string_view event) {
+  BOOST_REQUIRE(event.starts_with("data: "));
+  BOOST_REQUIRE(event.ends_with("\n\n"));
+  return Json::parse(event.substr(6));
+}
+
+AnswerHead Head(CallerApi api) {
+  return {.api = api,
+          .id = "r1",
+          .model = "m",
+          .created = absl::FromUnixSeconds(1000)};
+}
+
+// Guards against answers that clients of the OpenAI API cannot parse.
+BOOST_AUTO_TEST_CASE(ChatAnswerHasTheExpectedForm) {
+  AnswerHead head = Head(CallerApi::kChatCompletions);
+  Json whole = Json::parse(WholeAnswer(head, "Hi", "stop", {3, 2}));
+  BOOST_TEST(whole["object"] == "chat.completion");
+  BOOST_TEST(whole["choices"][0]["message"]["content"] == "Hi");
+  BOOST_TEST(whole["usage"]["total_tokens"] == 5);
+  BOOST_TEST(DataOf(FirstChunk(head))["choices"][0]["delta"]["role"] ==
+             "assistant");
+  Json chunk = DataOf(TokenChunk(head, "a\n\nb"));
+  BOOST_TEST(chunk["choices"][0]["delta"]["content"] == "a\n\nb");
+  BOOST_TEST(chunk["choices"][0]["finish_reason"].is_null());
+  Json finish = DataOf(FinishChunk(head, "length", {}));
+  BOOST_TEST(finish["choices"][0]["finish_reason"] == "length");
+}
+
+// Guards against text answers in the form of chats.
+BOOST_AUTO_TEST_CASE(TextAnswerHasTheExpectedForm) {
+  AnswerHead head = Head(CallerApi::kCompletions);
+  BOOST_TEST(FirstChunk(head).empty());
+  Json chunk = DataOf(TokenChunk(head, "x"));
+  BOOST_TEST(chunk["object"] == "text_completion");
+  BOOST_TEST(chunk["choices"][0]["text"] == "x");
+}
+
+// Guards against refusals that lack the outcome or round Retry-After to 0.
+BOOST_AUTO_TEST_CASE(RefusalIsWritten) {
+  Refusal refusal = MakeRefusal(RefusalCode::kOverloaded,
+                                RefusalOutcome::kNotRun, "queue is full");
+  refusal.retry_after = absl::Milliseconds(200);
+  BOOST_TEST(RefusalBody(refusal) ==
+             R"({"error":{"code":"overloaded","message":"queue is full",)"
+             R"("outcome":"not_run"}})");
+  BOOST_TEST(refusal.http_status == 503);
+  BOOST_TEST(RetryAfterHeader(refusal) == "1");
+  Refusal invalid = RefusalFromError(
+      {ErrorCode::kInvalidArgument, "max_tokens", "0", "must be above 0"});
+  BOOST_TEST(Json::parse(RefusalBody(invalid))["error"]["field"] ==
+             "max_tokens");
+  BOOST_TEST(invalid.http_status == 400);
+}
+
+}  // namespace
+}  // namespace cranberryhill
