--- a/cranberryhill/calls/call_guard.h
+++ b/cranberryhill/calls/call_guard.h
@@ -89,9 +89,11 @@
   /// @param callback Runs exactly once, during or after this call, unless the
   /// guard is destroyed before.
   ///
-  /// A refusal with kNotRun is true of this request and of all earlier ones
-  /// with its key: none has run, and this one never will. Another request with
-  /// the key that is under way at the same time may still run.
+  /// A refusal with kNotRun is true of this request and of every request with
+  /// its key that had ended before this one came: none ran, and none will.
+  /// A request has ended when it was answered, its instance is gone or its
+  /// deadline has passed. Requests with one key that overlap each speak for
+  /// themselves.
   void Submit(ServiceCall call, CallCallback callback);
 
   /// Runs what has fallen due: polls, retries of writes, deadlines.
--- /dev/null
+++ b/cranberryhill/calls/internal/blocking_socket.cc
@@ -0,0 +1,62 @@
+#include "cranberryhill/calls/internal/blocking_socket.h"
+
+#include <cxxtools/net/addrinfo.h>
+#include <cxxtools/net/tcpsocket.h>
+
+#include <algorithm>
+#include <exception>
+
+namespace cranberryhill {
+namespace {
+
+// At least 1 ms, because cxxtools takes 0 for "do not wait" and negative
+// values for "wait forever".
+cxxtools::Milliseconds Timeout(absl::Duration duration) {
+  return cxxtools::Milliseconds(
+      std::max(1.0, absl::ToDoubleMilliseconds(duration)));
+}
+
+}  // namespace
+
+struct BlockingSocket::Impl {
+  cxxtools::net::TcpSocket socket;
+};
+
+BlockingSocket::BlockingSocket() : impl(std::make_unique<Impl>()) {}
+
+BlockingSocket::~BlockingSocket() = default;
+
+bool BlockingSocket::Connect(const std::string& ip,
+                             uint16_t port,
+                             absl::Duration timeout) {
+  try {
+    this->impl->socket.setTimeout(Timeout(timeout));
+    this->impl->socket.connect(ip, port);
+    return true;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+std::optional<size_t> BlockingSocket::Write(std::string_view bytes,
+                                            absl::Duration timeout) {
+  try {
+    this->impl->socket.setTimeout(Timeout(timeout));
+    return this->impl->socket.write(bytes.data(), bytes.size());
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::optional<size_t> BlockingSocket::Read(char* buffer,
+                                           size_t size,
+                                           absl::Duration timeout) {
+  try {
+    this->impl->socket.setTimeout(Timeout(timeout));
+    return this->impl->socket.read(buffer, size);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace cranberryhill
--- /dev/null
+++ b/cranberryhill/calls/internal/blocking_socket.h
@@ -0,0 +1,47 @@
+#ifndef CRANBERRYHILL_CALLS_INTERNAL_BLOCKING_SOCKET_H_
+#define CRANBERRYHILL_CALLS_INTERNAL_BLOCKING_SOCKET_H_
+
+// A TCP connection with blocking calls that end at a timeout. Its source is
+// compiled as C++17, because <cxxtools/net/tcpsocket.h> uses types that C++20
+// removed.
+//
+//   BlockingSocket socket;
+//   if (socket.Connect("127.0.0.1", 80, absl::Seconds(1))) ...
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+
+namespace cranberryhill {
+
+/// One thread at a time.
+class BlockingSocket {
+ public:
+  BlockingSocket();
+  ~BlockingSocket();
+
+  BlockingSocket(const BlockingSocket&) = delete;
+  BlockingSocket& operator=(const BlockingSocket&) = delete;
+
+  /// @return False when there is no connection within `timeout`.
+  bool Connect(const std::string& ip, uint16_t port, absl::Duration timeout);
+
+  /// @return The number of bytes written, or none after a failure.
+  std::optional<size_t> Write(std::string_view bytes, absl::Duration timeout);
+
+  /// @return The number of bytes read, 0 at the end, or none after a failure.
+  std::optional<size_t> Read(char* buffer, size_t size, absl::Duration timeout);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace cranberryhill
+
+#endif  // CRANBERRYHILL_CALLS_INTERNAL_BLOCKING_SOCKET_H_
--- a/cranberryhill/calls/retry_budget.h
+++ b/cranberryhill/calls/retry_budget.h
@@ -7,8 +7,8 @@
 //   budget.OnRequest();
 //   if (budget.TryRetry()) ...
 
-#include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
+#include "cranberryhill/calls/internal/token_bucket.h"
 
 namespace cranberryhill {
 
@@ -31,12 +31,8 @@
   bool TryRetry();
 
  private:
-  void Refill();
-
-  const RetryBudgetConfig config;
-  const Clock& clock;
-  double saved;
-  absl::Time refilled;
+  const double share;
+  TokenBucket bucket;
 };
 
 }  // namespace cranberryhill
