Implement lease, orders and membership libraries

Authority over engines needs one place each for the lease, the order of one engine, the steps of a planned change and the view of the members.

--- a/cranberryhill/lease/lease_keeper.h
+++ b/cranberryhill/lease/lease_keeper.h
@@ -115,7 +115,6 @@
 
   std::deque<SentWrite> writes;
   std::optional<LeaseRecord> seen;
-  bool row_was_read = false;
   uint64_t seen_version = 0;
   absl::Time seen_since = absl::InfinitePast();
 
--- a/cranberryhill/membership/membership_view.h
+++ b/cranberryhill/membership/membership_view.h
@@ -80,7 +80,10 @@
   /// @param clock Must outlive this object.
   MembershipView(MembershipSettings settings, const Clock& clock);
 
-  /// Takes over a list poll. A list with a lower revision is dropped.
+  /// Takes over a list poll. A list with a lower revision is dropped. The list
+  /// tells no incarnations: when it shows a member leaving, the newest known
+  /// incarnation counts as leaving, and a member that returns after it was
+  /// gone counts as a new incarnation.
   void OnList(const ListUpdate& update);
 
   /// Adds a member that the configuration names, until a list knows it.
@@ -105,7 +108,8 @@
   /// @return The state now; kGone for unknown members.
   MemberState StateOf(std::string_view id) const;
 
-  /// @return True for live members only.
+  /// @return True for live members only. Members that are gone because contact
+  ///     failed return to live after OnContact(), so keep trying to reach them.
   bool MayReceiveWork(std::string_view id) const;
 
   /// @return Address, zone and kind, or null when unknown.
@@ -124,28 +128,30 @@
   const MembershipCounters& counters() const;  // NOLINT
 
  private:
-  struct Suspicion {
-    uint64_t incarnation = kUnknownIncarnation;
-    absl::Time evidence;
-  };
-
   struct Member {
     MemberInfo info;
     std::optional<MemberState> listed;
+    /// False when the listed state is that of an earlier incarnation.
+    bool list_applies = true;
+    absl::Time known_since;  ///< Start of what is known of this incarnation.
     uint64_t incarnation = kUnknownIncarnation;
     std::optional<absl::Time> leaving_since;  ///< Of this incarnation.
     absl::Time last_contact = absl::InfinitePast();
     /// First failed contact since the last successful one.
     std::optional<absl::Time> failing_since;
     absl::Time last_failure = absl::InfinitePast();
-    std::map<std::string, Suspicion, std::less<>> suspicions;  ///< By peer.
+    /// Time of the evidence by peer.
+    std::map<std::string, absl::Time, std::less<>> suspicions;
   };
 
   MemberState StateOf(const Member& member) const;
   void ApplyListed(const ListedMember& listed);
   void MarkLeaving(Member& member, absl::Time since);
+  void StartOver(Member& member, uint64_t incarnation);
   bool AcceptIncarnation(Member& member, uint64_t incarnation);
   Member* FindMember(std::string_view id);
+  Member& FindOrAdd(const std::string& id);
+  void DropGone();
   bool SuspectedByPeers(const Member& member) const;
 
   const MembershipSettings settings;
--- a/cranberryhill/orders/change_planner.h
+++ b/cranberryhill/orders/change_planner.h
@@ -39,14 +39,16 @@
   /// How long a report must differ from a finished order before the target is
   /// ordered again.
   absl::Duration quiet_period = absl::Seconds(5);
+  /// After a rejected order the engine serves as it is for this long.
+  absl::Duration rejected_pause = absl::Seconds(60);
   absl::Duration retry_interval = absl::Milliseconds(500);
   absl::Duration call_timeout = absl::Seconds(2);
 };
 
 struct DesiredEngine {
   std::string engine;
-  std::string role;
-  std::vector<LoadedModel> models;
+  std::string role;                 ///< Empty: any role.
+  std::vector<LoadedModel> models;  ///< Others are unloaded.
 };
 
 enum class ChangeStep {
@@ -114,22 +116,25 @@
   struct Change;
 
   void ResetForLease(uint64_t number);
+  bool CallPending(absl::Time now);
   void ReadPlan();
   void OnPlan(const ReadOutcome& outcome);
-  void FindChanges();
-  void ObserveContradiction(const std::string& engine);
-  void StepChange(Change& change);
-  void StepOrdering(Change& change);
-  bool ViewsSettled(const Change& change) const;
+  void ApplyPlan();
+  void WritePlan();
+  void OnCommit(const CommitOutcome& outcome);
+  std::vector<std::string> WantedMarks() const;
+  void ObserveReports(absl::Time now);
+  void FindChanges(absl::Time now);
+  void StepChange(Change& change, absl::Time now);
+  void StepOrdering(Change& change, absl::Time now);
+  void Restore(Change& change);
+  void Abandon();
+  bool ViewsSettled(const Change& change, absl::Time now) const;
   bool Acknowledged(uint64_t plan_version) const;
   bool EngineIdle(const Change& change) const;
-  std::optional<EngineOrder> NextOrder(const std::string& engine) const;
   bool NeedsChange(const std::string& engine) const;
-  void WritePlanIfChanged();
-  void OnPlanCommit(const PlanRecord& written, const CommitOutcome& outcome);
-  std::vector<std::string> WantedMarks() const;
-  void ApplyPlan();
-  bool BeginCall(uint64_t& call);
+  bool QuietPeriodOver(const std::string& engine, absl::Time now) const;
+  std::optional<EngineOrder> NextOrder(const std::string& engine) const;
 
   const PlanSettings settings;
   const LeaseKeeper& lease;
@@ -142,13 +147,19 @@
   std::set<std::string, std::less<>> gone;
   std::map<std::string, std::unique_ptr<Change>, std::less<>> changes;
   std::map<std::string, absl::Time, std::less<>> contradicting_since;
+  /// Engines that rejected an order, until when they are left alone.
+  std::map<std::string, absl::Time, std::less<>> rejected_until;
   uint64_t fencing_number = 0;
   std::optional<PlanRecord> known_plan;
-  uint64_t plan_row_version = 0;
-  uint64_t call_number = 0;
+  uint64_t plan_row_version = kAbsentVersion;
+  /// Version checked by a plan write whose outcome is open. It may take effect
+  /// until the row has another version.
+  std::optional<uint64_t> open_write;
+  uint64_t call_number = 0;  ///< Identifies the current table call.
   bool call_active = false;
   absl::Time call_started;
   absl::Time next_call = absl::InfinitePast();
+  bool read_due = true;
   PlanCounters own_counters;
   std::shared_ptr<bool> alive;
 };
--- a/cranberryhill/orders/engine_order.h
+++ b/cranberryhill/orders/engine_order.h
@@ -8,7 +8,6 @@
 //                     .role = "prefill"};
 //   if (TargetReached(order, report)) ...
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -31,7 +30,7 @@
   std::string version;
   std::string adapter;  ///< Empty: the model without an adapter.
 
-  auto operator<=>(const LoadedModel&) const = default;
+  bool operator==(const LoadedModel&) const = default;
 };
 
 /// An order names a target state, so a repeat of it is harmless.
--- a/cranberryhill/orders/order_executor.h
+++ b/cranberryhill/orders/order_executor.h
@@ -89,6 +89,9 @@
   /// Replaces the list of engines of the shard.
   void SetEngines(const std::vector<ManagedEngine>& engines);
 
+  /// @return The ids of the managed engines, in order.
+  std::vector<std::string> Engines() const;
+
   /// Starts the calls that are due. Reads the clock.
   void Tick();
 
@@ -108,6 +111,10 @@
   /// settled or the lease is lost.
   void Permit(std::string_view engine);
 
+  /// Takes back the permission of Start() or Permit(). An order whose intent
+  /// was not written yet is dropped; a written one becomes kUnresolved.
+  void Revoke(std::string_view engine);
+
   /// Accepts no further orders; outstanding ones are finished.
   void Stop();
 
@@ -120,22 +127,25 @@
  private:
   struct Engine;
 
-  void StepEngine(Engine& engine);
-  void StepTakeover(Engine& engine);
-  void StepActive(Engine& engine);
+  void StepEngine(Engine& engine, absl::Time now);
+  void StepTakeover(Engine& engine, absl::Time now);
+  void StepIntent(Engine& engine, absl::Time now);
+  bool ReportsAgree(Engine& engine) const;
+  absl::Duration QuietTime() const;
+  bool MaySettle(const Engine& engine, absl::Time now) const;
   void ReadRow(Engine& engine);
   void OnRow(Engine& engine, const ReadOutcome& outcome);
+  void WriteRow(Engine& engine, const OrderRecord& record, bool check_lease);
+  void OnCommit(Engine& engine, const CommitOutcome& outcome);
+  void AskReport(Engine& engine, absl::Time now);
   void SendObserve(Engine& engine);
-  void AskReport(Engine& engine);
-  void OnReport(Engine& engine, absl::Time asked, const EngineReport& report);
-  void WriteRow(Engine& engine, const OrderRecord& record);
-  void SendOrder(Engine& engine);
+  void SendOrder(Engine& engine, absl::Time now);
+  void Send(Engine& engine, const EngineOrder& order);
   void OnSent(Engine& engine, SendState state);
-  bool MayWrite(std::string_view name, uint64_t fencing, uint64_t number);
-  void ResetEngine(Engine& engine);
-  bool CallActive(const Engine& engine) const;
-  uint64_t BeginCall(Engine& engine);
-  Engine* CurrentCall(const std::string& name, uint64_t call);
+  void OnObserved(Engine& engine, SendState state);
+  bool MayWrite(const std::string& name, uint64_t token, uint64_t fencing);
+  void ResetEngine(Engine& engine, absl::Time now);
+  Engine* Find(std::string_view name) const;
 
   const OrderSettings own_settings;
   const LeaseKeeper& lease;
@@ -144,8 +154,7 @@
   const Clock& clock;
   std::map<std::string, std::unique_ptr<Engine>, std::less<>> engines;
   uint64_t fencing_number = 0;  ///< Of the lease the state belongs to.
-  absl::Time acquired;
-  uint64_t last_call = 0;
+  uint64_t last_token = 0;      ///< Identifies calls of all engines.
   bool stopping = false;
   OrderCounters own_counters;
   std::shared_ptr<bool> alive;
--- a/cranberryhill/orders/view_grant.h
+++ b/cranberryhill/orders/view_grant.h
@@ -68,7 +68,9 @@
 
   /// Evidence that the engine worked for this instance.
   /// @param at For an answered request or probe the time before it was sent;
-  ///     for a token of a running stream the time of receipt.
+  ///     for a token of a running stream the time of receipt. Tokens must not
+  ///     be older than 0.9 s on receipt: idle_confirm (3 s) less use_gap (1 s),
+  ///     the flight of a request (1 s) and the difference of clock rates.
   void OnUse(std::string_view engine, absl::Time at);
 
   /// @param engines Engines that this instance routes to.
