--- /dev/null
+++ b/cranberryhill/admission/admission_queue.cc
@@ -0,0 +1,203 @@
+#include "cranberryhill/admission/admission_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cranberryhill {
+namespace {
+
+constexpr size_t kShortLane = 0;
+constexpr size_t kLongLane = 1;
+// Customers whose head may be refused by the gate before a poll gives up on a
+// lane. Work that fits may pass work that doesn't, but only a little.
+constexpr size_t kMaxBlocked = 3;
+// Part of the time left that a request may be expected to spend in the queue.
+constexpr double kMaxQueueShare = 0.7;
+constexpr double kRateSeconds = 2;
+constexpr absl::Duration kMinRetryAfter = absl::Seconds(1);
+constexpr absl::Duration kMaxRetryAfter = absl::Seconds(30);
+
+}  // namespace
+
+AdmissionQueue::AdmissionQueue(const Clock& clock, AdmissionOptions options)
+    : clock(clock), options(options), rate_time(clock.Now()) {}
+
+AdmissionQueue::Customer& AdmissionQueue::CustomerOf(const std::string& name) {
+  return this->customers[this->options.fair ? name : std::string()];
+}
+
+void AdmissionQueue::SetWeight(std::string_view customer, double weight) {
+  if (weight > 0)
+    this->CustomerOf(std::string(customer)).weight = weight;
+}
+
+size_t AdmissionQueue::LaneOf(const AdmissionRequest& request) const {
+  return this->options.lanes && request.work >= this->options.long_work
+             ? kLongLane
+             : kShortLane;
+}
+
+bool AdmissionQueue::Late(const Waiting& waiting) const {
+  absl::Duration margin =
+      this->options.early_refusal ? this->options.safety : absl::ZeroDuration();
+  return this->clock.Now() + waiting.request.min_first_token + margin >
+         waiting.request.first_token_by;
+}
+
+double AdmissionQueue::StartedRate() const {
+  double seconds = absl::ToDoubleSeconds(this->clock.Now() - this->rate_time);
+  return this->started_rate * std::exp(-seconds / kRateSeconds);
+}
+
+// Time until `customer` has started all it has waiting, at its fair share of
+// the present rate.
+absl::Duration AdmissionQueue::ExpectedWait(const Customer& customer) const {
+  if (customer.queued_work_s <= 0)
+    return absl::ZeroDuration();
+  double rate = this->StartedRate();
+  if (rate <= 0)
+    return absl::ZeroDuration();
+  double weights = 0;
+  for (const auto& [name, other] : this->customers) {
+    if (!other.lanes[kShortLane].empty() || !other.lanes[kLongLane].empty())
+      weights += other.weight;
+  }
+  return absl::Seconds(customer.queued_work_s * weights /
+                       (rate * customer.weight));
+}
+
+absl::Duration AdmissionQueue::RetryAfter(const Customer& customer) const {
+  return std::clamp(this->ExpectedWait(customer), kMinRetryAfter,
+                    kMaxRetryAfter);
+}
+
+std::optional<AdmissionRefusal> AdmissionQueue::Offer(
+    AdmissionRequest request) {
+  Customer& customer = this->CustomerOf(request.customer);
+  if (this->size >= this->options.max_queued) {
+    return AdmissionRefusal{RefusalReason::kQueueFull,
+                            this->RetryAfter(customer)};
+  }
+  absl::Time now = this->clock.Now();
+  if (this->options.early_refusal) {
+    absl::Duration slack = request.first_token_by - now -
+                           request.min_first_token - this->options.safety;
+    if (slack < absl::ZeroDuration() ||
+        this->ExpectedWait(customer) > slack * kMaxQueueShare) {
+      return AdmissionRefusal{RefusalReason::kWouldBeLate,
+                              this->RetryAfter(customer)};
+    }
+  }
+  size_t lane = this->LaneOf(request);
+  // A customer that was idle gets no credit for the past.
+  if (customer.lanes[kShortLane].empty() && customer.lanes[kLongLane].empty())
+    customer.virtual_time = std::max(customer.virtual_time, this->virtual_now);
+  customer.queued_work_s += absl::ToDoubleSeconds(request.work);
+  customer.lanes[lane].push_back({std::move(request), now});
+  ++this->size;
+  return std::nullopt;
+}
+
+void AdmissionQueue::Remove(Customer& customer,
+                            std::deque<Waiting>& lane,
+                            std::deque<Waiting>::iterator position) {
+  customer.queued_work_s -= absl::ToDoubleSeconds(position->request.work);
+  lane.erase(position);
+  --this->size;
+  if (customer.lanes[kShortLane].empty() && customer.lanes[kLongLane].empty())
+    customer.queued_work_s = 0;
+}
+
+void AdmissionQueue::RefuseLate(std::vector<AdmissionAction>& actions) {
+  for (auto& [name, customer] : this->customers) {
+    for (auto& lane : customer.lanes) {
+      for (size_t i = 0; i < lane.size();) {
+        if (!this->Late(lane[i])) {
+          ++i;
+          continue;
+        }
+        actions.push_back(
+            {AdmissionActionKind::kRefuse,
+             lane[i].request.id,
+             {RefusalReason::kWouldBeLate, this->RetryAfter(customer)}});
+        this->Remove(customer, lane,
+                     lane.begin() + static_cast<std::ptrdiff_t>(i));
+      }
+    }
+  }
+}
+
+void AdmissionQueue::CountStarted(Customer& customer, absl::Duration work) {
+  double seconds = absl::ToDoubleSeconds(work);
+  this->virtual_now = std::max(this->virtual_now, customer.virtual_time);
+  customer.virtual_time += seconds / customer.weight;
+  this->started_rate = this->StartedRate() + seconds / kRateSeconds;
+  this->rate_time = this->clock.Now();
+}
+
+void AdmissionQueue::StartLane(size_t lane,
+                               bool only_aged,
+                               DispatchGate& gate,
+                               std::vector<AdmissionAction>& actions) {
+  absl::Time now = this->clock.Now();
+  std::vector<Customer*> order;
+  for (auto& [name, customer] : this->customers) {
+    if (!customer.lanes[lane].empty())
+      order.push_back(&customer);
+  }
+  auto later = [](const Customer* a, const Customer* b) {
+    return a->virtual_time > b->virtual_time;
+  };
+  std::make_heap(order.begin(), order.end(), later);
+  size_t blocked = 0;
+  while (!order.empty() && blocked < kMaxBlocked) {
+    std::pop_heap(order.begin(), order.end(), later);
+    Customer& customer = *order.back();
+    auto& waiting = customer.lanes[lane];
+    Waiting& head = waiting.front();
+    bool aged = now - head.arrived >= this->options.long_work_ageing;
+    if (only_aged && !aged) {
+      order.pop_back();
+      continue;
+    }
+    if (!gate.TryStart(head.request.id)) {
+      ++blocked;
+      order.pop_back();
+      continue;
+    }
+    actions.push_back({AdmissionActionKind::kStart, head.request.id, {}});
+    this->CountStarted(customer, head.request.work);
+    this->Remove(customer, waiting, waiting.begin());
+    if (waiting.empty())
+      order.pop_back();
+    else
+      std::push_heap(order.begin(), order.end(), later);
+  }
+}
+
+std::vector<AdmissionAction> AdmissionQueue::Poll(DispatchGate& gate) {
+  std::vector<AdmissionAction> actions;
+  this->RefuseLate(actions);
+  this->StartLane(kLongLane, true, gate, actions);
+  this->StartLane(kShortLane, false, gate, actions);
+  this->StartLane(kLongLane, false, gate, actions);
+  return actions;
+}
+
+void AdmissionQueue::Cancel(uint64_t request) {
+  for (auto& [name, customer] : this->customers) {
+    for (auto& lane : customer.lanes) {
+      auto found =
+          std::find_if(lane.begin(), lane.end(), [&](const Waiting& waiting) {
+            return waiting.request.id == request;
+          });
+      if (found != lane.end()) {
+        this->Remove(customer, lane, found);
+        return;
+      }
+    }
+  }
+}
+
+}  // namespace cranberryhill
--- a/cranberryhill/admission/admission_queue.h
+++ b/cranberryhill/admission/admission_queue.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -109,28 +110,32 @@
   struct Customer {
     double weight = 1;
     double virtual_time = 0;  // Work started, divided by the weight.
+    double queued_work_s = 0;
     std::deque<Waiting> lanes[2];
   };
 
+  Customer& CustomerOf(const std::string& name);
   size_t LaneOf(const AdmissionRequest& request) const;
   bool Late(const Waiting& waiting) const;
+  double StartedRate() const;
+  absl::Duration ExpectedWait(const Customer& customer) const;
+  absl::Duration RetryAfter(const Customer& customer) const;
+  void Remove(Customer& customer,
+              std::deque<Waiting>& lane,
+              std::deque<Waiting>::iterator position);
   void RefuseLate(std::vector<AdmissionAction>& actions);
+  void CountStarted(Customer& customer, absl::Duration work);
   void StartLane(size_t lane,
                  bool only_aged,
                  DispatchGate& gate,
                  std::vector<AdmissionAction>& actions);
-  absl::Duration RetryAfter() const;
-  Customer& CustomerOf(const std::string& name);
 
   const Clock& clock;
   const AdmissionOptions options;
   std::map<std::string, Customer, std::less<>> customers;
   double virtual_now = 0;
   size_t size = 0;
-  // Started work per second, exponentially weighted, for early refusal.
-  double queued_work_s = 0;
-  double started_rate = 0;
-  double started_since = 0;
+  double started_rate = 0;  // Work per second, exponentially weighted.
   absl::Time rate_time;
 };
 
--- a/cranberryhill/cost/engine_speed.h
+++ b/cranberryhill/cost/engine_speed.h
@@ -5,9 +5,9 @@
 // the engines of one kind, and a slowdown factor for each engine.
 //
 //   SpeedModel model;
-//   model.ObservePrefill(4000, absl::Milliseconds(300));
+//   model.ObservePrefill(4000, 0, absl::Milliseconds(300));
 //   model.ObserveGap(24, absl::Milliseconds(18));
-//   double seconds = model.PrefillSeconds(8000);
+//   double seconds = model.PrefillSeconds(8000, 24);
 
 #include "absl/time/time.h"
 
@@ -20,36 +20,61 @@
   double gap_per_stream_s = 0.0003;  ///< Added by each further stream.
 };
 
-/// Expected prefill rate and gap between tokens. Not thread-safe.
+/// Line through decayed observations, which starts as the prior line. Not
+/// thread-safe.
+class LinearFit {
+ public:
+  /// @param scale Largest x that is expected; places the prior observations.
+  LinearFit(double intercept, double slope, double scale);
+
+  void Observe(double x, double y);
+
+  /// @return The value at `x`; the slope used is never negative.
+  double At(double x) const { return this->intercept + this->slope * x; }
+
+ private:
+  void Add(double x, double y, double weight);
+  void Solve();
+
+  double sum_w = 0;
+  double sum_x = 0;
+  double sum_y = 0;
+  double sum_xx = 0;
+  double sum_xy = 0;
+  double intercept;
+  double slope;
+};
+
+/// Expected prefill time and gap between tokens, both as lines over the number
+/// of streams in decode. Not thread-safe.
 class SpeedModel {
  public:
   explicit SpeedModel(SpeedPrior prior = {});
 
   /// @param tokens Prefill tokens processed, those ahead in the queue included.
+  /// @param streams Streams that the engine ran at the time.
   /// @param elapsed Time from sending to the first token.
-  void ObservePrefill(double tokens, absl::Duration elapsed);
+  void ObservePrefill(double tokens, double streams, absl::Duration elapsed);
 
   /// @param streams Streams that the engine ran at the time.
   /// @param gap Mean gap between tokens of one stream.
   void ObserveGap(double streams, absl::Duration gap);
 
   /// @return Seconds to prefill `tokens` on an engine of normal speed.
-  double PrefillSeconds(double tokens) const;
+  double PrefillSeconds(double tokens, double streams) const {
+    return tokens * this->prefill.At(streams);
+  }
 
   /// @return Seconds between tokens with `streams` streams running.
-  double GapSeconds(double streams) const;
+  double GapSeconds(double streams) const { return this->gap.At(streams); }
+
+  /// @return Seconds of engine time per output token, with as many streams
+  ///     running as `max_gap` permits.
+  double DecodeTokenSeconds(absl::Duration max_gap) const;
 
  private:
-  double prefill_seconds_per_token;
-  // Decayed sums of a linear regression of the gap on the stream count. They
-  // start with the prior as pseudo-observations.
-  double sum_w = 0;
-  double sum_x = 0;
-  double sum_y = 0;
-  double sum_xx = 0;
-  double sum_xy = 0;
-  double gap_base;
-  double gap_slope;
+  LinearFit prefill;  // Seconds per token.
+  LinearFit gap;
 };
 
 /// Ratio of one engine's times to the times expected of a normal engine.
--- /dev/null
+++ b/cranberryhill/cost/load_tracker.cc
@@ -0,0 +1,78 @@
+#include "cranberryhill/cost/load_tracker.h"
+
+#include <algorithm>
+
+namespace cranberryhill {
+
+void LoadTracker::OnReport(const LoadReport& report) {
+  if (report.measured_at < this->report.measured_at)
+    return;
+  this->report = report;
+  std::erase_if(this->sent, [&](const Sent& entry) {
+    if (entry.at > report.measured_at)
+      return false;
+    this->sent_prefill -= entry.prefill_tokens;
+    return true;
+  });
+  std::erase_if(this->left,
+                [&](absl::Time at) { return at <= report.measured_at; });
+}
+
+void LoadTracker::OnSent(uint64_t request,
+                         absl::Time now,
+                         const Work& work,
+                         bool low_priority) {
+  this->sent.push_back({request, now, work.prefill_tokens, low_priority});
+  this->sent_prefill += work.prefill_tokens;
+  ++this->outstanding;
+}
+
+void LoadTracker::OnPrefillDone(uint64_t request) {
+  for (Sent& entry : this->sent) {
+    if (entry.request == request) {
+      this->sent_prefill -= entry.prefill_tokens;
+      entry.prefill_tokens = 0;
+    }
+  }
+}
+
+void LoadTracker::OnGone(absl::Time now) {
+  if (this->outstanding > 0)
+    --this->outstanding;
+  this->left.push_back(now);
+}
+
+EngineLoad LoadTracker::Estimate(absl::Time now,
+                                 double prefill_tokens_per_s,
+                                 double peer_tokens_per_s) const {
+  double high = this->report.prefill_tokens - this->report.low_priority_tokens;
+  double low = this->report.low_priority_tokens;
+  absl::Time time = this->report.measured_at;
+  // Without a report nothing is known to have been waiting.
+  if (time == absl::InfinitePast())
+    time = this->sent.empty() ? now : this->sent.front().at;
+  // High priority is served first; low priority gets the remaining speed.
+  auto serve = [&](absl::Time until) {
+    double seconds = std::max(0.0, absl::ToDoubleSeconds(until - time));
+    high += peer_tokens_per_s * seconds;
+    double served = prefill_tokens_per_s * seconds;
+    double served_high = std::min(high, served);
+    high -= served_high;
+    low = std::max(0.0, low - (served - served_high));
+    time = until;
+  };
+  for (const Sent& entry : this->sent) {
+    serve(entry.at);
+    (entry.low_priority ? low : high) += entry.prefill_tokens;
+  }
+  serve(now);
+  double streams = static_cast<double>(this->report.running) +
+                   this->report.queued +
+                   static_cast<double>(this->sent.size()) -
+                   static_cast<double>(this->left.size());
+  return {.prefill_tokens = high + low,
+          .low_priority_tokens = low,
+          .streams = std::max<double>(streams, this->outstanding)};
+}
+
+}  // namespace cranberryhill
--- a/cranberryhill/cost/load_tracker.h
+++ b/cranberryhill/cost/load_tracker.h
@@ -10,7 +10,7 @@
 //   EngineLoad load = tracker.Estimate(clock.Now(), 12000);
 
 #include <cstdint>
-#include <deque>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "cranberryhill/cost/work.h"
@@ -23,12 +23,15 @@
   uint32_t running = 0;       ///< Streams in decode.
   uint32_t queued = 0;        ///< Requests waiting for or in prefill.
   double prefill_tokens = 0;  ///< Tokens that wait for prefill.
+  /// Part of prefill_tokens that has low priority, for long work.
+  double low_priority_tokens = 0;
 };
 
 /// Estimated present load.
 struct EngineLoad {
-  double prefill_tokens = 0;  ///< Waiting for prefill.
-  double streams = 0;         ///< Streams in decode or about to be.
+  double prefill_tokens = 0;       ///< Waiting for prefill, long work included.
+  double low_priority_tokens = 0;  ///< Part that is long work.
+  double streams = 0;              ///< Streams in decode or about to be.
 };
 
 /// Not thread-safe.
@@ -38,23 +41,28 @@
   void OnReport(const LoadReport& report);
 
   /// Records work sent by this instance.
-  void OnSent(uint64_t request, absl::Time now, const Work& work);
+  /// @param low_priority True for long work.
+  void OnSent(uint64_t request,
+              absl::Time now,
+              const Work& work,
+              bool low_priority = false);
 
-  /// Records that a request sent to this engine got its first token.
-  void OnPrefillDone(uint64_t request, absl::Time now);
+  /// Records that the prefill of a request sent to this engine has ended.
+  void OnPrefillDone(uint64_t request);
 
   /// Records that a request left the engine.
-  void OnGone(uint64_t request, absl::Time now);
+  void OnGone(absl::Time now);
 
   /// @param prefill_tokens_per_s Speed of the engine.
-  EngineLoad Estimate(absl::Time now, double prefill_tokens_per_s) const;
+  /// @param peer_tokens_per_s Prefill tokens that other instances probably
+  ///     send to the engine.
+  EngineLoad Estimate(absl::Time now,
+                      double prefill_tokens_per_s,
+                      double peer_tokens_per_s = 0) const;
 
   /// @return Prefill tokens that this instance sent since the last report.
   double SentSinceReport() const { return this->sent_prefill; }
 
-  /// @return Requests that this instance sent since the last report.
-  uint32_t RequestsSinceReport() const { return this->sent_requests; }
-
   /// @return Requests of this instance on the engine.
   uint32_t Outstanding() const { return this->outstanding; }
 
@@ -66,19 +74,13 @@
     uint64_t request;
     absl::Time at;
     double prefill_tokens;
+    bool low_priority;
   };
-  struct Left {
-    absl::Time at;
-    double prefill_tokens;
-  };
-
-  void DropReported();
 
   LoadReport report{.measured_at = absl::InfinitePast()};
-  std::deque<Sent> sent;        // Since the report, oldest first.
-  std::deque<absl::Time> left;  // Streams that ended since the report.
+  std::vector<Sent> sent;        // Since the report, oldest first.
+  std::vector<absl::Time> left;  // Ends of requests since the report.
   double sent_prefill = 0;
-  uint32_t sent_requests = 0;
   uint32_t outstanding = 0;
 };
 
--- a/cranberryhill/routing/prefix_index.h
+++ b/cranberryhill/routing/prefix_index.h
@@ -26,8 +26,9 @@
 /// equal values mean equal prefixes.
 /// @param prompt Text of the prompt, with customer and model in front when
 ///     caches are not shared.
-/// @param prompt_tokens Its length; the text is cut in proportion.
-/// @return One hash per full block of kCacheBlockTokens.
+/// @param prompt_tokens Its length; limits the number of blocks.
+/// @return One hash per full block of kCacheBlockTokens, which is taken as 4
+///     bytes of text per token.
 std::vector<uint64_t> HashBlocks(std::string_view prompt,
                                  uint32_t prompt_tokens);
 
--- a/cranberryhill/routing/router.h
+++ b/cranberryhill/routing/router.h
@@ -44,14 +44,16 @@
   absl::Duration max_gap = absl::Milliseconds(66);        ///< Between tokens.
   /// Candidates within best * near_best + near_best_floor take part in the
   /// random choice.
-  double near_best = 1.10;
-  absl::Duration near_best_floor = absl::Milliseconds(15);
+  double near_best = 1.05;
+  absl::Duration near_best_floor = absl::Milliseconds(20);
   /// A cached prefix counts only while its engine's waiting prefill is at most
   /// this many times the mean of the candidates, plus prefix_load_floor.
   double prefix_load_limit = 2.0;
   absl::Duration prefix_load_floor = absl::Milliseconds(150);
   /// Prompts from this size on run on the engines reserved for long work.
   uint32_t long_prompt_tokens = 24000;
+  /// Requests wait at the entry instance while every engine has more backlog.
+  absl::Duration max_backlog = absl::Milliseconds(300);
   bool reserve_engines_for_long = true;
   bool detect_slow = true;
   bool use_prefixes = true;
@@ -78,7 +80,18 @@
   absl::Duration first_token;  ///< Expected time to the first token.
   absl::Duration gap;          ///< Expected time between tokens.
   absl::Duration finish;       ///< Expected time to the last token.
-  bool in_time = false;        ///< First token and gap meet their limits.
+  /// First token and gap meet their limits, and the engine's backlog is short
+  /// enough to send the request now. When false, the request should wait in
+  /// the admission queue, where it can still go to any engine.
+  bool in_time = false;
+  bool low_priority = false;  ///< Long work: send it with low priority.
+};
+
+/// Engine time that a request needs.
+struct RequestEstimate {
+  absl::Duration prefill;          ///< Prompt, less the best cached prefix.
+  absl::Duration decode;           ///< Its part of a full batch's time.
+  absl::Duration min_first_token;  ///< On an idle engine.
 };
 
 /// How an attempt ended.
@@ -151,6 +164,9 @@
   ///     Used for Retry-After.
   absl::Duration ShortestWait() const;
 
+  /// @return The engine time of a request, for admission and role planning.
+  RequestEstimate EstimateWork(const RouteRequest& request) const;
+
   size_t EngineCount() const;
 
  private:
