--- a/cranberryhill/admission/admission_queue.h
+++ b/cranberryhill/admission/admission_queue.h
@@ -45,11 +45,11 @@
 struct AdmissionRequest {
   uint64_t id = 0;
   std::string customer;
-  absl::Duration work;  ///< Expected engine time: prefill plus decode share.
+  absl::Duration work{};  ///< Expected engine time: prefill plus decode share.
   /// Latest time of the first token.
   absl::Time first_token_by = absl::InfiniteFuture();
   /// Shortest time to the first token on an idle engine.
-  absl::Duration min_first_token;
+  absl::Duration min_first_token{};
 };
 
 enum class RefusalReason {
@@ -60,7 +60,7 @@
 /// A refusal; the request has not run.
 struct AdmissionRefusal {
   RefusalReason reason = RefusalReason::kWouldBeLate;
-  absl::Duration retry_after;  ///< When a repeat is likely to be admitted.
+  absl::Duration retry_after{};  ///< When a repeat is likely to be admitted.
 };
 
 enum class AdmissionActionKind { kStart, kRefuse };
@@ -68,7 +68,7 @@
 struct AdmissionAction {
   AdmissionActionKind kind = AdmissionActionKind::kStart;
   uint64_t request = 0;
-  AdmissionRefusal refusal;  ///< Set for kRefuse.
+  AdmissionRefusal refusal{};  ///< Set for kRefuse.
 };
 
 /// Tells whether engines can take a request now. Usually asks a Router.
--- a/cranberryhill/admission/usage_limits.h
+++ b/cranberryhill/admission/usage_limits.h
@@ -43,7 +43,7 @@
 
 struct UsageDecision {
   bool allowed = true;
-  absl::Duration retry_after;  ///< Set when not allowed.
+  absl::Duration retry_after{};  ///< Set when not allowed.
 };
 
 /// Not thread-safe.
--- a/cranberryhill/roles/role_planner.cc
+++ b/cranberryhill/roles/role_planner.cc
@@ -198,8 +198,11 @@
           absence * std::max(0.1, useful(now, quick) - useful(absent, quick));
       double lasts = std::max(0.0, this->ExpectedDuration() - absence);
       if (!best || gain * lasts - cost > best->gain - best->cost) {
-        best = RoleChange{
-            .from = from, .to = to, .gain = gain * lasts, .cost = cost};
+        best = RoleChange{.engine = {},
+                          .from = from,
+                          .to = to,
+                          .gain = gain * lasts,
+                          .cost = cost};
       }
     }
   }
--- a/cranberryhill/routing/router.h
+++ b/cranberryhill/routing/router.h
@@ -38,7 +38,7 @@
 
 /// Bounds and behaviour of a Router.
 struct RouterOptions {
-  std::string zone;              ///< Availability zone of this instance.
+  std::string zone{};            ///< Availability zone of this instance.
   uint32_t entry_instances = 1;  ///< Instances that use the same engines.
   absl::Duration zone_latency = absl::Milliseconds(0.5);  ///< One way.
   absl::Duration max_gap = absl::Milliseconds(66);        ///< Between tokens.
@@ -57,17 +57,17 @@
   bool reserve_engines_for_long = true;
   bool detect_slow = true;
   bool use_prefixes = true;
-  SpeedPrior speed;
+  SpeedPrior speed{};
 };
 
 /// A request to place.
 struct RouteRequest {
   uint64_t id = 0;
   uint32_t prompt_tokens = 0;  ///< With the tokens already forwarded.
-  OutputEstimate output;       ///< Predicted tokens still to come.
+  OutputEstimate output{};     ///< Predicted tokens still to come.
   absl::Time first_token_by = absl::InfiniteFuture();
-  std::span<const uint64_t> blocks;    ///< From HashBlocks().
-  std::span<const uint32_t> excluded;  ///< Engines already tried.
+  std::span<const uint64_t> blocks{};    ///< From HashBlocks().
+  std::span<const uint32_t> excluded{};  ///< Engines already tried.
   bool alone = false;  ///< A suspect: needs an engine without other streams.
 };
 
