--- a/cranberryhill/calls/call_guard.cc
+++ b/cranberryhill/calls/call_guard.cc
@@ -223,7 +223,7 @@
               Resolution resolution);
   void SettleStep(const EntryPtr& entry);
   void SettleCommit(const EntryPtr& entry);
-  void OnSettleObject(const EntryPtr& entry, bool stored);
+  void OnSettleObject(const EntryPtr& entry, const std::optional<Error>& error);
   void OnSettleRead(const EntryPtr& entry, const ReadOutcome& rows);
   void OnSettleCommit(const EntryPtr& entry, const CommitOutcome& outcome);
   void OnTakenOver(const EntryPtr& entry, const Row& row);
@@ -674,12 +674,13 @@
   }
 }
 
-void CallGuard::State::OnSettleObject(const EntryPtr& entry, bool stored) {
-  entry->object_stored = stored;
-  if (stored) {
-    this->SettleStep(entry);
-  } else {
+void CallGuard::State::OnSettleObject(const EntryPtr& entry,
+                                      const std::optional<Error>& error) {
+  entry->object_stored = !error.has_value();
+  if (error.has_value()) {
     this->RetryLater(entry);
+  } else {
+    this->SettleStep(entry);
   }
 }
 
--- a/cranberryhill/calls/call_guard.h
+++ b/cranberryhill/calls/call_guard.h
@@ -19,8 +19,8 @@
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/calls/call.h"
 #include "cranberryhill/calls/call_sender.h"
-#include "cranberryhill/calls/object_store.h"
 #include "cranberryhill/calls/owner_view.h"
+#include "cranberryhill/table/object_store.h"
 #include "cranberryhill/table/table_service.h"
 
 namespace cranberryhill {
--- a/cranberryhill/daemon/chat_service.cc
+++ b/cranberryhill/daemon/chat_service.cc
@@ -10,6 +10,9 @@
 namespace cranberryhill {
 namespace {
 
+// Design page, section 1.3.
+constexpr absl::Duration kTokenGapTarget = absl::Milliseconds(66);
+
 // Kind of call under which output lengths are learned.
 std::string_view KindOf(CallerApi api) {
   return api == CallerApi::kChatCompletions ? "chat" : "completion";
@@ -180,16 +183,17 @@
 
 void ChatService::Admit(Chat& chat) {
   double prefill_s = this->speed.PrefillSeconds(
-      static_cast<double>(chat.request.prompt_tokens));
-  double gap_s = this->speed.GapSeconds(1);
+      static_cast<double>(chat.request.prompt_tokens), 1);
+  double decode_s =
+      this->speed.DecodeTokenSeconds(kTokenGapTarget) * chat.output.mean;
   ArrivedWork& work = this->arrived[chat.request.model];
   work.prefill_s += prefill_s;
-  work.decode_s += gap_s * chat.output.mean;
+  work.decode_s += decode_s;
 
   AdmissionRequest request;
   request.id = chat.id;
   request.customer = chat.customer;
-  request.work = absl::Seconds(prefill_s + gap_s * chat.output.mean);
+  request.work = absl::Seconds(prefill_s + decode_s);
   request.min_first_token = absl::Seconds(prefill_s);
   // A prompt that cannot meet the target even on an idle engine is served as
   // soon as it can be; its caller's own deadline still holds.
--- a/cranberryhill/daemon/daemon.cc
+++ b/cranberryhill/daemon/daemon.cc
@@ -1,5 +1,6 @@
 #include "cranberryhill/daemon/daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -11,6 +12,7 @@
 #include "cranberryhill/admission/usage_limits.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/hash.h"
+#include "cranberryhill/base/json.h"
 #include "cranberryhill/base/log.h"
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/base/worker_pool.h"
--- a/cranberryhill/orders/engine_order.h
+++ b/cranberryhill/orders/engine_order.h
@@ -77,7 +77,7 @@
                         std::string_view zone,
                         std::string_view engine);
 
-enum class SendState {
+enum class OrderSendState {
   kNotSent,    ///< No byte was written; the engine cannot have got the order.
   kAccepted,   ///< The engine took the order; its report shows the completion.
   kOldNumber,  ///< Refused: the engine has seen a higher fencing number.
@@ -85,7 +85,7 @@
   kUnknown,    ///< Bytes were written and no answer came.
 };
 
-using SendCallback = std::function<void(SendState)>;
+using OrderSendCallback = std::function<void(OrderSendState)>;
 using ReportCallback = std::function<void(const std::optional<EngineReport>&)>;
 
 /// Sends orders and reads reports. Each callback runs exactly once, on the
@@ -101,7 +101,7 @@
   /// the connection is closed without one.
   virtual void Send(const EngineOrder& order,
                     std::function<bool()> may_write,
-                    SendCallback callback) = 0;
+                    OrderSendCallback callback) = 0;
 
   /// Reads the engine's current report; nothing when there is no answer. A
   /// report that was read before this call must not be returned.
--- a/cranberryhill/orders/order_executor.cc
+++ b/cranberryhill/orders/order_executor.cc
@@ -356,7 +356,7 @@
         return !guard.expired() && this->MayWrite(name, token, fencing);
       },
       [this, name, token, guard,
-       observe = order.kind == OrderKind::kObserve](SendState state) {
+       observe = order.kind == OrderKind::kObserve](OrderSendState state) {
         Engine* found = guard.expired() ? nullptr : this->Find(name);
         if (found == nullptr || found->send_token != token)
           return;
@@ -390,9 +390,9 @@
   this->Send(engine, observe);
 }
 
-void OrderExecutor::OnObserved(Engine& engine, SendState state) {
+void OrderExecutor::OnObserved(Engine& engine, OrderSendState state) {
   absl::Time now = this->clock.Now();
-  if (state != SendState::kAccepted) {
+  if (state != OrderSendState::kAccepted) {
     engine.next_action = now + this->own_settings.retry_interval;
     return;
   }
@@ -406,24 +406,24 @@
   this->Send(engine, engine.record->order);
 }
 
-void OrderExecutor::OnSent(Engine& engine, SendState state) {
+void OrderExecutor::OnSent(Engine& engine, OrderSendState state) {
   absl::Time now = this->clock.Now();
   switch (state) {
-    case SendState::kNotSent:
+    case OrderSendState::kNotSent:
       engine.next_send = now + this->own_settings.retry_interval;
       return;
-    case SendState::kOldNumber:
+    case OrderSendState::kOldNumber:
       // A newer holder is at work; this one learns it from the lease row.
       return;
-    case SendState::kRejected:
+    case OrderSendState::kRejected:
       engine.outcome = OrderRowState::kFailed;
       return;
-    case SendState::kUnknown:
+    case OrderSendState::kUnknown:
       ++this->own_counters.answers_lost;
       engine.copies_until =
           now + this->own_settings.max_in_flight * kClockRateFactor;
       break;
-    case SendState::kAccepted:
+    case OrderSendState::kAccepted:
       break;
   }
   engine.sent = true;
--- a/cranberryhill/orders/order_executor.h
+++ b/cranberryhill/orders/order_executor.h
@@ -141,8 +141,8 @@
   void SendObserve(Engine& engine);
   void SendOrder(Engine& engine, absl::Time now);
   void Send(Engine& engine, const EngineOrder& order);
-  void OnSent(Engine& engine, SendState state);
-  void OnObserved(Engine& engine, SendState state);
+  void OnSent(Engine& engine, OrderSendState state);
+  void OnObserved(Engine& engine, OrderSendState state);
   bool MayWrite(const std::string& name, uint64_t token, uint64_t fencing);
   void ResetEngine(Engine& engine, absl::Time now);
   Engine* Find(std::string_view name) const;
--- a/cranberryhill/platform/http_platform.h
+++ b/cranberryhill/platform/http_platform.h
@@ -17,7 +17,7 @@
 #include "cranberryhill/base/worker_pool.h"
 #include "cranberryhill/environment/endpoint.h"
 #include "cranberryhill/platform/instance_list.h"
-#include "cranberryhill/platform/object_store.h"
+#include "cranberryhill/table/object_store.h"
 #include "cranberryhill/table/table_service.h"
 
 namespace cranberryhill {
--- a/cranberryhill/platform/object_store.h
+++ b/cranberryhill/table/object_store.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_PLATFORM_OBJECT_STORE_H_
-#define CRANBERRYHILL_PLATFORM_OBJECT_STORE_H_
+#ifndef CRANBERRYHILL_TABLE_OBJECT_STORE_H_
+#define CRANBERRYHILL_TABLE_OBJECT_STORE_H_
 
 // The platform's object store: whole objects by name.
 //
@@ -36,4 +36,4 @@
 
 }  // namespace cranberryhill
 
-#endif  // CRANBERRYHILL_PLATFORM_OBJECT_STORE_H_
+#endif  // CRANBERRYHILL_TABLE_OBJECT_STORE_H_
