--- a/cranberryhill/membership/membership_view.cc
+++ b/cranberryhill/membership/membership_view.cc
@@ -192,14 +192,15 @@
   absl::Time now = this->clock.Now();
   bool contact_after_list =
       now - member.last_contact <= this->settings.suspect_after;
-  std::optional<MemberState> listed =
-      member.list_applies ? member.listed : std::nullopt;
-  bool listed_gone = listed == MemberState::kGone && !contact_after_list;
-  if (listed_gone || failing >= this->settings.gone_after)
+  bool gone_in_list =
+      member.list_applies && member.listed == MemberState::kGone;
+  if ((gone_in_list && !contact_after_list) ||
+      failing >= this->settings.gone_after) {
     return MemberState::kGone;
-  bool listed_leaving =
-      listed == MemberState::kLeaving || listed == MemberState::kGone;
-  if (member.leaving_since || listed_leaving)
+  }
+  bool leaving_in_list =
+      member.list_applies && member.listed == MemberState::kLeaving;
+  if (member.leaving_since || leaving_in_list || gone_in_list)
     return MemberState::kLeaving;
   bool suspect =
       failing >= this->settings.suspect_after || this->SuspectedByPeers(member);
