--- a/cranberryhill/http2/http2_server.cc
+++ b/cranberryhill/http2/http2_server.cc
@@ -371,6 +371,7 @@
 
   bool Accept(cxxtools::net::TcpServer& listener);
   void Shutdown() { this->session->ShutdownGracefully(); }
+  void Freeze() { this->session->Freeze(); }
   void Close(CloseReason reason);
   size_t streams() const { return this->open_streams.size(); }
 
@@ -530,6 +531,7 @@
 
   uint16_t port() const override { return this->bound_port; }
   void Shutdown() override;
+  void FreezeOpenConnections() override;
   size_t connections() const override { return this->open.size(); }
   size_t active_streams() const override;
 
@@ -626,6 +628,11 @@
     connection->Shutdown();
 }
 
+void ServerImpl::FreezeOpenConnections() {
+  for (auto& [id, connection] : this->open)
+    connection->Freeze();
+}
+
 size_t ServerImpl::active_streams() const {
   size_t count = 0;
   for (const auto& [id, connection] : this->open)
--- a/cranberryhill/http2/http2_server.h
+++ b/cranberryhill/http2/http2_server.h
@@ -119,6 +119,11 @@
   /// finish and closes each connection after its last stream.
   virtual void Shutdown() = 0;
 
+  /// Fault for stand-ins and tests: the connections that are open now are
+  /// neither read nor written any more, and their peers are not told. New
+  /// connections work. Does nothing unless overridden.
+  virtual void FreezeOpenConnections() {}
+
   virtual size_t connections() const = 0;  // NOLINT
 
   /// @return Requests whose stream is open, over all connections.
--- a/cranberryhill/http2/internal/session.cc
+++ b/cranberryhill/http2/internal/session.cc
@@ -259,7 +259,7 @@
 }
 
 void Session::Flush() {
-  if (this->closed || !this->started || this->socket->writing())
+  if (this->closed || this->frozen || !this->started || this->socket->writing())
     return;
   auto self = this->shared_from_this();
   std::string out = this->NextBytes();
@@ -288,8 +288,14 @@
   });
 }
 
+void Session::Freeze() {
+  this->frozen = true;
+  this->unanswered_pings.clear();
+  this->socket->Freeze();
+}
+
 void Session::SendPing() {
-  if (this->closed)
+  if (this->closed || this->frozen)
     return;
   uint64_t sequence = ++this->last_ping;
   this->unanswered_pings[sequence] = this->loop.clock().Now();
--- a/cranberryhill/http2/internal/session.h
+++ b/cranberryhill/http2/internal/session.h
@@ -89,6 +89,9 @@
   /// connection after the last stream.
   void ShutdownGracefully();
 
+  /// Stops reading, writing and pings, and leaves the socket open.
+  void Freeze();
+
   /// Closes the connection without an event.
   void Close();
 
@@ -143,6 +146,7 @@
   bool flush_scheduled = false;
   bool request_unsent = false;  // Submitted, and not yet serialised.
   bool protocol_error = false;
+  bool frozen = false;
   std::unordered_map<int32_t, OutgoingBody> bodies;
   std::unordered_map<int32_t, size_t> header_bytes;
   uint64_t last_ping = 0;
--- a/cranberryhill/http2/internal/transport.cc
+++ b/cranberryhill/http2/internal/transport.cc
@@ -1,5 +1,6 @@
 #include "cranberryhill/http2/internal/transport.h"
 
+#include <arpa/inet.h>
 #include <cxxtools/connectable.h>
 #include <cxxtools/net/tcpserver.h>
 #include <cxxtools/net/tcpsocket.h>
@@ -30,6 +31,7 @@
   void StartReading() override { this->BeginRead(); }
   bool writing() const override { return this->write_pending; }
   void Write(std::string bytes) override;
+  void Freeze() override;
   void Close() override;
   std::string PeerAddress() const override;
 
@@ -51,6 +53,7 @@
   bool connected = false;
   bool closed = false;
   bool write_pending = false;
+  bool frozen = false;
   std::array<char, kReadBytes> read_buffer;
   std::string write_buffer;
   size_t write_offset = 0;
@@ -142,7 +145,7 @@
 
 void SocketTransport::OnInput(cxxtools::IODevice& /*device*/) {
   auto self = this->shared_from_this();
-  if (this->closed || !this->connected)
+  if (this->closed || this->frozen || !this->connected)
     return;
   size_t count = 0;
   try {
@@ -182,7 +185,7 @@
 
 void SocketTransport::OnOutput(cxxtools::IODevice& /*device*/) {
   auto self = this->shared_from_this();
-  if (this->closed || !this->write_pending)
+  if (this->closed || this->frozen || !this->write_pending)
     return;
   try {
     this->write_offset += this->socket.endWrite();
@@ -214,6 +217,16 @@
   });
 }
 
+void SocketTransport::Freeze() {
+  this->frozen = true;
+  // The selector may be sending a signal of the socket now.
+  this->loop.Post([weak = this->weak_from_this()] {
+    auto self = weak.lock();
+    if (self && !self->closed)
+      self->loop.selector().remove(self->socket);
+  });
+}
+
 void SocketTransport::Close() {
   if (this->closed)
     return;
@@ -229,11 +242,21 @@
 }
 
 std::string SocketTransport::PeerAddress() const {
-  try {
-    return this->socket.getPeerAddr();
-  } catch (const std::exception&) {
+  // TcpSocket::getPeerAddr() has no port.
+  sockaddr_storage peer{};
+  socklen_t size = sizeof(peer);
+  auto* generic = reinterpret_cast<sockaddr*>(&peer);
+  if (getpeername(this->socket.getFd(), generic, &size) != 0)
     return {};
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  if (peer.ss_family == AF_INET6) {
+    auto* in6 = reinterpret_cast<sockaddr_in6*>(&peer);
+    inet_ntop(AF_INET6, &in6->sin6_addr, text.data(), text.size());
+    return IpAddress{text.data(), ntohs(in6->sin6_port)}.ToString();
   }
+  auto* in4 = reinterpret_cast<sockaddr_in*>(&peer);
+  inet_ntop(AF_INET, &in4->sin_addr, text.data(), text.size());
+  return IpAddress{text.data(), ntohs(in4->sin_port)}.ToString();
 }
 
 }  // namespace
--- a/cranberryhill/http2/internal/transport.h
+++ b/cranberryhill/http2/internal/transport.h
@@ -61,6 +61,9 @@
   /// Writes all of `bytes`. Requires that writing() is false.
   virtual void Write(std::string bytes) = 0;
 
+  /// Stops all events and leaves the socket open.
+  virtual void Freeze() = 0;
+
   /// Closes the socket; no event follows.
   virtual void Close() = 0;
 
