--- a/cranberryhill/daemon/caller_front.cc
+++ b/cranberryhill/daemon/caller_front.cc
@@ -166,7 +166,7 @@
   }
   std::optional<CallerApi> api = CallerApiOfPath(input.path);
   if (!api)
-    return this->HandleService(headers.value(), input, std::move(sink));
+    return this->HandleService(headers.value(), input, sink);
   if (input.method != "POST") {
     this->Refuse(*sink, MakeRefusal(RefusalCode::kMethodNotAllowed,
                                     RefusalOutcome::kNotRun,
@@ -219,7 +219,7 @@
 std::function<void()> CallerFront::HandleService(
     const CallerHeaders& headers,
     const CallerInput& input,
-    std::shared_ptr<ResponseSink> sink) {
+    const std::shared_ptr<ResponseSink>& sink) {
   if (this->document != nullptr &&
       input.body.size() >
           static_cast<size_t>(this->document->document.limits.body_bytes)) {
--- a/cranberryhill/daemon/caller_front.h
+++ b/cranberryhill/daemon/caller_front.h
@@ -80,9 +80,10 @@
                                    const CallerHeaders& headers,
                                    const CallerInput& input,
                                    std::shared_ptr<ResponseSink> sink);
-  std::function<void()> HandleService(const CallerHeaders& headers,
-                                      const CallerInput& input,
-                                      std::shared_ptr<ResponseSink> sink);
+  std::function<void()> HandleService(
+      const CallerHeaders& headers,
+      const CallerInput& input,
+      const std::shared_ptr<ResponseSink>& sink);
   void Refuse(ResponseSink& sink, const Refusal& refusal);
   CallerLimits Limits() const;
 
--- a/cranberryhill/daemon/config_part.h
+++ b/cranberryhill/daemon/config_part.h
@@ -32,7 +32,7 @@
 class ConfigPart {
  public:
   using VersionCallback =
-      std::function<void(std::shared_ptr<const VersionInForce>)>;
+      std::function<void(const std::shared_ptr<const VersionInForce>&)>;
 
   /// References must outlive this object.
   ConfigPart(std::string environment,
--- a/cranberryhill/daemon/daemon.cc
+++ b/cranberryhill/daemon/daemon.cc
@@ -230,7 +230,7 @@
              this->random,
              this->table,
              this->metrics,
-             [this](std::shared_ptr<const VersionInForce> version) {
+             [this](const std::shared_ptr<const VersionInForce>& version) {
                this->OnVersion(version);
              }),
       orders(*this->client, *this->loop, this->fleet),
--- a/cranberryhill/daemon/engine_fleet.h
+++ b/cranberryhill/daemon/engine_fleet.h
@@ -39,7 +39,8 @@
   uint64_t request = 0;
   AttemptNumber attempt = 0;
 
-  auto operator<=>(const AttemptKey&) const = default;
+  // clang-tidy 14 takes the generated comparison with 0 for a null pointer.
+  auto operator<=>(const AttemptKey&) const = default;  // NOLINT
 
   /// @return A number that is different for each attempt, as routers need it.
   uint64_t Packed() const { return this->request * 64 + this->attempt; }
--- a/cranberryhill/daemon/http2_port.cc
+++ b/cranberryhill/daemon/http2_port.cc
@@ -51,9 +51,9 @@
   BOOST_LEAF_ASSIGN(
       this->server,
       ListenHttp2(this->loop, this->address, Http2ServerOptions{},
-                  [this](std::shared_ptr<Http2Request> request,
-                         std::shared_ptr<Http2ResponseWriter> response) {
-                    this->OnRequest(std::move(request), std::move(response));
+                  [this](const std::shared_ptr<Http2Request>& request,
+                         const std::shared_ptr<Http2ResponseWriter>& response) {
+                    this->OnRequest(request, response);
                   }));
   return {};
 }
@@ -71,16 +71,16 @@
   return this->server == nullptr ? 0 : this->server->active_streams();
 }
 
-void Http2Port::OnRequest(std::shared_ptr<Http2Request> request,
-                          std::shared_ptr<Http2ResponseWriter> response) {
+void Http2Port::OnRequest(
+    const std::shared_ptr<Http2Request>& request,
+    const std::shared_ptr<Http2ResponseWriter>& response) {
   auto input = std::make_shared<CallerInput>();
   input->method = request->method();
   input->path = request->path();
   input->can_stream = true;
   for (const Header& header : request->headers())
     input->headers.push_back({header.name, header.value});
-  Http2Request& body_source = *request;
-  body_source.ReadWhole([this, input, response](std::string body) {
+  request->ReadWhole([this, input, response](std::string body) {
     input->body = std::move(body);
     auto sink = std::make_shared<Http2Sink>(response, this->leaving);
     std::function<void()> cancel = this->front.Handle(*input, sink);
--- a/cranberryhill/daemon/http2_port.h
+++ b/cranberryhill/daemon/http2_port.h
@@ -35,8 +35,8 @@
   size_t active_streams() const;  // NOLINT
 
  private:
-  void OnRequest(std::shared_ptr<Http2Request> request,
-                 std::shared_ptr<Http2ResponseWriter> response);
+  void OnRequest(const std::shared_ptr<Http2Request>& request,
+                 const std::shared_ptr<Http2ResponseWriter>& response);
 
   EventLoop& loop;
   IpAddress address;
--- a/cranberryhill/orders/authority_test.cc
+++ b/cranberryhill/orders/authority_test.cc
@@ -61,11 +61,11 @@
   void StartWork(FakeEngine& engine, bool probe);
   void Send(const EngineOrder& order,
             std::function<bool()> may_write,
-            SendCallback callback) override;
+            OrderSendCallback callback) override;
   void ReadReport(const std::string& engine, ReportCallback callback) override;
   // Runs `task` when this process is not paused.
   void WhenRunning(std::function<void()> task);
-  void Write(const EngineOrder& order, const SendCallback& callback);
+  void Write(const EngineOrder& order, const OrderSendCallback& callback);
 
   World& world;
   std::string id;
@@ -132,7 +132,7 @@
       instance->planner->SetDesired(this->desired);
   }
 
-  SendState Arrive(const EngineOrder& order);
+  OrderSendState Arrive(const EngineOrder& order);
   void Crash(FakeEngine& engine, absl::Duration duration);
   bool Up(const FakeEngine& engine) const {
     return this->clock.Now() >= engine.down_until;
@@ -157,16 +157,16 @@
   absl::Duration stall;      ///< Pause of the next sender after its check.
 };
 
-SendState World::Arrive(const EngineOrder& order) {
+OrderSendState World::Arrive(const EngineOrder& order) {
   FakeEngine& engine = this->EngineNamed(order.engine);
   if (!this->Up(engine))
-    return SendState::kUnknown;
+    return OrderSendState::kUnknown;
   if (engine.checks_fencing && order.fencing_number < engine.highest_fencing)
-    return SendState::kOldNumber;
+    return OrderSendState::kOldNumber;
   engine.highest_fencing =
       std::max(engine.highest_fencing, order.fencing_number);
   if (order.kind == OrderKind::kObserve)
-    return SendState::kAccepted;
+    return OrderSendState::kAccepted;
   ++engine.orders;
   bool differs =
       engine.last.order_number != 0 && !SameTarget(engine.last, order);
@@ -176,7 +176,7 @@
     engine.violations.push_back("old order after a newer one");
   engine.last = order;
   if (engine.role == order.role || engine.changing)
-    return SendState::kAccepted;
+    return OrderSendState::kAccepted;
   if (engine.running > 0)
     engine.violations.push_back("request cut");
   engine.changing = true;
@@ -188,7 +188,7 @@
                          engine.role = order.role;
                          engine.idle_since = this->clock.Now();
                        });
-  return SendState::kAccepted;
+  return OrderSendState::kAccepted;
 }
 
 void World::Crash(FakeEngine& engine, absl::Duration duration) {
@@ -312,12 +312,12 @@
 
 void Instance::Send(const EngineOrder& order,
                     std::function<bool()> may_write,
-                    SendCallback callback) {
+                    OrderSendCallback callback) {
   this->world.tasks.RunAfter(
       this->world.Between(1, 300), [this, order, may_write, callback] {
         this->WhenRunning([this, order, may_write, callback] {
           if (!may_write()) {
-            callback(SendState::kNotSent);
+            callback(OrderSendState::kNotSent);
             return;
           }
           absl::Duration pause =
@@ -330,18 +330,19 @@
       });
 }
 
-void Instance::Write(const EngineOrder& order, const SendCallback& callback) {
+void Instance::Write(const EngineOrder& order,
+                     const OrderSendCallback& callback) {
   World& all = this->world;
   bool lost = all.slow_orders && all.random.UniformInt(0, 1) == 0;
   absl::Duration way =
       all.slow_orders ? all.Between(1, 1990) : absl::Milliseconds(10);
   if (lost) {
     all.tasks.RunAfter(absl::Milliseconds(10), [this, callback] {
-      this->WhenRunning([callback] { callback(SendState::kUnknown); });
+      this->WhenRunning([callback] { callback(OrderSendState::kUnknown); });
     });
   }
   all.tasks.RunAfter(way, [this, &all, order, lost, callback] {
-    SendState state = all.Arrive(order);
+    OrderSendState state = all.Arrive(order);
     if (!lost)
       this->WhenRunning([callback, state] { callback(state); });
   });
--- a/cranberryhill/peer/peer_message.cc
+++ b/cranberryhill/peer/peer_message.cc
@@ -141,9 +141,10 @@
                     Number(json[3 * i + 1], "usage[].requests", kMaxRate));
     BOOST_LEAF_AUTO(tokens,
                     Number(json[3 * i + 2], "usage[].tokens", kMaxRate));
-    message.usage.push_back({static_cast<uint32_t>(key),
-                             static_cast<float>(requests / kRateScale),
-                             static_cast<float>(tokens / kRateScale)});
+    message.usage.push_back(
+        {static_cast<uint32_t>(key),
+         static_cast<float>(static_cast<double>(requests) / kRateScale),
+         static_cast<float>(static_cast<double>(tokens) / kRateScale)});
   }
   return {};
 }
