membership: report leaving members to peers even when gone here

An instance that could not reach a leaving member dropped it from its messages, so a peer that still reached it went on sending it work. The property test over four instances found this.

--- a/cranberryhill/membership/membership_view.cc
+++ b/cranberryhill/membership/membership_view.cc
@@ -243,7 +243,11 @@
   absl::Time now = this->clock.Now();
   std::vector<MemberReport> reports;
   for (const auto& [id, member] : this->members) {
-    if (this->StateOf(member) == MemberState::kGone)
+    // What is gone because contact failed here is reported nevertheless; peers
+    // may still reach it.
+    bool gone_in_list =
+        member.list_applies && member.listed == MemberState::kGone;
+    if (gone_in_list)
       continue;
     bool fails_here =
         member.failing_since && member.last_failure - *member.failing_since >=
