daemon: hand requests over from prefill to decode engines; follow cache events

An attempt on a prefill engine ends after its first token; its KV blocks are exported and imported engine to engine and the stream goes on where the router says. Without the blocks the decode engine computes them again.

--- a/cranberryhill/daemon/chat_service.cc
+++ b/cranberryhill/daemon/chat_service.cc
@@ -167,8 +167,8 @@
   chat->deadline = now + limit;
   chat->fingerprint =
       RequestFingerprint(headers.customer, request.model, request.prompt);
-  chat->blocks = HashBlocks(request.model + "\n" + request.prompt,
-                            static_cast<uint32_t>(request.prompt_tokens));
+  chat->blocks =
+      HashBlocks(request.prompt, static_cast<uint32_t>(request.prompt_tokens));
   chat->output =
       this->predictor.Predict(headers.customer, KindOf(request.api),
                               static_cast<uint32_t>(request.max_tokens));
@@ -434,4 +434,14 @@
   }
 }
 
+void ChatService::OnAttemptHandedOver(const AttemptKey& key,
+                                      std::string_view engine,
+                                      absl::Duration token_gap) {
+  if (Chat* chat = this->Find(key.request)) {
+    this->Apply(key.request,
+                chat->life->OnPlaced(key.attempt, engine, token_gap, token_gap,
+                                     this->context.clock.Now()));
+  }
+}
+
 }  // namespace cranberryhill
--- a/cranberryhill/daemon/chat_service.h
+++ b/cranberryhill/daemon/chat_service.h
@@ -122,6 +122,9 @@
   void OnAttemptDone(const AttemptKey& key,
                      std::string_view finish_reason) override;
   void OnAttemptFailed(const AttemptKey& key, AttemptFailure failure) override;
+  void OnAttemptHandedOver(const AttemptKey& key,
+                           std::string_view engine,
+                           absl::Duration token_gap) override;
 
  private:
   struct Chat;
--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -7,6 +7,7 @@
 #include "cranberryhill/base/json.h"
 #include "cranberryhill/base/log.h"
 #include "cranberryhill/daemon/internal/engine_messages.h"
+#include "cranberryhill/daemon/kv_transfer.h"
 
 namespace cranberryhill {
 namespace {
@@ -18,6 +19,7 @@
 constexpr absl::Duration kPollTimeout = absl::Seconds(3);
 constexpr int kProbePriority = -100;
 constexpr size_t kMaxLineBytes = size_t{64} * 1024;
+constexpr size_t kMaxEventBytes = size_t{1} * 1024 * 1024;
 
 }  // namespace
 
@@ -32,13 +34,19 @@
   bool polling = false;
   absl::Time poll_sent;
   absl::Time next_poll = absl::InfinitePast();
+  uint64_t last_cache_event = 0;
   uint64_t incarnation = kUnknownIncarnation;
 };
 
 struct EngineFleet::Running {
+  AttemptRequest attempt;
+  std::vector<uint64_t> blocks;  // Of the prompt, for a KV transfer.
   std::string engine;
+  std::string decode_engine;  // Differs when the engine only does prefill.
+  bool prefill_only = false;  // The present stream ends after one token.
+  absl::Duration token_gap;
+  std::unique_ptr<KvTransfer> transfer;
   Router* router = nullptr;
-  uint64_t fingerprint = 0;
   absl::Time started;
   bool got_token = false;
   bool refused = false;  // The engine answered with an error status.
@@ -153,6 +161,7 @@
       this->OnCrash(*engine);
   }
   if (state == Http2ConnectionState::kOpen) {
+    engine->last_cache_event = 0;
     this->context.members.OnContact(id, engine->incarnation);
     engine->router->OnEngineRestarted(engine->router_index);
     engine->next_poll = absl::InfinitePast();
@@ -166,8 +175,8 @@
   std::vector<CrashedStream> streams;
   for (const auto& [key, attempt] : this->running) {
     if (attempt->engine == engine.spec.id) {
-      streams.push_back(
-          {attempt->fingerprint, attempt->started, !attempt->got_token});
+      streams.push_back({attempt->attempt.fingerprint, attempt->started,
+                         !attempt->got_token});
     }
   }
   size_t noted = this->context.crashes.OnEngineCrashed(streams, now);
@@ -205,17 +214,34 @@
     return std::nullopt;
   }
   router->OnSent(route, *decision);
-  this->SendGenerate(*engine, attempt);
+  auto run = std::make_unique<Running>();
+  run->attempt = attempt;
+  run->blocks.assign(route.blocks.begin(), route.blocks.end());
+  run->engine = engine->spec.id;
+  run->decode_engine = router->EngineId(decision->decode_engine);
+  run->prefill_only = run->decode_engine != run->engine;
+  run->token_gap = decision->gap;
+  run->router = router;
+  run->started = this->context.clock.Now();
+  this->running[attempt.key] = std::move(run);
+  this->SendGenerate(*engine, attempt.key);
   return Placement{engine->spec.id, decision->first_token, decision->gap};
 }
 
-void EngineFleet::SendGenerate(Engine& engine, const AttemptRequest& attempt) {
-  auto run = std::make_unique<Running>();
-  run->engine = engine.spec.id;
-  run->router = engine.router;
-  run->fingerprint = attempt.fingerprint;
-  run->started = this->context.clock.Now();
-  const AttemptKey key = attempt.key;
+Http2ClientRequest EngineFleet::GenerateRequest(const std::string& engine,
+                                                const AttemptRequest& attempt) {
+  Http2ClientRequest request{
+      "POST",
+      "/v1/generate",
+      {{"content-type", "application/json"}},
+      internal::GenerateBody(attempt, this->context.clock.Now())};
+  request.allow_send = [this, engine, alive = this->alive] {
+    return *alive && this->context.permission.MayStart(engine);
+  };
+  return request;
+}
+
+void EngineFleet::SendGenerate(Engine& engine, const AttemptKey& key) {
   Http2Callbacks callbacks;
   callbacks.on_headers = [this, key, alive = this->alive](
                              int status, const Headers& headers) {
@@ -241,17 +267,70 @@
     if (*alive)
       this->OnFailure(key, failure);
   };
-  Http2ClientRequest request{
-      "POST",
-      "/v1/generate",
-      {{"content-type", "application/json"}},
-      internal::GenerateBody(attempt, this->context.clock.Now())};
-  request.allow_send = [this, id = engine.spec.id, alive = this->alive] {
-    return *alive && this->context.permission.MayStart(id);
-  };
-  Running& stored = *(this->running[key] = std::move(run));
-  stored.stream =
-      engine.connection->Send(std::move(request), std::move(callbacks));
+  Running& run = *this->running.at(key);
+  AttemptRequest attempt = run.attempt;
+  if (run.prefill_only)
+    attempt.max_tokens = std::min(attempt.max_tokens, attempt.resume_from + 1);
+  run.stream = engine.connection->Send(
+      this->GenerateRequest(engine.spec.id, attempt), std::move(callbacks));
+}
+
+void EngineFleet::OnStreamDone(const AttemptKey& key,
+                               std::string_view finish_reason) {
+  Running& run = *this->running.at(key);
+  bool more = run.attempt.resume_from < run.attempt.max_tokens;
+  if (run.prefill_only && run.got_token && more) {
+    this->HandOver(key);
+    return;
+  }
+  this->CloseAttempt(key, AttemptEnd::kCompleted);
+  this->listener.OnAttemptDone(key, finish_reason);
+}
+
+void EngineFleet::HandOver(const AttemptKey& key) {
+  Running& run = *this->running.at(key);
+  run.prefill_only = false;
+  run.stream.reset();
+  std::optional<uint32_t> chosen = run.router->ChooseDecode(key.Packed());
+  if (!chosen) {
+    this->FailAttempt(key, AttemptFailure::kRefused);
+    return;
+  }
+  run.decode_engine = run.router->EngineId(*chosen);
+  Engine* source = this->FindEngine(run.engine);
+  Engine* target = this->FindEngine(run.decode_engine);
+  if (source == nullptr || target == nullptr) {
+    this->FailAttempt(key, AttemptFailure::kRefused);
+    return;
+  }
+  if (source == target || run.blocks.empty()) {
+    this->StartDecode(key);
+    return;
+  }
+  run.transfer = TransferKv(*source->connection, *target->connection,
+                            run.blocks, [this, key](bool moved) {
+                              this->context.metrics.Count(
+                                  "cranberryhill_kv_transfers_total",
+                                  {{"moved", moved ? "true" : "false"}});
+                              this->StartDecode(key);
+                            });
+}
+
+void EngineFleet::StartDecode(const AttemptKey& key) {
+  auto found = this->running.find(key);
+  if (found == this->running.end())
+    return;
+  Running& run = *found->second;
+  Engine* engine = this->FindEngine(run.decode_engine);
+  if (engine == nullptr) {
+    this->FailAttempt(key, AttemptFailure::kRefused);
+    return;
+  }
+  run.engine = run.decode_engine;
+  run.started = this->context.clock.Now();
+  run.buffer.clear();
+  this->listener.OnAttemptHandedOver(key, run.engine, run.token_gap);
+  this->SendGenerate(*engine, key);
 }
 
 void EngineFleet::OnLines(const AttemptKey& key, std::string_view chunk) {
@@ -286,10 +365,10 @@
   Running& run = *this->running.at(key);
   this->context.permission.OnUse(run.engine, this->context.clock.Now());
   if (event.done) {
-    this->CloseAttempt(key, AttemptEnd::kCompleted);
-    this->listener.OnAttemptDone(key, event.finish_reason);
+    this->OnStreamDone(key, event.finish_reason);
     return false;
   }
+  run.attempt.resume_from = event.index + 1;
   if (!run.got_token) {
     run.got_token = true;
     run.router->OnFirstToken(key.Packed());
@@ -335,6 +414,7 @@
     return;
   std::unique_ptr<Running> run = std::move(found->second);
   this->running.erase(found);
+  run->transfer.reset();
   run->router->OnFinished(key.Packed(), end);
   if (run->stream != nullptr)
     run->stream->Cancel();
@@ -370,14 +450,8 @@
     if (*alive && *status == 200)
       this->context.permission.OnUse(id, now);
   };
-  Http2ClientRequest request{"POST",
-                             "/v1/generate",
-                             {{"content-type", "application/json"}},
-                             internal::GenerateBody(probe, now)};
-  request.allow_send = [this, id = std::string(id), alive = this->alive] {
-    return *alive && this->context.permission.MayStart(id);
-  };
-  engine->connection->Send(std::move(request), std::move(callbacks));
+  engine->connection->Send(this->GenerateRequest(engine->spec.id, probe),
+                           std::move(callbacks));
   this->context.metrics.Count("cranberryhill_probes_total");
 }
 
@@ -430,6 +504,36 @@
   engine.connection->Send({"GET", "/v1/status", {}, ""}, std::move(callbacks));
 }
 
+void EngineFleet::PollCacheEvents(Engine& engine) {
+  auto body = std::make_shared<std::string>();
+  Http2Callbacks callbacks;
+  callbacks.on_data = [body](std::string_view chunk) {
+    if (body->size() + chunk.size() <= kMaxEventBytes)
+      body->append(chunk);
+  };
+  callbacks.on_end = [this, id = engine.spec.id, body, alive = this->alive] {
+    if (*alive)
+      this->OnCacheEvents(id, *body);
+  };
+  engine.connection->Send(
+      {"GET",
+       "/v1/cache_events?after=" + std::to_string(engine.last_cache_event),
+       {},
+       ""},
+      std::move(callbacks));
+}
+
+void EngineFleet::OnCacheEvents(const std::string& id, std::string_view body) {
+  Engine* engine = this->FindEngine(id);
+  if (engine == nullptr)
+    return;
+  auto events = Capture([body] { return internal::ParseCacheEvents(body); });
+  if (!events.ok() || events.value().empty())
+    return;
+  engine->last_cache_event = events.value().back().sequence;
+  engine->router->OnCacheEvents(engine->router_index, events.value());
+}
+
 void EngineFleet::OnStatus(const std::string& id,
                            absl::Time asked,
                            std::string_view body) {
@@ -454,6 +558,7 @@
   LoadReport load = current.load;
   load.measured_at = asked - current.load_age;
   engine->router->OnLoadReport(engine->router_index, load);
+  this->PollCacheEvents(*engine);
   this->UpdateUsable(*engine);
 }
 
--- a/cranberryhill/daemon/engine_fleet.h
+++ b/cranberryhill/daemon/engine_fleet.h
@@ -78,6 +78,11 @@
                              std::string_view finish_reason) = 0;
   virtual void OnAttemptFailed(const AttemptKey& key,
                                AttemptFailure failure) = 0;
+
+  /// The attempt goes on, after its prefill, on another engine.
+  virtual void OnAttemptHandedOver(const AttemptKey& key,
+                                   std::string_view engine,
+                                   absl::Duration token_gap) = 0;
 };
 
 /// Decides whether work may be started on an engine, as far as planned changes
@@ -163,7 +168,12 @@
                          Http2ConnectionState state,
                          std::optional<CloseReason> reason);
   void OnCrash(Engine& engine);
-  void SendGenerate(Engine& engine, const AttemptRequest& attempt);
+  Http2ClientRequest GenerateRequest(const std::string& engine,
+                                     const AttemptRequest& attempt);
+  void SendGenerate(Engine& engine, const AttemptKey& key);
+  void OnStreamDone(const AttemptKey& key, std::string_view finish_reason);
+  void HandOver(const AttemptKey& key);
+  void StartDecode(const AttemptKey& key);
   void OnLines(const AttemptKey& key, std::string_view chunk);
   bool OnLine(const AttemptKey& key, std::string_view line);
   void OnEnd(const AttemptKey& key);
@@ -171,6 +181,8 @@
   void FailAttempt(const AttemptKey& key, AttemptFailure failure);
   void CloseAttempt(const AttemptKey& key, AttemptEnd end);
   void PollStatus(Engine& engine);
+  void PollCacheEvents(Engine& engine);
+  void OnCacheEvents(const std::string& id, std::string_view body);
   void OnStatus(const std::string& id, absl::Time asked, std::string_view body);
   void UpdateUsable(Engine& engine);
   absl::Duration PollInterval() const;
--- a/cranberryhill/daemon/internal/engine_messages.cc
+++ b/cranberryhill/daemon/internal/engine_messages.cc
@@ -110,4 +110,26 @@
   return status;
 }
 
+Result<std::vector<CacheEvent>> ParseCacheEvents(std::string_view body) {
+  BOOST_LEAF_AUTO(json, ParseJson(body, "cache events"));
+  ObjectReader reader(json, "cache events");
+  BOOST_LEAF_AUTO(array, reader.Array("events"));
+  std::vector<CacheEvent> events;
+  for (const Json& item : *array) {
+    ObjectReader entry(item, "events[]");
+    CacheEvent event;
+    BOOST_LEAF_AUTO(sequence, entry.Int("sequence", {1, INT64_MAX}));
+    event.sequence = static_cast<uint64_t>(sequence);
+    BOOST_LEAF_ASSIGN(event.stored, entry.Bool("stored", true));
+    auto block = item.find("block");
+    if (block == item.end() || !block->is_number_unsigned()) {
+      return MakeError(ErrorCode::kInvalidArgument, "events[].block", "",
+                       "must be an unsigned number");
+    }
+    event.block = block->get<uint64_t>();
+    events.push_back(event);
+  }
+  return events;
+}
+
 }  // namespace cranberryhill::internal
--- a/cranberryhill/daemon/internal/engine_messages.h
+++ b/cranberryhill/daemon/internal/engine_messages.h
@@ -6,12 +6,14 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "cranberryhill/base/engine_role.h"
 #include "cranberryhill/base/result.h"
 #include "cranberryhill/cost/load_tracker.h"
 #include "cranberryhill/orders/engine_order.h"
+#include "cranberryhill/routing/prefix_index.h"
 
 namespace cranberryhill {
 
@@ -46,6 +48,9 @@
 ///     engines of later versions may report more.
 Result<EngineStatus> ParseEngineStatus(std::string_view body);
 
+/// @return The events of GET /v1/cache_events, or kInvalidArgument.
+Result<std::vector<CacheEvent>> ParseCacheEvents(std::string_view body);
+
 }  // namespace internal
 }  // namespace cranberryhill
 
--- a/cranberryhill/daemon/metrics.cc
+++ b/cranberryhill/daemon/metrics.cc
@@ -35,6 +35,7 @@
     {"cranberryhill_crash_suspects_total",
      "Requests that became suspect or condemned"},
     {"cranberryhill_service_calls_total", "Service calls by kind and end"},
+    {"cranberryhill_kv_transfers_total", "Transfers of KV cache blocks"},
     {"cranberryhill_probes_total", "Probes that keep the use of an engine"},
     {"cranberryhill_peer_messages_total",
      "Peer messages by what became of them"},
