--- a/cranberryhill/http2/http2_client.cc
+++ b/cranberryhill/http2/http2_client.cc
@@ -42,9 +42,9 @@
   void AddBody(std::string_view chunk);
   void FinishBody();
   /// @return Whether the whole response has arrived.
-  bool complete() const { return this->body_done; }
+  bool Complete() const { return this->body_done; }
   void Fail(CloseReason reason, Http2Error code, const std::string& message);
-  bool finished() const { return this->done; }
+  bool Finished() const { return this->done; }
 
  private:
   void DeliverBuffered();
@@ -108,8 +108,8 @@
   }
   /// Forgets the owner and fails all streams.
   void Abandon(CloseReason reason, const std::string& message);
-  size_t streams() const;
-  const Session& http2() const { return *this->session; }
+  size_t Streams() const;
+  const Session& Http2() const { return *this->session; }
 
   void OnOpen() override;
   void OnHeader(int32_t stream, Header header) override;
@@ -277,7 +277,7 @@
 void ClientSession::Send(const std::shared_ptr<ClientStream>& stream) {
   if (this->waiting.size() >= this->max_queued) {
     std::erase_if(this->waiting,
-                  [](const auto& other) { return other->finished(); });
+                  [](const auto& other) { return other->Finished(); });
   }
   if (this->waiting.size() >= this->max_queued) {
     stream->Fail(CloseReason::kQueueFull, Http2Error::kNoError,
@@ -293,17 +293,17 @@
          this->open_streams.size() < this->session->PeerMaxStreams()) {
     std::shared_ptr<ClientStream> stream = std::move(this->waiting.front());
     this->waiting.pop_front();
-    if (!stream->finished() &&
+    if (!stream->Finished() &&
         stream->Submit(this->shared_from_this(), this->authority))
       return true;
   }
   return false;
 }
 
-size_t ClientSession::streams() const {
+size_t ClientSession::Streams() const {
   return this->open_streams.size() +
          std::count_if(this->waiting.begin(), this->waiting.end(),
-                       [](const auto& stream) { return !stream->finished(); });
+                       [](const auto& stream) { return !stream->Finished(); });
 }
 
 // A connection has 2^30 stream ids for requests.
@@ -374,7 +374,7 @@
   if (!entry)
     return;
   this->open_streams.erase(stream);
-  if (entry->complete())
+  if (entry->Complete())
     return;  // A paused stream still delivers what it has buffered.
   if (code == NGHTTP2_REFUSED_STREAM) {
     entry->Fail(CloseReason::kRefused, Http2Error::kRefusedStream,
@@ -406,7 +406,7 @@
 void ClientSession::FailAll(CloseReason reason, const std::string& message) {
   auto streams = std::exchange(this->open_streams, {});
   for (auto& [id, stream] : streams) {
-    if (!stream->complete())
+    if (!stream->Complete())
       stream->Fail(reason, Http2Error::kNoError, message);
   }
   auto unsent = std::exchange(this->waiting, {});
@@ -502,7 +502,7 @@
       break;
     case Http2ConnectionState::kConnecting:
       std::erase_if(this->queued,
-                    [](const auto& other) { return other->finished(); });
+                    [](const auto& other) { return other->Finished(); });
       if (this->queued.size() < this->options.max_queued) {
         this->queued.push_back(stream);
       } else {
@@ -525,15 +525,15 @@
 std::optional<absl::Duration> ConnectionImpl::last_round_trip() const {
   if (!this->current)
     return std::nullopt;
-  return this->current->http2().last_round_trip();
+  return this->current->Http2().last_round_trip();
 }
 
 size_t ConnectionImpl::active_streams() const {
-  size_t count = this->current ? this->current->streams() : 0;
+  size_t count = this->current ? this->current->Streams() : 0;
   for (const SessionPointer& session : this->draining)
-    count += session->streams();
+    count += session->Streams();
   for (const auto& stream : this->queued)
-    count += stream->finished() ? 0 : 1;
+    count += stream->Finished() ? 0 : 1;
   return count;
 }
 
@@ -569,7 +569,7 @@
 void ConnectionImpl::OnSessionOpen(ClientSession& /*session*/) {
   auto streams = std::exchange(this->queued, {});
   for (const auto& stream : streams) {
-    if (!stream->finished())
+    if (!stream->Finished())
       this->current->Send(stream);
   }
   this->SetState(Http2ConnectionState::kOpen, std::nullopt);
@@ -604,7 +604,7 @@
 
 void ConnectionImpl::Reconnect(const ClientSession& last, CloseReason reason) {
   // Only a peer that has spoken HTTP/2 counts as reachable.
-  if (last.http2().last_round_trip())
+  if (last.Http2().last_round_trip())
     this->backoff = this->options.min_backoff;
   absl::Duration wait = this->backoff;
   this->backoff = std::min(this->backoff * 2, this->options.max_backoff);
--- a/cranberryhill/http2/http2_server.cc
+++ b/cranberryhill/http2/http2_server.cc
@@ -60,7 +60,7 @@
   void Reset(Http2Error code);
   void SetClosed(std::function<void(CloseReason)> callback);
 
-  bool open() const { return !this->closed && !this->ended; }
+  bool IsOpen() const { return !this->closed && !this->ended; }
   size_t BufferedBytes() const {
     return this->session->BufferedBytes(this->id);
   }
@@ -146,7 +146,7 @@
 
 void ServerStream::FinishBody() {
   this->body_done = true;
-  if (this->too_large || !this->open())
+  if (this->too_large || !this->IsOpen())
     return;
   if (this->streamed)
     this->DeliverStreamed();
@@ -215,7 +215,7 @@
 }
 
 bool ServerStream::SendHeaders(int status, const Headers& fields) {
-  if (!this->open() || this->headers_sent)
+  if (!this->IsOpen() || this->headers_sent)
     return false;
   this->headers_sent = true;
   Headers all = {{":status", std::to_string(status)}};
@@ -224,14 +224,14 @@
 }
 
 bool ServerStream::SendBody(std::string_view chunk, size_t limit) {
-  if (!this->open() || !this->headers_sent)
+  if (!this->IsOpen() || !this->headers_sent)
     return false;
   this->session->AppendBody(this->id, chunk);
   return this->BufferedBytes() < limit;
 }
 
 void ServerStream::End() {
-  if (!this->open())
+  if (!this->IsOpen())
     return;
   if (!this->headers_sent) {
     this->Reset(Http2Error::kInternalError);
@@ -242,7 +242,7 @@
 }
 
 void ServerStream::Reset(Http2Error code) {
-  if (!this->open())
+  if (!this->IsOpen())
     return;
   this->ended = true;
   this->session->Reset(this->id, code);
@@ -257,7 +257,7 @@
 void ServerStream::OnBodyDrained() {
   this->loop.Post([weak = this->weak_from_this()] {
     auto self = weak.lock();
-    if (!self || !self->open() || !self->writable)
+    if (!self || !self->IsOpen() || !self->writable)
       return;
     auto callback = self->writable;
     callback();
@@ -340,12 +340,12 @@
   size_t buffered_bytes() const override {
     return this->stream->BufferedBytes();
   }
-  bool open() const override { return this->stream->open(); }
+  bool open() const override { return this->stream->IsOpen(); }
   void OnClosed(std::function<void(CloseReason)> closed) override {
     this->stream->SetClosed(std::move(closed));
   }
   void OnWritable(std::function<void()> writable) override {
-    if (this->stream->open())
+    if (this->stream->IsOpen())
       this->stream->writable = std::move(writable);
   }
 
@@ -373,7 +373,7 @@
   void Shutdown() { this->session->ShutdownGracefully(); }
   void Freeze() { this->session->Freeze(); }
   void Close(CloseReason reason);
-  size_t streams() const { return this->open_streams.size(); }
+  size_t Streams() const { return this->open_streams.size(); }
 
   /// Runs when the connection has closed by itself.
   std::function<void()> on_closed;
@@ -511,7 +511,7 @@
   PortReservation& operator=(const PortReservation&) = delete;
 
   /// @return 0 when no port could be bound.
-  uint16_t port() const { return this->reserved; }
+  uint16_t Port() const { return this->reserved; }
 
  private:
   int fd = -1;
@@ -565,7 +565,7 @@
   std::optional<PortReservation> reservation;
   this->bound_port = address.port;
   if (address.port == 0)
-    this->bound_port = reservation.emplace(address.ip).port();
+    this->bound_port = reservation.emplace(address.ip).Port();
   if (this->bound_port == 0)
     return "no port can be bound";
   try {
@@ -636,7 +636,7 @@
 size_t ServerImpl::active_streams() const {
   size_t count = 0;
   for (const auto& [id, connection] : this->open)
-    count += connection->streams();
+    count += connection->Streams();
   return count;
 }
 
--- a/cranberryhill/http2/http2_test.cc
+++ b/cranberryhill/http2/http2_test.cc
@@ -37,7 +37,7 @@
     calls.on_failed = [this](const Http2Failure& f) { failures.push_back(f); };
     return calls;
   }
-  bool finished() const { return this->ends > 0 || !this->failures.empty(); }
+  bool Finished() const { return this->ends > 0 || !this->failures.empty(); }
 };
 
 using RequestPointer = std::shared_ptr<Http2Request>;
@@ -92,7 +92,7 @@
   RawPeer(const RawPeer&) = delete;
   RawPeer& operator=(const RawPeer&) = delete;
 
-  uint16_t port() const { return this->bound_port; }
+  uint16_t Port() const { return this->bound_port; }
   void Listen() { BOOST_REQUIRE(listen(this->fd, 8) == 0); }
   void ConnectAndSend(uint16_t port, const std::string& bytes) {
     sockaddr_in address = Loopback(port);
@@ -122,11 +122,12 @@
 };
 
 void Echo(const RequestPointer& request, const WriterPointer& response) {
-  request->ReadWhole([response, path = request->path()](std::string body) {
-    response->SendHeaders(200, {{"x-path", path}});
-    response->SendBody(body);
-    response->End();
-  });
+  request->ReadWhole(
+      [response, path = request->path()](const std::string& body) {
+        response->SendHeaders(200, {{"x-path", path}});
+        response->SendBody(body);
+        response->End();
+      });
 }
 
 // Guards against a body that is cut off or never acknowledged when it exceeds
@@ -138,7 +139,7 @@
   for (int i = 0; i < 300000; ++i)
     body += std::to_string(i);
   this->connection->Send({"POST", "/echo", {}, body}, record.Callbacks());
-  this->Until([&] { return record.finished(); });
+  this->Until([&] { return record.Finished(); });
   BOOST_TEST(record.status == 200);
   BOOST_TEST((record.body == body));
   BOOST_TEST(record.ends == 1);
@@ -182,7 +183,7 @@
   this->Until([&] { return !closed.empty(); });
   BOOST_TEST((closed[0] == CloseReason::kReset));
   BOOST_TEST(!writer->open());
-  BOOST_TEST(!record.finished());
+  BOOST_TEST(!record.Finished());
   BOOST_TEST(this->server->active_streams() == 0U);
 }
 
@@ -194,7 +195,7 @@
   });
   Record record;
   this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
-  this->Until([&] { return record.finished(); });
+  this->Until([&] { return record.Finished(); });
   BOOST_REQUIRE(record.failures.size() == 1U);
   BOOST_TEST((record.failures[0].reason == CloseReason::kReset));
   BOOST_TEST((record.failures[0].code == Http2Error::kEnhanceYourCalm));
@@ -206,16 +207,16 @@
 BOOST_FIXTURE_TEST_CASE(SilentPeerIsClosedByPings, Fixture) {
   RawPeer silent;
   silent.Listen();
-  this->Connect(silent.port());
+  this->Connect(silent.Port());
   Record record;
   this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
   this->Until(
       [&] { return this->connection->state() == Http2ConnectionState::kOpen; });
   this->clock.Advance(absl::Milliseconds(2900));
   this->Settle();
-  BOOST_TEST(!record.finished());
+  BOOST_TEST(!record.Finished());
   this->clock.Advance(absl::Milliseconds(200));
-  this->Until([&] { return record.finished(); });
+  this->Until([&] { return record.Finished(); });
   BOOST_TEST((record.failures[0].reason == CloseReason::kPingTimeout));
   BOOST_TEST(record.failures[0].may_have_been_sent);
 }
@@ -236,10 +237,10 @@
 // would turn a call that never ran into an unknown outcome.
 BOOST_FIXTURE_TEST_CASE(RefusedConnectionSentNothing, Fixture) {
   RawPeer bound_only;
-  this->Connect(bound_only.port());
+  this->Connect(bound_only.Port());
   Record record;
   this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
-  this->Until([&] { return record.finished(); });
+  this->Until([&] { return record.Finished(); });
   BOOST_TEST((record.failures[0].reason == CloseReason::kConnectFailed));
   BOOST_TEST(!record.failures[0].may_have_been_sent);
   // The connection opens by itself once the peer listens.
@@ -264,7 +265,7 @@
                          denied.Callbacks());
   this->connection->Send({"POST", "/", {}, "y", [] { return true; }},
                          allowed.Callbacks());
-  this->Until([&] { return denied.finished() && allowed.finished(); });
+  this->Until([&] { return denied.Finished() && allowed.Finished(); });
   BOOST_REQUIRE(denied.failures.size() == 1U);
   BOOST_TEST((denied.failures[0].reason == CloseReason::kNotAllowed));
   BOOST_TEST(!denied.failures[0].may_have_been_sent);
@@ -294,7 +295,7 @@
       declared.Callbacks());
   this->connection->Send({"POST", "/", {}, "small"}, small.Callbacks());
   this->Until([&] {
-    return undeclared.finished() && declared.finished() && small.finished();
+    return undeclared.Finished() && declared.Finished() && small.Finished();
   });
   BOOST_TEST(undeclared.status == 413);
   BOOST_TEST(undeclared.ends == 1);
@@ -326,7 +327,7 @@
   // The limit is known to the client after the first exchange.
   Record first;
   this->connection->Send({"GET", "/", {}, ""}, first.Callbacks());
-  this->Until([&] { return first.finished(); });
+  this->Until([&] { return first.Finished(); });
   std::vector<Record> records(kStreams);
   for (size_t i = 0; i < kStreams; ++i) {
     this->connection->Send({"POST", "/", {}, std::to_string(i)},
@@ -334,7 +335,7 @@
   }
   size_t next = 0;
   this->Until([&] {
-    while (next < kStreams && records[next].finished())
+    while (next < kStreams && records[next].Finished())
       ++next;
     return next == kStreams;
   });
@@ -370,10 +371,11 @@
     this->loop->RunOnce(kStepWait);
   }
   BOOST_TEST(!more);
-  BOOST_TEST(sent < 2 * Http2Limits{}.stream_buffer_bytes + 2 * chunk.size());
+  BOOST_TEST(sent <
+             size_t{2} * Http2Limits{}.stream_buffer_bytes + 2 * chunk.size());
   Record other;
   this->connection->Send({"POST", "/", {}, "o"}, other.Callbacks());
-  this->Until([&] { return other.finished(); });
+  this->Until([&] { return other.Finished(); });
   BOOST_TEST(writable == 0);
   stream->Resume();
   this->Until([&] { return slow.body.size() == sent; });
@@ -397,7 +399,7 @@
   }
   Record record;
   this->connection->Send({"POST", "/", {}, "ok"}, record.Callbacks());
-  this->Until([&] { return record.finished(); });
+  this->Until([&] { return record.Finished(); });
   BOOST_TEST(record.body == "ok");
 }
 
@@ -405,13 +407,13 @@
 BOOST_FIXTURE_TEST_CASE(PeerWithoutHttp2IsAProtocolError, Fixture) {
   RawPeer peer;
   peer.Listen();
-  this->Connect(peer.port());
+  this->Connect(peer.Port());
   Record record;
   this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
   this->Until(
       [&] { return this->connection->state() == Http2ConnectionState::kOpen; });
   peer.AcceptAndSend("HTTP/1.1 400 Bad Request\r\n\r\n");
-  this->Until([&] { return record.finished(); });
+  this->Until([&] { return record.Finished(); });
   BOOST_TEST((record.failures[0].reason == CloseReason::kProtocolError));
 }
 
@@ -431,11 +433,11 @@
   });
   Record refused;
   this->connection->Send({"GET", "/", {}, ""}, refused.Callbacks());
-  this->Until([&] { return refused.finished(); });
+  this->Until([&] { return refused.Finished(); });
   BOOST_TEST(!refused.failures[0].may_have_been_sent);
   writer->SendBody("rest");
   writer->End();
-  this->Until([&] { return record.finished(); });
+  this->Until([&] { return record.Finished(); });
   BOOST_TEST(record.body == "rest");
   BOOST_TEST(record.ends == 1);
   this->Until([&] { return this->server->connections() == 0; });
@@ -454,7 +456,7 @@
     destroyed = true;
   };
   this->connection->Send({"POST", "/", {}, "y"}, callbacks);
-  this->Until([&] { return destroyed && other.finished(); });
+  this->Until([&] { return destroyed && other.Finished(); });
   BOOST_REQUIRE(other.failures.size() == 1U);
   BOOST_TEST((other.failures[0].reason == CloseReason::kClosedLocally));
   this->Until([&] { return this->server->connections() == 0; });
--- a/cranberryhill/http2/internal/session.cc
+++ b/cranberryhill/http2/internal/session.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // Frames are serialised up to this size before the socket is written.
-constexpr size_t kWriteBytes = 64 * 1024;
+constexpr size_t kWriteBytes = size_t{64} * 1024;
 
 // nghttp2's defaults of 1000 and 33 a second close the connection of a router
 // that cancels many streams after its own callers have left.
@@ -419,7 +419,7 @@
     return;
   OutgoingBody& body = found->second;
   body.bytes.append(chunk);
-  if (body.pending() >= this->limits.stream_buffer_bytes)
+  if (body.Pending() >= this->limits.stream_buffer_bytes)
     body.above_limit = true;
   this->ResumeBody(stream, body);
 }
@@ -442,7 +442,7 @@
 
 size_t Session::BufferedBytes(int32_t stream) const {
   auto found = this->bodies.find(stream);
-  return found == this->bodies.end() ? 0 : found->second.pending();
+  return found == this->bodies.end() ? 0 : found->second.Pending();
 }
 
 ssize_t Session::ReadBody(int32_t stream,
@@ -453,7 +453,7 @@
   if (found == this->bodies.end())
     return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
   OutgoingBody& body = found->second;
-  size_t count = std::min(size, body.pending());
+  size_t count = std::min(size, body.Pending());
   if (count == 0 && !body.ended) {
     body.deferred = true;
     return NGHTTP2_ERR_DEFERRED;
@@ -464,10 +464,10 @@
     body.bytes.erase(0, body.offset);
     body.offset = 0;
   }
-  if (body.ended && body.pending() == 0)
+  if (body.ended && body.Pending() == 0)
     *flags |= NGHTTP2_DATA_FLAG_EOF;
   if (body.above_limit &&
-      body.pending() < this->limits.stream_buffer_bytes / 2) {
+      body.Pending() < this->limits.stream_buffer_bytes / 2) {
     body.above_limit = false;
     this->handler.OnBodyDrained(stream);
   }
--- a/cranberryhill/http2/internal/session.h
+++ b/cranberryhill/http2/internal/session.h
@@ -113,7 +113,7 @@
     bool deferred = false;
     bool above_limit = false;
 
-    size_t pending() const { return this->bytes.size() - this->offset; }
+    size_t Pending() const { return this->bytes.size() - this->offset; }
   };
 
   struct Callbacks;
--- a/cranberryhill/http2/internal/transport.cc
+++ b/cranberryhill/http2/internal/transport.cc
@@ -15,7 +15,7 @@
 namespace cranberryhill {
 namespace {
 
-constexpr size_t kReadBytes = 32 * 1024;
+constexpr size_t kReadBytes = size_t{32} * 1024;
 
 class SocketTransport : public Transport,
                         public cxxtools::Connectable,
