--- a/cranberryhill/environment/environment_operations_test.cc
+++ b/cranberryhill/environment/environment_operations_test.cc
@@ -164,8 +164,10 @@
               audited.contains(token));
   }
   // Versions and generations have no gaps, so none was overwritten.
-  RC_ASSERT(made.empty() || *made.rbegin() == made.size());
-  RC_ASSERT(promoted.empty() || *promoted.rbegin() == promoted.size());
+  if (!made.empty())
+    RC_ASSERT(*made.rbegin() == made.size());
+  if (!promoted.empty())
+    RC_ASSERT(*promoted.rbegin() == promoted.size());
 }
 
 struct SingleOperator {
