--- a/cranberryhill/platform/instance_list.h
+++ b/cranberryhill/platform/instance_list.h
@@ -41,7 +41,7 @@
 using InstanceListCallback =
     std::function<void(const Outcome<InstanceListUpdate>&)>;
 
-/// Callbacks run on the caller's thread, after the call, at most once: they
+/// Callbacks run on the caller's thread, at most once: they
 /// are dropped when the worker threads are stopped first. Not thread-safe.
 class InstanceList {
  public:
--- a/cranberryhill/platform/object_store.h
+++ b/cranberryhill/platform/object_store.h
@@ -20,7 +20,7 @@
 /// Receives the content, kNotFound, kUnavailable or kUnknown.
 using GetObjectCallback = std::function<void(const Outcome<std::string>&)>;
 
-/// Callbacks run on the caller's thread, after the call, at most once: they
+/// Callbacks run on the caller's thread, at most once: they
 /// are dropped when the worker threads are stopped first. Not thread-safe.
 class ObjectStore {
  public:
