--- a/cranberryhill/http2/http2_test.cc
+++ b/cranberryhill/http2/http2_test.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -93,7 +94,9 @@
   RawPeer& operator=(const RawPeer&) = delete;
 
   uint16_t Port() const { return this->bound_port; }
-  void Listen() { BOOST_REQUIRE(listen(this->fd, 8) == 0); }
+  void Listen(int backlog = 8) {
+    BOOST_REQUIRE(listen(this->fd, backlog) == 0);
+  }
   void ConnectAndSend(uint16_t port, const std::string& bytes) {
     sockaddr_in address = Loopback(port);
     auto* generic = reinterpret_cast<sockaddr*>(&address);
@@ -187,6 +190,59 @@
   BOOST_TEST(this->server->active_streams() == 0U);
 }
 
+// Guards against a server that goes on working for a caller whose connection
+// is gone.
+BOOST_FIXTURE_TEST_CASE(LostConnectionReachesTheServer, Fixture) {
+  WriterPointer writer;
+  std::vector<CloseReason> closed;
+  std::string peer;
+  this->Serve(
+      [&](const RequestPointer& request, const WriterPointer& response) {
+        peer = request->peer();
+        writer = response;
+        writer->SendHeaders(200, {});
+      });
+  Record record;
+  this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until([&] { return record.status == 200; });
+  this->connection.reset();
+  this->Until([&] { return this->server->connections() == 0; });
+  // Also a callback that is set too late is told.
+  writer->OnClosed([&](CloseReason reason) { closed.push_back(reason); });
+  this->Until([&] { return !closed.empty(); });
+  BOOST_TEST((closed[0] == CloseReason::kConnectionLost));
+  BOOST_TEST(peer.starts_with("127.0.0.1:"));
+  BOOST_REQUIRE(record.failures.size() == 1U);
+  BOOST_TEST((record.failures[0].reason == CloseReason::kClosedLocally));
+}
+
+// Guards against a streamed request body that arrives only when complete, or
+// in another order than it was sent in.
+BOOST_FIXTURE_TEST_CASE(RequestBodyIsStreamed, Fixture) {
+  std::string received;
+  int chunks = 0;
+  this->Serve(
+      [&](const RequestPointer& request, const WriterPointer& response) {
+        request->ReadStreamed([&, response](std::string_view chunk, bool end) {
+          received.append(chunk);
+          ++chunks;
+          if (end) {
+            response->SendHeaders(204, {});
+            response->End();
+          }
+        });
+      });
+  std::string body;
+  for (int i = 0; i < 200000; ++i)
+    body += std::to_string(i);
+  Record record;
+  this->connection->Send({"POST", "/", {}, body}, record.Callbacks());
+  this->Until([&] { return record.Finished(); });
+  BOOST_TEST(record.status == 204);
+  BOOST_TEST((received == body));
+  BOOST_TEST(chunks > 10);
+}
+
 // Guards against a reset by the server that looks like a complete response.
 BOOST_FIXTURE_TEST_CASE(ServerResetFailsTheRequest, Fixture) {
   this->Serve([](const RequestPointer&, const WriterPointer& response) {
@@ -250,6 +306,57 @@
       [&] { return this->connection->state() == Http2ConnectionState::kOpen; });
 }
 
+// Guards against requests that wait for good for an unreachable address.
+BOOST_FIXTURE_TEST_CASE(ConnectTimeoutSentNothing, Fixture) {
+  RawPeer full;
+  full.Listen(0);
+  // With its queue of accepted connections full, the system ignores others.
+  std::vector<std::unique_ptr<Http2Connection>> filling;
+  for (int i = 0; i < 4; ++i)
+    filling.push_back(this->client->Connect({"127.0.0.1", full.Port()}, {}));
+  this->Settle();
+  this->Connect(full.Port());
+  Record record;
+  this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Settle();
+  BOOST_TEST(!record.Finished());
+  this->clock.Advance(absl::Milliseconds(1001));
+  this->Until([&] { return record.Finished(); });
+  BOOST_TEST((record.failures[0].reason == CloseReason::kConnectFailed));
+  BOOST_TEST(!record.failures[0].may_have_been_sent);
+}
+
+// Guards against a queue without bound in front of a connection.
+BOOST_FIXTURE_TEST_CASE(RequestsAboveTheQueueFail, Fixture) {
+  RawPeer silent;
+  silent.Listen();
+  Http2ConnectionOptions options;
+  options.max_queued = 2;
+  this->Connect(silent.Port(), options);
+  std::vector<Record> records(3);
+  for (Record& record : records)
+    this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until([&] { return records[2].Finished(); });
+  BOOST_TEST((records[2].failures[0].reason == CloseReason::kQueueFull));
+  BOOST_TEST(!records[0].Finished());
+}
+
+// Guards against a posted task that waits until the selector's wait is over,
+// and against timers that run out of order.
+BOOST_FIXTURE_TEST_CASE(LoopRunsPostedTasksAndTimers, Fixture) {
+  std::vector<int> order;
+  this->loop->RunAfter(absl::Seconds(2), [&] { order.push_back(2); });
+  this->loop->RunAfter(absl::Seconds(1), [&] { order.push_back(1); });
+  this->loop->RunAfter(absl::Seconds(3), [&] { order.push_back(3); });
+  this->clock.Advance(absl::Seconds(2));
+  this->loop->RunOnce(kStepWait);
+  BOOST_TEST((order == std::vector<int>{1, 2}));
+  // Run() waits for 60 s when nothing wakes it, and the test then times out.
+  std::thread other([&] { this->loop->Post([&] { this->loop->Stop(); }); });
+  this->loop->Run();
+  other.join();
+}
+
 // Guards against a request that is written after its sender lost the right to
 // send it.
 BOOST_FIXTURE_TEST_CASE(DisallowedRequestIsNotSent, Fixture) {
