http2, standins: close gaps that re-inserted faults showed in the tests

Five faults passed unnoticed: a loop that is not woken, ignored ping responses, requests above the peer's limit, an unbounded queue while connecting, and cache events without delay.

--- a/cranberryhill/http2/http2_test.cc
+++ b/cranberryhill/http2/http2_test.cc
@@ -6,7 +6,9 @@
 #include <unistd.h>
 
 #include <functional>
+#include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -281,12 +283,16 @@
 // against a round-trip time that is never measured.
 BOOST_FIXTURE_TEST_CASE(AnsweredPingsKeepTheConnection, Fixture) {
   this->Serve(Echo);
+  int changes = 0;
+  this->connection->OnStateChange(
+      [&](Http2ConnectionState, std::optional<CloseReason>) { ++changes; });
   this->Until([&] { return this->connection->last_round_trip().has_value(); });
   for (int second = 0; second < 10; ++second) {
     this->clock.Advance(absl::Seconds(1));
     this->Settle();
   }
   BOOST_TEST((this->connection->state() == Http2ConnectionState::kOpen));
+  BOOST_TEST(changes == 1);
 }
 
 // Guards against a refused connection that is reported as possibly sent, which
@@ -315,10 +321,15 @@
   for (int i = 0; i < 4; ++i)
     filling.push_back(this->client->Connect({"127.0.0.1", full.Port()}, {}));
   this->Settle();
-  this->Connect(full.Port());
+  Http2ConnectionOptions options;
+  options.max_queued = 1;
+  this->Connect(full.Port(), options);
   Record record;
+  Record excess;
   this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
-  this->Settle();
+  this->connection->Send({"GET", "/", {}, ""}, excess.Callbacks());
+  this->Until([&] { return excess.Finished(); });
+  BOOST_TEST((excess.failures[0].reason == CloseReason::kQueueFull));
   BOOST_TEST(!record.Finished());
   this->clock.Advance(absl::Milliseconds(1001));
   this->Until([&] { return record.Finished(); });
@@ -351,8 +362,16 @@
   this->clock.Advance(absl::Seconds(2));
   this->loop->RunOnce(kStepWait);
   BOOST_TEST((order == std::vector<int>{1, 2}));
-  // Run() waits for 60 s when nothing wakes it, and the test then times out.
-  std::thread other([&] { this->loop->Post([&] { this->loop->Stop(); }); });
+  // Most posts meet a loop that waits. It waits for up to 60 s when a post does
+  // not wake it, and the test then times out.
+  std::thread other([&] {
+    for (int round = 0; round < 200; ++round) {
+      std::promise<void> ran;
+      this->loop->Post([&] { ran.set_value(); });
+      ran.get_future().wait();
+    }
+    this->loop->Post([&] { this->loop->Stop(); });
+  });
   this->loop->Run();
   other.join();
 }
@@ -436,10 +455,13 @@
   this->connection->Send({"GET", "/", {}, ""}, first.Callbacks());
   this->Until([&] { return first.Finished(); });
   std::vector<Record> records(kStreams);
+  std::shared_ptr<Http2Stream> last;
   for (size_t i = 0; i < kStreams; ++i) {
-    this->connection->Send({"POST", "/", {}, std::to_string(i)},
-                           records[i].Callbacks());
+    last = this->connection->Send({"POST", "/", {}, std::to_string(i)},
+                                  records[i].Callbacks());
   }
+  this->Until([&] { return records[0].Finished(); });
+  BOOST_TEST(!last->may_have_been_sent());
   size_t next = 0;
   this->Until([&] {
     while (next < kStreams && records[next].Finished())
--- a/standins/fake_engine_test.cc
+++ b/standins/fake_engine_test.cc
@@ -160,11 +160,16 @@
   const std::string prompt(8000, 'p');
   Json request = Generate(0, prompt);
   request["prompt_tokens"] = 2000;
+  request["max_tokens"] = 1;
   this->Ask("POST", "/v1/generate", request);
+  auto read = [&] {
+    Reply reply = this->Ask("GET", "/v1/cache_events?after=0", nullptr);
+    return Json::parse(reply.body)["events"];
+  };
+  BOOST_TEST(read().empty());
   Json events;
   this->Until([&] {
-    Reply reply = this->Ask("GET", "/v1/cache_events?after=0", nullptr);
-    events = Json::parse(reply.body)["events"];
+    events = read();
     return !events.empty();
   });
   BOOST_REQUIRE(events.size() == 2U);
