--- a/cranberryhill/platform/internal/http_caller.cc
+++ b/cranberryhill/platform/internal/http_caller.cc
@@ -102,9 +102,11 @@
   }
 
  private:
+  using ClientPointer = std::unique_ptr<cxxtools::http::Client>;
+
   HttpAnswer Exchange(const PendingCall& pending) {
     const HttpCall& call = pending.call;
-    cxxtools::http::Client client = this->Take(call.repeatable);
+    ClientPointer client = this->Take(call.repeatable);
     cxxtools::http::Request request;
     size_t query = call.path.find('?');
     request.url(call.path.substr(0, query));
@@ -114,8 +116,8 @@
     request.setHeader("Content-Type", "application/json");
     request.body() << call.body;
     cxxtools::Milliseconds timeout = ToMilliseconds(pending.TimeLeft());
-    client.execute(request, timeout, timeout);
-    const cxxtools::http::Reply& reply = client.readBody();
+    client->execute(request, timeout, timeout);
+    const cxxtools::http::Reply& reply = client->readBody();
     HttpAnswer answer{HttpCallState::kAnswered, reply.httpReturnCode(),
                       reply.body(), ""};
     if (call.repeatable)
@@ -123,21 +125,21 @@
     return answer;
   }
 
-  cxxtools::http::Client Take(bool reuse) {
+  ClientPointer Take(bool reuse) {
     if (reuse) {
       std::lock_guard lock(this->mutex);
       if (!this->idle.empty()) {
-        cxxtools::http::Client client = this->idle.back();
+        ClientPointer client = std::move(this->idle.back());
         this->idle.pop_back();
         return client;
       }
     }
-    cxxtools::http::Client client;
-    client.prepareConnect(this->endpoint.ip, this->endpoint.port);
+    auto client = std::make_unique<cxxtools::http::Client>();
+    client->prepareConnect(this->endpoint.ip, this->endpoint.port);
     return client;
   }
 
-  void Keep(cxxtools::http::Client client) {
+  void Keep(ClientPointer client) {
     std::lock_guard lock(this->mutex);
     if (this->idle.size() < kMaxIdleConnections)
       this->idle.push_back(std::move(client));
@@ -145,7 +147,7 @@
 
   const Endpoint endpoint;
   std::mutex mutex;
-  std::vector<cxxtools::http::Client> idle;
+  std::vector<ClientPointer> idle;
 };
 
 HttpCaller::HttpCaller(const Endpoint& endpoint,
--- a/standins/fake_platform/platform_server.cc
+++ b/standins/fake_platform/platform_server.cc
@@ -8,6 +8,7 @@
 #include <cxxtools/http/service.h>
 #include <cxxtools/regex.h>
 
+#include <array>
 #include <istream>
 #include <ostream>
 #include <string>
@@ -34,10 +35,15 @@
   }
 
   size_t readBody(std::istream& in) override {  // NOLINT
-    char buffer[4096];
-    std::streamsize count = in.readsome(buffer, sizeof buffer);
-    this->body.append(buffer, static_cast<size_t>(count));
-    return static_cast<size_t>(count);
+    // cxxtools calls this once per arrival of data, so all of it is taken.
+    size_t total = 0;
+    while (in.rdbuf()->in_avail() > 0) {
+      std::array<char, 4096> buffer;
+      std::streamsize count = in.readsome(buffer.data(), buffer.size());
+      this->body.append(buffer.data(), static_cast<size_t>(count));
+      total += static_cast<size_t>(count);
+    }
+    return total;
   }
 
   void reply(std::ostream& out,
