--- a/cranberryhill/environment/config_follower_test.cc
+++ b/cranberryhill/environment/config_follower_test.cc
@@ -256,7 +256,7 @@
   SeededRandom random{1};
   ConfigFollower follower{"annex", random};
   absl::Time now = absl::UnixEpoch();
-  FollowerActions actions = follower.Start(now, {"p1", "p2"});
+  FollowerActions actions = follower.Start(now, {"p1", "p2", "p3"});
 
   /// Answers the last read with the row that production needs.
   void AnswerProduction(const ProductionVersion& version) {
@@ -327,16 +327,17 @@
 BOOST_AUTO_TEST_CASE(StartWithoutTheTableTakesTheHighestGoodAnswer) {
   OneFollower one;
   one.Poll();  // The read of production has no answer in time.
-  BOOST_REQUIRE(one.actions.size() == 2U);
+  BOOST_REQUIRE(one.actions.size() == 3U);
   auto id = [&](size_t i) {
     return std::get<FetchFromPeerAction>(one.actions[i]).request;
   };
-  ProductionVersion low = MakeVersion(3);
   ProductionVersion corrupt = MakeVersion(9);
   corrupt.text += " ";
   BOOST_TEST(one.follower.OnPeerDocument(id(0), corrupt, one.now).empty());
-  one.follower.OnPeerDocument(id(1), low, one.now);
-  BOOST_TEST(one.follower.generation() == 3U);
+  one.follower.OnPeerDocument(id(1), MakeVersion(3), one.now);
+  one.follower.OnPeerDocument(id(2), MakeVersion(5), one.now);
+  BOOST_TEST(one.follower.generation() == 5U);
+  BOOST_TEST(one.follower.counters().version_changes == 1U);
 }
 
 }  // namespace
--- /dev/null
+++ b/cranberryhill/platform/http_platform_test.cc
@@ -0,0 +1,352 @@
+#include "cranberryhill/platform/http_platform.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <latch>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "standins/fake_platform/platform_server.h"
+
+namespace cranberryhill {
+namespace {
+
+/// Runs posted tasks on the test's thread; timers fire only when told to.
+class TestExecutor : public Executor {
+ public:
+  void Post(std::function<void()> task) override {
+    std::lock_guard lock(this->mutex);
+    this->tasks.push_back(std::move(task));
+    this->posted.notify_one();
+  }
+  void RunAfter(absl::Duration, std::function<void()> task) override {
+    this->timers.push_back(std::move(task));
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    while (!done()) {
+      std::unique_lock lock(this->mutex);
+      this->posted.wait(lock, [this] { return !this->tasks.empty(); });
+      std::function<void()> task = std::move(this->tasks.front());
+      this->tasks.pop_front();
+      lock.unlock();
+      task();
+    }
+  }
+
+  void FireTimers() {
+    for (auto& timer : std::exchange(this->timers, {}))
+      timer();
+  }
+
+ private:
+  std::mutex mutex;
+  std::condition_variable posted;
+  std::deque<std::function<void()>> tasks;
+  std::vector<std::function<void()>> timers;
+};
+
+/// @return A loopback endpoint that nothing listens on.
+Endpoint FreeEndpoint() {
+  int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* raw = reinterpret_cast<sockaddr*>(&address);
+  socklen_t size = sizeof address;
+  BOOST_REQUIRE(bind(fd, raw, size) == 0);
+  BOOST_REQUIRE(getsockname(fd, raw, &size) == 0);
+  close(fd);
+  return {"127.0.0.1", ntohs(address.sin_port)};
+}
+
+/// What the scripted server does with each request.
+enum class Script { kClose, kAnswerOnceThenClose, kServiceUnavailable, kHold };
+
+/// A server that reads requests and misbehaves.
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(Script script)
+      : script(script), endpoint(FreeEndpoint()) {
+    this->listener = socket(AF_INET, SOCK_STREAM, 0);
+    int reuse = 1;
+    setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(this->endpoint.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* raw = reinterpret_cast<sockaddr*>(&address);
+    BOOST_REQUIRE(bind(this->listener, raw, sizeof address) == 0);
+    BOOST_REQUIRE(listen(this->listener, 16) == 0);
+    this->thread = std::thread([this] { this->Serve(); });
+  }
+
+  ~ScriptedServer() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    for (std::thread& connection : this->connections)
+      connection.join();
+    close(this->listener);
+  }
+
+  /// Ends Script::kHold.
+  void Release() { this->release.count_down(); }
+
+  void WaitForRequest() { this->received.wait(); }
+  int requests() const { return this->request_count; }  // NOLINT
+
+  const Script script;
+  const Endpoint endpoint;
+
+ private:
+  void Serve() {
+    int connection = 0;
+    while ((connection = accept(this->listener, nullptr, nullptr)) >= 0) {
+      this->connections.emplace_back([this, connection] {
+        this->ServeConnection(connection);
+        close(connection);
+      });
+    }
+  }
+
+  void ServeConnection(int connection) {
+    std::array<char, 65536> buffer;
+    bool answered = false;
+    while (read(connection, buffer.data(), buffer.size()) > 0) {
+      if (++this->request_count == 1)
+        this->received.count_down();
+      if (this->script == Script::kHold)
+        this->release.wait();
+      if (this->script == Script::kServiceUnavailable) {
+        this->Answer(connection, "503 Unavailable", "{}");
+      } else if (this->script == Script::kAnswerOnceThenClose && !answered) {
+        this->Answer(connection, "200 OK", R"({"rows":[]})");
+        answered = true;
+      } else {
+        return;
+      }
+    }
+  }
+
+  void Answer(int connection,
+              const std::string& status,
+              const std::string& body) {
+    std::string text = "HTTP/1.1 " + status +
+                       "\r\nConnection: keep-alive\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body;
+    BOOST_REQUIRE(write(connection, text.data(), text.size()) ==
+                  static_cast<ssize_t>(text.size()));
+  }
+
+  int listener = -1;
+  std::atomic<int> request_count = 0;
+  std::latch received{1};
+  std::latch release{1};
+  std::vector<std::thread> connections;  // Clients close theirs first.
+  std::thread thread;
+};
+
+/// A client with one worker thread.
+struct Client {
+  explicit Client(const Endpoint& endpoint)
+      : endpoint(endpoint), table(endpoint, this->pool, this->executor) {}
+
+  void BeginCommit() {
+    Transaction transaction;
+    transaction.checks.push_back({"a", 0});
+    transaction.puts.push_back({"a", "{}"});
+    this->table.Commit(transaction, [this](const CommitOutcome& outcome) {
+      this->outcomes.push_back(outcome.state);
+    });
+  }
+
+  CommitState Commit() {
+    this->BeginCommit();
+    return this->Await();
+  }
+
+  CommitState Await() {
+    size_t before = this->outcomes.size();
+    this->executor.RunUntil([&] { return this->outcomes.size() > before; });
+    return this->outcomes.back();
+  }
+
+  ReadOutcome Read(const std::string& key) {
+    std::optional<ReadOutcome> outcome;
+    this->table.Read({key}, [&](const ReadOutcome& rows) { outcome = rows; });
+    this->executor.RunUntil([&] { return outcome.has_value(); });
+    return *outcome;
+  }
+
+  const Endpoint endpoint;
+  TestExecutor executor;
+  WorkerPool pool{1, 10};
+  HttpTableService table;
+  std::vector<CommitState> outcomes;
+};
+
+// Guards against a commit that the HTTP client sends a second time after its
+// answer was lost: the second run would report a conflict with the first.
+BOOST_AUTO_TEST_CASE(CommitIsSentOnceWhenItsAnswerIsLost) {
+  ScriptedServer server(Script::kClose);
+  Client client(server.endpoint);
+  BOOST_TEST((client.Commit() == CommitState::kUnknown));
+  BOOST_TEST(server.requests() == 1);
+}
+
+// Guards against a commit on an idle connection that the server has closed
+// meanwhile, where neither "sent" nor "not sent" could be told.
+BOOST_AUTO_TEST_CASE(CommitDoesNotReuseIdleConnections) {
+  ScriptedServer server(Script::kAnswerOnceThenClose);
+  Client client(server.endpoint);
+  BOOST_TEST(client.Read("a").ok());
+  // The first request of a new connection is answered, a second one is not.
+  client.Commit();
+  BOOST_TEST(server.requests() == 2);
+}
+
+// Guards against a read that fails because its idle connection was closed.
+BOOST_AUTO_TEST_CASE(ReadSurvivesAClosedIdleConnection) {
+  ScriptedServer server(Script::kAnswerOnceThenClose);
+  Client client(server.endpoint);
+  BOOST_TEST(client.Read("a").ok());
+  BOOST_TEST(client.Read("a").ok());
+}
+
+// Guards against "unknown" where nothing was sent.
+BOOST_AUTO_TEST_CASE(RefusedConnectionIsUnavailable) {
+  Client client(FreeEndpoint());
+  BOOST_TEST((client.Commit() == CommitState::kUnavailable));
+  BOOST_TEST((client.Read("a").error().code == ErrorCode::kUnavailable));
+}
+
+// Guards against "nothing was done" for a commit that a proxy has passed on.
+BOOST_AUTO_TEST_CASE(ErrorStatusIsUnknown) {
+  ScriptedServer server(Script::kServiceUnavailable);
+  Client client(server.endpoint);
+  BOOST_TEST((client.Commit() == CommitState::kUnknown));
+}
+
+// Guards against a silent server that holds up the core thread's answer, and
+// against a late commit that is reported as not sent.
+BOOST_AUTO_TEST_CASE(DeadlineOfASentCommitIsUnknown) {
+  ScriptedServer server(Script::kHold);
+  Client client(server.endpoint);
+  client.BeginCommit();
+  server.WaitForRequest();
+  client.executor.FireTimers();
+  BOOST_REQUIRE(client.outcomes.size() == 1U);
+  BOOST_TEST((client.outcomes[0] == CommitState::kUnknown));
+  server.Release();
+}
+
+// Guards against a commit that is reported as not sent and sent afterwards,
+// when its worker thread becomes free.
+BOOST_AUTO_TEST_CASE(DeadlineOfAWaitingCommitPreventsIt) {
+  ScriptedServer server(Script::kClose);
+  Client client(server.endpoint);
+  std::latch release(1);
+  client.pool.Submit([&] { release.wait(); });
+  client.BeginCommit();
+  client.executor.FireTimers();
+  BOOST_REQUIRE(client.outcomes.size() == 1U);
+  BOOST_TEST((client.outcomes[0] == CommitState::kUnavailable));
+
+  std::latch drained(1);
+  client.pool.Submit([&] { drained.count_down(); });
+  release.count_down();
+  drained.wait();
+  BOOST_TEST(server.requests() == 0);
+}
+
+/// The stand-in on a thread of its own.
+struct RunningPlatform {
+  RunningPlatform() : endpoint(FreeEndpoint()), server(endpoint, state) {}
+  ~RunningPlatform() {
+    this->server.Stop();
+    this->thread.join();
+  }
+
+  void Call(const std::string& path, const std::string& body) {
+    BOOST_TEST(this->state.Handle({"POST", path, "", body}).status == 200U);
+  }
+
+  BootClock clock;
+  PlatformState state{clock};
+  const Endpoint endpoint;
+  PlatformServer server;
+  std::thread thread{[this] { this->server.Run(); }};
+};
+
+// Guards against clients and stand-in that disagree about the protocol.
+BOOST_AUTO_TEST_CASE(TableRoundTrip) {
+  RunningPlatform platform;
+  Client client(platform.endpoint);
+  BOOST_TEST((client.Commit() == CommitState::kCommitted));
+  BOOST_TEST((client.Commit() == CommitState::kConflict));
+  ReadOutcome rows = client.Read("a");
+  BOOST_REQUIRE(rows.ok());
+  BOOST_REQUIRE(rows.value().size() == 1U);
+  BOOST_TEST(rows.value()[0].value == "{}");
+  std::optional<ReadOutcome> scanned;
+  client.table.Scan("", "", 10, [&](const auto& found) { scanned = found; });
+  client.executor.RunUntil([&] { return scanned.has_value(); });
+  BOOST_TEST(scanned->value().size() == 1U);
+
+  platform.Call("/faults", R"({"lose_answers": 1})");
+  std::optional<CommitState> state;
+  client.table.Commit({{}, {{"b", "1"}}, {}},
+                      [&](const auto& outcome) { state = outcome.state; });
+  client.executor.RunUntil([&] { return state.has_value(); });
+  BOOST_TEST((*state == CommitState::kUnknown));
+  BOOST_TEST(client.Read("b").value().size() == 1U);
+}
+
+// Guards against objects that come back changed and list updates that repeat
+// or lose changes.
+BOOST_AUTO_TEST_CASE(ObjectAndListRoundTrip) {
+  RunningPlatform platform;
+  Client client(platform.endpoint);
+  HttpObjectStore store(platform.endpoint, client.pool, client.executor);
+  HttpInstanceList list(platform.endpoint, client.pool, client.executor);
+
+  std::string content(100'000, 'x');
+  std::optional<Outcome<std::string>> read;
+  store.Put("calls/1", content, [&](const std::optional<Error>& error) {
+    BOOST_TEST(!error.has_value());
+    store.Get("calls/1", [&](const auto& outcome) { read = outcome; });
+  });
+  client.executor.RunUntil([&] { return read.has_value(); });
+  BOOST_REQUIRE(read->ok());
+  BOOST_TEST((read->value() == content));
+
+  auto poll = [&](uint64_t since) {
+    std::optional<Outcome<InstanceListUpdate>> update;
+    list.Poll(since, [&](const auto& outcome) { update = outcome; });
+    client.executor.RunUntil([&] { return update.has_value(); });
+    return update->value();
+  };
+  const std::string instance =
+      R"({"id": "i", "address": "127.0.0.1:1", "availability_zone": "z",
+          "kind": "engine", "state": "leaving"})";
+  platform.Call("/v1/instances", instance);
+  InstanceListUpdate update = poll(0);
+  BOOST_REQUIRE(update.instances.size() == 1U);
+  BOOST_TEST((update.instances[0].state == ListedState::kLeaving));
+  BOOST_TEST(poll(update.revision).instances.empty());
+  platform.Call("/faults", R"({"lose_list_changes": 1})");
+  platform.Call("/v1/instances", instance);
+  BOOST_TEST(poll(update.revision).instances.empty());
+}
+
+}  // namespace
+}  // namespace cranberryhill
