--- a/cranberryhill/platform/internal/http_caller.cc
+++ b/cranberryhill/platform/internal/http_caller.cc
@@ -102,11 +102,11 @@
   }
 
  private:
+  using ClientPointer = std::unique_ptr<cxxtools::http::Client>;
+
   HttpAnswer Exchange(const PendingCall& pending) {
     const HttpCall& call = pending.call;
-    // Clients are not copied: the library lacks their copy constructor.
-    std::unique_ptr<cxxtools::http::Client> client =
-        this->Take(call.repeatable);
+    ClientPointer client = this->Take(call.repeatable);
     cxxtools::http::Request request;
     size_t query = call.path.find('?');
     request.url(call.path.substr(0, query));
@@ -125,12 +125,11 @@
     return answer;
   }
 
-  std::unique_ptr<cxxtools::http::Client> Take(bool reuse) {
+  ClientPointer Take(bool reuse) {
     if (reuse) {
       std::lock_guard lock(this->mutex);
       if (!this->idle.empty()) {
-        std::unique_ptr<cxxtools::http::Client> client =
-            std::move(this->idle.back());
+        ClientPointer client = std::move(this->idle.back());
         this->idle.pop_back();
         return client;
       }
@@ -140,7 +139,7 @@
     return client;
   }
 
-  void Keep(std::unique_ptr<cxxtools::http::Client> client) {
+  void Keep(ClientPointer client) {
     std::lock_guard lock(this->mutex);
     if (this->idle.size() < kMaxIdleConnections)
       this->idle.push_back(std::move(client));
@@ -148,7 +147,7 @@
 
   const Endpoint endpoint;
   std::mutex mutex;
-  std::vector<std::unique_ptr<cxxtools::http::Client>> idle;
+  std::vector<ClientPointer> idle;
 };
 
 HttpCaller::HttpCaller(const Endpoint& endpoint,
