--- a/cranberryhill/calls/call_guard.cc
+++ b/cranberryhill/calls/call_guard.cc
@@ -46,12 +46,6 @@
   CallCallback callback;
 };
 
-// A request that came while the release of its key's claim is being written.
-struct HeldRequest {
-  ServiceCall call;
-  CallCallback callback;
-};
-
 enum class Phase {
   kClaim,
   kReadBack,  // The claim's answer was lost or a conflict.
@@ -70,7 +64,7 @@
   Phase phase = Phase::kClaim;
   bool finished = false;
   std::vector<Waiter> waiters;
-  std::vector<HeldRequest> held;
+  std::vector<Waiter> held;  // Start again when this entry has ended.
 
   uint64_t claim_version = kAbsentVersion;  // Checked by the last claim.
   std::optional<uint64_t> version;          // Of the row with this claim.
@@ -108,6 +102,12 @@
   return refusal;
 }
 
+// True when requests that joined later may get the same answer.
+bool HoldsForAll(const Resolution& resolution) {
+  return resolution.ending != Ending::kNotRun &&
+         resolution.ending != Ending::kUncertain;
+}
+
 Resolution StillRunning() {
   return {Ending::kUnknown,
           RefusalCode::kInProgress,
@@ -329,7 +329,7 @@
              entry->resolution->ending == Ending::kUnknown) {
     this->Answer(waiter, *entry->resolution);
   } else {
-    entry->held.push_back({std::move(call), std::move(callback)});
+    entry->held.push_back(std::move(waiter));
   }
 }
 
@@ -779,12 +779,19 @@
   this->Finish(entry);
 }
 
+// What this entry read may be older than the requests that joined it, so a
+// "not run" holds for the leader only; the others start again.
 void CallGuard::State::AnswerAll(const EntryPtr& entry) {
   entry->was_answered = true;
   std::vector<Waiter> waiters = std::move(entry->waiters);
   entry->waiters.clear();
-  for (const Waiter& waiter : waiters)
-    this->Answer(waiter, *entry->resolution);
+  for (Waiter& waiter : waiters) {
+    if (waiter.is_leader || HoldsForAll(*entry->resolution)) {
+      this->Answer(waiter, *entry->resolution);
+    } else {
+      entry->held.push_back(std::move(waiter));
+    }
+  }
 }
 
 void CallGuard::State::Answer(const Waiter& waiter,
@@ -811,11 +818,14 @@
 void CallGuard::State::Finish(const EntryPtr& entry) {
   entry->finished = true;
   this->entries.erase(entry->key);
-  std::vector<HeldRequest> held = std::move(entry->held);
-  for (HeldRequest& request : held) {
+  std::vector<Waiter> held = std::move(entry->held);
+  for (Waiter& waiter : held) {
+    ServiceCall call = entry->call;
+    call.deadline = waiter.deadline;
+    call.first_attempt = false;
     --this->waiting;
     --this->stats.submitted;
-    this->Submit(std::move(request.call), std::move(request.callback));
+    this->Submit(std::move(call), std::move(waiter.callback));
   }
 }
 
@@ -836,7 +846,8 @@
                      entry->phase == Phase::kReadBack ||
                      entry->phase == Phase::kLookUp;
   for (const Waiter& waiter : expired) {
-    if (entry->resolution.has_value()) {
+    if (entry->resolution.has_value() &&
+        (waiter.is_leader || HoldsForAll(*entry->resolution))) {
       this->Answer(waiter, *entry->resolution);
     } else if (waiter.is_leader && before_send) {
       this->Answer(waiter, DeadlineExpired(Ending::kUncertain));
@@ -853,17 +864,15 @@
 
 void CallGuard::State::ExpireHeld(const EntryPtr& entry) {
   absl::Time now = this->clock.Now();
-  std::vector<HeldRequest> expired;
-  std::erase_if(entry->held, [&](HeldRequest& request) {
-    if (request.call.deadline > now)
+  std::vector<Waiter> expired;
+  std::erase_if(entry->held, [&](Waiter& waiter) {
+    if (waiter.deadline > now)
       return false;
-    expired.push_back(std::move(request));
+    expired.push_back(std::move(waiter));
     return true;
   });
-  for (HeldRequest& request : expired) {
-    this->Answer({.deadline = now, .callback = std::move(request.callback)},
-                 DeadlineExpired(Ending::kUncertain));
-  }
+  for (const Waiter& waiter : expired)
+    this->Answer(waiter, DeadlineExpired(Ending::kUncertain));
 }
 
 void CallGuard::State::RunDue(const EntryPtr& entry) {
