--- /dev/null
+++ b/cranberryhill/calls/service_client_test.cc
@@ -0,0 +1,259 @@
+#include "cranberryhill/calls/service_client.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "cranberryhill/calls/internal/http_exchange.h"
+
+namespace cranberryhill {
+namespace {
+
+constexpr std::string_view kOk =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n"
+    "ok";
+
+// Accepts connections on the loopback range, reads one request from each and
+// sends the given bytes, or nothing, before it closes the connection.
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(std::string_view answer) : answer(answer) {
+    this->listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    socklen_t size = sizeof(address);
+    BOOST_REQUIRE(::bind(this->listener, generic, size) == 0);
+    BOOST_REQUIRE(::listen(this->listener, 10) == 0);
+    ::getsockname(this->listener, generic, &size);
+    this->port = ntohs(address.sin_port);
+    this->thread = std::thread([this] { this->Serve(); });
+  }
+
+  ~ScriptedServer() {
+    ::shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    ::close(this->listener);
+  }
+
+  ServiceAddress address() const {
+    return {"127.0.0.1", this->port};
+  }                                                     // NOLINT
+  int requests() const { return this->request_count; }  // NOLINT
+
+ private:
+  void Serve() {
+    while (true) {
+      int socket = ::accept(this->listener, nullptr, nullptr);
+      if (socket < 0)
+        return;
+      std::array<char, 4096> buffer;
+      if (::recv(socket, buffer.data(), buffer.size(), 0) > 0)
+        ++this->request_count;
+      ::send(socket, this->answer.data(), this->answer.size(), MSG_NOSIGNAL);
+      ::shutdown(socket, SHUT_RDWR);
+      ::close(socket);
+    }
+  }
+
+  const std::string answer;
+  int listener = -1;
+  uint16_t port = 0;
+  std::atomic<int> request_count = 0;
+  std::thread thread;
+};
+
+// Runs posted tasks in the thread that waits for one.
+class QueueExecutor : public Executor {
+ public:
+  void Post(std::function<void()> task) override {
+    {
+      std::lock_guard lock(this->mutex);
+      this->tasks.push_back(std::move(task));
+    }
+    this->changed.notify_one();
+  }
+
+  void RunAfter(absl::Duration, std::function<void()>) override {}
+
+  void RunUntil(const bool& done) {
+    while (!done) {
+      std::unique_lock lock(this->mutex);
+      this->changed.wait(lock, [this] { return !this->tasks.empty(); });
+      auto task = std::move(this->tasks.front());
+      this->tasks.pop_front();
+      lock.unlock();
+      task();
+    }
+  }
+
+ private:
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::deque<std::function<void()>> tasks;
+};
+
+class FixedDirectory : public ServiceDirectory {
+ public:
+  std::vector<ServiceAddress> Candidates(std::string_view) const override {
+    return this->addresses;
+  }
+
+  std::vector<ServiceAddress> addresses;
+};
+
+// A port on which nobody listens.
+ServiceAddress ClosedAddress() {
+  ScriptedServer server("");
+  return server.address();
+}
+
+struct Fixture {
+  Fixture() : pool(1, 10) {
+    this->call.service = "s";
+    this->call.method = "POST";
+    this->call.path = "/x";
+    this->call.idempotency_key = "k";
+    this->call.body = "body";
+    this->call.deadline = this->clock.Now() + absl::Seconds(10);
+  }
+
+  SendOutcome SendOnce(const MaySend& may_send = [] { return true; }) {
+    ServiceClient client({}, this->clock, this->directory, this->pool,
+                         this->executor);
+    SendOutcome outcome;
+    bool done = false;
+    client.SendOnce(this->call, may_send, [&](const SendOutcome& sent) {
+      outcome = sent;
+      done = true;
+    });
+    this->executor.RunUntil(done);
+    return outcome;
+  }
+
+  CallAnswer SendIdempotent(const ServiceClientConfig& config = {}) {
+    ServiceClient client(config, this->clock, this->directory, this->pool,
+                         this->executor);
+    CallAnswer answer;
+    bool done = false;
+    client.SendIdempotent(this->call, [&](const CallAnswer& given) {
+      answer = given;
+      done = true;
+    });
+    this->executor.RunUntil(done);
+    return answer;
+  }
+
+  BootClock clock;
+  QueueExecutor executor;
+  FixedDirectory directory;
+  WorkerPool pool;
+  ServiceCall call;
+};
+
+// Guards against a call that is written twice after a lost answer, as
+// cxxtools::http::Client does after an explicit connect().
+BOOST_FIXTURE_TEST_CASE(LostAnswerIsUnknownAndNotRepeated, Fixture) {
+  for (std::string_view answer :
+       {"", "HTTP/1.1 20", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+        "nonsense\r\n\r\n"}) {
+    ScriptedServer lossy(answer);
+    ScriptedServer spare(kOk);
+    this->directory.addresses = {lossy.address(), spare.address()};
+    BOOST_TEST((this->SendOnce().state == SendState::kUnknown));
+    BOOST_TEST(lossy.requests() == 1);
+    BOOST_TEST(spare.requests() == 0);
+  }
+}
+
+// Guards against calls that are given up, or said to be unknown, when a
+// connect failed and another backend server is there.
+BOOST_FIXTURE_TEST_CASE(FailedConnectTriesTheNextServer, Fixture) {
+  ScriptedServer server(kOk);
+  this->directory.addresses = {ClosedAddress(), server.address()};
+  SendOutcome outcome = this->SendOnce();
+  BOOST_TEST((outcome.state == SendState::kAnswered));
+  BOOST_TEST((outcome.result == CallResult{200, "text/plain", "ok"}));
+  this->directory.addresses = {ClosedAddress()};
+  BOOST_TEST((this->SendOnce().state == SendState::kNothingSent));
+  this->directory.addresses = {};
+  BOOST_TEST((this->SendOnce().state == SendState::kNothingSent));
+}
+
+// Guards against a first byte after the guard said no, and against requests
+// that smuggle in header lines.
+BOOST_FIXTURE_TEST_CASE(NothingIsSentWhenItMayNotBe, Fixture) {
+  ScriptedServer server(kOk);
+  this->directory.addresses = {server.address(), server.address()};
+  SendOutcome outcome = this->SendOnce([] { return false; });
+  BOOST_TEST((outcome.state == SendState::kNothingSent));
+  BOOST_TEST(outcome.was_stopped);
+  this->call.path = "/x HTTP/1.1\r\nEvil: 1";
+  BOOST_TEST((this->SendOnce().state == SendState::kNothingSent));
+  BOOST_TEST(server.requests() == 0);
+}
+
+// Guards against idempotent calls that are not retried, or are retried
+// without a budget.
+BOOST_FIXTURE_TEST_CASE(IdempotentCallIsRetriedWithinTheBudget, Fixture) {
+  ScriptedServer lossy("");
+  ScriptedServer busy("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+  ScriptedServer server(kOk);
+  this->directory.addresses = {lossy.address(), busy.address(),
+                               server.address()};
+  CallAnswer answer = this->SendIdempotent();
+  BOOST_REQUIRE(std::holds_alternative<CallResult>(answer));
+  BOOST_TEST(std::get<CallResult>(answer).status == 200);
+  ServiceClientConfig config;
+  config.retry_budget = {.share = 0, .per_second = 0, .max_saved = 0};
+  answer = this->SendIdempotent(config);
+  BOOST_REQUIRE(std::holds_alternative<Refusal>(answer));
+  BOOST_TEST((std::get<Refusal>(answer).outcome == RefusalOutcome::kUnknown));
+  BOOST_TEST(lossy.requests() == 2);
+  BOOST_TEST(server.requests() == 1);
+}
+
+// Guards against answers whose end depends on how they are cut into packets.
+BOOST_AUTO_TEST_CASE(AnswersAreReadByteByByte) {
+  std::map<std::string, std::string> answers = {
+      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+       "\r\nabc",
+       "abc"},
+      {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;x=1\r\nab\r\n"
+       "1\r\nc\r\n0\r\n",
+       "abc"},
+      {"HTTP/1.1 204 No Content\r\n\r\n", ""}};
+  for (const auto& [text, body] : answers) {
+    AnswerReader reader(100);
+    for (size_t i = 0; i < text.size(); ++i) {
+      auto complete = Capture([&] { return reader.Append({&text[i], 1}); });
+      BOOST_REQUIRE(complete.ok());
+      BOOST_TEST(complete.value() == (i + 1 == text.size()));
+    }
+    BOOST_TEST(reader.result().body == body);
+  }
+  AnswerReader closed(100);
+  auto complete =
+      Capture([&] { return closed.Append("HTTP/1.0 200 OK\r\n\r\nabc"); });
+  BOOST_TEST(!complete.value());
+  BOOST_TEST(closed.AppendEnd());
+  AnswerReader large(2);
+  BOOST_TEST(!Capture([&] {
+                return large.Append(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n");
+              }).ok());
+}
+
+}  // namespace
+}  // namespace cranberryhill
