--- a/cranberryhill/base/json.cc
+++ b/cranberryhill/base/json.cc
@@ -25,6 +25,10 @@
   } catch (const Json::parse_error& error) {
     return MakeError(ErrorCode::kInvalidArgument, what, "",
                      fmt::format("is not valid JSON near byte {}", error.byte));
+  } catch (const Json::exception&) {
+    // The library reports a number such as 1e400 without a byte offset.
+    return MakeError(ErrorCode::kInvalidArgument, what, "",
+                     "has a number that is out of range");
   }
 }
 
--- a/cranberryhill/base/json_test.cc
+++ b/cranberryhill/base/json_test.cc
@@ -44,5 +44,12 @@
   BOOST_TEST(json.value()["b"] == 1);
 }
 
+// Guards against an exception that ends the process for a caller's number.
+BOOST_AUTO_TEST_CASE(NumberOutOfRangeIsRefused) {
+  auto json = Capture([] { return ParseJson("{\"a\": 1e400}", "body"); });
+  BOOST_REQUIRE(!json.ok());
+  BOOST_TEST(json.error().field == "body");
+}
+
 }  // namespace
 }  // namespace cranberryhill
