--- a/cranberryhill/calls/call.h
+++ b/cranberryhill/calls/call.h
@@ -15,7 +15,7 @@
 namespace cranberryhill {
 
 struct ServiceCall {
-  std::string customer;
+  std::string customer;         ///< As checked by ParseCallerHeaders(); no '/'.
   std::string idempotency_key;  ///< Required for at-most-once calls.
   std::string service;          ///< Name of the configured service.
   std::string method;           ///< Such as "POST".
--- a/cranberryhill/calls/call_guard_test.cc
+++ b/cranberryhill/calls/call_guard_test.cc
@@ -125,6 +125,21 @@
   BOOST_TEST(sim.runs["k"].empty());
 }
 
+// Guards against a held up first attempt that runs the call after a later
+// request was told "not run".
+BOOST_AUTO_TEST_CASE(OvertakenFirstAttemptDoesNotRun) {
+  CallSimulation sim(2);
+  size_t first = sim.Submit(0, "k", true);
+  size_t repeat = sim.Submit(1, "k", false);
+  RunTable(sim, 1);
+  sim.StepSend(0, false);
+  RunTable(sim, 1);
+  BOOST_TEST((RefusalOf(sim, repeat).outcome == RefusalOutcome::kNotRun));
+  sim.RunAll();
+  BOOST_TEST((RefusalOf(sim, first).outcome == RefusalOutcome::kNotRun));
+  BOOST_TEST(sim.runs["k"].empty());
+}
+
 // Guards against calls that are sent after the caller's deadline.
 BOOST_AUTO_TEST_CASE(DeadlineIsCheckedBeforeTheFirstByte) {
   CallSimulation sim(1);
@@ -188,6 +203,18 @@
   BOOST_TEST(sim.runs["k"].empty());
 }
 
+// Guards against repeats that wait for an owner that membership saw end.
+BOOST_AUTO_TEST_CASE(MembershipTellsThatTheOwnerIsGone) {
+  CallSimulation sim(2);
+  sim.Submit(0, "k", true);
+  RunTable(sim, 0);
+  sim.Crash(0);
+  sim.owners.gone.insert("entry-0/1");
+  size_t repeat = sim.Submit(1, "k", false);
+  sim.RunHeld();
+  BOOST_TEST((RefusalOf(sim, repeat).code == RefusalCode::kOutcomeUnknown));
+}
+
 // Guards against more writes than the platform takes, and against repeats of
 // finished calls that are refused with the rest.
 BOOST_AUTO_TEST_CASE(ClaimsPerSecondAreBounded) {
--- a/cranberryhill/calls/call_simulation_test.h
+++ b/cranberryhill/calls/call_simulation_test.h
@@ -13,7 +13,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -101,6 +103,14 @@
   std::map<std::string, std::string> objects;
 };
 
+struct GoneOwners : public OwnerView {
+  bool IsGone(std::string_view owner) const override {
+    return this->gone.contains(std::string(owner));
+  }
+
+  std::set<std::string> gone;
+};
+
 /// One request of a caller.
 struct Attempt {
   std::string key;
@@ -330,7 +340,7 @@
   ManualClock clock;
   TableRows rows;
   MemoryObjects objects;
-  NoOwnerView owners;
+  GoneOwners owners;
   CallGuardConfig config;
   uint64_t step = 0;
   std::vector<std::unique_ptr<Instance>> instances;
