--- a/cranberryhill/calls/call_simulation_test.h
+++ b/cranberryhill/calls/call_simulation_test.h
@@ -84,13 +84,15 @@
  public:
   void Put(std::string name,
            std::string bytes,
-           ObjectPutCallback callback) override {
+           PutObjectCallback callback) override {
     if (!this->outage)
       this->objects[name] = bytes;
-    callback(!this->outage);
+    callback(this->outage ? std::optional<Error>(Error{ErrorCode::kUnavailable,
+                                                       "object", name, ""})
+                          : std::nullopt);
   }
 
-  void Get(std::string name, ObjectGetCallback callback) override {
+  void Get(std::string name, GetObjectCallback callback) override {
     auto found = this->objects.find(name);
     if (this->outage || found == this->objects.end()) {
       callback(Error{ErrorCode::kUnavailable, "object", name, "no answer"});
