orders: change few engines of a group at a time, none at a mere takeover

Cause: on three running instances each zone answered 503 for six seconds after the first document. The planner took the executor's wait for copies of old orders for a change, and announced all engines of a zone together. Change: only an open intent counts as active change, and at most a tenth of a group, at least one engine, changes at a time.

--- a/cranberryhill/daemon/caller_front.cc
+++ b/cranberryhill/daemon/caller_front.cc
@@ -161,7 +161,12 @@
     fields.push_back({field.name, field.value});
   auto headers = Capture([&] { return ParseCallerHeaders(fields); });
   if (!headers.ok()) {
-    this->Refuse(*sink, RefusalFromError(headers.error()));
+    Refusal refusal = RefusalFromError(headers.error());
+    if (headers.error().field == "x-customer") {
+      refusal.code = RefusalCode::kUnauthorized;
+      refusal.http_status = HttpStatusOf(refusal.code);
+    }
+    this->Refuse(*sink, refusal);
     return [] {};
   }
   std::optional<CallerApi> api = CallerApiOfPath(input.path);
@@ -184,7 +189,13 @@
   auto parsed =
       Capture([&] { return ParseCompletion(api, input.body, this->Limits()); });
   if (!parsed.ok()) {
-    this->Refuse(*sink, RefusalFromError(parsed.error()));
+    Refusal refusal = RefusalFromError(parsed.error());
+    if (parsed.error().field == "body" &&
+        input.body.size() > this->Limits().max_body_bytes) {
+      refusal.code = RefusalCode::kBodyTooLarge;
+      refusal.http_status = HttpStatusOf(refusal.code);
+    }
+    this->Refuse(*sink, refusal);
     return [] {};
   }
   const CompletionRequest& request = parsed.value();
--- a/cranberryhill/daemon/control_part.cc
+++ b/cranberryhill/daemon/control_part.cc
@@ -109,6 +109,7 @@
       continue;
     DesiredEngine engine;
     engine.engine = spec.id;
+    engine.group = spec.model;
     // An engine keeps its role until a change of roles is planned.
     auto wanted = this->wanted_roles.find(spec.id);
     const EngineReport* report = this->context.fleet.ReportOf(spec.id);
--- a/cranberryhill/orders/change_planner.cc
+++ b/cranberryhill/orders/change_planner.cc
@@ -286,7 +286,8 @@
     bool paused =
         rejected != this->rejected_until.end() && now < rejected->second;
     if (paused || this->gone.contains(engine) ||
-        this->changes.contains(engine) || !this->NeedsChange(engine)) {
+        this->changes.contains(engine) || !this->NeedsChange(engine) ||
+        !this->GroupAllows(engine)) {
       continue;
     }
     auto change = std::make_unique<Change>();
@@ -297,13 +298,37 @@
   }
 }
 
+bool ChangePlanner::GroupAllows(const std::string& engine) const {
+  auto wanted = this->desired.find(engine);
+  if (wanted == this->desired.end() || wanted->second.group.empty() ||
+      this->executor.StateOf(engine) != EngineOrderState::kSettled) {
+    return true;
+  }
+  size_t size = 0;
+  size_t changing = 0;
+  for (const auto& [id, other] : this->desired) {
+    if (other.group != wanted->second.group || this->gone.contains(id))
+      continue;
+    ++size;
+    changing += this->changes.contains(id) ? 1 : 0;
+  }
+  double allowed =
+      this->settings.max_changing_share * static_cast<double>(size);
+  return static_cast<double>(changing) + 1 <= std::max(1.0, allowed);
+}
+
 bool ChangePlanner::NeedsChange(const std::string& engine) const {
   switch (this->executor.StateOf(engine)) {
     case EngineOrderState::kUnknown:
       return false;
     case EngineOrderState::kUnresolved:
-    case EngineOrderState::kActive:
       return true;
+    case EngineOrderState::kActive: {
+      // After a takeover the executor is also active while it waits out
+      // possible copies of finished orders, which changes nothing.
+      const OrderRecord* last = this->executor.LastOrder(engine);
+      return last != nullptr && last->state == OrderRowState::kIntent;
+    }
     case EngineOrderState::kSettled:
       return this->NextOrder(engine).has_value();
   }
--- a/cranberryhill/orders/change_planner.h
+++ b/cranberryhill/orders/change_planner.h
@@ -42,6 +42,9 @@
   /// After a rejected order the engine serves as it is for this long.
   absl::Duration rejected_pause = absl::Seconds(60);
   absl::Duration retry_interval = absl::Milliseconds(500);
+  /// Part of a group that may be changed at the same time; at least one engine
+  /// may. Orders of an earlier holder are resolved regardless.
+  double max_changing_share = 0.1;
   absl::Duration call_timeout = absl::Seconds(2);
 };
 
@@ -49,6 +52,9 @@
   std::string engine;
   std::string role;                 ///< Empty: any role.
   std::vector<LoadedModel> models;  ///< Others are unloaded.
+  /// Engines that stand in for each other; few of them change at a time.
+  /// Empty: the engine changes independently of all others.
+  std::string group = "";
 };
 
 enum class ChangeStep {
@@ -133,6 +139,7 @@
   bool Acknowledged(uint64_t plan_version) const;
   bool EngineIdle(const Change& change) const;
   bool NeedsChange(const std::string& engine) const;
+  bool GroupAllows(const std::string& engine) const;
   bool QuietPeriodOver(const std::string& engine, absl::Time now) const;
   std::optional<EngineOrder> NextOrder(const std::string& engine) const;
 
