--- a/cranberryhill/environment/config_follower_test.cc
+++ b/cranberryhill/environment/config_follower_test.cc
@@ -112,7 +112,7 @@
   }
 
   /// Runs `task` unless instance `i` has restarted by then.
-  void Later(size_t i, std::function<void()> task) {
+  void Later(size_t i, const std::function<void()>& task) {
     int incarnation = this->instances[i].incarnation;
     this->executor.RunAfter(this->Latency(), [this, i, incarnation, task] {
       if (this->instances[i].incarnation == incarnation)
