programs, platform: test exit codes and lost answers of cranberryhillctl

The stand-in on a thread of its own is shared by both test programs. Text that is not UTF-8 is refused instead of being changed or ending the process.

--- a/cranberryhill/platform/http_platform.cc
+++ b/cranberryhill/platform/http_platform.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "cranberryhill/base/json.h"
@@ -98,7 +99,7 @@
                       : CommitOutcome{CommitState::kUnknown, ""};
 }
 
-std::string TransactionJson(const Transaction& transaction) {
+Json TransactionJson(const Transaction& transaction) {
   Json json = {{"checks", Json::array()},
                {"puts", Json::array()},
                {"deletes", transaction.deletes}};
@@ -106,7 +107,20 @@
     json["checks"].push_back({{"key", check.key}, {"version", check.version}});
   for (const RowPut& put : transaction.puts)
     json["puts"].push_back({{"key", put.key}, {"value", put.value}});
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return json;
+}
+
+/// Serializes `json`, or nothing when a string in it is not valid UTF-8.
+std::optional<std::string> Dump(const Json& json) {
+  try {
+    return json.dump();
+  } catch (const Json::type_error&) {
+    return std::nullopt;
+  }
+}
+
+Error Utf8Error() {
+  return {ErrorCode::kInvalidArgument, "table", "", "text must be UTF-8"};
 }
 
 bool IsObjectName(const std::string& name) {
@@ -180,9 +194,13 @@
 
 void HttpTableService::Read(std::vector<std::string> keys,
                             ReadCallback callback) {
+  auto body = Dump(Json{{"keys", std::move(keys)}});
+  if (!body) {
+    callback(Utf8Error());
+    return;
+  }
   this->caller->Call(
-      {"POST", "/v1/read", Json{{"keys", std::move(keys)}}.dump(),
-       this->options.read_timeout, true},
+      {"POST", "/v1/read", std::move(*body), this->options.read_timeout, true},
       [callback = std::move(callback)](const HttpAnswer& answer) {
         ReportRows(answer, callback);
       });
@@ -192,11 +210,15 @@
                             std::string after,
                             size_t limit,
                             ReadCallback callback) {
-  Json body = {{"prefix", std::move(prefix)},
-               {"after", std::move(after)},
-               {"limit", limit}};
+  auto body = Dump(Json{{"prefix", std::move(prefix)},
+                        {"after", std::move(after)},
+                        {"limit", limit}});
+  if (!body) {
+    callback(Utf8Error());
+    return;
+  }
   this->caller->Call(
-      {"POST", "/v1/scan", body.dump(), this->options.read_timeout, true},
+      {"POST", "/v1/scan", std::move(*body), this->options.read_timeout, true},
       [callback = std::move(callback)](const HttpAnswer& answer) {
         ReportRows(answer, callback);
       });
@@ -204,9 +226,14 @@
 
 void HttpTableService::Commit(Transaction transaction,
                               CommitCallback callback) {
+  auto body = Dump(TransactionJson(transaction));
+  if (!body) {
+    callback({CommitState::kUnavailable, ""});
+    return;
+  }
   this->caller->Call(
-      {"POST", "/v1/commit", TransactionJson(transaction),
-       this->options.write_timeout, false},
+      {"POST", "/v1/commit", std::move(*body), this->options.write_timeout,
+       false},
       [callback = std::move(callback)](const HttpAnswer& answer) {
         callback(CommitOutcomeOf(answer));
       });
--- a/cranberryhill/platform/http_platform.h
+++ b/cranberryhill/platform/http_platform.h
@@ -30,9 +30,10 @@
   absl::Duration write_timeout = absl::Seconds(2);
 };
 
-/// Calls come from the core thread, which runs the callbacks after the call,
-/// exactly once unless the pool or the executor is stopped first. The pool and
-/// the executor must outlive this object; the executor must outlive the pool.
+/// Calls come from the core thread, which runs the callbacks during the call
+/// (refused arguments) or after it, exactly once unless the pool or the
+/// executor is stopped first. The pool and the executor must outlive this
+/// object; the executor must outlive the pool.
 class HttpTableService : public TableService {
  public:
   HttpTableService(const Endpoint& endpoint,
@@ -47,7 +48,8 @@
             size_t limit,
             ReadCallback callback) override;
 
-  /// Answers kUnavailable only when nothing was sent and nothing will be.
+  /// Answers kUnavailable only when nothing was sent and nothing will be; this
+  /// includes text that is not UTF-8.
   void Commit(Transaction transaction, CommitCallback callback) override;
 
  private:
--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -22,7 +22,6 @@
 namespace cranberryhill {
 namespace {
 
-constexpr absl::Duration kResolveInterval = absl::Seconds(1);
 constexpr size_t kMaxListedRows = 1000;
 
 /// Access to the table for one command.
@@ -81,7 +80,7 @@
       result = outcome;
       return;
     }
-    session.loop.RunAfter(kResolveInterval, [&] {
+    session.loop.RunAfter(options.resolve_interval, [&] {
       session.operations.Resolve(token, on_result);
     });
   };
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -27,7 +27,9 @@
   std::string token;               ///< Empty: a new one.
   std::optional<uint64_t> parent;  ///< For apply.
   size_t limit = 20;               ///< For history and audit.
+  /// How long a lost answer is resolved for, and how often.
   absl::Duration timeout = absl::Seconds(10);
+  absl::Duration resolve_interval = absl::Seconds(1);
 };
 
 /// @param words The subcommand and its arguments.
--- a/standins/fake_platform.cmake
+++ b/standins/fake_platform.cmake
@@ -1,6 +1,6 @@
 add_library(fake_platform_core STATIC
   fake_platform/platform_state.cc fake_platform/platform_server.cc
-  fake_platform/shut_down_socket.cc)
+  fake_platform/running_platform.cc fake_platform/shut_down_socket.cc)
 target_link_libraries(fake_platform_core PUBLIC ch_environment ch_table ch_base
   cxxtools-http cxxtools)
 # cxxtools/string.h uses members of std::allocator that C++20 removed.
