--- a/cranberryhill/platform/internal/http_caller.cc
+++ b/cranberryhill/platform/internal/http_caller.cc
@@ -3,6 +3,7 @@
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
 
+#include <algorithm>
 #include <atomic>
 #include <exception>
 #include <mutex>
@@ -19,9 +20,8 @@
 // As many as a platform pool has threads; more are closed after their call.
 constexpr size_t kMaxIdleConnections = 4;
 
-cxxtools::Milliseconds ToMilliseconds(absl::Duration duration) {
-  return cxxtools::Milliseconds(absl::ToDoubleMilliseconds(duration));
-}
+// cxxtools waits without end for a negative timeout.
+constexpr absl::Duration kMinTimeout = absl::Milliseconds(1);
 
 /// A call that is waiting for its answer.
 class PendingCall {
@@ -38,7 +38,13 @@
     return this->stage.compare_exchange_strong(expected, Stage::kSending);
   }
 
-  absl::Duration TimeLeft() const { return this->deadline - BootClock().Now(); }
+  bool IsLate() const { return BootClock().Now() >= this->deadline; }
+
+  /// @return Milliseconds until the deadline, above 0.
+  double TimeoutMs() const {
+    return absl::ToDoubleMilliseconds(
+        std::max(kMinTimeout, this->deadline - BootClock().Now()));
+  }
 
   /// Core thread.
   void OnDeadline() {
@@ -78,15 +84,14 @@
 
   /// Worker thread. @return Nothing when the call was given up.
   std::optional<HttpAnswer> Run(PendingCall& pending) {
-    if (pending.TimeLeft() <= absl::ZeroDuration())
+    if (pending.IsLate())
       return std::nullopt;
     // A connection of its own tells whether anything can be sent.
     // Client::connect() before execute() is no alternative: when the answer is
     // lost, the client connects again and sends the request a second time.
     if (!pending.call.repeatable) {
-      if (auto refused =
-              FindConnectError(this->endpoint.ip, this->endpoint.port,
-                               absl::ToDoubleMilliseconds(pending.TimeLeft())))
+      if (auto refused = FindConnectError(
+              this->endpoint.ip, this->endpoint.port, pending.TimeoutMs()))
         return HttpAnswer{HttpCallState::kNotSent, 0, "", *refused};
     }
     if (!pending.BeginSending())
@@ -115,7 +120,7 @@
     request.method(call.method);
     request.setHeader("Content-Type", "application/json");
     request.body() << call.body;
-    cxxtools::Milliseconds timeout = ToMilliseconds(pending.TimeLeft());
+    cxxtools::Milliseconds timeout(pending.TimeoutMs());
     client->execute(request, timeout, timeout);
     const cxxtools::http::Reply& reply = client->readBody();
     HttpAnswer answer{HttpCallState::kAnswered, reply.httpReturnCode(),
--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -258,6 +258,10 @@
     return refuse("--limit", std::to_string(options.limit),
                   fmt::format("must be from 1 to {}", kMaxListedRows));
   }
+  if (options.timeout < absl::ZeroDuration()) {
+    return refuse("--timeout", absl::FormatDuration(options.timeout),
+                  "must not be negative");
+  }
   return &command;
 }
 
--- a/standins/fake_platform/running_platform.h
+++ b/standins/fake_platform/running_platform.h
@@ -30,14 +30,13 @@
     return this->state.Handle({"POST", path, "", body});
   }
 
+  Endpoint endpoint;  ///< Where it serves; not to be changed.
+
  private:
   BootClock clock;
   PlatformState state{clock};
   std::unique_ptr<PlatformServer> server;
   std::thread thread;
-
- public:
-  Endpoint endpoint;
 };
 
 }  // namespace cranberryhill
