--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -22,7 +22,6 @@
 namespace cranberryhill {
 namespace {
 
-constexpr absl::Duration kResolveInterval = absl::Seconds(1);
 constexpr size_t kMaxListedRows = 1000;
 
 /// Access to the table for one command.
@@ -81,7 +80,7 @@
       result = outcome;
       return;
     }
-    session.loop.RunAfter(kResolveInterval, [&] {
+    session.loop.RunAfter(options.resolve_interval, [&] {
       session.operations.Resolve(token, on_result);
     });
   };
@@ -259,6 +258,10 @@
     return refuse("--limit", std::to_string(options.limit),
                   fmt::format("must be from 1 to {}", kMaxListedRows));
   }
+  if (options.timeout < absl::ZeroDuration()) {
+    return refuse("--timeout", absl::FormatDuration(options.timeout),
+                  "must not be negative");
+  }
   return &command;
 }
 
