orders: require a complete list of instances for acknowledgements

An instance that the lagging list does not show yet may hold a view of the plan from before the mark, so acknowledgements of the listed ones do not replace the wait for view_ttl unless the list is known to be complete. The fakes now also record a change while any instance may still start work.

--- a/cranberryhill/membership/membership_view.cc
+++ b/cranberryhill/membership/membership_view.cc
@@ -147,6 +147,7 @@
 void MembershipView::OnPeerReports(std::string_view peer,
                                    const std::vector<MemberReport>& reports,
                                    absl::Duration transit) {
+  absl::Time oldest = this->clock.Now() - this->settings.max_report_age;
   for (const MemberReport& report : reports) {
     Member* member = this->FindMember(report.id);
     if (member == nullptr ||
@@ -165,6 +166,9 @@
     } else if (age > this->settings.max_report_age) {
       ++this->own_counters.old_reports;
     } else if (report.state == MemberState::kSuspect) {
+      std::erase_if(member->suspicions, [oldest](const auto& entry) {
+        return entry.second < oldest;
+      });
       member->suspicions[std::string(peer)] = evidence;
     } else {
       member->suspicions.erase(std::string(peer));
--- a/cranberryhill/orders/authority_test.cc
+++ b/cranberryhill/orders/authority_test.cc
@@ -220,9 +220,13 @@
     return SendState::kAccepted;
   if (engine.running > 0)
     engine.violations.push_back("request cut");
+  for (const auto& instance : this->instances) {
+    if (this->planned && instance->view->MayStart(engine.name))
+      engine.violations.push_back("changed while work may start");
+  }
   engine.changing = true;
   this->tasks.RunAfter(this->Between(500, 3000),
-                       [this, &engine, order, at = engine.incarnation] {
+                       [&engine, order, at = engine.incarnation] {
                          if (at != engine.incarnation)
                            return;
                          engine.changing = false;
@@ -268,7 +272,7 @@
   for (const FakeEngine& engine : this->world.engines)
     managed.push_back({engine.name, engine.checks_fencing});
   this->executor->SetEngines(managed);
-  this->planner->SetEntryInstances({"i0", "i1", "i2"});
+  this->planner->SetEntryInstances({"i0", "i1", "i2"}, UINT64_MAX);
   this->planner->SetDesired(this->world.desired);
 }
 
--- a/cranberryhill/orders/change_planner.cc
+++ b/cranberryhill/orders/change_planner.cc
@@ -64,8 +64,14 @@
   this->desired = std::move(wanted);
 }
 
-void ChangePlanner::SetEntryInstances(std::vector<std::string> ids) {
+void ChangePlanner::SetEntryInstances(std::vector<std::string> ids,
+                                      uint64_t complete_for) {
   this->entry_instances = std::move(ids);
+  this->instances_complete_for = complete_for;
+  std::erase_if(this->acknowledged, [this](const auto& entry) {
+    return std::find(this->entry_instances.begin(), this->entry_instances.end(),
+                     entry.first) == this->entry_instances.end();
+  });
 }
 
 void ChangePlanner::OnAcknowledged(std::string_view instance,
@@ -353,7 +359,7 @@
 }
 
 bool ChangePlanner::Acknowledged(uint64_t plan_version) const {
-  return !this->entry_instances.empty() &&
+  return this->instances_complete_for >= plan_version &&
          std::all_of(this->entry_instances.begin(), this->entry_instances.end(),
                      [this, plan_version](const std::string& id) {
                        auto known = this->acknowledged.find(id);
@@ -368,18 +374,13 @@
 }
 
 bool ChangePlanner::EngineIdle(const Change& change) const {
-  // An instance that the instance list does not show yet cannot be asked for
-  // an acknowledgement; its view ends by its age.
-  absl::Time views_end = change.announced +
-                         this->settings.view_ttl * kClockRateFactor +
-                         this->settings.flight;
   const TimedReport* timed = this->executor.ReportOf(change.engine);
-  // The idle time has to lie after the moment the views were settled: work
-  // that was started before it may still be on its way.
-  return timed != nullptr &&
-         timed->asked >= change.settled + this->settings.idle_confirm &&
-         timed->asked >= views_end && timed->report.running == 0 &&
-         timed->report.queued == 0 &&
+  // Work that was started just before the views were settled may arrive until
+  // the flight has passed.
+  absl::Time arrived =
+      change.settled + this->settings.flight * kClockRateFactor;
+  return timed != nullptr && timed->asked >= arrived &&
+         timed->report.running == 0 && timed->report.queued == 0 &&
          timed->report.idle_for >= this->settings.idle_confirm;
 }
 
--- a/cranberryhill/orders/change_planner.h
+++ b/cranberryhill/orders/change_planner.h
@@ -85,9 +85,16 @@
   /// Replaces the desired state. Engines that are not listed keep their state.
   void SetDesired(std::vector<DesiredEngine> desired);
 
-  /// @param ids Entry instances that may route to engines of this shard. While
-  ///     the list is empty, acknowledgements never shorten the wait.
-  void SetEntryInstances(std::vector<std::string> ids);
+  /// @param ids Entry instances that may route to engines of this shard, this
+  ///     one included.
+  /// @param complete_for Plan version for which the list is known to be
+  ///     complete: it was read from the instance rows after that version was
+  ///     committed, and instances write their row before they read the plan.
+  ///     The lagging instance list is not enough: an instance that it does not
+  ///     show yet may have read an older plan. Changes announced by a later
+  ///     version wait for view_ttl.
+  void SetEntryInstances(std::vector<std::string> ids,
+                         uint64_t complete_for = 0);
 
   /// An entry instance has acted on the plan version: it starts no work on the
   /// engines that it marks.
@@ -107,7 +114,7 @@
   const std::optional<PlanRecord>& plan() const;  // NOLINT
 
   /// @return Engines whose report contradicts their last finished order. They
-  ///     are marked in the plan until the target is reached again.
+  ///     are marked in the plan unless the report shows the desired state.
   std::vector<std::string> Contradicting() const;
 
   const PlanCounters& counters() const;  // NOLINT
@@ -143,6 +150,7 @@
   const Clock& clock;
   std::map<std::string, DesiredEngine, std::less<>> desired;
   std::vector<std::string> entry_instances;
+  uint64_t instances_complete_for = 0;
   std::map<std::string, uint64_t, std::less<>> acknowledged;
   std::set<std::string, std::less<>> gone;
   std::map<std::string, std::unique_ptr<Change>, std::less<>> changes;
--- a/cranberryhill/orders/order_executor.h
+++ b/cranberryhill/orders/order_executor.h
@@ -115,7 +115,9 @@
   /// was not written yet is dropped; a written one becomes kUnresolved.
   void Revoke(std::string_view engine);
 
-  /// Accepts no further orders; outstanding ones are finished.
+  /// Accepts no further orders; outstanding ones are finished. A graceful
+  /// shutdown calls Stop(), ticks the executor but not the planner until
+  /// Idle() or its own deadline, and then calls LeaseKeeper::Release().
   void Stop();
 
   /// @return True when no order is kActive.
