--- a/cranberryhill/orders/authority_test.cc
+++ b/cranberryhill/orders/authority_test.cc
@@ -220,9 +220,13 @@
     return OrderSendState::kAccepted;
   if (engine.running > 0)
     engine.violations.push_back("request cut");
+  for (const auto& instance : this->instances) {
+    if (this->planned && instance->view->MayStart(engine.name))
+      engine.violations.push_back("changed while work may start");
+  }
   engine.changing = true;
   this->tasks.RunAfter(this->Between(500, 3000),
-                       [this, &engine, order, at = engine.incarnation] {
+                       [&engine, order, at = engine.incarnation] {
                          if (at != engine.incarnation)
                            return;
                          engine.changing = false;
@@ -268,7 +272,7 @@
   for (const FakeEngine& engine : this->world.engines)
     managed.push_back({engine.name, engine.checks_fencing});
   this->executor->SetEngines(managed);
-  this->planner->SetEntryInstances({"i0", "i1", "i2"});
+  this->planner->SetEntryInstances({"i0", "i1", "i2"}, UINT64_MAX);
   this->planner->SetDesired(this->world.desired);
 }
 
@@ -504,8 +508,12 @@
       rc::gen::set(&Event::instance, rc::gen::inRange(0, 6)),
       rc::gen::set(&Event::engine, rc::gen::inRange(0, 2)),
       rc::gen::set(&Event::steps, rc::gen::inRange(1, 60))));
-  for (auto& instance : world.instances)
-    instance->bursts = true;
+  // Without work, changes follow each other as fast as the rules allow.
+  bool idle = *rc::gen::arbitrary<bool>();
+  for (auto& instance : world.instances) {
+    instance->works = !idle;
+    instance->bursts = !idle;
+  }
   world.Run(absl::Seconds(3));
   for (const Event& event : events) {
     Apply(event, world, max_stall);
@@ -610,6 +618,7 @@
   world.Run(absl::Seconds(30));
   planner.SetGone({"e0"});
   world.Run(absl::Seconds(3));
+  BOOST_TEST((planner.StepOf("e0") == ChangeStep::kNone));
   BOOST_TEST(planner.counters().abandoned == 1U);
   BOOST_TEST(planner.plan()->draining.empty());
   world.Run(absl::Seconds(20));
