http2: make four tests fail on the faults they guard against

Re-inserting a missing wake-up, an ignored stream limit, an unbounded queue and tokens that depend on the engine had passed. The longest wait of the loop is an hour so that a missing wake-up cannot go unnoticed.

--- a/cranberryhill/http2/event_loop.cc
+++ b/cranberryhill/http2/event_loop.cc
@@ -17,7 +17,7 @@
 namespace cranberryhill {
 namespace {
 
-constexpr absl::Duration kLongestWait = absl::Seconds(60);
+constexpr absl::Duration kLongestWait = absl::Hours(1);
 
 class SelectorEventLoop : public EventLoop {
  public:
--- a/cranberryhill/http2/http2_test.cc
+++ b/cranberryhill/http2/http2_test.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <functional>
 #include <future>
 #include <memory>
@@ -317,9 +319,9 @@
   RawPeer full;
   full.Listen(0);
   // With its queue of accepted connections full, the system ignores others.
-  std::vector<std::unique_ptr<Http2Connection>> filling;
-  for (int i = 0; i < 4; ++i)
-    filling.push_back(this->client->Connect({"127.0.0.1", full.Port()}, {}));
+  std::array<std::unique_ptr<Http2Connection>, 4> filling;
+  for (auto& other : filling)
+    other = this->client->Connect({"127.0.0.1", full.Port()}, {});
   this->Settle();
   Http2ConnectionOptions options;
   options.max_queued = 1;
@@ -344,12 +346,19 @@
   Http2ConnectionOptions options;
   options.max_queued = 2;
   this->Connect(silent.Port(), options);
-  std::vector<Record> records(3);
-  for (Record& record : records)
+  this->Until(
+      [&] { return this->connection->state() == Http2ConnectionState::kOpen; });
+  // 100 streams are taken to be allowed until the peer states its limit.
+  std::vector<Record> records(100 + 3);
+  for (Record& record : records) {
     this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
-  this->Until([&] { return records[2].Finished(); });
-  BOOST_TEST((records[2].failures[0].reason == CloseReason::kQueueFull));
-  BOOST_TEST(!records[0].Finished());
+    this->loop->RunOnce(kStepWait);
+    this->loop->RunOnce(kStepWait);
+  }
+  this->Until([&] { return records.back().Finished(); });
+  BOOST_TEST((records.back().failures[0].reason == CloseReason::kQueueFull));
+  for (size_t i = 0; i + 1 < records.size(); ++i)
+    BOOST_TEST(!records[i].Finished());
 }
 
 // Guards against a posted task that waits until the selector's wait is over,
@@ -362,8 +371,8 @@
   this->clock.Advance(absl::Seconds(2));
   this->loop->RunOnce(kStepWait);
   BOOST_TEST((order == std::vector<int>{1, 2}));
-  // Most posts meet a loop that waits. It waits for up to 60 s when a post does
-  // not wake it, and the test then times out.
+  // Most posts meet a loop that waits. It waits for up to an hour when a post
+  // does not wake it, and the test then times out.
   std::thread other([&] {
     for (int round = 0; round < 200; ++round) {
       std::promise<void> ran;
@@ -455,13 +464,21 @@
   this->connection->Send({"GET", "/", {}, ""}, first.Callbacks());
   this->Until([&] { return first.Finished(); });
   std::vector<Record> records(kStreams);
-  std::shared_ptr<Http2Stream> last;
+  size_t submitted = 0;
+  size_t ended = 0;
+  size_t most_submitted = 0;
+  auto count = [&] {
+    most_submitted = std::max(most_submitted, ++submitted - ended);
+    return true;
+  };
   for (size_t i = 0; i < kStreams; ++i) {
-    last = this->connection->Send({"POST", "/", {}, std::to_string(i)},
-                                  records[i].Callbacks());
+    Http2Callbacks calls = records[i].Callbacks();
+    calls.on_end = [&, end = calls.on_end] {
+      ++ended;
+      end();
+    };
+    this->connection->Send({"POST", "/", {}, std::to_string(i), count}, calls);
   }
-  this->Until([&] { return records[0].Finished(); });
-  BOOST_TEST(!last->may_have_been_sent());
   size_t next = 0;
   this->Until([&] {
     while (next < kStreams && records[next].Finished())
@@ -471,6 +488,7 @@
   for (size_t i = 0; i < kStreams; ++i)
     BOOST_TEST(records[i].body == std::to_string(i));
   BOOST_TEST(most <= kLimit);
+  BOOST_TEST(most_submitted <= kLimit);
 }
 
 // Guards against a slow reader that makes the sender buffer without bound, and
--- a/standins/fake_engine_test.cc
+++ b/standins/fake_engine_test.cc
@@ -95,11 +95,14 @@
 BOOST_FIXTURE_TEST_CASE(AnotherEngineContinuesExactly, EngineFixture) {
   auto second = this->NewEngine();
   auto other = this->Connect(*second);
+  this->Ask("POST", "/v1/generate", Generate(0, "other"), other.get());
   std::string whole = this->Ask("POST", "/v1/generate", Generate(0)).body;
   std::string rest =
       this->Ask("POST", "/v1/generate", Generate(7), other.get()).body;
   BOOST_TEST(whole.ends_with(rest));
   BOOST_TEST(rest.starts_with("{\"index\":7,"));
+  BOOST_TEST(rest.find(FakeToken("why", 7)) != std::string::npos);
+  BOOST_TEST(FakeToken("why", 7) != FakeToken("why", 8));
   BOOST_TEST(whole.find("\"done\":true") != std::string::npos);
 }
 
