--- a/cranberryhill/orders/authority_test.cc
+++ b/cranberryhill/orders/authority_test.cc
@@ -144,6 +144,13 @@
     }
   }
 
+  void Heal() {
+    for (auto& instance : this->instances) {
+      instance->table.SetFaults({});
+      instance->isolated = false;
+    }
+  }
+
   // A holder that acts on an engine that checks numbers has fenced it before.
   void CheckFenced(Instance& instance) {
     auto grant = instance.lease->Grant();
@@ -518,10 +525,12 @@
     Apply(event, world, max_stall);
     world.Run(kStep * event.steps);
     RC_ASSERT(world.Violations() == std::vector<std::string>());
+    // An instance that stays isolated holds up all changes.
+    if (event.steps % 2 == 0)
+      world.Heal();
   }
+  world.Heal();
   for (auto& instance : world.instances) {
-    instance->table.SetFaults({});
-    instance->isolated = false;
     if (!world.planned)
       instance->executor->Stop();
   }
@@ -560,6 +569,34 @@
   CheckInterleavings(world, absl::Milliseconds(1900));
 }
 
+// Guards against a change while a silent instance, which the instance list
+// does not show, may still start work by its old view; and against changes
+// that wait for view_ttl although all instances have acknowledged.
+BOOST_AUTO_TEST_CASE(ChangeWaitsForViewsOrAcknowledgements) {
+  for (bool all_answer : {false, true}) {
+    World world(true, true);
+    for (auto& instance : world.instances)
+      instance->works = false;
+    world.Run(absl::Seconds(10));
+    Instance* holder = world.Holder();
+    BOOST_REQUIRE(holder != nullptr);
+    Instance& silent = *world.instances[holder->id == "i0" ? 1 : 0];
+    while (silent.view->Age() > absl::Milliseconds(300))
+      world.Run(kStep);
+    if (!all_answer) {
+      silent.paused_until = absl::InfiniteFuture();
+      holder->planner->SetEntryInstances({holder->id, "i2"});
+    }
+    world.SetDesired(0, "prefill");
+    absl::Time start = world.clock.Now();
+    while (world.engines[0].orders == 0)
+      world.Run(kStep);
+    absl::Duration took = world.clock.Now() - start;
+    BOOST_TEST((took > absl::Seconds(5)) == !all_answer);
+    BOOST_TEST(world.Violations().empty());
+  }
+}
+
 // Guards against a successor that sends to an engine that ignores numbers
 // while an earlier order may still arrive, or that sends another order before
 // the inherited one was repeated.
