--- a/cranberryhill/orders/authority_test.cc
+++ b/cranberryhill/orders/authority_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -151,6 +152,14 @@
     }
   }
 
+  // Returns false when the condition is not met within a minute.
+  bool RunUntil(const std::function<bool()>& condition) {
+    absl::Time end = this->clock.Now() + absl::Minutes(1);
+    while (!condition() && this->clock.Now() < end)
+      this->Run(kStep);
+    return condition();
+  }
+
   // A holder that acts on an engine that checks numbers has fenced it before.
   void CheckFenced(Instance& instance) {
     auto grant = instance.lease->Grant();
@@ -581,16 +590,15 @@
     Instance* holder = world.Holder();
     BOOST_REQUIRE(holder != nullptr);
     Instance& silent = *world.instances[holder->id == "i0" ? 1 : 0];
-    while (silent.view->Age() > absl::Milliseconds(300))
-      world.Run(kStep);
+    BOOST_REQUIRE(world.RunUntil(
+        [&] { return silent.view->Age() < absl::Milliseconds(300); }));
     if (!all_answer) {
       silent.paused_until = absl::InfiniteFuture();
       holder->planner->SetEntryInstances({holder->id, "i2"});
     }
     world.SetDesired(0, "prefill");
     absl::Time start = world.clock.Now();
-    while (world.engines[0].orders == 0)
-      world.Run(kStep);
+    BOOST_REQUIRE(world.RunUntil([&] { return world.engines[0].orders > 0; }));
     absl::Duration took = world.clock.Now() - start;
     // Without all acknowledgements: view_ttl and then the flight.
     BOOST_TEST((took > absl::Seconds(6)) == !all_answer);
@@ -604,17 +612,15 @@
 BOOST_AUTO_TEST_CASE(SuccessorWaitsAndRepeatsTheInheritedOrder) {
   World world(false, false);
   FakeEngine& engine = world.engines[0];
-  while (engine.orders == 0)
-    world.Run(kStep);
+  BOOST_REQUIRE(world.RunUntil([&] { return engine.orders > 0; }));
   EngineOrder inherited = engine.last;
   Instance* first = world.Holder();
   BOOST_REQUIRE(first != nullptr);
   first->paused_until = absl::InfiniteFuture();
-  while (world.Holder() == nullptr || world.Holder() == first)
-    world.Run(kStep);
+  BOOST_REQUIRE(world.RunUntil(
+      [&] { return world.Holder() != nullptr && world.Holder() != first; }));
   Instance* successor = world.Holder();
-  while (engine.orders == 1)
-    world.Run(kStep);
+  BOOST_REQUIRE(world.RunUntil([&] { return engine.orders > 1; }));
   BOOST_TEST(SameTarget(engine.last, inherited));
   BOOST_TEST(engine.last.order_number == inherited.order_number);
   absl::Duration waited =
@@ -649,8 +655,8 @@
   BOOST_REQUIRE(holder != nullptr);
   ChangePlanner& planner = *holder->planner;
   world.SetDesired(0, "prefill");
-  while (planner.StepOf("e0") != ChangeStep::kOrdering)
-    world.Run(kStep);
+  BOOST_REQUIRE(world.RunUntil(
+      [&] { return planner.StepOf("e0") == ChangeStep::kOrdering; }));
   world.Crash(world.engines[0], absl::Seconds(40));
   world.Run(absl::Seconds(30));
   planner.SetGone({"e0"});
