--- a/cranberryhill/report/latency_histogram.cc
+++ b/cranberryhill/report/latency_histogram.cc
@@ -14,7 +14,8 @@
 size_t IndexOf(uint64_t microseconds) {
   if (microseconds < kSubBuckets)
     return microseconds;
-  int shift = std::bit_width(microseconds) - 1 - kSubBucketBits;
+  int shift =
+      static_cast<int>(std::bit_width(microseconds)) - 1 - kSubBucketBits;
   uint64_t sub_bucket = (microseconds >> shift) - kSubBuckets;
   return (static_cast<uint64_t>(shift) + 1) * kSubBuckets + sub_bucket;
 }
