--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -19,6 +19,8 @@
 constexpr absl::Duration kPollTimeout = absl::Seconds(3);
 constexpr int kProbePriority = -100;
 constexpr size_t kMaxLineBytes = size_t{64} * 1024;
+// Cache events are late anyway, and what this instance sent is known at once.
+constexpr absl::Duration kCacheEventInterval = absl::Seconds(5);
 constexpr size_t kMaxEventBytes = size_t{1} * 1024 * 1024;
 
 }  // namespace
@@ -35,6 +37,7 @@
   absl::Time poll_sent;
   absl::Time next_poll = absl::InfinitePast();
   uint64_t last_cache_event = 0;
+  absl::Time next_cache_poll = absl::InfinitePast();
   uint64_t incarnation = kUnknownIncarnation;
 };
 
@@ -470,13 +473,13 @@
     }
     if (!engine->polling && now >= engine->next_poll &&
         engine->connection->state() == Http2ConnectionState::kOpen) {
-      this->PollStatus(*engine);
+      this->PollStatus(*engine, [](const std::optional<EngineReport>&) {});
     }
     this->UpdateUsable(*engine);
   }
 }
 
-void EngineFleet::PollStatus(Engine& engine) {
+void EngineFleet::PollStatus(Engine& engine, ReportCallback callback) {
   absl::Time now = this->context.clock.Now();
   engine.polling = true;
   engine.poll_sent = now;
@@ -485,21 +488,24 @@
       now +
       this->PollInterval() * (0.8 + 0.4 * this->context.random.UniformDouble());
   auto body = std::make_shared<std::string>();
+  auto done = std::make_shared<ReportCallback>(std::move(callback));
   Http2Callbacks callbacks;
   callbacks.on_data = [body](std::string_view chunk) {
     if (body->size() + chunk.size() <= kMaxLineBytes)
       body->append(chunk);
   };
-  callbacks.on_end = [this, id = engine.spec.id, now, body,
+  callbacks.on_end = [this, id = engine.spec.id, now, body, done,
                       alive = this->alive] {
     if (*alive)
-      this->OnStatus(id, now, *body);
+      (*done)(this->OnStatus(id, now, *body));
   };
-  callbacks.on_failed = [this, id = engine.spec.id,
+  callbacks.on_failed = [this, id = engine.spec.id, done,
                          alive = this->alive](const Http2Failure&) {
     Engine* polled = *alive ? this->FindEngine(id) : nullptr;
     if (polled != nullptr)
       polled->polling = false;
+    if (*alive)
+      (*done)(std::nullopt);
   };
   engine.connection->Send({"GET", "/v1/status", {}, ""}, std::move(callbacks));
 }
@@ -534,12 +540,12 @@
   engine->router->OnCacheEvents(engine->router_index, events.value());
 }
 
-void EngineFleet::OnStatus(const std::string& id,
-                           absl::Time asked,
-                           std::string_view body) {
+std::optional<EngineReport> EngineFleet::OnStatus(const std::string& id,
+                                                  absl::Time asked,
+                                                  std::string_view body) {
   Engine* engine = this->FindEngine(id);
   if (engine == nullptr)
-    return;
+    return std::nullopt;
   engine->polling = false;
   auto status = Capture([body] { return internal::ParseEngineStatus(body); });
   if (!status.ok()) {
@@ -547,7 +553,7 @@
             status.error().ToString());
     engine->report.reset();
     this->UpdateUsable(*engine);
-    return;
+    return std::nullopt;
   }
   const internal::EngineStatus& current = status.value();
   this->context.members.OnContact(id, engine->incarnation);
@@ -558,8 +564,12 @@
   LoadReport load = current.load;
   load.measured_at = asked - current.load_age;
   engine->router->OnLoadReport(engine->router_index, load);
-  this->PollCacheEvents(*engine);
+  if (asked >= engine->next_cache_poll) {
+    engine->next_cache_poll = asked + kCacheEventInterval;
+    this->PollCacheEvents(*engine);
+  }
   this->UpdateUsable(*engine);
+  return engine->report;
 }
 
 std::vector<std::string> EngineFleet::EngineIds() const {
@@ -589,13 +599,14 @@
   return worst;
 }
 
-Http2Connection* EngineFleet::OpenConnection(std::string_view engine) const {
-  const Engine* found = this->FindEngine(engine);
-  if (found == nullptr ||
-      found->connection->state() != Http2ConnectionState::kOpen) {
-    return nullptr;
+void EngineFleet::ReadStatus(std::string_view id, ReportCallback callback) {
+  Engine* engine = this->FindEngine(id);
+  if (engine == nullptr ||
+      engine->connection->state() != Http2ConnectionState::kOpen) {
+    callback(std::nullopt);
+    return;
   }
-  return found->connection.get();
+  this->PollStatus(*engine, std::move(callback));
 }
 
 const IpAddress* EngineFleet::AddressOf(std::string_view engine) const {
--- a/cranberryhill/daemon/engine_fleet.h
+++ b/cranberryhill/daemon/engine_fleet.h
@@ -154,8 +154,9 @@
   /// @return The largest slowdown among the engines.
   double WorstSlowdown() const;
 
-  /// @return The open connection to an engine, or null.
-  Http2Connection* OpenConnection(std::string_view engine) const;
+  /// Reads an engine's status now; its next regular poll moves back.
+  /// @param callback Runs once, with nothing when there is no answer.
+  void ReadStatus(std::string_view engine, ReportCallback callback);
 
   /// @return The address of an engine, or null.
   const IpAddress* AddressOf(std::string_view engine) const;
@@ -183,10 +184,12 @@
   void OnFailure(const AttemptKey& key, const Http2Failure& failure);
   void FailAttempt(const AttemptKey& key, AttemptFailure failure);
   void CloseAttempt(const AttemptKey& key, AttemptEnd end);
-  void PollStatus(Engine& engine);
+  void PollStatus(Engine& engine, ReportCallback callback);
   void PollCacheEvents(Engine& engine);
   void OnCacheEvents(const std::string& id, std::string_view body);
-  void OnStatus(const std::string& id, absl::Time asked, std::string_view body);
+  std::optional<EngineReport> OnStatus(const std::string& id,
+                                       absl::Time asked,
+                                       std::string_view body);
   void UpdateUsable(Engine& engine);
   absl::Duration PollInterval() const;
 
--- a/cranberryhill/daemon/order_link.cc
+++ b/cranberryhill/daemon/order_link.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "cranberryhill/base/json.h"
-#include "cranberryhill/daemon/internal/engine_messages.h"
 
 namespace cranberryhill {
 namespace {
@@ -44,7 +43,7 @@
 
 OrderLink::OrderLink(Http2Client& client,
                      Executor& executor,
-                     const EngineFleet& fleet)
+                     EngineFleet& fleet)
     : client(client),
       executor(executor),
       fleet(fleet),
@@ -132,35 +131,7 @@
 }
 
 void OrderLink::ReadReport(const std::string& engine, ReportCallback callback) {
-  Http2Connection* connection = this->fleet.OpenConnection(engine);
-  if (connection == nullptr) {
-    callback(std::nullopt);
-    return;
-  }
-  struct Answer {
-    int status = 0;
-    std::string body;
-  };
-  auto answer = std::make_shared<Answer>();
-  auto done = std::make_shared<ReportCallback>(std::move(callback));
-  Http2Callbacks callbacks;
-  callbacks.on_headers = [answer](int status, const Headers&) {
-    answer->status = status;
-  };
-  callbacks.on_data = [answer](std::string_view chunk) {
-    if (answer->body.size() + chunk.size() <= kMaxAnswerBytes)
-      answer->body.append(chunk);
-  };
-  callbacks.on_end = [answer, done] {
-    auto status =
-        Capture([&] { return internal::ParseEngineStatus(answer->body); });
-    if (answer->status != 200 || !status.ok())
-      (*done)(std::nullopt);
-    else
-      (*done)(status.value().report);
-  };
-  callbacks.on_failed = [done](const Http2Failure&) { (*done)(std::nullopt); };
-  connection->Send({"GET", "/v1/status", {}, ""}, std::move(callbacks));
+  this->fleet.ReadStatus(engine, std::move(callback));
 }
 
 }  // namespace cranberryhill
--- a/cranberryhill/daemon/order_link.h
+++ b/cranberryhill/daemon/order_link.h
@@ -2,7 +2,7 @@
 #define CRANBERRYHILL_DAEMON_ORDER_LINK_H_
 
 // Sends orders to engines, each on a connection of its own, and reads their
-// status over the connections of the fleet.
+// status through the fleet.
 //
 //   OrderLink link(client, executor, addresses);
 //   link.Send(order, may_write, callback);
@@ -24,7 +24,7 @@
 class OrderLink : public OrderSender {
  public:
   /// References must outlive this object.
-  OrderLink(Http2Client& client, Executor& executor, const EngineFleet& fleet);
+  OrderLink(Http2Client& client, Executor& executor, EngineFleet& fleet);
   ~OrderLink() override;
 
   void Send(const EngineOrder& order,
@@ -43,7 +43,7 @@
 
   Http2Client& client;
   Executor& executor;
-  const EngineFleet& fleet;
+  EngineFleet& fleet;
   uint64_t last_id = 0;
   std::map<uint64_t, std::unique_ptr<Exchange>> exchanges;
   std::shared_ptr<bool> alive;
