http2, lease, orders: bound control traffic by the number of engines and instances

Idle connections are pinged every 10 s, settled engines are reported at most 4 times a second in all, and three candidates of a lease read its row every second while the others read it every 10 s.

--- a/cranberryhill/daemon/control_part.cc
+++ b/cranberryhill/daemon/control_part.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "cranberryhill/base/hash.h"
 #include "cranberryhill/base/log.h"
 #include "cranberryhill/roles/role.h"
 
@@ -12,6 +13,12 @@
 
 constexpr absl::Duration kPlanInterval = absl::Seconds(1);
 constexpr absl::Duration kCleanInterval = absl::Seconds(1);
+// Of the instances that may take a lease, this many read its row often; the
+// others step in when all of these are gone. Otherwise the reads would grow
+// with the number of instances.
+constexpr size_t kLeaseCandidates = 3;
+constexpr absl::Duration kCandidatePoll = absl::Seconds(1);
+constexpr absl::Duration kReservePoll = absl::Seconds(10);
 
 LeaseSettings LeaseSettingsFor(const Settings& settings, std::string key) {
   LeaseSettings lease;
@@ -22,6 +29,23 @@
   return lease;
 }
 
+// Rank of an instance among the candidates of a lease, by rendezvous hashing.
+size_t RankOf(std::string_view key,
+              const std::string& self,
+              const std::vector<std::string>& others) {
+  uint64_t own_score = StableHash(self, StableHash(key));
+  return static_cast<size_t>(
+      std::count_if(others.begin(), others.end(), [&](const std::string& id) {
+        return id != self && StableHash(id, StableHash(key)) > own_score;
+      }));
+}
+
+absl::Duration PollIntervalOf(const LeaseKeeper& lease,
+                              const std::vector<std::string>& others) {
+  size_t rank = RankOf(lease.settings().key, lease.settings().holder, others);
+  return rank < kLeaseCandidates ? kCandidatePoll : kReservePoll;
+}
+
 ShareBounds BoundsOf(const RoleShare& share) {
   return {share.min_share, share.max_share};
 }
@@ -133,6 +157,23 @@
   this->planner->SetDesired(std::move(desired));
 }
 
+void ControlPart::UpdatePollIntervals() {
+  std::vector<std::string> all;
+  std::vector<std::string> zone;
+  for (std::string& id :
+       this->context.members.Members(MemberKind::kEntryInstance)) {
+    if (!this->context.members.MayReceiveWork(id))
+      continue;
+    if (this->context.members.Find(id)->zone ==
+        this->context.settings.availability_zone) {
+      zone.push_back(id);
+    }
+    all.push_back(std::move(id));
+  }
+  this->zone_lease->SetPollInterval(PollIntervalOf(*this->zone_lease, zone));
+  this->calls_lease->SetPollInterval(PollIntervalOf(*this->calls_lease, all));
+}
+
 void ControlPart::PlanRoles() {
   for (auto& [model, group] : this->groups) {
     std::vector<PlannedEngine> engines;
@@ -207,6 +248,7 @@
         gone.insert(spec.id);
     }
     this->planner->SetGone(std::move(gone));
+    this->UpdatePollIntervals();
     this->UpdateDesired();
   }
   this->executor->Tick();
--- a/cranberryhill/daemon/control_part.h
+++ b/cranberryhill/daemon/control_part.h
@@ -79,6 +79,7 @@
  private:
   struct Group;
 
+  void UpdatePollIntervals();
   void PlanRoles();
   void PlanGroup(Group& group);
   void UpdateDesired();
--- a/cranberryhill/http2/http2_client.cc
+++ b/cranberryhill/http2/http2_client.cc
@@ -109,6 +109,7 @@
   /// Forgets the owner and fails all streams.
   void Abandon(CloseReason reason, const std::string& message);
   size_t Streams() const;
+  bool IsBusy() const override { return this->Streams() > 0; }
   const Session& Http2() const { return *this->session; }
 
   void OnOpen() override;
--- a/cranberryhill/http2/http2_server.cc
+++ b/cranberryhill/http2/http2_server.cc
@@ -374,6 +374,7 @@
   void Freeze() { this->session->Freeze(); }
   void Close(CloseReason reason);
   size_t Streams() const { return this->open_streams.size(); }
+  bool IsBusy() const override { return !this->open_streams.empty(); }
 
   /// Runs when the connection has closed by itself.
   std::function<void()> on_closed;
--- a/cranberryhill/http2/http2_types.h
+++ b/cranberryhill/http2/http2_types.h
@@ -58,8 +58,10 @@
 
 /// Limits that both sides of a connection observe.
 struct Http2Limits {
-  /// Interval of PING frames.
+  /// Interval of PING frames while streams are open.
   absl::Duration ping_interval = absl::Seconds(1);
+  /// Interval of PING frames on a connection without open streams.
+  absl::Duration idle_ping_interval = absl::Seconds(10);
   /// The connection is closed when a PING has no response for this long.
   absl::Duration ping_timeout = absl::Seconds(3);
   /// Streams that the peer may have open on one connection.
--- a/cranberryhill/http2/internal/session.cc
+++ b/cranberryhill/http2/internal/session.cc
@@ -298,7 +298,8 @@
   if (this->closed || this->frozen)
     return;
   uint64_t sequence = ++this->last_ping;
-  this->unanswered_pings[sequence] = this->loop.clock().Now();
+  this->last_ping_sent = this->loop.clock().Now();
+  this->unanswered_pings[sequence] = this->last_ping_sent;
   uint8_t data[sizeof(sequence)];
   std::memcpy(data, &sequence, sizeof(sequence));
   nghttp2_submit_ping(this->session, NGHTTP2_FLAG_NONE, data);
@@ -307,7 +308,7 @@
   this->loop.RunAfter(this->limits.ping_interval, [weak, sequence] {
     auto self = weak.lock();
     if (self && self->last_ping == sequence)
-      self->SendPing();
+      self->PingWhenDue();
   });
   this->loop.RunAfter(this->limits.ping_timeout, [weak, sequence] {
     if (auto self = weak.lock())
@@ -315,6 +316,27 @@
   });
 }
 
+void Session::PingWhenDue() {
+  if (this->closed || this->frozen)
+    return;
+  // A silent connection harms only those who use it, so an idle one is pinged
+  // rarely; with hundreds of connections the pings would be most of the
+  // control traffic.
+  if (this->handler.IsBusy() ||
+      this->loop.clock().Now() - this->last_ping_sent >=
+          this->limits.idle_ping_interval) {
+    this->SendPing();
+    return;
+  }
+  std::weak_ptr<Session> weak = this->weak_from_this();
+  this->loop.RunAfter(this->limits.ping_interval,
+                      [weak, sequence = this->last_ping] {
+                        auto self = weak.lock();
+                        if (self && self->last_ping == sequence)
+                          self->PingWhenDue();
+                      });
+}
+
 void Session::CheckPing(uint64_t sequence) {
   if (this->unanswered_pings.count(sequence) > 0)
     this->Fail(CloseReason::kPingTimeout, "no response to a ping");
--- a/cranberryhill/http2/internal/session.h
+++ b/cranberryhill/http2/internal/session.h
@@ -44,6 +44,8 @@
   virtual void OnBodyDrained(int32_t /*stream*/) {}
   virtual void OnStreamClosed(int32_t stream, uint32_t code) = 0;
   virtual void OnGoaway() {}
+  /// @return Whether a stream is open or a request waits.
+  virtual bool IsBusy() const = 0;
   /// The last event; not sent after Close().
   virtual void OnSessionClosed(CloseReason reason,
                                const std::string& message) = 0;
@@ -128,6 +130,7 @@
   void Flush();
   std::string NextBytes();
   void SendPing();
+  void PingWhenDue();
   void CheckPing(uint64_t sequence);
   void OnPingAnswer(const nghttp2_ping& ping);
   void OnFrame(const nghttp2_frame& frame);
@@ -150,6 +153,7 @@
   std::unordered_map<int32_t, OutgoingBody> bodies;
   std::unordered_map<int32_t, size_t> header_bytes;
   uint64_t last_ping = 0;
+  absl::Time last_ping_sent = absl::InfinitePast();
   std::optional<uint64_t> goaway_ping;
   std::map<uint64_t, absl::Time> unanswered_pings;
   std::optional<absl::Duration> round_trip;
--- a/cranberryhill/lease/lease_keeper.cc
+++ b/cranberryhill/lease/lease_keeper.cc
@@ -94,6 +94,10 @@
                    });
 }
 
+void LeaseKeeper::SetPollInterval(absl::Duration interval) {
+  this->own_settings.poll_interval = interval;
+}
+
 void LeaseKeeper::OnRead(uint64_t call, const ReadOutcome& outcome) {
   if (call != this->call_number || !this->call_active)
     return;
--- a/cranberryhill/lease/lease_keeper.h
+++ b/cranberryhill/lease/lease_keeper.h
@@ -67,6 +67,10 @@
   ///     version is known; nothing after Release().
   std::optional<LeaseGrant> Grant() const;
 
+  /// Sets how often the row is read while another instance holds the lease, so
+  /// that few of many candidates read often.
+  void SetPollInterval(absl::Duration interval);
+
   /// Ends the grant at once and writes the release during further Tick()
   /// calls. The lease is not sought again. Call it when no order is active.
   void Release();
@@ -101,7 +105,7 @@
   std::string NewNonce();
   void ScheduleAfter(absl::Duration delay);
 
-  const LeaseSettings own_settings;
+  LeaseSettings own_settings;
   TableService& table;
   const Clock& clock;
   Random& random;
--- a/cranberryhill/orders/order_executor.cc
+++ b/cranberryhill/orders/order_executor.cc
@@ -147,12 +147,8 @@
       now - engine.report_started > this->own_settings.call_timeout) {
     engine.report_token = 0;
   }
-  bool settled = engine.phase == Phase::kReady && engine.report &&
-                 !engine.HasIntent() && !engine.pending &&
-                 now >= engine.watched_until;
-  absl::Duration interval = settled ? this->own_settings.settled_report_interval
-                                    : this->own_settings.report_interval;
-  if (engine.report_token == 0 && now - engine.report_started >= interval) {
+  if (engine.report_token == 0 &&
+      now - engine.report_started >= this->ReportInterval(engine, now)) {
     this->AskReport(engine, now);
   }
   if (engine.table_token != 0) {
@@ -333,6 +329,18 @@
   }
 }
 
+absl::Duration OrderExecutor::ReportInterval(const Engine& engine,
+                                             absl::Time now) const {
+  bool settled = engine.phase == Phase::kReady && engine.report &&
+                 !engine.HasIntent() && !engine.pending &&
+                 now >= engine.watched_until;
+  if (!settled)
+    return this->own_settings.report_interval;
+  return std::max(this->own_settings.settled_report_interval,
+                  absl::Seconds(static_cast<double>(this->engines.size()) /
+                                this->own_settings.max_settled_reports_per_s));
+}
+
 void OrderExecutor::AskReport(Engine& engine, absl::Time now) {
   uint64_t token = ++this->last_token;
   engine.report_token = token;
--- a/cranberryhill/orders/order_executor.h
+++ b/cranberryhill/orders/order_executor.h
@@ -40,6 +40,7 @@
   /// Distance of reports of engines without an order; bounds the traffic of a
   /// holder that has hundreds of engines.
   absl::Duration settled_report_interval = absl::Seconds(5);
+  double max_settled_reports_per_s = 4;
   /// An order whose target is not reached is sent again after this time.
   absl::Duration resend_interval = absl::Seconds(10);
   /// Delay before a table call or an observe order is tried again.
@@ -146,6 +147,7 @@
   void OnRow(Engine& engine, const ReadOutcome& outcome);
   void WriteRow(Engine& engine, const OrderRecord& record, bool check_lease);
   void OnCommit(Engine& engine, const CommitOutcome& outcome);
+  absl::Duration ReportInterval(const Engine& engine, absl::Time now) const;
   void AskReport(Engine& engine, absl::Time now);
   void SendObserve(Engine& engine);
   void SendOrder(Engine& engine, absl::Time now);
