--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -16,6 +16,9 @@
 // Keeps the polls of one instance within its control traffic when there are
 // hundreds of engines.
 constexpr double kMaxPollsPerSecond = 15;
+constexpr size_t kEnginesPerTick = 100;
+// Bounds the work of reconnecting when a whole availability zone is lost.
+constexpr absl::Duration kMaxReconnectWait = absl::Seconds(5);
 constexpr absl::Duration kPollTimeout = absl::Seconds(3);
 constexpr int kProbePriority = -100;
 constexpr size_t kMaxLineBytes = size_t{64} * 1024;
@@ -138,7 +141,10 @@
   engine->router_index =
       router->AddEngine(spec.id, spec.availability_zone, EngineRole::kMixed);
   router->SetUsable(engine->router_index, false);
-  engine->connection = this->context.client.Connect(engine->address, {});
+  Http2ConnectionOptions connection_options;
+  connection_options.max_backoff = kMaxReconnectWait;
+  engine->connection =
+      this->context.client.Connect(engine->address, connection_options);
   engine->connection->OnStateChange(
       [this, id = spec.id, alive = this->alive](
           Http2ConnectionState state, std::optional<CloseReason> reason) {
@@ -466,7 +472,13 @@
 
 void EngineFleet::Tick() {
   absl::Time now = this->context.clock.Now();
+  // With many engines each tick looks at a part of them. The permission to
+  // start work is asked again before each write in any case.
+  size_t stride = 1 + this->engines.size() / kEnginesPerTick;
+  size_t position = ++this->ticks;
   for (auto& [id, engine] : this->engines) {
+    if (++position % stride != 0)
+      continue;
     if (engine->polling && now - engine->poll_sent > kPollTimeout) {
       engine->polling = false;
       this->context.members.OnContactFailed(id);
--- a/cranberryhill/daemon/engine_fleet.h
+++ b/cranberryhill/daemon/engine_fleet.h
@@ -198,6 +198,7 @@
   std::map<std::string, std::unique_ptr<Engine>, std::less<>> engines;
   std::map<std::string, std::unique_ptr<Router>, std::less<>> routers;
   std::map<AttemptKey, std::unique_ptr<Running>> running;
+  size_t ticks = 0;
   std::shared_ptr<bool> alive;
 };
 
--- a/cranberryhill/daemon/plan_views.cc
+++ b/cranberryhill/daemon/plan_views.cc
@@ -13,8 +13,10 @@
 
 void PlanViews::SetDocument(const EnvironmentDocument& document) {
   this->zone_of.clear();
+  this->engines_of.clear();
   for (const EngineSpec& engine : document.engines) {
     this->zone_of[engine.id] = engine.availability_zone;
+    this->engines_of[engine.availability_zone].push_back(engine.id);
     std::unique_ptr<ViewGrant>& view = this->views[engine.availability_zone];
     if (view == nullptr)
       view = std::make_unique<ViewGrant>(ViewGrantSettings{}, this->clock);
@@ -73,12 +75,10 @@
 std::vector<std::string> PlanViews::ProbesDue() {
   std::vector<std::string> due;
   for (auto& [zone, view] : this->views) {
-    std::vector<std::string> engines;
-    for (const auto& [engine, engine_zone] : this->zone_of) {
-      if (engine_zone == zone)
-        engines.push_back(engine);
-    }
-    for (std::string& engine : view->ProbesDue(engines))
+    // A fresh view needs no probes, and there may be hundreds of engines.
+    if (view->Age() < ViewGrantSettings{}.probe_from)
+      continue;
+    for (std::string& engine : view->ProbesDue(this->engines_of[zone]))
       due.push_back(std::move(engine));
   }
   return due;
@@ -86,10 +86,11 @@
 
 std::vector<std::string> PlanViews::DrainOverdue() const {
   std::vector<std::string> overdue;
-  for (const auto& [engine, zone] : this->zone_of) {
-    const ViewGrant* view = this->ViewOfEngine(engine);
-    if (view != nullptr && view->DrainOverdue(engine))
-      overdue.push_back(engine);
+  for (const auto& [zone, view] : this->views) {
+    for (const std::string& engine : view->plan().draining) {
+      if (view->DrainOverdue(engine))
+        overdue.push_back(engine);
+    }
   }
   return overdue;
 }
--- a/cranberryhill/daemon/plan_views.h
+++ b/cranberryhill/daemon/plan_views.h
@@ -62,6 +62,7 @@
   const Clock& clock;
   std::map<std::string, std::unique_ptr<ViewGrant>, std::less<>> views;
   std::map<std::string, std::string, std::less<>> zone_of;  // By engine.
+  std::map<std::string, std::vector<std::string>, std::less<>> engines_of;
 };
 
 }  // namespace cranberryhill
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -76,7 +76,7 @@
 
 
 def replica_address(index):
-    return f"127.1.{index // 250}.{index % 250 + 1}:9000"
+    return f"127.1.{index // 250}.{index % 250 + 1}:9700"
 
 
 def document(replicas, customers, zones=("a",)):
@@ -211,7 +211,7 @@
     processes.start(
         "engine",
         f"{STANDINS}/fake_engine",
-        "--listen=0.0.0.0:9000",
+        "--listen=0.0.0.0:9700",
         "--model=parts:1",
         "--role=mixed",
     )
@@ -301,14 +301,18 @@
             urllib.request.urlopen(request, timeout=10).read()
         seconds = time.monotonic() - begin
         after = json.loads(get(f"http://{PLATFORM}/counts"))
+
+        def per_call(name):
+            return (after.get(name, 0) - before.get(name, 0)) / count
+
         report(
             "calls",
             count,
             {
                 "ms_per_call": 1000 * seconds / count,
                 "cpu_ms_per_call": 1000 * (usage(entry.pid)[0] - cpu) / count,
-                "commits_per_call": (after["commits"] - before["commits"]) / count,
-                "reads_per_call": (after["reads"] - before["reads"]) / count,
+                "commits_per_call": per_call("POST /v1/commit"),
+                "reads_per_call": per_call("POST /v1/read"),
             },
         )
     finally:
