base: refuse JSON of more than 64 levels; cut unknown field names in errors

A caller's body with 500,000 nested arrays in place of a string overflowed the stack of the daemon where the error message quotes the value. A refusal also repeated an unknown field name in full, twice, whatever its length.

--- a/cranberryhill/base/json.cc
+++ b/cranberryhill/base/json.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace cranberryhill {
@@ -17,9 +18,68 @@
   return text;
 }
 
+// Unknown field names are the input's text, so they are cut as values are.
+std::string CutName(const std::string& name) {
+  return name.size() <= kMaxQuotedValue
+             ? name
+             : name.substr(0, kMaxQuotedValue) + "...";
+}
+
+// @return The position after the comment that may start at `at`, else `at`.
+size_t SkipComment(std::string_view text, size_t at) {
+  std::string_view rest = text.substr(at);
+  bool line = rest.starts_with("//");
+  if (!line && !rest.starts_with("/*"))
+    return at;
+  std::string_view end_mark = line ? "\n" : "*/";
+  size_t end = text.find(end_mark, at + 2);
+  return end == std::string_view::npos ? text.size() : end + end_mark.size();
+}
+
+// @return The position after the string whose opening quote is at `at`.
+size_t SkipString(std::string_view text, size_t at) {
+  for (++at; at < text.size() && text[at] != '"'; ++at) {
+    if (text[at] == '\\')
+      ++at;
+  }
+  return at + 1;
+}
+
+// Brackets in strings and comments don't count. The result for text that is
+// not JSON has no meaning, as the parser refuses it.
+bool IsTooDeep(std::string_view text) {
+  size_t depth = 0;
+  size_t at = 0;
+  while ((at = text.find_first_of("[]{}\"/", at)) < text.size()) {
+    char c = text[at];
+    if (c == '"') {
+      at = SkipString(text, at);
+      continue;
+    }
+    if (c == '/') {
+      at = std::max(SkipComment(text, at), at + 1);
+      continue;
+    }
+    if (c == '[' || c == '{') {
+      if (++depth > kMaxJsonDepth)
+        return true;
+    } else if (depth > 0) {
+      --depth;
+    }
+    ++at;
+  }
+  return false;
+}
+
 }  // namespace
 
 Result<Json> ParseJson(std::string_view text, std::string_view what) {
+  if (IsTooDeep(text)) {
+    return MakeError(
+        ErrorCode::kInvalidArgument, what, "",
+        fmt::format("must have at most {} levels of arrays and objects",
+                    kMaxJsonDepth));
+  }
   try {
     return Json::parse(text, nullptr, true, true);
   } catch (const Json::parse_error& error) {
@@ -140,8 +200,9 @@
   BOOST_LEAF_CHECK(this->RequireObject());
   for (const auto& item : this->json.items()) {
     if (!this->known.contains(item.key())) {
-      return MakeError(ErrorCode::kInvalidArgument, this->PathOf(item.key()),
-                       Quote(item.value()), "is not a known field");
+      return MakeError(ErrorCode::kInvalidArgument,
+                       this->PathOf(CutName(item.key())), Quote(item.value()),
+                       "is not a known field");
     }
   }
   return {};
--- a/cranberryhill/base/json.h
+++ b/cranberryhill/base/json.h
@@ -9,6 +9,7 @@
 //   BOOST_LEAF_AUTO(port, reader.Int("port", {1, 65535}));
 //   BOOST_LEAF_CHECK(reader.RefuseUnknownFields());
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -22,10 +23,16 @@
 
 using Json = nlohmann::json;
 
+/// Arrays and objects within each other. The environment document has 5
+/// levels; 500,000 levels overflowed the stack where an error message quotes
+/// the value.
+inline constexpr size_t kMaxJsonDepth = 64;
+
 /// Parses JSON; // and /* */ comments are allowed.
 /// @param text The document.
 /// @param what Name of the document, used in errors.
-/// @return The parsed value, or kInvalidArgument with the byte offset.
+/// @return The parsed value, or kInvalidArgument with the byte offset or for
+/// more than kMaxJsonDepth levels.
 Result<Json> ParseJson(std::string_view text, std::string_view what);
 
 /// Inclusive bounds of an integer field.
--- a/cranberryhill/base/json_test.cc
+++ b/cranberryhill/base/json_test.cc
@@ -51,5 +51,37 @@
   BOOST_TEST(json.error().field == "body");
 }
 
+// Guards against a body of nested arrays that overflows the stack, and against
+// a depth limit that counts brackets in strings and comments.
+BOOST_AUTO_TEST_CASE(DeepNestingIsRefused) {
+  auto parses = [](const std::string& text) {
+    return Capture([&] { return ParseJson(text, "body"); }).ok();
+  };
+  auto nested = [](size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+  };
+  BOOST_TEST(parses(nested(kMaxJsonDepth)));
+  BOOST_TEST(!parses(nested(kMaxJsonDepth + 1)));
+  BOOST_TEST(!parses(R"({"model":)" + nested(500'000) + "}"));
+  BOOST_TEST(!parses(R"(["\"", /*"*/ "/*", //")"
+                     "\n" +
+                     nested(100) + "]"));
+  std::string brackets(100, '[');
+  BOOST_TEST(parses("[\"\\\"" + brackets + "\", \"\\\\\"] //" + brackets));
+  BOOST_TEST(parses("/*" + brackets + "*/ [1]"));
+}
+
+// Guards against a refusal as long as the field name that a caller chose.
+BOOST_AUTO_TEST_CASE(UnknownFieldNameIsCut) {
+  Json json = {{std::string(1000, 'x'), 1}};
+  ObjectReader reader(json, "");
+  auto checked = Capture([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(reader.RefuseUnknownFields());
+    return true;
+  });
+  BOOST_REQUIRE(!checked.ok());
+  BOOST_TEST(checked.error().field == std::string(80, 'x') + "...");
+}
+
 }  // namespace
 }  // namespace cranberryhill
