environment: compare addresses by their meaning, refuse null characters

An address with a null character was cut there by inet_pton() and accepted. Leading zeros of a port, long IPv6 forms and IPv4 addresses written as IPv6 let one engine be listed twice, which gives it two order rows.

--- a/cranberryhill/environment/endpoint.cc
+++ b/cranberryhill/environment/endpoint.cc
@@ -1,6 +1,7 @@
 #include "cranberryhill/environment/endpoint.h"
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 
 #include <array>
 #include <charconv>
@@ -8,13 +9,34 @@
 namespace cranberryhill {
 namespace {
 
-bool IsIpAddress(const std::string& ip, int family) {
-  std::array<unsigned char, sizeof(in6_addr)> buffer;
-  return inet_pton(family, ip.c_str(), buffer.data()) == 1;
+constexpr std::string_view kMappedPrefix = "::ffff:";
+
+// @return The canonical text of `ip`, or an empty string when it is not an
+// address of the family.
+std::string CanonicalIp(const std::string& ip, int family) {
+  // inet_pton() would take what stands before a null character.
+  if (ip.find('\0') != std::string::npos)
+    return "";
+  std::array<unsigned char, sizeof(in6_addr)> bytes;
+  std::array<char, INET6_ADDRSTRLEN> text;
+  if (inet_pton(family, ip.c_str(), bytes.data()) != 1 ||
+      inet_ntop(family, bytes.data(), text.data(), text.size()) == nullptr) {
+    return "";
+  }
+  std::string canonical = text.data();
+  bool mapped = canonical.starts_with(kMappedPrefix) &&
+                canonical.find('.') != std::string::npos;
+  return mapped ? canonical.substr(kMappedPrefix.size()) : canonical;
 }
 
 }  // namespace
 
+std::string EndpointText(const Endpoint& endpoint) {
+  bool ipv6 = endpoint.ip.find(':') != std::string::npos;
+  return ipv6 ? fmt::format("[{}]:{}", endpoint.ip, endpoint.port)
+              : fmt::format("{}:{}", endpoint.ip, endpoint.port);
+}
+
 Result<Endpoint> ParseEndpoint(std::string_view text, std::string_view field) {
   auto refuse = [&] {
     return MakeError(ErrorCode::kInvalidArgument, field, text,
@@ -30,12 +52,13 @@
   if (bracketed)
     ip = ip.substr(1, ip.size() - 2);
 
-  Endpoint endpoint{std::string(ip), 0};
+  Endpoint endpoint{
+      CanonicalIp(std::string(ip), bracketed ? AF_INET6 : AF_INET), 0};
   const char* end = port_text.data() + port_text.size();
   auto [parsed, error] =
       std::from_chars(port_text.data(), end, endpoint.port, 10);
   if (error != std::errc() || parsed != end || endpoint.port == 0 ||
-      !IsIpAddress(endpoint.ip, bracketed ? AF_INET6 : AF_INET)) {
+      endpoint.ip.empty()) {
     return refuse();
   }
   return endpoint;
--- a/cranberryhill/environment/endpoint.h
+++ b/cranberryhill/environment/endpoint.h
@@ -14,12 +14,17 @@
 namespace cranberryhill {
 
 struct Endpoint {
-  std::string ip;  ///< Without brackets.
+  std::string ip;  ///< Without brackets, in canonical form (RFC 5952).
   uint16_t port = 0;
 
   bool operator==(const Endpoint&) const = default;
 };
 
+/// @return "10.0.0.1:80" or "[::1]:80".
+std::string EndpointText(const Endpoint& endpoint);
+
+/// Two spellings of one address give equal endpoints: an IPv4 address that is
+/// written as an IPv6 one ("::ffff:10.0.0.1") becomes an IPv4 address.
 /// @param text The address; host names are not accepted.
 /// @param field Name of the field, used in errors.
 /// @return The endpoint, or kInvalidArgument.
--- a/cranberryhill/environment/environment_document.cc
+++ b/cranberryhill/environment/environment_document.cc
@@ -134,8 +134,10 @@
   BOOST_LEAF_ASSIGN(server.id, ReadName(item, "id"));
   BOOST_LEAF_CHECK(names.ids.Add(server.id, item.PathOf("id")));
   BOOST_LEAF_ASSIGN(server.address, item.String("address"));
-  BOOST_LEAF_CHECK(ParseEndpoint(server.address, item.PathOf("address")));
-  BOOST_LEAF_CHECK(names.addresses.Add(server.address, item.PathOf("address")));
+  BOOST_LEAF_AUTO(endpoint,
+                  ParseEndpoint(server.address, item.PathOf("address")));
+  BOOST_LEAF_CHECK(
+      names.addresses.Add(EndpointText(endpoint), item.PathOf("address")));
   BOOST_LEAF_ASSIGN(server.availability_zone,
                     ReadName(item, "availability_zone"));
   return {};
--- a/cranberryhill/environment/environment_document_test.cc
+++ b/cranberryhill/environment/environment_document_test.cc
@@ -39,6 +39,9 @@
       {"/roles/decode/max_share", 0.5, ""},  // All shares fit; see below.
       {"/engines/1/id", "e1", "engines[1].id"},
       {"/engines/1/address", "127.0.0.1:7001", "engines[1].address"},
+      // Other spellings of the address of engine 0.
+      {"/engines/1/address", "127.0.0.1:07001", "engines[1].address"},
+      {"/engines/1/address", "[::ffff:7f00:1]:7001", "engines[1].address"},
       {"/engines/1/address", "host:7001", "engines[1].address"},
       {"/engines/1/model", "none", "engines[1].model"},
       {"/engines/1/checks_fencing", "yes", "engines[1].checks_fencing"},
@@ -147,6 +150,8 @@
   for (const char* bad : {"", ":80", "1.2.3.4", "1.2.3.4:0", "1.2.3.4:65536",
                           "1.2.3.4:8x", "::1:80", "[1.2.3.4]:80", "1.2.3:80"})
     BOOST_TEST(!ok(bad), bad);
+  std::string_view null_character("1.2.3.4\0x:80", 12);
+  BOOST_TEST(!Capture([&] { return ParseEndpoint(null_character, "x"); }).ok());
 }
 
 }  // namespace
