peer: round rates to tenths instead of cutting them

A rate of 0.7/s was sent as 0.6/s, because 0.7F is less than 7 tenths. Rates beyond the range of uint64_t were converted with undefined behaviour.

--- a/cranberryhill/peer/peer_message.cc
+++ b/cranberryhill/peer/peer_message.cc
@@ -34,8 +34,10 @@
 };
 
 uint64_t ScaleRate(float rate) {
-  return std::min<uint64_t>(
-      kMaxRate, static_cast<uint64_t>(std::max(0.0, rate * kRateScale)));
+  // Rounded, because 0.7F is a little less than 7 tenths.
+  double tenths = std::max(0.0, rate * kRateScale);
+  return static_cast<uint64_t>(
+      std::llround(std::min(tenths, static_cast<double>(kMaxRate))));
 }
 
 std::string Pack(const PeerMessage& message,
--- a/cranberryhill/peer/peer_test.cc
+++ b/cranberryhill/peer/peer_test.cc
@@ -115,6 +115,18 @@
   BOOST_TEST((exchange.Accept(message) == PeerVerdict::kWrongEnvironment));
 }
 
+// Guards against rates that lose a tenth each time they are sent.
+BOOST_AUTO_TEST_CASE(RatesInTenthsAreKept) {
+  PeerMessage message;
+  message.environment = message.sender = message.availability_zone = "x";
+  message.usage = {{1, 0.7F, 1.3F}, {2, 1e30F, 0}};
+  std::string bytes = EncodePeerMessage(message);
+  auto decoded = Capture([&] { return DecodePeerMessage(bytes); });
+  BOOST_REQUIRE(decoded.ok());
+  BOOST_TEST((decoded.value().usage[0] == message.usage[0]));
+  BOOST_TEST(decoded.value().usage[1].requests_per_s == 1677721.5F);
+}
+
 // Guards against instances that no message ever reaches.
 RC_BOOST_PROP(EveryInstanceOfAZoneIsReachable, ()) {
   auto instances = Instances(*rc::gen::inRange(1, 4), *rc::gen::inRange(1, 40));
