routing: learn speeds without bias and judge slowness by the role's median

Durations were divided as integers, so the averages of the role planner never moved; the rate of a mixed engine falls with its streams, which a rising line could not follow; and samples of engines judged slow were left out, so that a wrong expectation was never corrected.

--- a/cranberryhill/cost/engine_speed.cc
+++ b/cranberryhill/cost/engine_speed.cc
@@ -15,6 +15,13 @@
 // Observations farther from the line are clamped, so that a slowed engine
 // does not change what counts as normal.
 constexpr double kMaxDeviation = 2.0;
+// Least part of the value at 0 that a falling line reaches.
+constexpr double kMinPart = 0.05;
+
+// Small prefills show the overhead and large ones the rate. A fit of the rate
+// to small ones took the step time for prefill time and was wrong four times.
+constexpr double kOverheadSampleTokens = 1000;
+constexpr double kPrefillSampleTokens = 2500;
 
 constexpr double kSlowdownWeight = 0.25;
 constexpr double kMaxSlowdown = 20;
@@ -23,12 +30,17 @@
 
 }  // namespace
 
-LinearFit::LinearFit(double intercept, double slope, double scale)
-    : intercept(intercept), slope(slope) {
+LinearFit::LinearFit(double intercept, double slope, double scale, int sign)
+    : intercept(intercept), slope(slope), sign(sign) {
   this->Add(1, this->At(1), kPriorWeight);
   this->Add(scale, this->At(scale), kPriorWeight);
 }
 
+double LinearFit::At(double x) const {
+  return std::max(kMinPart * this->intercept,
+                  this->intercept + this->slope * x);
+}
+
 void LinearFit::Add(double x, double y, double weight) {
   this->sum_w += weight;
   this->sum_x += weight * x;
@@ -42,7 +54,7 @@
   // Without spread in x the slope is undefined; the known one is kept.
   if (spread > 0.5 * this->sum_w * this->sum_w) {
     double covariance = this->sum_w * this->sum_xy - this->sum_x * this->sum_y;
-    this->slope = std::max(0.0, covariance / spread);
+    this->slope = this->sign * std::max(0.0, this->sign * covariance / spread);
   }
   double level = (this->sum_y - this->slope * this->sum_x) / this->sum_w;
   this->intercept = std::max(level, 1e-6);
@@ -59,18 +71,30 @@
 }
 
 SpeedModel::SpeedModel(SpeedPrior prior)
-    : prefill(1 / prior.prefill_tokens_per_s, 0, kTypicalStreams),
-      gap(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams) {}
-
-void SpeedModel::ObservePrefill(double tokens,
-                                double streams,
-                                absl::Duration elapsed) {
-  if (tokens > 0)
-    this->prefill.Observe(streams, absl::ToDoubleSeconds(elapsed) / tokens);
+    : prefill_rate(prior.prefill_tokens_per_s, 0, kTypicalStreams, -1),
+      overhead(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams),
+      gap(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams),
+      high_gap(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams) {}
+
+void SpeedModel::ObserveFirstToken(double tokens,
+                                   double streams,
+                                   absl::Duration elapsed) {
+  double seconds = absl::ToDoubleSeconds(elapsed);
+  if (tokens <= kOverheadSampleTokens)
+    this->overhead.Observe(
+        streams,
+        std::max(0.0, seconds - this->PrefillSeconds(tokens, streams)));
+  else if (tokens >= kPrefillSampleTokens)
+    this->prefill_rate.Observe(
+        streams,
+        tokens / std::max(1e-3, seconds - this->OverheadSeconds(streams)));
 }
 
-void SpeedModel::ObserveGap(double streams, absl::Duration gap) {
-  this->gap.Observe(streams, absl::ToDoubleSeconds(gap));
+void SpeedModel::ObserveGap(double streams,
+                            absl::Duration mean,
+                            absl::Duration longest) {
+  this->gap.Observe(streams, absl::ToDoubleSeconds(mean));
+  this->high_gap.Observe(streams, absl::ToDoubleSeconds(longest));
 }
 
 double SpeedModel::DecodeTokenSeconds(absl::Duration max_gap) const {
@@ -92,7 +116,7 @@
 double Slowdown::Factor(absl::Time now) const {
   if (this->log_ratio <= 0)
     return 1;
-  double silent = (now - this->last) / kForgetAfter;
+  double silent = absl::FDivDuration(now - this->last, kForgetAfter);
   return std::exp(this->log_ratio * std::clamp(2 - silent, 0.0, 1.0));
 }
 
--- a/cranberryhill/cost/engine_speed.h
+++ b/cranberryhill/cost/engine_speed.h
@@ -5,8 +5,8 @@
 // the engines of one kind, and a slowdown factor for each engine.
 //
 //   SpeedModel model;
-//   model.ObservePrefill(4000, 0, absl::Milliseconds(300));
-//   model.ObserveGap(24, absl::Milliseconds(18));
+//   model.ObserveFirstToken(4000, 0, absl::Milliseconds(300));
+//   model.ObserveGap(24, absl::Milliseconds(18), absl::Milliseconds(25));
 //   double seconds = model.PrefillSeconds(8000, 24);
 
 #include "absl/time/time.h"
@@ -25,12 +25,13 @@
 class LinearFit {
  public:
   /// @param scale Largest x that is expected; places the prior observations.
-  LinearFit(double intercept, double slope, double scale);
+  /// @param sign Sign of slopes that are accepted: 1 or -1.
+  LinearFit(double intercept, double slope, double scale, int sign = 1);
 
   void Observe(double x, double y);
 
-  /// @return The value at `x`; the slope used is never negative.
-  double At(double x) const { return this->intercept + this->slope * x; }
+  /// @return The value at `x`, at least a small part of the value at 0.
+  double At(double x) const;
 
  private:
   void Add(double x, double y, double weight);
@@ -43,10 +44,11 @@
   double sum_xy = 0;
   double intercept;
   double slope;
+  int sign;
 };
 
-/// Expected prefill time and gap between tokens, both as lines over the number
-/// of streams in decode. Not thread-safe.
+/// Expected time to the first token and gaps between tokens, as lines over the
+/// number of streams in decode. Not thread-safe.
 class SpeedModel {
  public:
   explicit SpeedModel(SpeedPrior prior = {});
@@ -54,27 +56,41 @@
   /// @param tokens Prefill tokens processed, those ahead in the queue included.
   /// @param streams Streams that the engine ran at the time.
   /// @param elapsed Time from sending to the first token.
-  void ObservePrefill(double tokens, double streams, absl::Duration elapsed);
+  void ObserveFirstToken(double tokens, double streams, absl::Duration elapsed);
 
   /// @param streams Streams that the engine ran at the time.
-  /// @param gap Mean gap between tokens of one stream.
-  void ObserveGap(double streams, absl::Duration gap);
+  /// @param mean Mean gap of some consecutive tokens of one stream.
+  /// @param longest Longest of these gaps.
+  void ObserveGap(double streams, absl::Duration mean, absl::Duration longest);
 
-  /// @return Seconds to prefill `tokens` on an engine of normal speed.
+  /// @return Seconds that the engine needs to prefill `tokens`.
   double PrefillSeconds(double tokens, double streams) const {
-    return tokens * this->prefill.At(streams);
+    return tokens / this->prefill_rate.At(streams);
   }
 
-  /// @return Seconds between tokens with `streams` streams running.
+  /// @return Seconds to the first token in addition to PrefillSeconds(): the
+  ///     rest of the running step and fixed times.
+  double OverheadSeconds(double streams) const {
+    return this->overhead.At(streams);
+  }
+
+  /// @return Mean seconds between tokens with `streams` streams running.
   double GapSeconds(double streams) const { return this->gap.At(streams); }
 
+  /// @return Seconds that about 95 in 100 gaps do not exceed.
+  double HighGapSeconds(double streams) const {
+    return this->high_gap.At(streams);
+  }
+
   /// @return Seconds of engine time per output token, with as many streams
   ///     running as `max_gap` permits.
   double DecodeTokenSeconds(absl::Duration max_gap) const;
 
  private:
-  LinearFit prefill;  // Seconds per token.
+  LinearFit prefill_rate;  // Tokens per second.
+  LinearFit overhead;
   LinearFit gap;
+  LinearFit high_gap;
 };
 
 /// Ratio of one engine's times to the times expected of a normal engine.
--- a/cranberryhill/cost/load_tracker.cc
+++ b/cranberryhill/cost/load_tracker.cc
@@ -24,10 +24,22 @@
                          bool low_priority) {
   this->sent.push_back({request, now, work.prefill_tokens, low_priority});
   this->sent_prefill += work.prefill_tokens;
+  if (!low_priority) {
+    if (this->own_waiting <= 0)
+      this->progress = now;
+    this->own_waiting += work.prefill_tokens;
+  }
   ++this->outstanding;
 }
 
-void LoadTracker::OnPrefillDone(uint64_t request) {
+void LoadTracker::OnPrefillDone(uint64_t request,
+                                absl::Time now,
+                                const Work& work,
+                                bool low_priority) {
+  if (!low_priority) {
+    this->own_waiting = std::max(0.0, this->own_waiting - work.prefill_tokens);
+    this->progress = now;
+  }
   for (Sent& entry : this->sent) {
     if (entry.request == request) {
       this->sent_prefill -= entry.prefill_tokens;
@@ -66,13 +78,20 @@
     (entry.low_priority ? low : high) += entry.prefill_tokens;
   }
   serve(now);
+  // Own requests without a first token are certainly still there.
+  if (this->own_waiting > 0) {
+    double seconds = absl::ToDoubleSeconds(now - this->progress);
+    high = std::max(high, this->own_waiting - prefill_tokens_per_s * seconds);
+  }
+  return {.prefill_tokens = high + low, .low_priority_tokens = low};
+}
+
+double LoadTracker::Streams() const {
   double streams = static_cast<double>(this->report.running) +
                    this->report.queued +
                    static_cast<double>(this->sent.size()) -
                    static_cast<double>(this->left.size());
-  return {.prefill_tokens = high + low,
-          .low_priority_tokens = low,
-          .streams = std::max<double>(streams, this->outstanding)};
+  return std::max<double>(streams, this->outstanding);
 }
 
 }  // namespace cranberryhill
--- a/cranberryhill/cost/load_tracker.h
+++ b/cranberryhill/cost/load_tracker.h
@@ -31,7 +31,6 @@
 struct EngineLoad {
   double prefill_tokens = 0;       ///< Waiting for prefill, long work included.
   double low_priority_tokens = 0;  ///< Part that is long work.
-  double streams = 0;              ///< Streams in decode or about to be.
 };
 
 /// Not thread-safe.
@@ -48,7 +47,11 @@
               bool low_priority = false);
 
   /// Records that the prefill of a request sent to this engine has ended.
-  void OnPrefillDone(uint64_t request);
+  /// @param work As given to OnSent().
+  void OnPrefillDone(uint64_t request,
+                     absl::Time now,
+                     const Work& work,
+                     bool low_priority = false);
 
   /// Records that a request left the engine.
   void OnGone(absl::Time now);
@@ -60,6 +63,9 @@
                       double prefill_tokens_per_s,
                       double peer_tokens_per_s = 0) const;
 
+  /// @return Streams in decode or about to be.
+  double Streams() const;
+
   /// @return Prefill tokens that this instance sent since the last report.
   double SentSinceReport() const { return this->sent_prefill; }
 
@@ -81,6 +87,8 @@
   std::vector<Sent> sent;        // Since the report, oldest first.
   std::vector<absl::Time> left;  // Ends of requests since the report.
   double sent_prefill = 0;
+  double own_waiting = 0;  // Prefill tokens of own requests, high priority.
+  absl::Time progress = absl::InfinitePast();  // Of an own prefill.
   uint32_t outstanding = 0;
 };
 
--- a/cranberryhill/roles/role_planner.cc
+++ b/cranberryhill/roles/role_planner.cc
@@ -60,7 +60,7 @@
   if (seconds <= 0)
     return;
   auto update = [&](Average& average, absl::Duration time_constant) {
-    double weight = 1 - std::exp(-(elapsed / time_constant));
+    double weight = 1 - std::exp(-absl::FDivDuration(elapsed, time_constant));
     if (average.prefill + average.decode == 0)
       weight = 1;
     average.prefill += weight * (prefill_s / seconds - average.prefill);
--- a/cranberryhill/roles/role_planner.h
+++ b/cranberryhill/roles/role_planner.h
@@ -39,8 +39,8 @@
   /// The gain has to exceed the cost by this factor.
   double gain_margin = 1.5;
   /// Time constants of the two mix estimates. A change needs both to agree.
-  absl::Duration fast_average = absl::Seconds(4);
-  absl::Duration slow_average = absl::Seconds(20);
+  absl::Duration fast_average = absl::Seconds(3);
+  absl::Duration slow_average = absl::Seconds(8);
   /// Expected duration of a mix before anything was learned.
   absl::Duration initial_duration = absl::Seconds(60);
   /// False: every plan follows the momentary mix (for comparison only).
--- a/cranberryhill/routing/router.cc
+++ b/cranberryhill/routing/router.cc
@@ -17,19 +17,19 @@
 // delay it on normal engines too.
 constexpr double kFirstTokenSlackS = 0.15;
 // Tokens of a stream that give one measurement of the gap.
-constexpr uint32_t kTokensPerGapSample = 8;
-// Prefills below this size are dominated by the step time.
-constexpr double kMinPrefillSample = 500;
+constexpr uint32_t kTokensPerGapSample = 16;
 // Added to the finish time of short work on an engine that runs long work.
 constexpr double kLongNeighbourPenaltyS = 0.25;
 // Part of the engines that may be reserved for long work.
 constexpr double kMaxLongShare = 0.5;
-// The 95th percentile of the gaps has to meet the limit; the estimate is a
-// mean, which lies a little lower.
-constexpr double kGapMargin = 0.93;
+// Kept free below the limit of the gaps, because estimates err.
+constexpr double kGapMargin = 0.95;
 // A decode engine is replaced at the end of the prefill only by one with a
 // gap this much smaller.
 constexpr double kClearlyBetter = 0.8;
+// Gaps that differ by less than this, about three streams, are taken as equal.
+constexpr double kEqualGapS = 0.001;
+constexpr absl::Duration kSlowdownInterval = absl::Milliseconds(200);
 constexpr double kRateSeconds = 2;
 // Share of long work is learned over about this many requests.
 constexpr double kLongShareWeight = 0.01;
@@ -68,6 +68,8 @@
     bool alone = false;
     bool has_first_token = false;
     absl::Time mark;  // Start of the present gap sample.
+    absl::Time last_token{};
+    absl::Duration longest_gap{};
     uint32_t tokens = 0;
   };
 
@@ -83,6 +85,13 @@
     bool in_time = false;
   };
 
+  // What an engine offers to a stream.
+  struct DecodeOffer {
+    uint32_t engine = 0;
+    double gap = 0;       // Mean seconds between tokens.
+    double high_gap = 0;  // Not exceeded by 95 in 100 gaps.
+  };
+
   // Properties of a request that all candidates share.
   struct Query {
     const RouteRequest& request;
@@ -102,13 +111,38 @@
                SpeedModel(this->options.speed)},
         rate_time(clock.Now()) {}
 
+  // Slowdown relative to the engines of the same role: what slows all of them
+  // is load, or an error of the estimates.
   double SlowFactor(const Engine& engine, absl::Time now) const {
     if (!this->options.detect_slow)
       return 1;
-    double factor = engine.slowdown.Factor(now);
+    double factor = engine.slowdown.Factor(now) /
+                    this->usual_slowdown[RoleIndex(engine.role)];
     return factor < kSlowThreshold ? 1 : factor;
   }
 
+  void UpdateUsualSlowdown(EngineRole role, absl::Time now) {
+    std::vector<double>& factors = this->factor_scratch;
+    factors.clear();
+    for (const Engine& engine : this->engines) {
+      if (engine.role == role && engine.usable)
+        factors.push_back(engine.slowdown.Factor(now));
+    }
+    if (factors.empty())
+      return;
+    auto middle =
+        factors.begin() + static_cast<std::ptrdiff_t>(factors.size() / 2);
+    std::nth_element(factors.begin(), middle, factors.end());
+    this->usual_slowdown[RoleIndex(role)] = *middle;
+  }
+
+  EngineLoad LoadOf(const Engine& engine, absl::Time now) const {
+    double rate =
+        1 / (this->ModelOf(engine).PrefillSeconds(1, this->StreamsOf(engine)) *
+             this->SlowFactor(engine, now));
+    return engine.tracker.Estimate(now, rate, this->PeerRate(now));
+  }
+
   const SpeedModel& ModelOf(const Engine& engine) const {
     return this->models[RoleIndex(engine.role)];
   }
@@ -132,19 +166,26 @@
   }
 
   bool IsIdle(const Engine& engine, const Query& query) const {
-    EngineLoad load = engine.tracker.Estimate(query.now, 1e9, 0);
-    return load.streams < 0.5 && engine.expected_streams == 0;
+    EngineLoad load = engine.tracker.Estimate(query.now, 1e-9, 0);
+    return this->StreamsOf(engine) < 0.5 && load.prefill_tokens < 0.5;
+  }
+
+  static double StreamsOf(const Engine& engine) {
+    return engine.tracker.Streams() + engine.expected_streams;
   }
 
-  double StreamsOf(const Engine& engine, const EngineLoad& load) const {
-    return load.streams + engine.expected_streams;
+  // Gaps between tokens if one more stream ran on the engine.
+  DecodeOffer OfferOf(uint32_t index, absl::Time now) const {
+    const Engine& engine = this->engines[index];
+    return this->OfferWith(index, this->StreamsOf(engine) + 1,
+                           this->SlowFactor(engine, now));
   }
 
-  // Gap between tokens if one more stream ran on the engine.
-  double GapOn(const Engine& engine, absl::Time now) const {
-    EngineLoad load = engine.tracker.Estimate(now, 1e9, 0);
-    return this->ModelOf(engine).GapSeconds(this->StreamsOf(engine, load) + 1) *
-           this->SlowFactor(engine, now);
+  DecodeOffer OfferWith(uint32_t index, double streams, double slow) const {
+    const SpeedModel& model = this->ModelOf(this->engines[index]);
+    return {.engine = index,
+            .gap = model.GapSeconds(streams) * slow,
+            .high_gap = model.HighGapSeconds(streams) * slow};
   }
 
   bool TakesWork(const Engine& engine) const {
@@ -152,45 +193,42 @@
   }
 
   // Chooses among the decode engines, at random among the near-best.
-  std::optional<std::pair<uint32_t, double>>
-  BestDecode(const RouteRequest& request, absl::Time now, bool other_zones) {
-    this->decode_gaps.clear();
+  std::optional<DecodeOffer> BestDecode(const RouteRequest& request,
+                                        absl::Time now,
+                                        bool other_zones) {
+    this->decode_offers.clear();
     double best = std::numeric_limits<double>::infinity();
     for (uint32_t i = 0; i < this->engines.size(); ++i) {
       const Engine& engine = this->engines[i];
       if (!this->TakesWork(engine) || engine.role == EngineRole::kPrefill ||
           engine.own_zone == other_zones || this->IsExcluded(request, i))
         continue;
-      double gap = this->GapOn(engine, now);
-      best = std::min(best, gap);
-      this->decode_gaps.emplace_back(i, gap);
+      this->decode_offers.push_back(this->OfferOf(i, now));
+      best = std::min(best, this->decode_offers.back().high_gap);
     }
-    if (this->decode_gaps.empty())
+    if (this->decode_offers.empty())
       return std::nullopt;
     double limit = best * this->options.near_best + 1e-9;
     uint32_t near = 0;
-    std::pair<uint32_t, double> chosen;
-    for (const auto& entry : this->decode_gaps) {
-      if (entry.second <= limit && this->random.UniformInt(0, near++) == 0)
-        chosen = entry;
+    DecodeOffer chosen;
+    for (const DecodeOffer& offer : this->decode_offers) {
+      if (offer.high_gap <= limit && this->random.UniformInt(0, near++) == 0)
+        chosen = offer;
     }
     return chosen;
   }
 
-  Candidate Rate(
-      uint32_t index,
-      const Query& query,
-      const std::optional<std::pair<uint32_t, double>>& decode) const {
+  Candidate Rate(uint32_t index,
+                 const Query& query,
+                 const std::optional<DecodeOffer>& decode) const {
     const Engine& engine = this->engines[index];
     const SpeedModel& model = this->ModelOf(engine);
     double slow = this->SlowFactor(engine, query.now);
-    double streams_known = engine.tracker.Outstanding();
-    double seconds_per_token = model.PrefillSeconds(1, streams_known) * slow;
-    EngineLoad load =
-        engine.tracker.Estimate(query.now, 1 / seconds_per_token,
-                                engine.own_zone ? query.peer_rate : 0);
-    double streams = this->StreamsOf(engine, load);
-    seconds_per_token = model.PrefillSeconds(1, streams) * slow;
+    double streams = this->StreamsOf(engine);
+    double seconds_per_token = model.PrefillSeconds(1, streams) * slow;
+    // Other zones are assumed to be as busy as the own one.
+    EngineLoad load = engine.tracker.Estimate(query.now, 1 / seconds_per_token,
+                                              query.peer_rate);
     double ahead = query.long_work
                        ? load.prefill_tokens
                        : load.prefill_tokens - load.low_priority_tokens;
@@ -207,11 +245,11 @@
     if (!engine.own_zone) {
       candidate.first += 2 * absl::ToDoubleSeconds(this->options.zone_latency);
     }
-    candidate.gap = model.GapSeconds(streams + 1) * slow;
-    if (engine.role == EngineRole::kPrefill && !query.request.alone) {
-      candidate.gap = decode->second;
-      candidate.decode_engine = decode->first;
-    }
+    DecodeOffer offer = this->OfferWith(index, streams + 1, slow);
+    if (engine.role == EngineRole::kPrefill && !query.request.alone)
+      offer = *decode;
+    candidate.decode_engine = offer.engine;
+    candidate.gap = offer.gap;
     candidate.finish = candidate.first + work.decode_tokens * candidate.gap;
     candidate.score = candidate.finish;
     if (!query.long_work && load.low_priority_tokens > 0)
@@ -221,7 +259,7 @@
         candidate.wait <= absl::ToDoubleSeconds(this->options.max_backlog);
     candidate.in_time = candidate.first <= query.slack &&
                         (query.long_work || short_backlog) &&
-                        candidate.gap <= max_gap;
+                        offer.high_gap <= max_gap;
     return candidate;
   }
 
@@ -298,7 +336,7 @@
   }
 
   // Random choice among the candidates near the best, weighted by score.
-  const Candidate& Pick() {
+  const Candidate& Pick(double decode_tokens) {
     bool any_in_time =
         std::any_of(this->candidates.begin(), this->candidates.end(),
                     [](const Candidate& c) { return c.in_time; });
@@ -308,8 +346,9 @@
           (best == nullptr || candidate.score < best->score))
         best = &candidate;
     }
-    double range = best->score * (this->options.near_best - 1) +
-                   absl::ToDoubleSeconds(this->options.near_best_floor);
+    double range = best->first * (this->options.near_best - 1) +
+                   absl::ToDoubleSeconds(this->options.near_best_floor) +
+                   decode_tokens * kEqualGapS;
     double total = 0;
     const Candidate* chosen = best;
     for (const Candidate& candidate : this->candidates) {
@@ -345,7 +384,7 @@
       this->Collect(query, true);
     if (this->candidates.empty())
       return std::nullopt;
-    const Candidate& chosen = this->Pick();
+    const Candidate& chosen = this->Pick(request.output.mean);
     return RouteDecision{.engine = chosen.engine,
                          .decode_engine = chosen.decode_engine,
                          .cached_blocks = chosen.cached,
@@ -368,8 +407,7 @@
     Engine& engine = this->engines[decision.engine];
     Work work =
         WorkOf(request.prompt_tokens, decision.cached_blocks, request.output);
-    double token_seconds = this->ModelOf(engine).PrefillSeconds(1, 0);
-    EngineLoad load = engine.tracker.Estimate(now, 1 / token_seconds, 0);
+    EngineLoad load = this->LoadOf(engine, now);
     double ahead = load.prefill_tokens;
     if (!decision.low_priority)
       ahead -= load.low_priority_tokens;
@@ -377,7 +415,7 @@
                   .decode_engine = decision.decode_engine,
                   .sent = now,
                   .tokens_ahead = ahead,
-                  .streams = this->StreamsOf(engine, load),
+                  .streams = this->StreamsOf(engine),
                   .prefill_tokens = work.prefill_tokens,
                   .low_priority = decision.low_priority,
                   .alone = request.alone,
@@ -415,17 +453,19 @@
     Engine& planned = this->engines[state.decode_engine];
     bool keep =
         this->TakesWork(planned) && planned.role != EngineRole::kPrefill &&
-        (!best || best->second > kClearlyBetter * this->GapOn(planned, now));
+        (!best ||
+         best->high_gap >
+             kClearlyBetter * this->OfferOf(state.decode_engine, now).high_gap);
     if (keep)
       return state.decode_engine;
     if (!best)
       return std::nullopt;
     if (!state.has_first_token) {
       --planned.expected_streams;
-      ++this->engines[best->first].expected_streams;
+      ++this->engines[best->engine].expected_streams;
     }
-    state.decode_engine = best->first;
-    return best->first;
+    state.decode_engine = best->engine;
+    return best->engine;
   }
 
   void StopWaiting(Active& state, uint64_t id) {
@@ -440,7 +480,8 @@
     absl::Time now = this->clock.Now();
     Engine& engine = this->engines[state.engine];
     this->StopWaiting(state, id);
-    engine.tracker.OnPrefillDone(id);
+    engine.tracker.OnPrefillDone(
+        id, now, {.prefill_tokens = state.prefill_tokens}, state.low_priority);
     this->LearnPrefill(engine, state, now);
     if (state.decode_engine != state.engine) {
       engine.tracker.OnGone(now);
@@ -449,7 +490,13 @@
       decode.tracker.OnSent(id, now, {});
     }
     state.has_first_token = true;
+    this->StartSample(state, now);
+  }
+
+  static void StartSample(Active& state, absl::Time now) {
     state.mark = now;
+    state.last_token = now;
+    state.longest_gap = absl::ZeroDuration();
     state.tokens = 0;
   }
 
@@ -460,8 +507,7 @@
     if (!state.low_priority)
       this->Judge(engine, elapsed, model.PrefillSeconds(tokens, state.streams),
                   now);
-    if (tokens >= kMinPrefillSample && this->SlowFactor(engine, now) == 1)
-      model.ObservePrefill(tokens, state.streams, elapsed);
+    model.ObserveFirstToken(tokens, state.streams, elapsed);
   }
 
   void Judge(Engine& engine,
@@ -477,20 +523,21 @@
     if (found == this->active.end() || !found->second.has_first_token)
       return;
     Active& state = found->second;
+    absl::Time now = this->clock.Now();
     state.tokens += count;
+    state.longest_gap =
+        std::max(state.longest_gap, (now - state.last_token) / count);
+    state.last_token = now;
     if (state.tokens < kTokensPerGapSample)
       return;
-    absl::Time now = this->clock.Now();
     Engine& engine = this->engines[state.decode_engine];
     absl::Duration gap = (now - state.mark) / state.tokens;
-    EngineLoad load = engine.tracker.Estimate(now, 1e9, 0);
+    double streams = engine.tracker.Streams();
     SpeedModel& model = this->models[RoleIndex(engine.role)];
     engine.slowdown.Observe(
-        absl::ToDoubleSeconds(gap) / model.GapSeconds(load.streams), now);
-    if (this->SlowFactor(engine, now) == 1)
-      model.ObserveGap(load.streams, gap);
-    state.mark = now;
-    state.tokens = 0;
+        absl::ToDoubleSeconds(gap) / model.GapSeconds(streams), now);
+    model.ObserveGap(streams, gap, state.longest_gap);
+    this->StartSample(state, now);
   }
 
   void OnFinished(uint64_t id, AttemptEnd) {
@@ -503,7 +550,9 @@
     this->StopWaiting(state, id);
     engine.alone -= state.alone;
     if (!state.has_first_token) {
-      engine.tracker.OnPrefillDone(id);
+      engine.tracker.OnPrefillDone(id, now,
+                                   {.prefill_tokens = state.prefill_tokens},
+                                   state.low_priority);
       engine.tracker.OnGone(now);
       if (state.decode_engine != state.engine)
         --this->engines[state.decode_engine].expected_streams;
@@ -516,6 +565,12 @@
   // Judges requests that are overdue without waiting for their first token;
   // a slowed engine would otherwise go unnoticed for that long.
   void JudgeOverdue(Engine& engine, absl::Time now) {
+    if (now - this->slowdown_time >= kSlowdownInterval) {
+      this->slowdown_time = now;
+      for (EngineRole role :
+           {EngineRole::kPrefill, EngineRole::kDecode, EngineRole::kMixed})
+        this->UpdateUsualSlowdown(role, now);
+    }
     const SpeedModel& model = this->ModelOf(engine);
     for (uint64_t id : engine.waiting) {
       const Active& state = this->active.at(id);
@@ -547,11 +602,12 @@
     const SpeedModel& prefill = this->models[RoleIndex(EngineRole::kPrefill)];
     const SpeedModel& decode = this->models[RoleIndex(EngineRole::kDecode)];
     double seconds = prefill.PrefillSeconds(work.prefill_tokens, 0);
-    return {.prefill = absl::Seconds(seconds),
-            .decode =
-                absl::Seconds(work.decode_tokens *
-                              decode.DecodeTokenSeconds(this->options.max_gap)),
-            .min_first_token = absl::Seconds(seconds)};
+    return {
+        .prefill = absl::Seconds(seconds),
+        .decode =
+            absl::Seconds(work.decode_tokens *
+                          decode.DecodeTokenSeconds(this->options.max_gap)),
+        .min_first_token = absl::Seconds(seconds + prefill.OverheadSeconds(0))};
   }
 
   const Clock& clock;
@@ -568,11 +624,14 @@
   double work_seen = 0;
   double long_seen = 0;
   double long_share = 0;
+  std::array<double, 3> usual_slowdown{1, 1, 1};  // Median for each role.
+  absl::Time slowdown_time = absl::InfinitePast();
+  std::vector<double> factor_scratch;
   std::vector<std::string> zones;
   std::vector<uint64_t> reserved_ranks;  // Highest reserved rank per zone.
   std::vector<uint64_t> rank_scratch;
-  std::vector<Candidate> candidates;                     // Scratch.
-  std::vector<std::pair<uint32_t, double>> decode_gaps;  // Scratch.
+  std::vector<Candidate> candidates;       // Scratch.
+  std::vector<DecodeOffer> decode_offers;  // Scratch.
 };
 
 Router::Router(const Clock& clock, Random& random, RouterOptions options)
--- a/cranberryhill/routing/router.h
+++ b/cranberryhill/routing/router.h
@@ -42,8 +42,10 @@
   uint32_t entry_instances = 1;  ///< Instances that use the same engines.
   absl::Duration zone_latency = absl::Milliseconds(0.5);  ///< One way.
   absl::Duration max_gap = absl::Milliseconds(66);        ///< Between tokens.
-  /// Candidates within best * near_best + near_best_floor take part in the
-  /// random choice.
+  /// Candidates whose finish time exceeds the best by at most near_best_floor,
+  /// the part near_best - 1 of the best's first token and differences of gaps
+  /// that are below the precision of the estimates take part in the random
+  /// choice.
   double near_best = 1.05;
   absl::Duration near_best_floor = absl::Milliseconds(20);
   /// A cached prefix counts only while its engine's waiting prefill is at most
--- a/programs/bench/simulation.cc
+++ b/programs/bench/simulation.cc
@@ -31,7 +31,7 @@
 constexpr double kIdleConfirmS = 3;  // Design page, section 6.
 constexpr double kDrainLimitS = 30;
 constexpr double kRoleOrderS = 4;  // The engine is unavailable.
-constexpr uint32_t kTokensPerNotice = 8;
+constexpr uint32_t kTokensPerNotice = 1;
 
 enum class EventKind : uint8_t {
   kArrival,
@@ -602,6 +602,15 @@
 
 void Simulation::HandlePlan() {
   this->Schedule(kPlanIntervalS, EventKind::kPlan);
+  if (getenv("DBG")) {
+    fmt::print(stderr, "{:5.1f}", this->now);
+    for (auto& e : this->engines)
+      fmt::print(stderr, " {}{}{}/{}/{:.0f}k",
+                 RoleName(e.engine->role).substr(0, 1), e.changing ? "*" : "",
+                 e.engine->Running(), e.engine->Queued(),
+                 e.engine->WaitingPrefill() / 1000);
+    fmt::print(stderr, " f={:.2f}\n", this->planners[0]->PrefillFraction());
+  }
   uint32_t zones = this->scenario.zones;
   for (uint32_t zone = 0; zone < zones; ++zone) {
     ObservedWork observed;
