--- a/cranberryhill/cost/engine_speed.cc
+++ b/cranberryhill/cost/engine_speed.cc
@@ -15,13 +15,14 @@
 // Observations farther from the line are clamped, so that a slowed engine
 // does not change what counts as normal.
 constexpr double kMaxDeviation = 2.0;
-// Least part of the value at 0 that a falling line reaches.
-constexpr double kMinPart = 0.05;
 
-// Small prefills show the overhead and large ones the rate. A fit of the rate
-// to small ones took the step time for prefill time and was wrong four times.
-constexpr double kOverheadSampleTokens = 1000;
-constexpr double kPrefillSampleTokens = 2500;
+// Streams per range of the prefill rates, and the decay per observation.
+constexpr double kStreamsPerRange = 16;
+constexpr double kPrefillDecay = 0.97;
+// Tokens that the prior counts for in each range.
+constexpr double kPriorTokens = 8000;
+// Prefills below this size show the step time instead of the rate.
+constexpr double kMinPrefillTokens = 200;
 
 constexpr double kSlowdownWeight = 0.25;
 constexpr double kMaxSlowdown = 20;
@@ -30,17 +31,12 @@
 
 }  // namespace
 
-LinearFit::LinearFit(double intercept, double slope, double scale, int sign)
-    : intercept(intercept), slope(slope), sign(sign) {
+LinearFit::LinearFit(double intercept, double slope, double scale)
+    : intercept(intercept), slope(slope) {
   this->Add(1, this->At(1), kPriorWeight);
   this->Add(scale, this->At(scale), kPriorWeight);
 }
 
-double LinearFit::At(double x) const {
-  return std::max(kMinPart * this->intercept,
-                  this->intercept + this->slope * x);
-}
-
 void LinearFit::Add(double x, double y, double weight) {
   this->sum_w += weight;
   this->sum_x += weight * x;
@@ -54,7 +50,7 @@
   // Without spread in x the slope is undefined; the known one is kept.
   if (spread > 0.5 * this->sum_w * this->sum_w) {
     double covariance = this->sum_w * this->sum_xy - this->sum_x * this->sum_y;
-    this->slope = this->sign * std::max(0.0, this->sign * covariance / spread);
+    this->slope = std::max(0.0, covariance / spread);
   }
   double level = (this->sum_y - this->slope * this->sum_x) / this->sum_w;
   this->intercept = std::max(level, 1e-6);
@@ -70,24 +66,49 @@
   this->Solve();
 }
 
+PrefillRates::PrefillRates(double seconds_per_token) {
+  this->sums.fill({kPriorTokens, kPriorTokens * seconds_per_token});
+  this->seconds_per_token.fill(seconds_per_token);
+}
+
+void PrefillRates::Observe(double streams, double tokens, double seconds) {
+  auto range =
+      std::min(kRanges - 1, static_cast<size_t>(streams / kStreamsPerRange));
+  Sums& sum = this->sums[range];
+  double expected = tokens * this->seconds_per_token[range];
+  seconds =
+      std::clamp(seconds, expected / kMaxDeviation, expected * kMaxDeviation);
+  sum.tokens = sum.tokens * kPrefillDecay + tokens;
+  sum.seconds = sum.seconds * kPrefillDecay + seconds;
+  double least = 0;
+  for (size_t i = 0; i < kRanges; ++i) {
+    least = std::max(least, this->sums[i].seconds / this->sums[i].tokens);
+    this->seconds_per_token[i] = least;
+  }
+}
+
+double PrefillRates::At(double streams) const {
+  double position = std::max(0.0, streams / kStreamsPerRange - 0.5);
+  auto range = std::min(kRanges - 1, static_cast<size_t>(position));
+  auto next = std::min(kRanges - 1, range + 1);
+  double part = std::min(1.0, position - static_cast<double>(range));
+  return this->seconds_per_token[range] * (1 - part) +
+         this->seconds_per_token[next] * part;
+}
+
 SpeedModel::SpeedModel(SpeedPrior prior)
-    : prefill_rate(prior.prefill_tokens_per_s, 0, kTypicalStreams, -1),
-      overhead(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams),
+    : prefill(1 / prior.prefill_tokens_per_s),
       gap(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams),
       high_gap(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams) {}
 
 void SpeedModel::ObserveFirstToken(double tokens,
                                    double streams,
                                    absl::Duration elapsed) {
-  double seconds = absl::ToDoubleSeconds(elapsed);
-  if (tokens <= kOverheadSampleTokens)
-    this->overhead.Observe(
-        streams,
-        std::max(0.0, seconds - this->PrefillSeconds(tokens, streams)));
-  else if (tokens >= kPrefillSampleTokens)
-    this->prefill_rate.Observe(
-        streams,
-        tokens / std::max(1e-3, seconds - this->OverheadSeconds(streams)));
+  if (tokens < kMinPrefillTokens)
+    return;
+  double seconds =
+      absl::ToDoubleSeconds(elapsed) - this->OverheadSeconds(streams);
+  this->prefill.Observe(streams, tokens, std::max(0.0, seconds));
 }
 
 void SpeedModel::ObserveGap(double streams,
--- a/cranberryhill/cost/engine_speed.h
+++ b/cranberryhill/cost/engine_speed.h
@@ -9,6 +9,9 @@
 //   model.ObserveGap(24, absl::Milliseconds(18), absl::Milliseconds(25));
 //   double seconds = model.PrefillSeconds(8000, 24);
 
+#include <array>
+#include <cstddef>
+
 #include "absl/time/time.h"
 
 namespace cranberryhill {
@@ -25,13 +28,12 @@
 class LinearFit {
  public:
   /// @param scale Largest x that is expected; places the prior observations.
-  /// @param sign Sign of slopes that are accepted: 1 or -1.
-  LinearFit(double intercept, double slope, double scale, int sign = 1);
+  LinearFit(double intercept, double slope, double scale);
 
   void Observe(double x, double y);
 
-  /// @return The value at `x`, at least a small part of the value at 0.
-  double At(double x) const;
+  /// @return The value at `x`; the slope used is never negative.
+  double At(double x) const { return this->intercept + this->slope * x; }
 
  private:
   void Add(double x, double y, double weight);
@@ -44,7 +46,29 @@
   double sum_xy = 0;
   double intercept;
   double slope;
-  int sign;
+};
+
+/// Seconds per prefill token in ranges of the number of streams. A ratio of
+/// sums, because a mean of rates would be governed by the few samples that were
+/// fast by accident. Not thread-safe.
+class PrefillRates {
+ public:
+  explicit PrefillRates(double seconds_per_token);
+
+  void Observe(double streams, double tokens, double seconds);
+
+  /// @return Seconds per token, never less than with fewer streams.
+  double At(double streams) const;
+
+ private:
+  static constexpr size_t kRanges = 16;
+  struct Sums {
+    double tokens = 0;
+    double seconds = 0;
+  };
+
+  std::array<Sums, kRanges> sums;
+  std::array<double, kRanges> seconds_per_token;  // Not falling.
 };
 
 /// Expected time to the first token and gaps between tokens, as lines over the
@@ -65,13 +89,13 @@
 
   /// @return Seconds that the engine needs to prefill `tokens`.
   double PrefillSeconds(double tokens, double streams) const {
-    return tokens / this->prefill_rate.At(streams);
+    return tokens * this->prefill.At(streams);
   }
 
   /// @return Seconds to the first token in addition to PrefillSeconds(): the
-  ///     rest of the running step and fixed times.
+  ///     rest of the running step.
   double OverheadSeconds(double streams) const {
-    return this->overhead.At(streams);
+    return this->GapSeconds(streams);
   }
 
   /// @return Mean seconds between tokens with `streams` streams running.
@@ -87,8 +111,7 @@
   double DecodeTokenSeconds(absl::Duration max_gap) const;
 
  private:
-  LinearFit prefill_rate;  // Tokens per second.
-  LinearFit overhead;
+  PrefillRates prefill;
   LinearFit gap;
   LinearFit high_gap;
 };
--- a/cranberryhill/routing/router.cc
+++ b/cranberryhill/routing/router.cc
@@ -48,6 +48,7 @@
     EngineRole role = EngineRole::kMixed;
     bool usable = true;
     bool own_zone = true;
+    bool home = true;
     uint32_t expected_streams = 0;  // Prefills that will decode here.
     uint32_t alone = 0;             // Suspects that run here.
     uint32_t cached = 0;            // Scratch of Choose().
@@ -234,6 +235,8 @@
                        : load.prefill_tokens - load.low_priority_tokens;
     Candidate candidate{.engine = index, .decode_engine = index};
     candidate.wait = ahead * seconds_per_token;
+    if (!engine.home)
+      candidate.wait += absl::ToDoubleSeconds(this->options.foreign_margin);
     double backlog_limit =
         this->options.prefix_load_limit * query.mean_backlog +
         absl::ToDoubleSeconds(this->options.prefix_load_floor);
@@ -298,6 +301,34 @@
     }
   }
 
+  // Divides the engines of the own zone among its instances, so that each
+  // gets some of every role.
+  void AssignHomes() {
+    this->homes_valid = true;
+    std::vector<uint32_t>& order = this->order_scratch;
+    order.clear();
+    for (uint32_t i = 0; i < this->engines.size(); ++i) {
+      Engine& engine = this->engines[i];
+      engine.home = engine.own_zone && this->options.instance_index == kNoIndex;
+      if (engine.own_zone && engine.usable)
+        order.push_back(i);
+    }
+    if (this->options.instance_index == kNoIndex)
+      return;
+    std::sort(order.begin(), order.end(), [&](uint32_t a, uint32_t b) {
+      const Engine& x = this->engines[a];
+      const Engine& y = this->engines[b];
+      return x.role != y.role ? x.role < y.role : x.rank < y.rank;
+    });
+    uint32_t instances = std::max(1U, this->options.entry_instances);
+    auto count = static_cast<uint32_t>(order.size());
+    for (uint32_t k = 0; k < count; ++k) {
+      this->engines[order[k]].home =
+          count >= instances ? k % instances == this->options.instance_index
+                             : k == this->options.instance_index % count;
+    }
+  }
+
   void Collect(const Query& query, bool other_zones) {
     auto decode = this->BestDecode(query.request, query.now, other_zones);
     for (uint32_t i = 0; i < this->engines.size(); ++i) {
@@ -374,6 +405,8 @@
     if (!request.blocks.empty())
       query.mean_backlog = this->MeanBacklog(now);
     this->MatchPrefixes(request);
+    if (!this->homes_valid)
+      this->AssignHomes();
     if (query.long_work)
       this->ReserveForLong();
     this->candidates.clear();
@@ -624,6 +657,8 @@
   double work_seen = 0;
   double long_seen = 0;
   double long_share = 0;
+  bool homes_valid = false;
+  std::vector<uint32_t> order_scratch;
   std::array<double, 3> usual_slowdown{1, 1, 1};  // Median for each role.
   absl::Time slowdown_time = absl::InfinitePast();
   std::vector<double> factor_scratch;
@@ -652,6 +687,7 @@
   engine.rank = StableHash(id);
   engine.own_zone = zone == this->impl->options.zone;
   engine.role = role;
+  this->impl->homes_valid = false;
   return entry->second;
 }
 
@@ -661,10 +697,12 @@
 
 void Router::SetRole(uint32_t engine, EngineRole role) {
   this->impl->engines[engine].role = role;
+  this->impl->homes_valid = false;
 }
 
 void Router::SetUsable(uint32_t engine, bool usable) {
   this->impl->engines[engine].usable = usable;
+  this->impl->homes_valid = false;
 }
 
 void Router::OnEngineRestarted(uint32_t engine) {
@@ -673,8 +711,10 @@
   this->impl->prefixes.Forget(engine);
 }
 
-void Router::SetEntryInstances(uint32_t count) {
+void Router::SetEntryInstances(uint32_t count, uint32_t index) {
   this->impl->options.entry_instances = count;
+  this->impl->options.instance_index = index;
+  this->impl->homes_valid = false;
 }
 
 void Router::OnLoadReport(uint32_t engine, const LoadReport& report) {
--- a/cranberryhill/routing/router.h
+++ b/cranberryhill/routing/router.h
@@ -36,10 +36,19 @@
 
 namespace cranberryhill {
 
+/// Stands for an index that is not known.
+inline constexpr uint32_t kNoIndex = UINT32_MAX;
+
 /// Bounds and behaviour of a Router.
 struct RouterOptions {
   std::string zone{};            ///< Availability zone of this instance.
   uint32_t entry_instances = 1;  ///< Instances that use the same engines.
+  /// Index of this instance among them, or kNoIndex. With an index, each
+  /// engine is the home of one instance (or of several, when there are fewer
+  /// engines), which knows most of the work sent to it. Other instances use it
+  /// only when it is better by foreign_margin.
+  uint32_t instance_index = kNoIndex;
+  absl::Duration foreign_margin = absl::Milliseconds(200);
   absl::Duration zone_latency = absl::Milliseconds(0.5);  ///< One way.
   absl::Duration max_gap = absl::Milliseconds(66);        ///< Between tokens.
   /// Candidates whose finish time exceeds the best by at most near_best_floor,
@@ -133,7 +142,9 @@
   /// Forgets what is known of an engine that restarted: load and cache.
   void OnEngineRestarted(uint32_t engine);
 
-  void SetEntryInstances(uint32_t count);
+  /// @param count Entry instances of the zone.
+  /// @param index Position of this one in their sorted list.
+  void SetEntryInstances(uint32_t count, uint32_t index = kNoIndex);
 
   void OnLoadReport(uint32_t engine, const LoadReport& report);
   void OnCacheEvents(uint32_t engine, std::span<const CacheEvent> events);
--- a/programs/bench/entry_policy.h
+++ b/programs/bench/entry_policy.h
@@ -58,6 +58,7 @@
   const std::vector<EngineInfo>& engines;
   uint32_t zone = 0;
   uint32_t zone_instances = 1;  ///< Entry instances of the zone.
+  uint32_t zone_index = 0;      ///< Index of this one among them.
   double client_latency_s = 0;
 };
 
--- a/programs/bench/full_policy.cc
+++ b/programs/bench/full_policy.cc
@@ -29,6 +29,7 @@
   RouterOptions options;
   options.zone = ZoneName(context.zone);
   options.entry_instances = context.zone_instances;
+  options.instance_index = context.zone_index;
   options.reserve_engines_for_long = name != "first_come";
   return options;
 }
--- a/programs/bench/simulation.cc
+++ b/programs/bench/simulation.cc
@@ -284,6 +284,7 @@
                      .engines = this->infos,
                      .zone = zone,
                      .zone_instances = same_zone,
+                     .zone_index = i / zones,
                      .client_latency_s = this->scenario.client_latency_s}));
   }
 }
