routing, roles: separate engine time from waiting, pass streams on, warm up

The prefill rate learned from first tokens includes waiting that load reports do not show. Used as the cost of a prompt it overstated the prefill part of the mix, and the planner turned all decode engines into prefill engines under load. The cost is now a low quantile. Mixed engines pass streams to decode engines when their own gaps are clearly longer, so decode engines no longer depend on prefill engines. No role changes in the first 15 s, while caches are cold.

--- a/cranberryhill/cost/engine_speed.cc
+++ b/cranberryhill/cost/engine_speed.cc
@@ -24,6 +24,12 @@
 // Prefills below this size show the step time instead of the rate.
 constexpr double kMinPrefillTokens = 200;
 
+// The fastest prefills, which hardly waited, show the engine time per token.
+// Small ones and the very fastest are excluded, whose prompts were cached.
+constexpr double kFastPrefillTokens = 2000;
+constexpr double kFastQuantile = 0.2;
+constexpr double kFastStep = 0.02;
+
 constexpr double kSlowdownWeight = 0.25;
 constexpr double kMaxSlowdown = 20;
 // Time after which an engine that was avoided is tried again.
@@ -98,6 +104,7 @@
 
 SpeedModel::SpeedModel(SpeedPrior prior)
     : prefill(1 / prior.prefill_tokens_per_s),
+      fastest_prefill(1 / prior.prefill_tokens_per_s),
       gap(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams),
       high_gap(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams) {}
 
@@ -109,6 +116,11 @@
   double seconds =
       absl::ToDoubleSeconds(elapsed) - this->OverheadSeconds(streams);
   this->prefill.Observe(streams, tokens, std::max(0.0, seconds));
+  if (tokens < kFastPrefillTokens)
+    return;
+  // Moves up and down in the proportion that holds it at the quantile.
+  double up = seconds / tokens > this->fastest_prefill ? 1 : 0;
+  this->fastest_prefill *= std::exp(kFastStep * (up - (1 - kFastQuantile)));
 }
 
 void SpeedModel::ObserveGap(double streams,
--- a/cranberryhill/cost/engine_speed.h
+++ b/cranberryhill/cost/engine_speed.h
@@ -92,6 +92,11 @@
     return tokens * this->prefill.At(streams);
   }
 
+  /// @return Seconds of engine time per prefill token, without waiting. Unlike
+  ///     PrefillSeconds() it is not raised by waiting that the load reports do
+  ///     not show.
+  double PrefillTokenSeconds() const { return this->fastest_prefill; }
+
   /// @return Seconds to the first token in addition to PrefillSeconds(): the
   ///     rest of the running step.
   double OverheadSeconds(double streams) const {
@@ -112,6 +117,7 @@
 
  private:
   PrefillRates prefill;
+  double fastest_prefill;  // Low quantile of seconds per token.
   LinearFit gap;
   LinearFit high_gap;
 };
--- a/cranberryhill/roles/role_planner.cc
+++ b/cranberryhill/roles/role_planner.cc
@@ -59,6 +59,7 @@
   double seconds = absl::ToDoubleSeconds(elapsed);
   if (seconds <= 0)
     return;
+  this->observed += elapsed;
   auto update = [&](Average& average, absl::Duration time_constant) {
     double weight = 1 - std::exp(-absl::FDivDuration(elapsed, time_constant));
     if (average.prefill + average.decode == 0)
@@ -210,7 +211,8 @@
 }
 
 std::optional<RoleChange> RolePlanner::Plan() {
-  if (this->change_open || this->slow.prefill + this->slow.decode <= 0)
+  if (this->change_open || this->observed < this->options.warm_up ||
+      this->slow.prefill + this->slow.decode <= 0)
     return std::nullopt;
   double fraction = this->options.hysteresis ? FractionOf(this->slow)
                                              : FractionOf(this->fast);
--- a/cranberryhill/roles/role_planner.h
+++ b/cranberryhill/roles/role_planner.h
@@ -41,6 +41,8 @@
   /// Time constants of the two mix estimates. A change needs both to agree.
   absl::Duration fast_average = absl::Seconds(3);
   absl::Duration slow_average = absl::Seconds(8);
+  /// Time of observation before the first change: caches are cold at first.
+  absl::Duration warm_up = absl::Seconds(15);
   /// Expected duration of a mix before anything was learned.
   absl::Duration initial_duration = absl::Seconds(60);
   /// False: every plan follows the momentary mix (for comparison only).
@@ -124,6 +126,7 @@
   // Mix regime: fraction at its start, its start and the learned duration.
   double regime_fraction = -1;
   absl::Time regime_start;
+  absl::Duration observed;
   double mean_duration_s;
 };
 
--- a/cranberryhill/routing/router.cc
+++ b/cranberryhill/routing/router.cc
@@ -23,7 +23,7 @@
 // Part of the engines that may be reserved for long work.
 constexpr double kMaxLongShare = 0.5;
 // Kept free below the limit of the gaps, because estimates err.
-constexpr double kGapMargin = 0.95;
+constexpr double kGapMargin = 0.92;
 // A decode engine is replaced at the end of the prefill only by one with a
 // gap this much smaller.
 constexpr double kClearlyBetter = 0.8;
@@ -249,7 +249,12 @@
       candidate.first += 2 * absl::ToDoubleSeconds(this->options.zone_latency);
     }
     DecodeOffer offer = this->OfferWith(index, streams + 1, slow);
-    if (engine.role == EngineRole::kPrefill && !query.request.alone)
+    // A mixed engine passes the stream on when that makes the gaps clearly
+    // shorter; otherwise decode engines would depend on prefill engines.
+    bool pass_on =
+        engine.role == EngineRole::kPrefill ||
+        (decode && decode->high_gap < kClearlyBetter * offer.high_gap);
+    if (pass_on && !query.request.alone)
       offer = *decode;
     candidate.decode_engine = offer.engine;
     candidate.gap = offer.gap;
@@ -634,7 +639,7 @@
     Work work = WorkOf(request.prompt_tokens, cached, request.output);
     const SpeedModel& prefill = this->models[RoleIndex(EngineRole::kPrefill)];
     const SpeedModel& decode = this->models[RoleIndex(EngineRole::kDecode)];
-    double seconds = prefill.PrefillSeconds(work.prefill_tokens, 0);
+    double seconds = work.prefill_tokens * prefill.PrefillTokenSeconds();
     return {
         .prefill = absl::Seconds(seconds),
         .decode =
--- a/cranberryhill/routing/router.h
+++ b/cranberryhill/routing/router.h
@@ -85,7 +85,8 @@
 /// Where a request goes.
 struct RouteDecision {
   uint32_t engine = 0;  ///< Runs the prefill.
-  /// Runs the decode; equals `engine` unless that has role prefill.
+  /// Runs the decode. Differs from `engine` when that has role prefill, or
+  /// role mixed and many streams.
   uint32_t decode_engine = 0;
   uint32_t cached_blocks = 0;
   absl::Duration first_token;  ///< Expected time to the first token.
--- a/programs/bench/simulation.cc
+++ b/programs/bench/simulation.cc
@@ -31,6 +31,8 @@
 constexpr double kIdleConfirmS = 3;  // Design page, section 6.
 constexpr double kDrainLimitS = 30;
 constexpr double kRoleOrderS = 4;  // The engine is unavailable.
+constexpr double kTraceIntervalS = 2;
+constexpr double kTraceArrivalsS = 10;
 constexpr uint32_t kTokensPerNotice = 1;
 
 enum class EventKind : uint8_t {
@@ -47,6 +49,7 @@
   kDisturb,
   kRestore,
   kCrashDetected,
+  kTrace,
 };
 
 struct Event {
@@ -123,7 +126,10 @@
 
 class Simulation {
  public:
-  Simulation(const Scenario& scenario, const PolicyInfo& policy, uint64_t seed);
+  Simulation(const Scenario& scenario,
+             const PolicyInfo& policy,
+             uint64_t seed,
+             bool trace);
   RunResult Run();
 
  private:
@@ -165,6 +171,8 @@
   void HandleDisturb(const Disturbance& disturbance);
   void HandleRestore(const Disturbance& disturbance);
   void HandleCrashDetected(uint32_t index);
+  void HandleTrace();
+  void TraceArrivals() const;
 
   uint64_t NewJob(uint64_t request);
   void StartJob(uint64_t job,
@@ -194,6 +202,7 @@
 
   const Scenario& scenario;
   const PolicyInfo& policy;
+  const bool trace;
   const double duration;
   std::vector<RequestSpec> specs;
   ManualClock clock;
@@ -227,9 +236,11 @@
 
 Simulation::Simulation(const Scenario& scenario,
                        const PolicyInfo& policy,
-                       uint64_t seed)
+                       uint64_t seed,
+                       bool trace)
     : scenario(scenario),
       policy(policy),
+      trace(trace),
       duration(scenario.Duration()),
       specs(MakeArrivals(scenario, seed)),
       random(seed + 1000003),
@@ -295,6 +306,8 @@
   this->Schedule(kTickS, EventKind::kTick);
   this->Schedule(kReportIntervalS, EventKind::kReport);
   this->Schedule(kCacheEventIntervalS, EventKind::kCacheEvents);
+  if (this->trace)
+    this->Schedule(kTraceIntervalS, EventKind::kTrace);
   if (this->policy.plans_roles)
     this->Schedule(kPlanIntervalS, EventKind::kPlan);
   for (size_t i = 0; i < this->scenario.disturbances.size(); ++i) {
@@ -345,6 +358,8 @@
       return this->HandleRestore(this->scenario.disturbances[event.a]);
     case EventKind::kCrashDetected:
       return this->HandleCrashDetected(engine);
+    case EventKind::kTrace:
+      return this->HandleTrace();
   }
 }
 
@@ -603,15 +618,6 @@
 
 void Simulation::HandlePlan() {
   this->Schedule(kPlanIntervalS, EventKind::kPlan);
-  if (getenv("DBG")) {
-    fmt::print(stderr, "{:5.1f}", this->now);
-    for (auto& e : this->engines)
-      fmt::print(stderr, " {}{}{}/{}/{:.0f}k",
-                 RoleName(e.engine->role).substr(0, 1), e.changing ? "*" : "",
-                 e.engine->Running(), e.engine->Queued(),
-                 e.engine->WaitingPrefill() / 1000);
-    fmt::print(stderr, " f={:.2f}\n", this->planners[0]->PrefillFraction());
-  }
   uint32_t zones = this->scenario.zones;
   for (uint32_t zone = 0; zone < zones; ++zone) {
     ObservedWork observed;
@@ -688,6 +694,53 @@
   this->planners[this->infos[index].zone]->OnChangeEnded();
 }
 
+// One line with role, streams, queue and waiting prefill of each engine.
+void Simulation::HandleTrace() {
+  this->Schedule(kTraceIntervalS, EventKind::kTrace);
+  std::string line = fmt::format("{:6.1f}", this->now);
+  for (const EngineState& state : this->engines) {
+    const FakeEngine& engine = *state.engine;
+    line += fmt::format(" {}{}{}/{}/{:.0f}k", RoleName(engine.role)[0],
+                        state.changing ? "*" : "", engine.Running(),
+                        engine.Queued(), engine.WaitingPrefill() / 1000);
+  }
+  fmt::print(stderr, "{} prefill={:.2f}\n", line,
+             this->planners[0]->PrefillFraction());
+}
+
+// Outcomes by time of arrival.
+void Simulation::TraceArrivals() const {
+  struct Counts {
+    int arrived = 0;
+    int good = 0;
+    int refused = 0;
+    int late_first = 0;
+    int late_gaps = 0;
+  };
+  std::vector<Counts> spans(
+      static_cast<size_t>(this->duration / kTraceArrivalsS) + 1);
+  for (size_t i = 0; i < this->requests.size(); ++i) {
+    const Request& request = this->requests[i];
+    Counts& counts =
+        spans[static_cast<size_t>(this->specs[i].arrival / kTraceArrivalsS)];
+    ++counts.arrived;
+    counts.good += this->Good(i);
+    counts.refused += request.refused;
+    counts.late_first += request.first_token > kFirstTokenLimitS;
+    counts.late_gaps += request.done &&
+                        request.first_token <= kFirstTokenLimitS &&
+                        !this->Good(i);
+  }
+  for (size_t i = 0; i < spans.size(); ++i) {
+    fmt::print(stderr,
+               "from {:.0f} s: arrived {} good {} refused {} first token late "
+               "{} gaps late {}\n",
+               static_cast<double>(i) * kTraceArrivalsS, spans[i].arrived,
+               spans[i].good, spans[i].refused, spans[i].late_first,
+               spans[i].late_gaps);
+  }
+}
+
 bool Simulation::Good(size_t index) const {
   const Request& request = this->requests[index];
   const RequestSpec& spec = this->specs[index];
@@ -787,6 +840,8 @@
     this->clock.Set(absl::UnixEpoch() + absl::Seconds(this->now));
     this->Handle(event);
   }
+  if (this->trace)
+    this->TraceArrivals();
   RunResult result;
   this->CountRequests(result);
   this->CountTimes(result);
@@ -805,8 +860,9 @@
 
 RunResult RunScenario(const Scenario& scenario,
                       const PolicyInfo& policy,
-                      uint64_t seed) {
-  RunResult result = Simulation(scenario, policy, seed).Run();
+                      uint64_t seed,
+                      bool trace) {
+  RunResult result = Simulation(scenario, policy, seed, trace).Run();
   result.seed = seed;
   return result;
 }
--- a/programs/bench/simulation.h
+++ b/programs/bench/simulation.h
@@ -42,9 +42,12 @@
   std::array<uint64_t, kKinds> arrived_by_kind{};
 };
 
+/// @param trace Prints the state of the engines and the outcomes over time to
+///     standard error.
 RunResult RunScenario(const Scenario& scenario,
                       const PolicyInfo& policy,
-                      uint64_t seed);
+                      uint64_t seed,
+                      bool trace = false);
 
 }  // namespace cranberryhill::bench
 
--- a/programs/policy_bench.cc
+++ b/programs/policy_bench.cc
@@ -25,6 +25,7 @@
 ABSL_FLAG(uint32_t, seeds, 1, "number of runs, with consecutive seeds");
 ABSL_FLAG(std::string, output, "text", "json or text");
 ABSL_FLAG(bool, list, false, "list scenarios and policies");
+ABSL_FLAG(bool, trace, false, "print engines and outcomes over time");
 ABSL_FLAG(uint32_t,
           routing_candidates,
           0,
@@ -82,7 +83,8 @@
   std::vector<RunResult> results;
   uint64_t first = absl::GetFlag(FLAGS_seed);
   for (uint64_t i = 0; i < absl::GetFlag(FLAGS_seeds); ++i)
-    results.push_back(RunScenario(scenario, policy, first + i));
+    results.push_back(
+        RunScenario(scenario, policy, first + i, absl::GetFlag(FLAGS_trace)));
   return results;
 }
 
