--- a/cranberryhill/roles/role_planner.h
+++ b/cranberryhill/roles/role_planner.h
@@ -35,7 +35,7 @@
   /// Time without service for one change: drain, order and load.
   absl::Duration absence = absl::Seconds(12);
   /// Part of a mixed engine's time lost by interference of prefill and decode.
-  double mixed_loss = 0.15;
+  double mixed_loss = 0.3;
   /// The gain has to exceed the cost by this factor.
   double gain_margin = 1.5;
   /// Time constants of the two mix estimates. A change needs both to agree.
--- a/cranberryhill/routing/router.cc
+++ b/cranberryhill/routing/router.cc
@@ -48,7 +48,7 @@
     EngineRole role = EngineRole::kMixed;
     bool usable = true;
     bool own_zone = true;
-    bool home = true;
+    bool home = false;
     uint32_t expected_streams = 0;  // Prefills that will decode here.
     uint32_t alone = 0;             // Suspects that run here.
     uint32_t cached = 0;            // Scratch of Choose().
--- a/programs/bench/simulation.cc
+++ b/programs/bench/simulation.cc
@@ -111,6 +111,7 @@
   bool alive = true;
   uint64_t epoch = 0;  // Steps begun before a crash are void.
   uint32_t transfers = 0;
+  double busy = 0;             // Seconds in steps.
   std::vector<uint64_t> lost;  // Jobs whose loss is not yet detected.
   // Role change in progress.
   bool changing = false;
@@ -458,6 +459,7 @@
   if (seconds <= 0)
     return;
   state.stepping = true;
+  state.busy += seconds;
   for (uint64_t job : state.engine->StartedPrefills()) {
     Request& request = this->requests[this->attempts.at(job).request - 1];
     if (request.prefill_started < 0)
@@ -731,6 +733,10 @@
                         request.first_token <= kFirstTokenLimitS &&
                         !this->Good(i);
   }
+  for (size_t i = 0; i < this->engines.size(); ++i) {
+    fmt::print(stderr, "{} busy {:.2f}\n", this->infos[i].id,
+               this->engines[i].busy / this->duration);
+  }
   for (size_t i = 0; i < spans.size(); ++i) {
     fmt::print(stderr,
                "from {:.0f} s: arrived {} good {} refused {} first token late "
@@ -846,7 +852,8 @@
   this->CountRequests(result);
   this->CountTimes(result);
   Bound bound = BoundOf(this->scenario, this->specs);
-  result.goodput = static_cast<double>(result.good) / this->duration;
+  result.goodput =
+      static_cast<double>(result.good) / this->scenario.ArrivalSeconds();
   result.bound_ratio = result.goodput / bound.goodput;
   result.capacity_ratio = result.goodput / bound.capacity;
   result.role_changes = this->role_changes;
--- a/programs/bench/workload.h
+++ b/programs/bench/workload.h
@@ -71,10 +71,18 @@
   double client_latency_s = 0.001;  ///< One way.
   uint32_t customers = 6;
   double top_customer_share = 0.3;  ///< Part of the load of customer 0.
+  /// Time after the last arrival in which requests may complete. Scenarios
+  /// below capacity have one, because what is in progress at the end would
+  /// otherwise count as lost; at overload it would only loosen the bound.
+  double tail_s = 0;
   std::vector<Phase> phases{};
   std::vector<Disturbance> disturbances{};
 
-  double Duration() const;
+  /// @return Seconds in which requests arrive.
+  double ArrivalSeconds() const;
+
+  /// @return Seconds of the whole run.
+  double Duration() const { return this->ArrivalSeconds() + this->tail_s; }
 };
 
 /// @return All scenarios.
