--- a/cranberryhill/routing/router.cc
+++ b/cranberryhill/routing/router.cc
@@ -306,29 +306,31 @@
     }
   }
 
-  // Divides the engines of each role in the own zone among its instances.
-  // Engines of a role that has fewer engines than instances are shared.
+  // Divides the engines of the own zone among its instances, so that each
+  // gets some of every role.
   void AssignHomes() {
     this->homes_valid = true;
-    for (EngineRole role :
-         {EngineRole::kPrefill, EngineRole::kDecode, EngineRole::kMixed}) {
-      std::vector<uint32_t>& order = this->order_scratch;
-      order.clear();
-      for (uint32_t i = 0; i < this->engines.size(); ++i) {
-        const Engine& engine = this->engines[i];
-        if (engine.own_zone && engine.usable && engine.role == role)
-          order.push_back(i);
-      }
-      std::sort(order.begin(), order.end(), [&](uint32_t a, uint32_t b) {
-        return this->engines[a].rank < this->engines[b].rank;
-      });
-      uint32_t instances = std::max(1U, this->options.entry_instances);
-      bool shared =
-          this->options.instance_index == kNoIndex || order.size() < instances;
-      for (uint32_t k = 0; k < order.size(); ++k) {
-        this->engines[order[k]].home =
-            shared || k % instances == this->options.instance_index;
-      }
+    std::vector<uint32_t>& order = this->order_scratch;
+    order.clear();
+    for (uint32_t i = 0; i < this->engines.size(); ++i) {
+      Engine& engine = this->engines[i];
+      engine.home = engine.own_zone && this->options.instance_index == kNoIndex;
+      if (engine.own_zone && engine.usable)
+        order.push_back(i);
+    }
+    if (this->options.instance_index == kNoIndex)
+      return;
+    std::sort(order.begin(), order.end(), [&](uint32_t a, uint32_t b) {
+      const Engine& x = this->engines[a];
+      const Engine& y = this->engines[b];
+      return x.role != y.role ? x.role < y.role : x.rank < y.rank;
+    });
+    uint32_t instances = std::max(1U, this->options.entry_instances);
+    auto count = static_cast<uint32_t>(order.size());
+    for (uint32_t k = 0; k < count; ++k) {
+      this->engines[order[k]].home =
+          count >= instances ? k % instances == this->options.instance_index
+                             : k == this->options.instance_index % count;
     }
   }
 
