--- a/cranberryhill/roles/role_planner.cc
+++ b/cranberryhill/roles/role_planner.cc
@@ -12,9 +12,13 @@
 constexpr double kRegimeChange = 0.12;
 // Counts are rated at the estimated mix and at this distance on both sides,
 // because the estimate is never exact.
-constexpr double kMixUncertainty = 0.07;
+constexpr double kMixUncertainty = 0.12;
 // Capacity wanted in excess of the demand, so that queues stay short.
 constexpr double kHeadroom = 1.25;
+// A change that undoes the last one needs a gain larger by this factor for
+// each reversal in the recent past.
+constexpr double kReversalFactor = 2;
+constexpr double kReversalMemoryS = 180;
 // Gains below this part of the engines' capacity are noise.
 constexpr double kMinGain = 0.02;
 
@@ -210,6 +214,11 @@
   return best;
 }
 
+double RolePlanner::RecentReversals() const {
+  double age = absl::ToDoubleSeconds(this->clock.Now() - this->reversal_time);
+  return this->reversals * std::exp(-age / kReversalMemoryS);
+}
+
 std::optional<RoleChange> RolePlanner::Plan() {
   if (this->change_open || this->observed < this->options.warm_up ||
       this->slow.prefill + this->slow.decode <= 0)
@@ -217,8 +226,14 @@
   double fraction = this->options.hysteresis ? FractionOf(this->slow)
                                              : FractionOf(this->fast);
   std::optional<RoleChange> change = this->Best(this->Counts(), fraction);
-  if (!change || (this->options.hysteresis &&
-                  change->gain < this->options.gain_margin * change->cost))
+  if (!change)
+    return std::nullopt;
+  bool reversal = this->last_change && this->last_change->from == change->to &&
+                  this->last_change->to == change->from;
+  double reversals = this->RecentReversals() + (reversal ? 1 : 0);
+  double margin =
+      this->options.gain_margin * std::pow(kReversalFactor, reversals);
+  if (this->options.hysteresis && change->gain < margin * change->cost)
     return std::nullopt;
   const PlannedEngine* least = nullptr;
   for (const PlannedEngine& engine : this->engines) {
@@ -230,6 +245,9 @@
     return std::nullopt;
   change->engine = least->id;
   this->change_open = true;
+  this->reversals = reversals;
+  this->reversal_time = this->clock.Now();
+  this->last_change = change;
   return change;
 }
 
--- a/cranberryhill/roles/role_planner.h
+++ b/cranberryhill/roles/role_planner.h
@@ -41,8 +41,9 @@
   /// Time constants of the two mix estimates. A change needs both to agree.
   absl::Duration fast_average = absl::Seconds(3);
   absl::Duration slow_average = absl::Seconds(8);
-  /// Time of observation before the first change: caches are cold at first.
-  absl::Duration warm_up = absl::Seconds(15);
+  /// Time of observation before the first change: caches are cold at first and
+  /// output lengths unknown.
+  absl::Duration warm_up = absl::Seconds(30);
   /// Expected duration of a mix before anything was learned.
   absl::Duration initial_duration = absl::Seconds(60);
   /// False: every plan follows the momentary mix (for comparison only).
@@ -116,6 +117,7 @@
   RoleCounts Counts() const;
   double ExpectedDuration() const;
   void TrackMix();
+  double RecentReversals() const;
 
   const Clock& clock;
   const RolePlannerOptions options;
@@ -128,6 +130,9 @@
   absl::Time regime_start;
   absl::Duration observed;
   double mean_duration_s;
+  std::optional<RoleChange> last_change;
+  double reversals = 0;  // Decayed count at reversal_time.
+  absl::Time reversal_time;
 };
 
 }  // namespace cranberryhill
