admission: count requests of the last minute in the retry budget

The engine's home instance lost about 40 streams at once, and its budget held only 10% of the requests of the last 10 s, so the last ones waited 15 s.

--- a/cranberryhill/admission/attempt_budget.cc
+++ b/cranberryhill/admission/attempt_budget.cc
@@ -6,8 +6,9 @@
 namespace cranberryhill {
 namespace {
 
-// Requests older than this no longer count as recent.
-constexpr double kRecentSeconds = 10;
+// Requests older than this no longer count as recent. With 10 s an instance
+// that lost 40 streams in an engine crash took 15 s to resume them.
+constexpr double kRecentSeconds = 60;
 
 }  // namespace
 
--- a/cranberryhill/admission/attempt_budget.h
+++ b/cranberryhill/admission/attempt_budget.h
@@ -22,7 +22,7 @@
 inline constexpr AttemptBudgetOptions kRetryBudget{0.10, 1.0};
 inline constexpr AttemptBudgetOptions kHedgeBudget{0.05, 0.0};
 
-/// Token bucket that holds the allowance of the last 10 s. Not thread-safe.
+/// Token bucket that holds the allowance of recent requests. Not thread-safe.
 class AttemptBudget {
  public:
   /// @param clock Must outlive this object.
