--- a/cranberryhill/roles/role_planner.cc
+++ b/cranberryhill/roles/role_planner.cc
@@ -20,7 +20,7 @@
 constexpr double kReversalFactor = 2;
 constexpr double kReversalMemoryS = 180;
 // Gains below this part of the engines' capacity are noise.
-constexpr double kMinGain = 0.02;
+constexpr double kMinGain = 0.06;
 
 int& CountOf(RoleCounts& counts, EngineRole role) {
   switch (role) {
