--- a/cranberryhill/roles/role_planner.cc
+++ b/cranberryhill/roles/role_planner.cc
@@ -12,7 +12,7 @@
 constexpr double kRegimeChange = 0.12;
 // Counts are rated at the estimated mix and at this distance on both sides,
 // because the estimate is never exact.
-constexpr double kMixUncertainty = 0.10;
+constexpr double kMixUncertainty = 0.12;
 // Capacity wanted in excess of the demand, so that queues stay short.
 constexpr double kHeadroom = 1.25;
 // A change that undoes the last one needs a gain larger by this factor for
@@ -107,20 +107,14 @@
 
 double RolePlanner::Throughput(const RoleCounts& counts,
                                double prefill_fraction) const {
-  // Work of either kind that a mixed engine does per second.
-  double mixed_prefill = 1 - this->options.mixed_prefill_loss;
-  double mixed_decode = 1 - this->options.mixed_loss;
-  double f = prefill_fraction;
-  // All engines busy, and the limits for each kind of work alone.
-  double rate = (counts.mixed + counts.prefill / mixed_prefill +
-                 counts.decode / mixed_decode) /
-                (f / mixed_prefill + (1 - f) / mixed_decode);
-  if (f > 0)
-    rate = std::min(rate, (counts.prefill + counts.mixed * mixed_prefill) / f);
-  if (f < 1) {
-    rate =
-        std::min(rate, (counts.decode + counts.mixed * mixed_decode) / (1 - f));
-  }
+  double mixed = counts.mixed * (1 - this->options.mixed_loss);
+  double prefill = counts.prefill + mixed;
+  double decode = counts.decode + mixed;
+  double rate = counts.prefill + counts.decode + mixed;
+  if (prefill_fraction > 0)
+    rate = std::min(rate, prefill / prefill_fraction);
+  if (prefill_fraction < 1)
+    rate = std::min(rate, decode / (1 - prefill_fraction));
   return rate;
 }
 
--- a/cranberryhill/roles/role_planner.h
+++ b/cranberryhill/roles/role_planner.h
@@ -36,9 +36,6 @@
   absl::Duration absence = absl::Seconds(12);
   /// Part of a mixed engine's time lost by interference of prefill and decode.
   double mixed_loss = 0.3;
-  /// The same for prefill work. Larger, as prompts take longer on a mixed
-  /// engine and fewer of them meet the limit for the first token.
-  double mixed_prefill_loss = 0.45;
   /// The gain has to exceed the cost by this factor.
   double gain_margin = 1.5;
   /// Time constants of the two mix estimates. A change needs both to agree.
