routing: trust cached prefixes despite gaps in the cache events

Any gap in the events ended the trust in all entries of the engine, and 3% of the events are lost. Change: an eviction ends the trust in older entries, only a gap of over 100 events in all.

--- a/cranberryhill/routing/prefix_index.cc
+++ b/cranberryhill/routing/prefix_index.cc
@@ -12,6 +12,9 @@
 // Engines remembered per block. More would cost time for popular prefixes
 // and change little, as the best of these is nearly the best of all.
 constexpr size_t kMaxHolders = 16;
+// A longer gap in the events hides too many evictions to trust older entries.
+// Distrusting them after any gap made the index useless at 3% lost events.
+constexpr uint64_t kMaxMissedEvents = 100;
 // Engines evict by age; older entries are probably gone.
 constexpr absl::Duration kHolderLifetime = absl::Minutes(5);
 
@@ -107,24 +110,35 @@
   for (const CacheEvent& event : events) {
     if (event.sequence <= state.last_sequence)
       continue;
-    if (state.last_sequence != 0 && event.sequence != state.last_sequence + 1)
+    uint64_t missed = event.sequence - state.last_sequence - 1;
+    if (state.last_sequence != 0 && missed > kMaxMissedEvents)
       state.trusted_since = this->clock.Now();
     state.last_sequence = event.sequence;
-    if (event.stored) {
+    if (event.stored)
       this->Record(engine, event.block);
-      continue;
-    }
-    auto found = this->holders.find(event.block);
-    if (found == this->holders.end())
-      continue;
-    std::erase_if(found->second,
-                  [&](const Holder& h) { return h.engine == engine; });
-    if (found->second.empty())
-      this->holders.erase(found);
+    else
+      this->Evict(engine, event.block);
   }
   this->DropOldest();
 }
 
+void PrefixIndex::Evict(uint32_t engine, uint64_t block) {
+  auto found = this->holders.find(block);
+  if (found == this->holders.end())
+    return;
+  std::erase_if(found->second, [&](const Holder& holder) {
+    if (holder.engine != engine)
+      return false;
+    // Older blocks are probably evicted as well, even when their events were
+    // lost.
+    EngineState& state = this->StateOf(engine);
+    state.trusted_since = std::max(state.trusted_since, holder.seen);
+    return true;
+  });
+  if (found->second.empty())
+    this->holders.erase(found);
+}
+
 void PrefixIndex::Forget(uint32_t engine) {
   EngineState& state = this->StateOf(engine);
   state.last_sequence = 0;
--- a/cranberryhill/routing/prefix_index.h
+++ b/cranberryhill/routing/prefix_index.h
@@ -49,8 +49,9 @@
   void RecordSent(uint32_t engine, std::span<const uint64_t> blocks);
 
   /// Applies events in order of sequence. Older events than known are dropped.
-  /// A gap may hide evictions, so entries of the engine older than the gap are
-  /// no longer trusted.
+  /// Gaps may hide evictions. Engines evict the least recently used blocks, so
+  /// an eviction ends the trust in all entries of the engine that are older
+  /// than the evicted one; a long gap ends the trust in all entries.
   void OnEvents(uint32_t engine, std::span<const CacheEvent> events);
 
   /// Forgets all blocks of an engine that restarted or left.
@@ -77,6 +78,7 @@
 
   bool Trusted(const Holder& holder, absl::Time now) const;
   void Record(uint32_t engine, uint64_t block);
+  void Evict(uint32_t engine, uint64_t block);
   void DropOldest();
   EngineState& StateOf(uint32_t engine);
 
--- a/programs/bench/fake_engine.cc
+++ b/programs/bench/fake_engine.cc
@@ -143,15 +143,16 @@
 }
 
 void FakeEngine::StoreBlocks(const std::vector<uint64_t>& blocks) {
-  for (uint64_t block : blocks) {
-    auto found = this->cache.find(block);
+  // Last block first, so that the end of a prefix is evicted before its start.
+  for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
+    auto found = this->cache.find(*block);
     if (found != this->cache.end()) {
       this->lru.splice(this->lru.begin(), this->lru, found->second);
       continue;
     }
-    this->lru.push_front(block);
-    this->cache[block] = this->lru.begin();
-    this->cache_events.push_back({++this->cache_sequence, block, true});
+    this->lru.push_front(*block);
+    this->cache[*block] = this->lru.begin();
+    this->cache_events.push_back({++this->cache_sequence, *block, true});
   }
   while (this->lru.size() > kCacheBlocks) {
     this->cache.erase(this->lru.back());
