routing: let saved prefill make up for a longer wait

Cause: 78% of the follow-ups did not go to the engine that held their document, mostly because its backlog was over the limit although the first token would have come earlier.

--- a/cranberryhill/routing/router.cc
+++ b/cranberryhill/routing/router.cc
@@ -263,8 +263,12 @@
     if (!query.long_work && load.low_priority_tokens > 0)
       candidate.score += kLongNeighbourPenaltyS;
     double max_gap = absl::ToDoubleSeconds(this->options.max_gap) * kGapMargin;
+    // Saved prefill makes up for a longer wait.
+    double saved =
+        candidate.cached * double{kCacheBlockTokens} * seconds_per_token;
     bool short_backlog =
-        candidate.wait <= absl::ToDoubleSeconds(this->options.max_backlog);
+        candidate.wait <=
+        absl::ToDoubleSeconds(this->options.max_backlog) + 0.5 * saved;
     candidate.in_time = candidate.first <= query.slack &&
                         (query.long_work || short_backlog) &&
                         offer.high_gap <= max_gap;
