--- a/cranberryhill/roles/role_planner.cc
+++ b/cranberryhill/roles/role_planner.cc
@@ -1,6 +1,7 @@
 #include "cranberryhill/roles/role_planner.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdlib>
 #include <utility>
@@ -118,6 +119,18 @@
   return rate;
 }
 
+double RolePlanner::Rating(const RoleCounts& counts,
+                           double prefill_fraction,
+                           double demand) const {
+  constexpr std::array<double, 3> kShifts{-kMixUncertainty, 0, kMixUncertainty};
+  double sum = 0;
+  for (double shift : kShifts) {
+    double mix = std::clamp(prefill_fraction + shift, 0.0, 1.0);
+    sum += std::min(demand, this->Throughput(counts, mix));
+  }
+  return sum / kShifts.size();
+}
+
 bool RolePlanner::WithinBounds(const RoleCounts& counts, int engines) const {
   // Shares are rounded in favour of the bound's purpose: a minimum share above
   // 0 means at least one engine, a maximum below 1 leaves one to the others.
@@ -142,11 +155,7 @@
       if (!this->WithinBounds(counts, engines) ||
           (!complete && counts.mixed == 0))
         continue;
-      double rate = 0;
-      for (double shift : {-kMixUncertainty, 0.0, kMixUncertainty}) {
-        double mix = std::clamp(prefill_fraction + shift, 0.0, 1.0);
-        rate += this->Throughput(counts, mix) / 3;
-      }
+      double rate = this->Rating(counts, prefill_fraction, engines);
       if (rate > best_rate + 1e-9) {
         best_rate = rate;
         best = counts;
@@ -173,7 +182,7 @@
   double demand = kHeadroom * std::max(this->slow.prefill + this->slow.decode,
                                        this->fast.prefill + this->fast.decode);
   auto useful = [&](const RoleCounts& counts, double mix) {
-    return std::min(demand, this->Throughput(counts, mix));
+    return this->Rating(counts, mix, demand);
   };
   double quick = FractionOf(this->fast);
   std::optional<RoleChange> best;
--- a/cranberryhill/roles/role_planner.h
+++ b/cranberryhill/roles/role_planner.h
@@ -113,6 +113,11 @@
 
   static double FractionOf(const Average& average);
   std::optional<RoleChange> Best(const RoleCounts& now, double fraction) const;
+  // Mean throughput over the mixes around `prefill_fraction`, each at most
+  // `demand`.
+  double Rating(const RoleCounts& counts,
+                double prefill_fraction,
+                double demand) const;
   bool WithinBounds(const RoleCounts& counts, int engines) const;
   RoleCounts Counts() const;
   double ExpectedDuration() const;
