--- a/cranberryhill/admission/admission_queue.cc
+++ b/cranberryhill/admission/admission_queue.cc
@@ -136,9 +136,9 @@
 
 void AdmissionQueue::Remove(Customer& customer,
                             std::deque<Waiting>& lane,
-                            std::deque<Waiting>::iterator position) {
-  customer.queued_work_s -= absl::ToDoubleSeconds(position->request.work);
-  lane.erase(position);
+                            size_t position) {
+  customer.queued_work_s -= absl::ToDoubleSeconds(lane[position].request.work);
+  lane.erase(lane.begin() + static_cast<std::ptrdiff_t>(position));
   --this->size;
   if (customer.lanes[kShortLane].empty() && customer.lanes[kLongLane].empty())
     customer.queued_work_s = 0;
@@ -156,8 +156,7 @@
             {AdmissionActionKind::kRefuse,
              lane[i].request.id,
              {RefusalReason::kWouldBeLate, this->RetryAfter(customer)}});
-        this->Remove(customer, lane,
-                     lane.begin() + static_cast<std::ptrdiff_t>(i));
+        this->Remove(customer, lane, i);
       }
     }
   }
@@ -203,7 +202,7 @@
     }
     actions.push_back({AdmissionActionKind::kStart, head.request.id, {}});
     this->CountStarted(customer, head.request.work);
-    this->Remove(customer, waiting, waiting.begin());
+    this->Remove(customer, waiting, 0);
     if (waiting.empty())
       order.pop_back();
     else
@@ -228,7 +227,7 @@
             return waiting.request.id == request;
           });
       if (found != lane.end()) {
-        this->Remove(customer, lane, found);
+        this->Remove(customer, lane, static_cast<size_t>(found - lane.begin()));
         return;
       }
     }
--- a/cranberryhill/admission/admission_queue.h
+++ b/cranberryhill/admission/admission_queue.h
@@ -123,9 +123,7 @@
   absl::Duration ExpectedWait(const Customer& customer,
                               const AdmissionRequest& request) const;
   absl::Duration RetryAfter(const Customer& customer) const;
-  void Remove(Customer& customer,
-              std::deque<Waiting>& lane,
-              std::deque<Waiting>::iterator position);
+  void Remove(Customer& customer, std::deque<Waiting>& lane, size_t position);
   void RefuseLate(std::vector<AdmissionAction>& actions);
   void CountStarted(Customer& customer, absl::Duration work);
   void StartLane(size_t lane,
--- a/cranberryhill/admission/admission_test.cc
+++ b/cranberryhill/admission/admission_test.cc
@@ -117,7 +117,7 @@
 // Guards against requests that are lost or answered twice: each one offered is
 // refused or started exactly once, and none starts too late to be in time.
 RC_BOOST_PROP(EachRequestIsDecidedOnce,
-              (std::vector<std::pair<uint8_t, uint8_t>> script)) {
+              (const std::vector<std::pair<uint8_t, uint8_t>>& script)) {
   ManualClock clock;
   AdmissionQueue queue(clock, {});
   std::map<uint64_t, int> decided;
@@ -133,8 +133,8 @@
   uint64_t id = 0;
   for (auto [work, slack] : script) {
     ++id;
-    auto request = MakeRequest(clock, id, std::string(1, 'a' + work % 3),
-                               work / 20.0, slack / 50.0);
+    auto request = MakeRequest(clock, id, std::to_string(work % 3), work / 20.0,
+                               slack / 50.0);
     due[id] = request.first_token_by;
     decided[id] = 0;
     if (queue.Offer(request))
@@ -153,7 +153,7 @@
 
 // Guards against retries that multiply load: over any run they stay within the
 // fraction of requests plus the rate per second.
-RC_BOOST_PROP(RetriesStayWithinBudget, (std::vector<uint8_t> script)) {
+RC_BOOST_PROP(RetriesStayWithinBudget, (const std::vector<uint8_t>& script)) {
   ManualClock clock;
   AttemptBudget budget(clock, kRetryBudget);
   double requests = 0;
--- a/cranberryhill/cost/cost_test.cc
+++ b/cranberryhill/cost/cost_test.cc
@@ -40,7 +40,7 @@
 // Guards against estimates above the caller's own limit, and against a high
 // quantile below the mean.
 RC_BOOST_PROP(PredictionRespectsLimit,
-              (std::vector<uint16_t> lengths, uint16_t limit)) {
+              (const std::vector<uint16_t>& lengths, uint16_t limit)) {
   OutputPredictor predictor;
   for (uint16_t length : lengths)
     predictor.Observe("a", "chat", length);
--- a/cranberryhill/routing/prefix_index.cc
+++ b/cranberryhill/routing/prefix_index.cc
@@ -28,7 +28,7 @@
   // Cut at a fixed number of bytes per block, which depends on the text's
   // density only in coarse steps: equal prefixes must be cut alike although
   // the prompts' ends differ.
-  constexpr size_t kBytesPerBlock = 4 * kCacheBlockTokens;
+  constexpr size_t kBytesPerBlock = size_t{4} * kCacheBlockTokens;
   for (size_t i = 0; i < blocks; ++i) {
     if ((i + 1) * kBytesPerBlock > prompt.size())
       break;
--- a/cranberryhill/routing/routing_test.cc
+++ b/cranberryhill/routing/routing_test.cc
@@ -183,6 +183,7 @@
 // Guards against slowed engines that go unnoticed until the reports show them.
 BOOST_FIXTURE_TEST_CASE(SlowedEngineIsAvoided, Fixture) {
   std::vector<uint32_t> engines;
+  engines.reserve(4);
   for (int i = 0; i < 4; ++i) {
     engines.push_back(
         this->router.AddEngine(std::to_string(i), "a", EngineRole::kMixed));
