--- a/cranberryhill/routing/router.h
+++ b/cranberryhill/routing/router.h
@@ -48,7 +48,7 @@
   /// engines), which knows most of the work sent to it. Other instances use it
   /// only when it is better by foreign_margin.
   uint32_t instance_index = kNoIndex;
-  absl::Duration foreign_margin = absl::Milliseconds(200);
+  absl::Duration foreign_margin = absl::Milliseconds(300);
   absl::Duration zone_latency = absl::Milliseconds(0.5);  ///< One way.
   absl::Duration max_gap = absl::Milliseconds(66);        ///< Between tokens.
   /// Candidates whose finish time exceeds the best by at most near_best_floor,
