cost, routing, admission, roles: make tests catch more faults

Faults put back in a scratch copy showed that six tests did not fail: kinds of calls mixed, ended streams still counted, savings on an overloaded engine, leaving the zone without need, instances that swing around a limit, and role changes that don't pay. Their tests are stricter now.

--- a/cranberryhill/admission/admission_test.cc
+++ b/cranberryhill/admission/admission_test.cc
@@ -183,8 +183,13 @@
   BOOST_TEST(!budget.TryTake());
 }
 
-// Requests per second that several instances admit, over the last half of 60 s.
-double AdmittedRate(const std::vector<double>& demand, double limit) {
+// Requests per second that several instances admit.
+struct Admitted {
+  double mean = 0;  // Over the last half of 60 s.
+  int highest = 0;  // In any second of that half.
+};
+
+Admitted AdmittedRate(const std::vector<double>& demand, double limit) {
   ManualClock clock;
   auto count = static_cast<uint32_t>(demand.size());
   std::vector<UsageLimits> instances;
@@ -195,17 +200,21 @@
   }
   constexpr int kStepsPerSecond = 50;
   std::vector<double> due(count, 0);
-  int admitted = 0;
+  Admitted result;
+  int in_second = 0;
   for (int step = 0; step < 60 * kStepsPerSecond; ++step) {
     clock.Advance(absl::Seconds(1) / kStepsPerSecond);
     for (uint32_t i = 0; i < count; ++i) {
       for (due[i] += demand[i] / kStepsPerSecond; due[i] >= 1; due[i] -= 1) {
         bool allowed = instances[i].Take("c", "m", 1).allowed;
-        admitted += allowed && step >= 30 * kStepsPerSecond;
+        in_second += allowed && step >= 30 * kStepsPerSecond;
       }
     }
     if (step % kStepsPerSecond != 0)
       continue;
+    result.mean += in_second / 30.0;
+    result.highest = std::max(result.highest, in_second);
+    in_second = 0;
     for (uint32_t from = 0; from < count; ++from) {
       for (uint32_t to = 0; to < count; ++to) {
         if (from != to) {
@@ -215,20 +224,21 @@
       }
     }
   }
-  return admitted / 30.0;
+  return result;
 }
 
 // Guards against instances that each grant the whole limit, or that swing
 // between nothing and too much.
 BOOST_AUTO_TEST_CASE(LimitHoldsAcrossInstances) {
-  BOOST_TEST(AdmittedRate({20, 20, 20, 20}, 20) == 20,
-             boost::test_tools::tolerance(0.25));
+  Admitted admitted = AdmittedRate({20, 20, 20, 20}, 20);
+  BOOST_TEST(admitted.mean == 20, boost::test_tools::tolerance(0.25));
+  BOOST_TEST(admitted.highest <= 40);
 }
 
 // Guards against a customer that is held to an even share of its limit although
 // all its requests arrive at one instance.
 BOOST_AUTO_TEST_CASE(LimitIsUsableThroughOneInstance) {
-  BOOST_TEST(AdmittedRate({40, 0, 0, 0}, 20) == 20,
+  BOOST_TEST(AdmittedRate({40, 0, 0, 0}, 20).mean == 20,
              boost::test_tools::tolerance(0.25));
 }
 
--- a/cranberryhill/cost/cost_test.cc
+++ b/cranberryhill/cost/cost_test.cc
@@ -27,6 +27,7 @@
   for (int i = 0; i < 50; ++i) {
     predictor.Observe("a", "chat", 100);
     predictor.Observe("b", "chat", 800);
+    predictor.Observe("a", "code", 400);
   }
   BOOST_TEST(predictor.Predict("a", "chat", 0).mean == 100,
              boost::test_tools::tolerance(0.01));
@@ -91,6 +92,14 @@
   BOOST_TEST(tracker.SentSinceReport() == 3000);
 }
 
+// Guards against streams that count until the next report after they ended.
+BOOST_AUTO_TEST_CASE(EndedStreamsAreSubtracted) {
+  LoadTracker tracker;
+  tracker.OnReport({.measured_at = At(1), .running = 5});
+  tracker.OnGone(At(2));
+  BOOST_TEST(tracker.Streams() == 4);
+}
+
 // Guards against an older report that overwrites a newer one.
 BOOST_AUTO_TEST_CASE(OlderReportIsIgnored) {
   LoadTracker tracker;
--- a/cranberryhill/roles/roles_test.cc
+++ b/cranberryhill/roles/roles_test.cc
@@ -79,10 +79,13 @@
 // Guards against flapping when a swing returns before a change pays.
 BOOST_AUTO_TEST_CASE(ReturningSwingCausesNoChange) {
   RolePlannerOptions options;
-  Group group(options, {.prefill = 2, .decode = 2, .mixed = 2});
-  for (int i = 0; i < 20; ++i)
-    group.Run(i % 2 == 0 ? 0.75 : 0.25, 10);
-  BOOST_TEST(group.changes == 0);
+  for (int seconds : {10, 15, 20}) {
+    Group group(options, {.prefill = 2, .decode = 2, .mixed = 2});
+    for (int i = 0; i < 20; ++i)
+      group.Run(i % 2 == 0 ? 0.8 : 0.2, seconds);
+    BOOST_TEST_CONTEXT("swings of " << seconds << " s")
+    BOOST_TEST(group.changes == 0);
+  }
 }
 
 // Guards against a change that costs more than it gains because nothing waits.
--- a/cranberryhill/routing/routing_test.cc
+++ b/cranberryhill/routing/routing_test.cc
@@ -143,7 +143,8 @@
 BOOST_FIXTURE_TEST_CASE(OtherZoneOnlyWhenOwnIsLate, Fixture) {
   uint32_t own = this->router.AddEngine("own", "a", EngineRole::kMixed);
   uint32_t other = this->router.AddEngine("other", "b", EngineRole::kMixed);
-  this->Report(own, 1000);
+  // The other engine would finish earlier.
+  this->Report(own, 1000, 100);
   this->Report(other, 0);
   BOOST_TEST(this->router.Choose(this->Request())->engine == own);
   this->Report(own, 60000);
@@ -180,6 +181,26 @@
   BOOST_TEST(chosen.size() == 2U);
 }
 
+// Guards against savings that draw requests to an engine with a backlog far
+// above the others'.
+BOOST_FIXTURE_TEST_CASE(CachedPrefixDoesNotCountOnOverloadedEngine, Fixture) {
+  uint32_t holder = this->router.AddEngine("x", "a", EngineRole::kMixed);
+  this->router.AddEngine("y", "a", EngineRole::kMixed);
+  this->router.AddEngine("z", "a", EngineRole::kMixed);
+  std::vector<uint64_t> blocks;
+  std::vector<CacheEvent> events;
+  for (uint64_t block = 1; block <= 20; ++block) {
+    blocks.push_back(block);
+    events.push_back({block, block, true});
+  }
+  this->router.OnCacheEvents(holder, events);
+  this->Report(holder, 13000);
+  RouteRequest request = this->Request(20500);
+  request.first_token_by = absl::InfiniteFuture();
+  request.blocks = blocks;
+  BOOST_TEST(this->router.Choose(request)->engine != holder);
+}
+
 // Guards against slowed engines that go unnoticed until the reports show them.
 BOOST_FIXTURE_TEST_CASE(SlowedEngineIsAvoided, Fixture) {
   std::vector<uint32_t> engines;
