--- a/cranberryhill/admission/usage_limits.cc
+++ b/cranberryhill/admission/usage_limits.cc
@@ -16,9 +16,9 @@
 constexpr double kMinShare = 0.25;
 
 // Refill rate of one instance. Each instance removes its even part of the
-// total's distance to the limit. If each removed all of it, instances that
-// exchange usage once a second would swing between nothing and a multiple of
-// the limit.
+// total's distance to the limit. If each removed all of it, four busy instances
+// that exchange usage once a second would exceed a limit of 20 requests/s by 8
+// in single seconds instead of 4.
 double RefillRate(double limit, double own, double peers, uint32_t instances) {
   double even = limit / instances;
   double rate = own + (limit - own - peers) / instances;
--- a/programs/bench/entry_policy.cc
+++ b/programs/bench/entry_policy.cc
@@ -1,6 +1,7 @@
 #include "programs/bench/entry_policy.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
@@ -121,7 +122,9 @@
         return fitting[next++ % fitting.size()];
       case Rule::kLeastOutstanding:
         // Starting at a different engine each time spreads ties.
-        std::rotate(fitting.begin(), fitting.begin() + next++ % fitting.size(),
+        std::rotate(fitting.begin(),
+                    fitting.begin() +
+                        static_cast<std::ptrdiff_t>(next++ % fitting.size()),
                     fitting.end());
         return *std::min_element(fitting.begin(), fitting.end(), less);
       case Rule::kTwoChoices:
