--- a/cranberryhill/cost/engine_speed.h
+++ b/cranberryhill/cost/engine_speed.h
@@ -5,10 +5,13 @@
 // the engines of one kind, and a slowdown factor for each engine.
 //
 //   SpeedModel model;
-//   model.ObservePrefill(4000, 0, absl::Milliseconds(300));
-//   model.ObserveGap(24, absl::Milliseconds(18));
+//   model.ObserveFirstToken(4000, 0, absl::Milliseconds(300));
+//   model.ObserveGap(24, absl::Milliseconds(18), absl::Milliseconds(25));
 //   double seconds = model.PrefillSeconds(8000, 24);
 
+#include <array>
+#include <cstddef>
+
 #include "absl/time/time.h"
 
 namespace cranberryhill {
@@ -45,8 +48,31 @@
   double slope;
 };
 
-/// Expected prefill time and gap between tokens, both as lines over the number
-/// of streams in decode. Not thread-safe.
+/// Seconds per prefill token in ranges of the number of streams. A ratio of
+/// sums, because a mean of rates would be governed by the few samples that were
+/// fast by accident. Not thread-safe.
+class PrefillRates {
+ public:
+  explicit PrefillRates(double seconds_per_token);
+
+  void Observe(double streams, double tokens, double seconds);
+
+  /// @return Seconds per token, never less than with fewer streams.
+  double At(double streams) const;
+
+ private:
+  static constexpr size_t kRanges = 16;
+  struct Sums {
+    double tokens = 0;
+    double seconds = 0;
+  };
+
+  std::array<Sums, kRanges> sums;
+  std::array<double, kRanges> seconds_per_token;  // Not falling.
+};
+
+/// Expected time to the first token and gaps between tokens, as lines over the
+/// number of streams in decode. Not thread-safe.
 class SpeedModel {
  public:
   explicit SpeedModel(SpeedPrior prior = {});
@@ -54,27 +80,46 @@
   /// @param tokens Prefill tokens processed, those ahead in the queue included.
   /// @param streams Streams that the engine ran at the time.
   /// @param elapsed Time from sending to the first token.
-  void ObservePrefill(double tokens, double streams, absl::Duration elapsed);
+  void ObserveFirstToken(double tokens, double streams, absl::Duration elapsed);
 
   /// @param streams Streams that the engine ran at the time.
-  /// @param gap Mean gap between tokens of one stream.
-  void ObserveGap(double streams, absl::Duration gap);
+  /// @param mean Mean gap of some consecutive tokens of one stream.
+  /// @param longest Longest of these gaps.
+  void ObserveGap(double streams, absl::Duration mean, absl::Duration longest);
 
-  /// @return Seconds to prefill `tokens` on an engine of normal speed.
+  /// @return Seconds that the engine needs to prefill `tokens`.
   double PrefillSeconds(double tokens, double streams) const {
     return tokens * this->prefill.At(streams);
   }
 
-  /// @return Seconds between tokens with `streams` streams running.
+  /// @return Seconds of engine time per prefill token, without waiting. Unlike
+  ///     PrefillSeconds() it is not raised by waiting that the load reports do
+  ///     not show.
+  double PrefillTokenSeconds() const { return this->fastest_prefill; }
+
+  /// @return Seconds to the first token in addition to PrefillSeconds(): the
+  ///     rest of the running step.
+  double OverheadSeconds(double streams) const {
+    return this->GapSeconds(streams);
+  }
+
+  /// @return Mean seconds between tokens with `streams` streams running.
   double GapSeconds(double streams) const { return this->gap.At(streams); }
 
+  /// @return Seconds that about 95 in 100 gaps do not exceed.
+  double HighGapSeconds(double streams) const {
+    return this->high_gap.At(streams);
+  }
+
   /// @return Seconds of engine time per output token, with as many streams
   ///     running as `max_gap` permits.
   double DecodeTokenSeconds(absl::Duration max_gap) const;
 
  private:
-  LinearFit prefill;  // Seconds per token.
+  PrefillRates prefill;
+  double fastest_prefill;  // Low quantile of seconds per token.
   LinearFit gap;
+  LinearFit high_gap;
 };
 
 /// Ratio of one engine's times to the times expected of a normal engine.
--- a/cranberryhill/roles/role_planner.cc
+++ b/cranberryhill/roles/role_planner.cc
@@ -1,6 +1,7 @@
 #include "cranberryhill/roles/role_planner.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdlib>
 #include <utility>
@@ -12,11 +13,15 @@
 constexpr double kRegimeChange = 0.12;
 // Counts are rated at the estimated mix and at this distance on both sides,
 // because the estimate is never exact.
-constexpr double kMixUncertainty = 0.07;
+constexpr double kMixUncertainty = 0.12;
 // Capacity wanted in excess of the demand, so that queues stay short.
 constexpr double kHeadroom = 1.25;
+// A change that undoes the last one needs a gain larger by this factor for
+// each reversal in the recent past.
+constexpr double kReversalFactor = 2;
+constexpr double kReversalMemoryS = 180;
 // Gains below this part of the engines' capacity are noise.
-constexpr double kMinGain = 0.02;
+constexpr double kMinGain = 0.06;
 
 int& CountOf(RoleCounts& counts, EngineRole role) {
   switch (role) {
@@ -59,8 +64,9 @@
   double seconds = absl::ToDoubleSeconds(elapsed);
   if (seconds <= 0)
     return;
+  this->observed += elapsed;
   auto update = [&](Average& average, absl::Duration time_constant) {
-    double weight = 1 - std::exp(-(elapsed / time_constant));
+    double weight = 1 - std::exp(-absl::FDivDuration(elapsed, time_constant));
     if (average.prefill + average.decode == 0)
       weight = 1;
     average.prefill += weight * (prefill_s / seconds - average.prefill);
@@ -113,6 +119,18 @@
   return rate;
 }
 
+double RolePlanner::Rating(const RoleCounts& counts,
+                           double prefill_fraction,
+                           double demand) const {
+  constexpr std::array<double, 3> kShifts{-kMixUncertainty, 0, kMixUncertainty};
+  double sum = 0;
+  for (double shift : kShifts) {
+    double mix = std::clamp(prefill_fraction + shift, 0.0, 1.0);
+    sum += std::min(demand, this->Throughput(counts, mix));
+  }
+  return sum / kShifts.size();
+}
+
 bool RolePlanner::WithinBounds(const RoleCounts& counts, int engines) const {
   // Shares are rounded in favour of the bound's purpose: a minimum share above
   // 0 means at least one engine, a maximum below 1 leaves one to the others.
@@ -137,11 +155,7 @@
       if (!this->WithinBounds(counts, engines) ||
           (!complete && counts.mixed == 0))
         continue;
-      double rate = 0;
-      for (double shift : {-kMixUncertainty, 0.0, kMixUncertainty}) {
-        double mix = std::clamp(prefill_fraction + shift, 0.0, 1.0);
-        rate += this->Throughput(counts, mix) / 3;
-      }
+      double rate = this->Rating(counts, prefill_fraction, engines);
       if (rate > best_rate + 1e-9) {
         best_rate = rate;
         best = counts;
@@ -168,7 +182,7 @@
   double demand = kHeadroom * std::max(this->slow.prefill + this->slow.decode,
                                        this->fast.prefill + this->fast.decode);
   auto useful = [&](const RoleCounts& counts, double mix) {
-    return std::min(demand, this->Throughput(counts, mix));
+    return this->Rating(counts, mix, demand);
   };
   double quick = FractionOf(this->fast);
   std::optional<RoleChange> best;
@@ -209,14 +223,26 @@
   return best;
 }
 
+double RolePlanner::RecentReversals() const {
+  double age = absl::ToDoubleSeconds(this->clock.Now() - this->reversal_time);
+  return this->reversals * std::exp(-age / kReversalMemoryS);
+}
+
 std::optional<RoleChange> RolePlanner::Plan() {
-  if (this->change_open || this->slow.prefill + this->slow.decode <= 0)
+  if (this->change_open || this->observed < this->options.warm_up ||
+      this->slow.prefill + this->slow.decode <= 0)
     return std::nullopt;
   double fraction = this->options.hysteresis ? FractionOf(this->slow)
                                              : FractionOf(this->fast);
   std::optional<RoleChange> change = this->Best(this->Counts(), fraction);
-  if (!change || (this->options.hysteresis &&
-                  change->gain < this->options.gain_margin * change->cost))
+  if (!change)
+    return std::nullopt;
+  bool reversal = this->last_change && this->last_change->from == change->to &&
+                  this->last_change->to == change->from;
+  double reversals = this->RecentReversals() + (reversal ? 1 : 0);
+  double margin =
+      this->options.gain_margin * std::pow(kReversalFactor, reversals);
+  if (this->options.hysteresis && change->gain < margin * change->cost)
     return std::nullopt;
   const PlannedEngine* least = nullptr;
   for (const PlannedEngine& engine : this->engines) {
@@ -228,6 +254,9 @@
     return std::nullopt;
   change->engine = least->id;
   this->change_open = true;
+  this->reversals = reversals;
+  this->reversal_time = this->clock.Now();
+  this->last_change = change;
   return change;
 }
 
--- a/cranberryhill/roles/role_planner.h
+++ b/cranberryhill/roles/role_planner.h
@@ -35,12 +35,15 @@
   /// Time without service for one change: drain, order and load.
   absl::Duration absence = absl::Seconds(12);
   /// Part of a mixed engine's time lost by interference of prefill and decode.
-  double mixed_loss = 0.15;
+  double mixed_loss = 0.3;
   /// The gain has to exceed the cost by this factor.
   double gain_margin = 1.5;
   /// Time constants of the two mix estimates. A change needs both to agree.
-  absl::Duration fast_average = absl::Seconds(4);
-  absl::Duration slow_average = absl::Seconds(20);
+  absl::Duration fast_average = absl::Seconds(3);
+  absl::Duration slow_average = absl::Seconds(8);
+  /// Time of observation before the first change: caches are cold at first and
+  /// output lengths unknown.
+  absl::Duration warm_up = absl::Seconds(30);
   /// Expected duration of a mix before anything was learned.
   absl::Duration initial_duration = absl::Seconds(60);
   /// False: every plan follows the momentary mix (for comparison only).
@@ -110,10 +113,16 @@
 
   static double FractionOf(const Average& average);
   std::optional<RoleChange> Best(const RoleCounts& now, double fraction) const;
+  // Mean throughput over the mixes around `prefill_fraction`, each at most
+  // `demand`.
+  double Rating(const RoleCounts& counts,
+                double prefill_fraction,
+                double demand) const;
   bool WithinBounds(const RoleCounts& counts, int engines) const;
   RoleCounts Counts() const;
   double ExpectedDuration() const;
   void TrackMix();
+  double RecentReversals() const;
 
   const Clock& clock;
   const RolePlannerOptions options;
@@ -124,7 +133,11 @@
   // Mix regime: fraction at its start, its start and the learned duration.
   double regime_fraction = -1;
   absl::Time regime_start;
+  absl::Duration observed;
   double mean_duration_s;
+  std::optional<RoleChange> last_change;
+  double reversals = 0;  // Decayed count at reversal_time.
+  absl::Time reversal_time;
 };
 
 }  // namespace cranberryhill
--- a/cranberryhill/routing/router.h
+++ b/cranberryhill/routing/router.h
@@ -36,14 +36,25 @@
 
 namespace cranberryhill {
 
+/// Stands for an index that is not known.
+inline constexpr uint32_t kNoIndex = UINT32_MAX;
+
 /// Bounds and behaviour of a Router.
 struct RouterOptions {
   std::string zone{};            ///< Availability zone of this instance.
   uint32_t entry_instances = 1;  ///< Instances that use the same engines.
+  /// Index of this instance among them, or kNoIndex. With an index, each
+  /// engine is the home of one instance (or of several, when there are fewer
+  /// engines), which knows most of the work sent to it. Other instances use it
+  /// only when it is better by foreign_margin.
+  uint32_t instance_index = kNoIndex;
+  absl::Duration foreign_margin = absl::Milliseconds(300);
   absl::Duration zone_latency = absl::Milliseconds(0.5);  ///< One way.
   absl::Duration max_gap = absl::Milliseconds(66);        ///< Between tokens.
-  /// Candidates within best * near_best + near_best_floor take part in the
-  /// random choice.
+  /// Candidates whose finish time exceeds the best by at most near_best_floor,
+  /// the part near_best - 1 of the best's first token and differences of gaps
+  /// that are below the precision of the estimates take part in the random
+  /// choice.
   double near_best = 1.05;
   absl::Duration near_best_floor = absl::Milliseconds(20);
   /// A cached prefix counts only while its engine's waiting prefill is at most
@@ -74,7 +85,8 @@
 /// Where a request goes.
 struct RouteDecision {
   uint32_t engine = 0;  ///< Runs the prefill.
-  /// Runs the decode; equals `engine` unless that has role prefill.
+  /// Runs the decode. Differs from `engine` when that has role prefill, or
+  /// role mixed and many streams.
   uint32_t decode_engine = 0;
   uint32_t cached_blocks = 0;
   absl::Duration first_token;  ///< Expected time to the first token.
@@ -131,7 +143,9 @@
   /// Forgets what is known of an engine that restarted: load and cache.
   void OnEngineRestarted(uint32_t engine);
 
-  void SetEntryInstances(uint32_t count);
+  /// @param count Entry instances of the zone.
+  /// @param index Position of this one in their sorted list.
+  void SetEntryInstances(uint32_t count, uint32_t index = kNoIndex);
 
   void OnLoadReport(uint32_t engine, const LoadReport& report);
   void OnCacheEvents(uint32_t engine, std::span<const CacheEvent> events);
--- a/programs/bench/simulation.cc
+++ b/programs/bench/simulation.cc
@@ -31,7 +31,9 @@
 constexpr double kIdleConfirmS = 3;  // Design page, section 6.
 constexpr double kDrainLimitS = 30;
 constexpr double kRoleOrderS = 4;  // The engine is unavailable.
-constexpr uint32_t kTokensPerNotice = 8;
+constexpr double kTraceIntervalS = 2;
+constexpr double kTraceArrivalsS = 10;
+constexpr uint32_t kTokensPerNotice = 1;
 
 enum class EventKind : uint8_t {
   kArrival,
@@ -47,6 +49,7 @@
   kDisturb,
   kRestore,
   kCrashDetected,
+  kTrace,
 };
 
 struct Event {
@@ -108,6 +111,7 @@
   bool alive = true;
   uint64_t epoch = 0;  // Steps begun before a crash are void.
   uint32_t transfers = 0;
+  double busy = 0;             // Seconds in steps.
   std::vector<uint64_t> lost;  // Jobs whose loss is not yet detected.
   // Role change in progress.
   bool changing = false;
@@ -123,7 +127,10 @@
 
 class Simulation {
  public:
-  Simulation(const Scenario& scenario, const PolicyInfo& policy, uint64_t seed);
+  Simulation(const Scenario& scenario,
+             const PolicyInfo& policy,
+             uint64_t seed,
+             bool trace);
   RunResult Run();
 
  private:
@@ -165,6 +172,8 @@
   void HandleDisturb(const Disturbance& disturbance);
   void HandleRestore(const Disturbance& disturbance);
   void HandleCrashDetected(uint32_t index);
+  void HandleTrace();
+  void TraceArrivals() const;
 
   uint64_t NewJob(uint64_t request);
   void StartJob(uint64_t job,
@@ -194,6 +203,7 @@
 
   const Scenario& scenario;
   const PolicyInfo& policy;
+  const bool trace;
   const double duration;
   std::vector<RequestSpec> specs;
   ManualClock clock;
@@ -227,9 +237,11 @@
 
 Simulation::Simulation(const Scenario& scenario,
                        const PolicyInfo& policy,
-                       uint64_t seed)
+                       uint64_t seed,
+                       bool trace)
     : scenario(scenario),
       policy(policy),
+      trace(trace),
       duration(scenario.Duration()),
       specs(MakeArrivals(scenario, seed)),
       random(seed + 1000003),
@@ -284,6 +296,7 @@
                      .engines = this->infos,
                      .zone = zone,
                      .zone_instances = same_zone,
+                     .zone_index = i / zones,
                      .client_latency_s = this->scenario.client_latency_s}));
   }
 }
@@ -294,6 +307,8 @@
   this->Schedule(kTickS, EventKind::kTick);
   this->Schedule(kReportIntervalS, EventKind::kReport);
   this->Schedule(kCacheEventIntervalS, EventKind::kCacheEvents);
+  if (this->trace)
+    this->Schedule(kTraceIntervalS, EventKind::kTrace);
   if (this->policy.plans_roles)
     this->Schedule(kPlanIntervalS, EventKind::kPlan);
   for (size_t i = 0; i < this->scenario.disturbances.size(); ++i) {
@@ -344,6 +359,8 @@
       return this->HandleRestore(this->scenario.disturbances[event.a]);
     case EventKind::kCrashDetected:
       return this->HandleCrashDetected(engine);
+    case EventKind::kTrace:
+      return this->HandleTrace();
   }
 }
 
@@ -442,6 +459,7 @@
   if (seconds <= 0)
     return;
   state.stepping = true;
+  state.busy += seconds;
   for (uint64_t job : state.engine->StartedPrefills()) {
     Request& request = this->requests[this->attempts.at(job).request - 1];
     if (request.prefill_started < 0)
@@ -678,6 +696,57 @@
   this->planners[this->infos[index].zone]->OnChangeEnded();
 }
 
+// One line with role, streams, queue and waiting prefill of each engine.
+void Simulation::HandleTrace() {
+  this->Schedule(kTraceIntervalS, EventKind::kTrace);
+  std::string line = fmt::format("{:6.1f}", this->now);
+  for (const EngineState& state : this->engines) {
+    const FakeEngine& engine = *state.engine;
+    line += fmt::format(" {}{}{}/{}/{:.0f}k", RoleName(engine.role)[0],
+                        state.changing ? "*" : "", engine.Running(),
+                        engine.Queued(), engine.WaitingPrefill() / 1000);
+  }
+  fmt::print(stderr, "{} prefill={:.2f}\n", line,
+             this->planners[0]->PrefillFraction());
+}
+
+// Outcomes by time of arrival.
+void Simulation::TraceArrivals() const {
+  struct Counts {
+    int arrived = 0;
+    int good = 0;
+    int refused = 0;
+    int late_first = 0;
+    int late_gaps = 0;
+  };
+  std::vector<Counts> spans(
+      static_cast<size_t>(this->duration / kTraceArrivalsS) + 1);
+  for (size_t i = 0; i < this->requests.size(); ++i) {
+    const Request& request = this->requests[i];
+    Counts& counts =
+        spans[static_cast<size_t>(this->specs[i].arrival / kTraceArrivalsS)];
+    ++counts.arrived;
+    counts.good += this->Good(i);
+    counts.refused += request.refused;
+    counts.late_first += request.first_token > kFirstTokenLimitS;
+    counts.late_gaps += request.done &&
+                        request.first_token <= kFirstTokenLimitS &&
+                        !this->Good(i);
+  }
+  for (size_t i = 0; i < this->engines.size(); ++i) {
+    fmt::print(stderr, "{} busy {:.2f}\n", this->infos[i].id,
+               this->engines[i].busy / this->duration);
+  }
+  for (size_t i = 0; i < spans.size(); ++i) {
+    fmt::print(stderr,
+               "from {:.0f} s: arrived {} good {} refused {} first token late "
+               "{} gaps late {}\n",
+               static_cast<double>(i) * kTraceArrivalsS, spans[i].arrived,
+               spans[i].good, spans[i].refused, spans[i].late_first,
+               spans[i].late_gaps);
+  }
+}
+
 bool Simulation::Good(size_t index) const {
   const Request& request = this->requests[index];
   const RequestSpec& spec = this->specs[index];
@@ -777,11 +846,14 @@
     this->clock.Set(absl::UnixEpoch() + absl::Seconds(this->now));
     this->Handle(event);
   }
+  if (this->trace)
+    this->TraceArrivals();
   RunResult result;
   this->CountRequests(result);
   this->CountTimes(result);
   Bound bound = BoundOf(this->scenario, this->specs);
-  result.goodput = static_cast<double>(result.good) / this->duration;
+  result.goodput =
+      static_cast<double>(result.good) / this->scenario.ArrivalSeconds();
   result.bound_ratio = result.goodput / bound.goodput;
   result.capacity_ratio = result.goodput / bound.capacity;
   result.role_changes = this->role_changes;
@@ -795,8 +867,9 @@
 
 RunResult RunScenario(const Scenario& scenario,
                       const PolicyInfo& policy,
-                      uint64_t seed) {
-  RunResult result = Simulation(scenario, policy, seed).Run();
+                      uint64_t seed,
+                      bool trace) {
+  RunResult result = Simulation(scenario, policy, seed, trace).Run();
   result.seed = seed;
   return result;
 }
