daemon: test chats, fleet, views and guard together on fake engines

The daemon's parts were tested one by one or over sockets only. A fake Http2Client on a ManualExecutor lets engines crash, go silent, refuse, slow down and break their streams at chosen virtual times, and properties check what callers and engines saw.

--- /dev/null
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -0,0 +1,195 @@
+#include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
+
+#include "cranberryhill/daemon/chat_fixture_test.h"
+
+namespace cranberryhill {
+namespace {
+
+std::string Expected(const ChatRecord& chat) {
+  std::string text;
+  for (uint32_t i = 0; i < chat.tokens; ++i)
+    text += FakeToken(chat.prompt, i);
+  return text;
+}
+
+// Guards against streams that stay on an engine beyond the drain time, and
+// against tokens that are lost or repeated by the move.
+BOOST_AUTO_TEST_CASE(StreamsMoveAwayFromMarkedEngine) {
+  ChatFixture f({"mixed", "mixed"});
+  f.Engine(0).slow = f.Engine(1).slow = 5;
+  ChatRecord& chat = f.Submit("hello", 600, absl::Minutes(3));
+  f.RunFor(absl::Seconds(1));
+  size_t old_engine = f.engines.Running(f.Engine(0), "hello") > 0 ? 0 : 1;
+  f.Mark({f.Engine(old_engine).id});
+  f.RunFor(absl::Seconds(29));
+  BOOST_TEST(f.engines.Running(f.Engine(old_engine), "hello") == 1U);
+  f.RunFor(absl::Seconds(3));
+  BOOST_TEST(f.engines.Running(f.Engine(old_engine), "hello") == 0U);
+  f.RunFor(absl::Seconds(60));
+  BOOST_TEST(chat.answered);
+  BOOST_TEST(chat.tokens == 600U);
+  BOOST_TEST(chat.text == Expected(chat));
+  BOOST_TEST(f.violations().empty());
+}
+
+// Guards against engines that are lost without a view although probes keep
+// the right to use them, and against probes while the view is fresh.
+BOOST_AUTO_TEST_CASE(ProbesKeepEnginesUsableWithoutView) {
+  ChatFixture f({"mixed", "mixed"});
+  f.RunFor(absl::Seconds(10));
+  BOOST_TEST(f.Runs("probe") == 0U);
+  f.table_up = false;
+  f.RunFor(absl::Minutes(1));
+  BOOST_TEST(f.Runs("probe") >= 100U);
+  ChatRecord& chat = f.Submit("hello", 10);
+  f.RunFor(absl::Seconds(2));
+  BOOST_TEST(chat.answered);
+  f.table_up = true;
+  f.RunFor(absl::Seconds(1));
+  size_t probes = f.Runs("probe");
+  f.RunFor(absl::Seconds(10));
+  BOOST_TEST(f.Runs("probe") == probes);
+  BOOST_TEST(f.violations().empty());
+}
+
+// Guards against retries beyond the budget while every engine fails:
+// 10% of the requests plus 1 a second.
+RC_BOOST_PROP(RetriesStayWithinBudget, ()) {
+  ChatFixture f({"mixed", "mixed", "mixed"}, *rc::gen::arbitrary<uint64_t>());
+  size_t kind = *rc::gen::inRange<size_t>(0, 3);
+  for (FakeEngine& engine : f.engines.all()) {
+    engine.refuse = kind == 0;
+    engine.error_status = kind == 1 ? 500 : 0;
+    if (kind == 2)
+      engine.breaks = StreamBreak::kBadJson;
+  }
+  size_t sent = 0;
+  f.engines.on_generate = [&sent](FakeEngine&, const std::string&) { ++sent; };
+  absl::Time begin = f.clock.Now();
+  for (int i = 0; i < 60; ++i) {
+    f.Submit("chat " + std::to_string(i), 5);
+    f.RunFor(absl::Milliseconds(*rc::gen::inRange(1, 200)));
+  }
+  f.RunFor(absl::Seconds(5));
+  double seconds = absl::ToDoubleSeconds(f.clock.Now() - begin);
+  // The first second's allowance is there from the start.
+  RC_ASSERT(static_cast<double>(sent) <= 60 * 1.15 + seconds + 2);
+}
+
+enum class Step {
+  kChat,
+  kPoison,
+  kCancel,
+  kCrash,
+  kSilent,
+  kRefuse,
+  kBreak,
+  kSlow,
+  kMark,
+  kOutage,
+  kHeal,
+};
+
+void ApplyFault(ChatFixture& f, Step step, size_t number) {
+  FakeEngine& engine = f.Engine(number % 4);
+  switch (step) {
+    case Step::kCrash:
+      f.engines.Crash(engine);
+      break;
+    case Step::kSilent:
+      f.engines.SetSilent(engine, true);
+      break;
+    case Step::kRefuse:
+      engine.refuse = true;
+      break;
+    case Step::kBreak:
+      engine.breaks = static_cast<StreamBreak>(1 + number / 4 % 4);
+      break;
+    case Step::kSlow:
+      engine.slow = 30;
+      engine.delay = absl::Milliseconds(number % 3 * 300);
+      break;
+    case Step::kMark:
+      f.Mark(number % 3 == 0 ? std::vector<std::string>{}
+                             : std::vector<std::string>{engine.id});
+      break;
+    case Step::kOutage:
+      f.table_up = !f.table_up;
+      break;
+    default:
+      f.engines.SetSilent(engine, false);
+      engine.refuse = false;
+      engine.breaks = StreamBreak::kNone;
+      engine.slow = 1;
+      engine.delay = absl::ZeroDuration();
+  }
+}
+
+// Guards against chats that end twice or never, foreign, lost or repeated
+// tokens, a false "not run", streams left on engines, forbidden work, and a
+// request that crashes more than two engines.
+RC_BOOST_PROP(ChatsSurviveFaults, ()) {
+  bool split = *rc::gen::arbitrary<bool>();
+  ChatFixture f(
+      split ? std::vector<std::string>{"prefill", "prefill", "decode", "decode"}
+            : std::vector<std::string>(4, "mixed"),
+      *rc::gen::arbitrary<uint64_t>());
+  for (FakeEngine& engine : f.engines.all()) {
+    engine.crash_on = "poison";
+    engine.crash_time = absl::Milliseconds(15);
+  }
+  ChatRecord* poison = nullptr;
+  size_t steps = *rc::gen::inRange<size_t>(10, 80);
+  for (size_t i = 0; i < steps; ++i) {
+    size_t number = *rc::gen::inRange<size_t>(0, 1000);
+    Step step = *rc::gen::weightedElement<Step>({{12, Step::kChat},
+                                                 {1, Step::kPoison},
+                                                 {2, Step::kCancel},
+                                                 {2, Step::kCrash},
+                                                 {1, Step::kSilent},
+                                                 {1, Step::kRefuse},
+                                                 {1, Step::kBreak},
+                                                 {1, Step::kSlow},
+                                                 {2, Step::kMark},
+                                                 {1, Step::kOutage},
+                                                 {5, Step::kHeal}});
+    if (step == Step::kChat) {
+      f.Submit("chat " + std::to_string(i),
+               static_cast<uint32_t>(1 + number % 120));
+    } else if (step == Step::kPoison) {
+      // A repeat that overlaps the first is a second request.
+      if (poison == nullptr || poison->ends > 0)
+        poison = &f.Submit("poison", 10);
+    } else if (step == Step::kCancel && !f.records.empty()) {
+      ChatRecord& chat =
+          *std::next(f.records.begin(),
+                     static_cast<std::ptrdiff_t>(number % f.records.size()));
+      if (chat.ends == 0 && &chat != poison)
+        f.Cancel(chat);
+    } else if (step != Step::kCancel) {
+      ApplyFault(f, step, number);
+    }
+    f.RunFor(absl::Milliseconds(*rc::gen::inRange(0, 1500)));
+  }
+  f.RunFor(absl::Seconds(31));
+  uint32_t crashes = 0;
+  for (FakeEngine& engine : f.engines.all())
+    crashes += engine.poisoned;
+  RC_ASSERT(crashes <= 2U);
+  RC_ASSERT(f.violations().empty());
+  RC_ASSERT(f.Running("") == 0U);
+  RC_ASSERT(f.chats.running() == 0U);
+  for (const ChatRecord& chat : f.records) {
+    RC_ASSERT(chat.ends == (chat.cancelled ? 0 : 1));
+    RC_ASSERT(chat.after_end == 0);
+    RC_ASSERT(chat.text == Expected(chat));
+    if (chat.refusal && chat.refusal->outcome == RefusalOutcome::kNotRun &&
+        chat.prompt != "poison") {
+      RC_ASSERT(f.Runs(chat.prompt) == 0U);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cranberryhill
