daemon: end the prefill stream before a hand-over

Each hand-over failed: the prefill stream's END_STREAM comes after its last line, still under the attempt's key, and was taken for a decode stream without a last line. The attempt was failed as a broken stream and used a retry. HandOver() now cancels the finished stream's callbacks.

Tests: HandOverRunsOncePerRole, HandOverGoesOnWithoutTheBlocks and DecodeEngineCrashIsResumed failed before this change.

--- a/cranberryhill/daemon/chat_fixture_test.h
+++ b/cranberryhill/daemon/chat_fixture_test.h
@@ -42,7 +42,7 @@
   ChatRecord& Submit(const std::string& prompt,
                      uint32_t tokens,
                      absl::Duration limit = absl::Seconds(30),
-                     int64_t prompt_tokens = 64);
+                     int64_t prompt_tokens = 1024);
   void Cancel(ChatRecord& chat);
   void RunFor(absl::Duration duration) { this->executor.RunFor(duration); }
 
--- a/cranberryhill/daemon/chat_service_test.cc
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -6,6 +6,9 @@
 namespace cranberryhill {
 namespace {
 
+// Long enough to have blocks that can be transferred.
+const std::string kPrompt(4096, 'p');
+
 std::string Expected(const ChatRecord& chat) {
   std::string text;
   for (uint32_t i = 0; i < chat.tokens; ++i)
@@ -13,19 +16,62 @@
   return text;
 }
 
+// Guards against a hand-over that is taken for a broken stream when the
+// prefill stream ends, and against a prompt that is computed twice.
+BOOST_AUTO_TEST_CASE(HandOverRunsOncePerRole) {
+  ChatFixture f({"prefill", "decode"});
+  ChatRecord& chat = f.Submit(kPrompt, 10);
+  f.RunFor(absl::Seconds(2));
+  BOOST_TEST(chat.answered);
+  BOOST_TEST(chat.tokens == 10U);
+  BOOST_TEST(chat.text == Expected(chat));
+  BOOST_TEST(f.Engine(0).ran.size() == 1U);
+  BOOST_TEST(f.Engine(1).ran.size() == 1U);
+  BOOST_TEST(f.Engine(1).imports == 1U);
+}
+
+// Guards against a failed export or import that ends the attempt.
+BOOST_AUTO_TEST_CASE(HandOverGoesOnWithoutTheBlocks) {
+  for (bool at_export : {true, false}) {
+    ChatFixture f({"prefill", "decode"});
+    f.Engine(0).export_fails = at_export;
+    f.Engine(1).import_fails = !at_export;
+    ChatRecord& chat = f.Submit(kPrompt, 10);
+    f.RunFor(absl::Seconds(2));
+    BOOST_TEST(chat.answered);
+    BOOST_TEST(f.Runs(kPrompt) == 2U);
+    BOOST_TEST(f.Engine(1).imports == (at_export ? 0U : 1U));
+  }
+}
+
+// Guards against a decode engine's crash that loses or repeats tokens.
+BOOST_AUTO_TEST_CASE(DecodeEngineCrashIsResumed) {
+  ChatFixture f({"prefill", "decode", "decode"});
+  ChatRecord& chat = f.Submit(kPrompt, 60);
+  f.RunFor(absl::Milliseconds(500));
+  for (FakeEngine& engine : f.engines.all()) {
+    if (f.engines.Running(engine, kPrompt) > 0)
+      f.engines.Crash(engine);
+  }
+  f.RunFor(absl::Seconds(5));
+  BOOST_TEST(chat.answered);
+  BOOST_TEST(chat.tokens == 60U);
+  BOOST_TEST(chat.text == Expected(chat));
+}
+
 // Guards against streams that stay on an engine beyond the drain time, and
 // against tokens that are lost or repeated by the move.
 BOOST_AUTO_TEST_CASE(StreamsMoveAwayFromMarkedEngine) {
   ChatFixture f({"mixed", "mixed"});
   f.Engine(0).slow = f.Engine(1).slow = 5;
-  ChatRecord& chat = f.Submit("hello", 600, absl::Minutes(3));
+  ChatRecord& chat = f.Submit(kPrompt, 600, absl::Minutes(3));
   f.RunFor(absl::Seconds(1));
-  size_t old_engine = f.engines.Running(f.Engine(0), "hello") > 0 ? 0 : 1;
+  size_t old_engine = f.engines.Running(f.Engine(0), kPrompt) > 0 ? 0 : 1;
   f.Mark({f.Engine(old_engine).id});
   f.RunFor(absl::Seconds(29));
-  BOOST_TEST(f.engines.Running(f.Engine(old_engine), "hello") == 1U);
+  BOOST_TEST(f.engines.Running(f.Engine(old_engine), kPrompt) == 1U);
   f.RunFor(absl::Seconds(3));
-  BOOST_TEST(f.engines.Running(f.Engine(old_engine), "hello") == 0U);
+  BOOST_TEST(f.engines.Running(f.Engine(old_engine), kPrompt) == 0U);
   f.RunFor(absl::Seconds(60));
   BOOST_TEST(chat.answered);
   BOOST_TEST(chat.tokens == 600U);
@@ -42,7 +88,7 @@
   f.table_up = false;
   f.RunFor(absl::Minutes(1));
   BOOST_TEST(f.Runs("probe") >= 100U);
-  ChatRecord& chat = f.Submit("hello", 10);
+  ChatRecord& chat = f.Submit(kPrompt, 10);
   f.RunFor(absl::Seconds(2));
   BOOST_TEST(chat.answered);
   f.table_up = true;
@@ -155,7 +201,7 @@
                                                  {1, Step::kOutage},
                                                  {5, Step::kHeal}});
     if (step == Step::kChat) {
-      f.Submit("chat " + std::to_string(i),
+      f.Submit(std::string(split ? kPrompt : "chat") + std::to_string(i),
                static_cast<uint32_t>(1 + number % 120));
     } else if (step == Step::kPoison) {
       // A repeat that overlaps the first is a second request.
--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -293,7 +293,10 @@
 void EngineFleet::HandOver(const AttemptKey& key) {
   Running& run = *this->running.at(key);
   run.prefill_only = false;
-  run.stream.reset();
+  // The end of this stream comes after its last line; without the cancellation
+  // it would be taken for the end of the decode stream.
+  if (run.stream != nullptr)
+    std::exchange(run.stream, nullptr)->Cancel();
   std::optional<uint32_t> chosen = run.router->ChooseDecode(key.Packed());
   if (!chosen) {
     this->FailAttempt(key, AttemptFailure::kRefused);
--- a/cranberryhill/daemon/fake_engines_test.cc
+++ b/cranberryhill/daemon/fake_engines_test.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cranberryhill/base/hash.h"
+
 namespace cranberryhill {
 namespace {
 
@@ -18,7 +20,7 @@
 }  // namespace
 
 std::string FakeToken(const std::string& prompt, uint32_t index) {
-  return prompt + "#" + std::to_string(index) + ";";
+  return std::to_string(StableHash(prompt)) + "#" + std::to_string(index) + ";";
 }
 
 class FakeStream : public Http2Stream,
