daemon: hand over only answers that were cut at one token

A prefill engine whose model ended the answer with its first token reports another finish reason than "length". The attempt was handed over all the same, and the decode engine generated tokens beyond the end.

Test: AnswerOfOneTokenIsNotHandedOver failed before this change (10 tokens instead of 1).

--- a/cranberryhill/daemon/chat_service_test.cc
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -59,6 +59,18 @@
   BOOST_TEST(chat.text == Expected(chat));
 }
 
+// Guards against a hand-over after an answer that ended by itself.
+BOOST_AUTO_TEST_CASE(AnswerOfOneTokenIsNotHandedOver) {
+  ChatFixture f({"prefill", "decode"});
+  f.Engine(0).natural_end = 1;
+  f.Engine(0).finish_reason = "stop";
+  ChatRecord& chat = f.Submit(kPrompt, 10);
+  f.RunFor(absl::Seconds(2));
+  BOOST_TEST(chat.answered);
+  BOOST_TEST(chat.tokens == 1U);
+  BOOST_TEST(f.Engine(1).ran.empty());
+}
+
 // Guards against streams that stay on an engine beyond the drain time, and
 // against tokens that are lost or repeated by the move.
 BOOST_AUTO_TEST_CASE(StreamsMoveAwayFromMarkedEngine) {
--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -21,6 +21,8 @@
 constexpr size_t kMaxLineBytes = size_t{64} * 1024;
 // Cache events are late anyway, and what this instance sent is known at once.
 constexpr absl::Duration kCacheEventInterval = absl::Seconds(5);
+// Finish reason of a stream that was cut at its `max_tokens`.
+constexpr std::string_view kCutReason = "length";
 constexpr size_t kMaxEventBytes = size_t{1} * 1024 * 1024;
 
 }  // namespace
@@ -281,7 +283,9 @@
 void EngineFleet::OnStreamDone(const AttemptKey& key,
                                std::string_view finish_reason) {
   Running& run = *this->running.at(key);
-  bool more = run.attempt.resume_from < run.attempt.max_tokens;
+  // Any other reason means that the model ended the answer by itself.
+  bool more = finish_reason == kCutReason &&
+              run.attempt.resume_from < run.attempt.max_tokens;
   if (run.prefill_only && run.got_token && more) {
     this->HandOver(key);
     return;
