daemon: end a KV transfer with its attempt and its engines

A transfer holds references to the connections of both engines, but only the engine of the running stream counted as in use. A document that dropped the decode engine, or gave either engine a new address, during a transfer destroyed a connection that the transfer then used. A dropped transfer's export also ran on at the engine. Engines that an attempt may be handed over to are now kept, attempts on an engine that moves are failed before its connection goes, a dropped transfer cancels its request, and import and decode start only while the engine may get work.

Test: NothingStartsAfterAnAbandonedTransfer ended in a memory access violation before this change.

--- a/cranberryhill/daemon/chat_service_test.cc
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -71,6 +71,37 @@
   BOOST_TEST(f.Engine(1).ran.empty());
 }
 
+// Guards against work for a chat whose caller left during the transfer, and
+// against a transfer that uses the connection of an engine which the
+// configuration dropped or moved meanwhile.
+BOOST_AUTO_TEST_CASE(NothingStartsAfterAnAbandonedTransfer) {
+  enum class Cause { kCallerLeft, kDropped, kNewAddress };
+  for (Cause cause :
+       {Cause::kCallerLeft, Cause::kDropped, Cause::kNewAddress}) {
+    ChatFixture f({"prefill", "decode"});
+    f.engines.Add("moved", 7099).refuse = true;
+    f.Engine(0).delay = absl::Milliseconds(100);
+    ChatRecord& chat = f.Submit(kPrompt, 10);
+    f.RunUntilExport();
+    BOOST_TEST(f.Engine(0).exports == 1U);
+    std::vector<EngineSpec> specs = f.Document()->document.engines;
+    if (cause == Cause::kCallerLeft) {
+      f.Cancel(chat);
+    } else if (cause == Cause::kDropped) {
+      specs.pop_back();
+      f.fleet.SetEngines(specs);
+    } else {
+      specs.back().address = "127.0.0.1:7099";
+      f.fleet.SetEngines(specs);
+    }
+    f.RunFor(absl::Seconds(3));
+    BOOST_TEST(f.Engine(1).imports == 0U);
+    BOOST_TEST(f.Engine(1).ran.empty());
+    BOOST_TEST(f.Running("") == 0U);
+    BOOST_TEST(chat.after_end == 0);
+  }
+}
+
 // Guards against streams that stay on an engine beyond the drain time, and
 // against tokens that are lost or repeated by the move.
 BOOST_AUTO_TEST_CASE(StreamsMoveAwayFromMarkedEngine) {
--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -104,13 +104,14 @@
     }
     if (known != nullptr) {
       known->router->SetUsable(known->router_index, false);
+      this->FailAttemptsOn(spec.id);
       this->engines.erase(spec.id);
     }
     this->AddEngine(spec);
   }
   for (auto it = this->engines.begin(); it != this->engines.end();) {
     Engine& engine = *it->second;
-    bool in_use = this->RunningOn(it->first) > 0;
+    bool in_use = this->InUse(it->first);
     if (!engine.configured)
       engine.router->SetUsable(engine.router_index, false);
     if (!engine.configured && !in_use)
@@ -120,6 +121,25 @@
   }
 }
 
+bool EngineFleet::InUse(std::string_view engine) const {
+  return std::any_of(this->running.begin(), this->running.end(),
+                     [engine](const auto& item) {
+                       return item.second->engine == engine ||
+                              item.second->decode_engine == engine;
+                     });
+}
+
+void EngineFleet::FailAttemptsOn(std::string_view engine) {
+  std::vector<AttemptKey> keys;
+  for (const auto& [key, run] : this->running) {
+    bool transfers = run->transfer != nullptr && run->decode_engine == engine;
+    if (run->engine == engine || transfers)
+      keys.push_back(key);
+  }
+  for (const AttemptKey& key : keys)
+    this->FailAttempt(key, AttemptFailure::kConnectionLost);
+}
+
 void EngineFleet::AddEngine(const EngineSpec& spec) {
   auto address = Capture([&] { return ParseIpAddress(spec.address); });
   if (!address.ok()) {
@@ -201,6 +221,12 @@
   engine.router->SetUsable(engine.router_index, usable);
 }
 
+bool EngineFleet::MayStart(std::string_view id) const {
+  const Engine* engine = this->FindEngine(id);
+  return engine != nullptr && engine->configured &&
+         this->context.permission.MayStart(id);
+}
+
 std::optional<Placement> EngineFleet::Place(const AttemptRequest& attempt,
                                             RouteRequest route) {
   Router* router = this->RouterOf(attempt.model);
@@ -317,13 +343,14 @@
     this->StartDecode(key);
     return;
   }
-  run.transfer = TransferKv(*source->connection, *target->connection,
-                            run.blocks, [this, key](bool moved) {
-                              this->context.metrics.Count(
-                                  "cranberryhill_kv_transfers_total",
-                                  {{"moved", moved ? "true" : "false"}});
-                              this->StartDecode(key);
-                            });
+  run.transfer = TransferKv(
+      *source->connection, *target->connection, run.blocks,
+      [this, id = run.decode_engine] { return this->MayStart(id); },
+      [this, key](bool moved) {
+        this->context.metrics.Count("cranberryhill_kv_transfers_total",
+                                    {{"moved", moved ? "true" : "false"}});
+        this->StartDecode(key);
+      });
 }
 
 void EngineFleet::StartDecode(const AttemptKey& key) {
@@ -332,7 +359,7 @@
     return;
   Running& run = *found->second;
   Engine* engine = this->FindEngine(run.decode_engine);
-  if (engine == nullptr) {
+  if (engine == nullptr || !this->MayStart(run.decode_engine)) {
     this->FailAttempt(key, AttemptFailure::kRefused);
     return;
   }
--- a/cranberryhill/daemon/engine_fleet.h
+++ b/cranberryhill/daemon/engine_fleet.h
@@ -191,6 +191,12 @@
                                        absl::Time asked,
                                        std::string_view body);
   void UpdateUsable(Engine& engine);
+  /// Asked directly before each write, because the routers' knowledge of
+  /// usable engines is refreshed only by Tick().
+  bool MayStart(std::string_view id) const;
+  /// @return Whether an attempt runs on the engine or may be handed over to it.
+  bool InUse(std::string_view engine) const;
+  void FailAttemptsOn(std::string_view engine);
   absl::Duration PollInterval() const;
 
   FleetContext context;
--- a/cranberryhill/daemon/kv_transfer.cc
+++ b/cranberryhill/daemon/kv_transfer.cc
@@ -31,11 +31,15 @@
  public:
   Transfer(Http2Connection& source,
            Http2Connection& target,
+           std::function<bool()> may_import,
            std::function<void(bool)> done)
-      : source(source), target(target), done(std::move(done)) {}
+      : source(source),
+        target(target),
+        may_import(std::move(may_import)),
+        done(std::move(done)) {}
 
   void Export(std::string body) {
-    this->Ask(this->source, "/v1/kv/export", std::move(body),
+    this->Ask(this->source, "/v1/kv/export", std::move(body), nullptr,
               [](Transfer& self) {
                 if (!HasBlocks(self.answer))
                   self.End(false);
@@ -44,17 +48,22 @@
               });
   }
 
-  void Drop() { this->done = nullptr; }
+  void Drop() {
+    this->done = nullptr;
+    if (this->stream != nullptr)
+      std::exchange(this->stream, nullptr)->Cancel();
+  }
 
  private:
   void Import() {
     this->Ask(this->target, "/v1/kv/import", std::exchange(this->answer, ""),
-              [](Transfer& self) { self.End(true); });
+              this->may_import, [](Transfer& self) { self.End(true); });
   }
 
   void Ask(Http2Connection& connection,
            const char* path,
            std::string body,
+           std::function<bool()> allow_send,
            void (*next)(Transfer&)) {
     auto self = this->shared_from_this();
     Http2Callbacks callbacks;
@@ -74,19 +83,25 @@
         self->End(false);
     };
     callbacks.on_failed = [self](const Http2Failure&) { self->End(false); };
-    connection.Send(
-        {"POST", path, {{"content-type", "application/json"}}, std::move(body)},
-        std::move(callbacks));
+    this->stream = connection.Send({"POST",
+                                    path,
+                                    {{"content-type", "application/json"}},
+                                    std::move(body),
+                                    std::move(allow_send)},
+                                   std::move(callbacks));
   }
 
   void End(bool moved) {
+    this->stream.reset();
     if (auto callback = std::exchange(this->done, nullptr))
       callback(moved);
   }
 
   Http2Connection& source;
   Http2Connection& target;
+  std::function<bool()> may_import;
   std::function<void(bool)> done;
+  std::shared_ptr<Http2Stream> stream;
   int status = 0;
   std::string answer;
 };
@@ -107,8 +122,10 @@
 std::unique_ptr<KvTransfer> TransferKv(Http2Connection& source,
                                        Http2Connection& target,
                                        std::span<const uint64_t> blocks,
+                                       std::function<bool()> may_import,
                                        std::function<void(bool)> done) {
-  auto transfer = std::make_shared<Transfer>(source, target, std::move(done));
+  auto transfer = std::make_shared<Transfer>(
+      source, target, std::move(may_import), std::move(done));
   transfer->Export(BlocksBody(blocks));
   return std::make_unique<Handle>(std::move(transfer));
 }
