daemon: start nothing on an engine that is leaving

The membership was looked at only by the tick of the fleet, every 100 ms, and not at all for a probe or for the decode part of a hand-over: an engine that had announced to this instance that it leaves still got new work and, without a view, probes for good. Place(), the hand-over and the look before the write now ask the membership; probes stop at leaving engines only, so that a suspect engine is not lost during a table outage.

Tests: HandOverAvoidsLeavingEngine and LeavingEngineGetsNothingNew failed before this change.

--- a/cranberryhill/daemon/chat_fixture_test.h
+++ b/cranberryhill/daemon/chat_fixture_test.h
@@ -55,7 +55,8 @@
   FakeEngine& Engine(size_t index) { return *this->by_index.at(index); }
   size_t Runs(const std::string& prompt);
   size_t Running(const std::string& prompt);
-  /// @return Marked or leaving, or not allowed by the view, when work came.
+  /// @return Engines that got work or a probe while they were marked, leaving
+  ///     or not allowed by the view.
   const std::vector<std::string>& violations() const {  // NOLINT
     return this->forbidden;
   }
--- a/cranberryhill/daemon/chat_service_test.cc
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -102,6 +102,30 @@
   }
 }
 
+// Guards against a decode that starts on an engine which announced, during
+// the transfer, that it is leaving.
+BOOST_AUTO_TEST_CASE(HandOverAvoidsLeavingEngine) {
+  ChatFixture f({"prefill", "decode"});
+  f.Engine(0).delay = absl::Milliseconds(30);
+  f.Submit(kPrompt, 10);
+  f.RunUntilExport();
+  f.members.OnLeavingMark("e1", kUnknownIncarnation);
+  f.RunFor(absl::Seconds(3));
+  BOOST_TEST(f.Engine(1).ran.empty());
+  BOOST_TEST(f.violations().empty());
+}
+
+// Guards against new work or probes on an engine between its leaving mark and
+// the next tick, and later.
+BOOST_AUTO_TEST_CASE(LeavingEngineGetsNothingNew) {
+  ChatFixture f({"mixed"});
+  f.members.OnLeavingMark("e0", kUnknownIncarnation);
+  f.Submit(kPrompt, 10);
+  f.table_up = false;
+  f.RunFor(absl::Seconds(8));
+  BOOST_TEST(f.Engine(0).ran.empty());
+}
+
 // Guards against streams that stay on an engine beyond the drain time, and
 // against tokens that are lost or repeated by the move.
 BOOST_AUTO_TEST_CASE(StreamsMoveAwayFromMarkedEngine) {
--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -222,8 +222,13 @@
 }
 
 bool EngineFleet::MayStart(std::string_view id) const {
+  return this->MayProbe(id) && this->context.members.MayReceiveWork(id);
+}
+
+bool EngineFleet::MayProbe(std::string_view id) const {
   const Engine* engine = this->FindEngine(id);
   return engine != nullptr && engine->configured &&
+         this->context.members.StateOf(id) != MemberState::kLeaving &&
          this->context.permission.MayStart(id);
 }
 
@@ -237,10 +242,7 @@
   if (!decision)
     return std::nullopt;
   Engine* engine = this->FindEngine(router->EngineId(decision->engine));
-  // The router's view is refreshed every 100 ms; the permission is asked again
-  // directly before the write.
-  if (engine == nullptr ||
-      !this->context.permission.MayStart(engine->spec.id)) {
+  if (engine == nullptr || !this->MayStart(engine->spec.id)) {
     router->SetUsable(decision->engine, false);
     return std::nullopt;
   }
@@ -267,7 +269,7 @@
       {{"content-type", "application/json"}},
       internal::GenerateBody(attempt, this->context.clock.Now())};
   request.allow_send = [this, engine, alive = this->alive] {
-    return *alive && this->context.permission.MayStart(engine);
+    return *alive && this->MayStart(engine);
   };
   return request;
 }
@@ -487,8 +489,11 @@
     if (*alive && *status == 200)
       this->context.permission.OnUse(id, now);
   };
-  engine->connection->Send(this->GenerateRequest(engine->spec.id, probe),
-                           std::move(callbacks));
+  Http2ClientRequest request = this->GenerateRequest(engine->spec.id, probe);
+  request.allow_send = [this, id = engine->spec.id, alive = this->alive] {
+    return *alive && this->MayProbe(id);
+  };
+  engine->connection->Send(std::move(request), std::move(callbacks));
   this->context.metrics.Count("cranberryhill_probes_total");
 }
 
--- a/cranberryhill/daemon/engine_fleet.h
+++ b/cranberryhill/daemon/engine_fleet.h
@@ -194,6 +194,9 @@
   /// Asked directly before each write, because the routers' knowledge of
   /// usable engines is refreshed only by Tick().
   bool MayStart(std::string_view id) const;
+  /// Probes go on to engines that are suspect: without them the right to use
+  /// the engine would be lost for as long as the table is away.
+  bool MayProbe(std::string_view id) const;
   /// @return Whether an attempt runs on the engine or may be handed over to it.
   bool InUse(std::string_view engine) const;
   void FailAttemptsOn(std::string_view engine);
