--- a/cranberryhill/daemon/chat_service_test.cc
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -126,6 +126,17 @@
   BOOST_TEST(f.Engine(0).ran.empty());
 }
 
+// Guards against "not run" after an engine that ran the request answered with
+// a status that says nothing about that.
+BOOST_AUTO_TEST_CASE(InternalErrorOfEngineIsNotCalledNotRun) {
+  ChatFixture f({"mixed"});
+  f.Engine(0).error_status = 500;
+  ChatRecord& chat = f.Submit(kPrompt, 10);
+  f.RunFor(absl::Seconds(31));
+  BOOST_REQUIRE(chat.refusal.has_value());
+  BOOST_TEST((chat.refusal->outcome == RefusalOutcome::kRunFailed));
+}
+
 // Guards against streams that stay on an engine beyond the drain time, and
 // against tokens that are lost or repeated by the move.
 BOOST_AUTO_TEST_CASE(StreamsMoveAwayFromMarkedEngine) {
--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -24,6 +24,13 @@
 // Finish reason of a stream that was cut at its `max_tokens`.
 constexpr std::string_view kCutReason = "length";
 constexpr size_t kMaxEventBytes = size_t{1} * 1024 * 1024;
+constexpr int kStatusOk = 200;
+
+// Other server errors, such as 500, may come after the engine has run a part.
+bool SaysNotRun(int status) {
+  constexpr int kUnavailable = 503;
+  return (status >= 400 && status < 500) || status == kUnavailable;
+}
 
 }  // namespace
 
@@ -54,8 +61,8 @@
   Router* router = nullptr;
   absl::Time started;
   bool got_token = false;
-  bool refused = false;  // The engine answered with an error status.
-  std::string buffer;    // An incomplete line.
+  int status = kStatusOk;
+  std::string buffer;  // An incomplete line.
   std::shared_ptr<Http2Stream> stream;
 };
 
@@ -281,7 +288,7 @@
     auto found = *alive ? this->running.find(key) : this->running.end();
     if (!*alive || found == this->running.end())
       return;
-    found->second->refused = status != 200;
+    found->second->status = status;
     if (!FindHeader(headers, "x-leaving").empty()) {
       this->context.members.OnLeavingMark(found->second->engine,
                                           kUnknownIncarnation);
@@ -374,7 +381,7 @@
 
 void EngineFleet::OnLines(const AttemptKey& key, std::string_view chunk) {
   auto found = this->running.find(key);
-  if (found == this->running.end() || found->second->refused)
+  if (found == this->running.end() || found->second->status != kStatusOk)
     return;
   found->second->buffer.append(chunk);
   if (found->second->buffer.size() > kMaxLineBytes) {
@@ -423,8 +430,12 @@
   if (found == this->running.end())
     return;
   // A stream that ends without its last line is incomplete.
-  this->FailAttempt(key, found->second->refused ? AttemptFailure::kRefused
-                                                : AttemptFailure::kBadStream);
+  AttemptFailure failure = AttemptFailure::kBadStream;
+  if (SaysNotRun(found->second->status))
+    failure = AttemptFailure::kRefused;
+  else if (found->second->status != kStatusOk)
+    failure = AttemptFailure::kConnectionLost;
+  this->FailAttempt(key, failure);
 }
 
 void EngineFleet::OnFailure(const AttemptKey& key,
@@ -435,7 +446,8 @@
   AttemptFailure reason = AttemptFailure::kConnectionLost;
   if (!failure.may_have_been_sent)
     reason = AttemptFailure::kNotSent;
-  else if (failure.reason == CloseReason::kRefused || found->second->refused)
+  else if (failure.reason == CloseReason::kRefused ||
+           SaysNotRun(found->second->status))
     reason = AttemptFailure::kRefused;
   else if (failure.reason == CloseReason::kConnectionLost)
     reason = AttemptFailure::kEngineCrashed;
