request: keep the outcome and the stream right when a stream is moved

Tests: MovedAttemptCountsAsRun, RepeatedMovesNoteTheEngineOnce and CondemnedStreamIsNotCutByAMove failed before this change.

--- a/cranberryhill/request/request_life.cc
+++ b/cranberryhill/request/request_life.cc
@@ -199,7 +199,16 @@
       this->live.front().engine != engine) {
     return actions;
   }
-  this->tried.emplace_back(engine);
+  // A condemned request may end where it runs, but must not run elsewhere.
+  if (this->standings.StandingOf(this->request.fingerprint, now) ==
+      CrashStanding::kCondemned) {
+    return actions;
+  }
+  // There may be many tries until another engine is free.
+  if (std::find(this->tried.begin(), this->tried.end(), engine) ==
+      this->tried.end()) {
+    this->tried.emplace_back(engine);
+  }
   this->StartNext(StartKind::kReplacement, now, actions);
   return actions;
 }
@@ -295,8 +304,10 @@
 
 void RequestLife::CancelOthers(AttemptNumber winner, RequestActions& actions) {
   for (const Attempt& attempt : this->live) {
-    if (attempt.number != winner)
-      actions.emplace_back(CancelAttempt{attempt.number});
+    if (attempt.number == winner)
+      continue;
+    this->may_have_run |= !attempt.engine.empty();
+    actions.emplace_back(CancelAttempt{attempt.number});
   }
   std::erase_if(this->live,
                 [winner](const Attempt& a) { return a.number != winner; });
--- a/cranberryhill/request/request_life_test.cc
+++ b/cranberryhill/request/request_life_test.cc
@@ -57,6 +57,48 @@
   BOOST_TEST(life.dropped_tokens() == 1U);
 }
 
+// Guards against "not run" after a stream that had no token yet was moved and
+// its replacement was refused.
+BOOST_FIXTURE_TEST_CASE(MovedAttemptCountsAsRun, Fixture) {
+  life.Start(now);
+  Place(1, "a");
+  life.OnMoveAway("a", now);
+  Place(2, "b");
+  RequestActions actions =
+      life.OnAttemptFailed(2, AttemptFailure::kRefused, now);
+  for (AttemptNumber n = 3; Find<StartAttempt>(actions) != nullptr; ++n) {
+    Place(n, "c");
+    actions = life.OnAttemptFailed(n, AttemptFailure::kRefused, now);
+  }
+  BOOST_REQUIRE(Find<FinishFailure>(actions) != nullptr);
+  BOOST_TEST((Find<FinishFailure>(actions)->outcome == RunOutcome::kRunFailed));
+}
+
+// Guards against a list of tried engines that grows with each try to move a
+// stream for which there is no other engine.
+BOOST_FIXTURE_TEST_CASE(RepeatedMovesNoteTheEngineOnce, Fixture) {
+  life.Start(now);
+  Place(1, "a");
+  for (int i = 0; i < 10; ++i) {
+    RequestActions actions = life.OnMoveAway("a", now);
+    BOOST_REQUIRE(Find<StartAttempt>(actions) != nullptr);
+    BOOST_TEST(Find<StartAttempt>(actions)->tried_engines.size() == 1U);
+    life.OnNoEngine(2, now);
+  }
+}
+
+// Guards against a planned change that ends a running stream because its
+// fingerprint was condemned meanwhile.
+BOOST_FIXTURE_TEST_CASE(CondemnedStreamIsNotCutByAMove, Fixture) {
+  life.Start(now);
+  Place(1, "a");
+  life.OnToken(1, 0, "x", now);
+  std::vector<CrashEntry> entries = {{1, 2}};
+  guard.Absorb(entries, now);
+  BOOST_TEST(life.OnMoveAway("a", now).empty());
+  BOOST_TEST(!life.finished());
+}
+
 // Guards against "not run" after an engine may have run the request, and
 // against "run and failed" when every engine refused it.
 BOOST_FIXTURE_TEST_CASE(NotRunIsSaidOnlyWhenTrue, Fixture) {
