--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -24,7 +24,16 @@
 constexpr size_t kMaxLineBytes = size_t{64} * 1024;
 // Cache events are late anyway, and what this instance sent is known at once.
 constexpr absl::Duration kCacheEventInterval = absl::Seconds(5);
+// Finish reason of a stream that was cut at its `max_tokens`.
+constexpr std::string_view kCutReason = "length";
 constexpr size_t kMaxEventBytes = size_t{1} * 1024 * 1024;
+constexpr int kStatusOk = 200;
+
+// Other server errors, such as 500, may come after the engine has run a part.
+bool SaysNotRun(int status) {
+  constexpr int kUnavailable = 503;
+  return (status >= 400 && status < 500) || status == kUnavailable;
+}
 
 }  // namespace
 
@@ -55,8 +64,8 @@
   Router* router = nullptr;
   absl::Time started;
   bool got_token = false;
-  bool refused = false;  // The engine answered with an error status.
-  std::string buffer;    // An incomplete line.
+  int status = kStatusOk;
+  std::string buffer;  // An incomplete line.
   std::shared_ptr<Http2Stream> stream;
 };
 
@@ -105,13 +114,14 @@
     }
     if (known != nullptr) {
       known->router->SetUsable(known->router_index, false);
+      this->FailAttemptsOn(spec.id);
       this->engines.erase(spec.id);
     }
     this->AddEngine(spec);
   }
   for (auto it = this->engines.begin(); it != this->engines.end();) {
     Engine& engine = *it->second;
-    bool in_use = this->RunningOn(it->first) > 0;
+    bool in_use = this->InUse(it->first);
     if (!engine.configured)
       engine.router->SetUsable(engine.router_index, false);
     if (!engine.configured && !in_use)
@@ -121,6 +131,25 @@
   }
 }
 
+bool EngineFleet::InUse(std::string_view engine) const {
+  return std::any_of(this->running.begin(), this->running.end(),
+                     [engine](const auto& item) {
+                       return item.second->engine == engine ||
+                              item.second->decode_engine == engine;
+                     });
+}
+
+void EngineFleet::FailAttemptsOn(std::string_view engine) {
+  std::vector<AttemptKey> keys;
+  for (const auto& [key, run] : this->running) {
+    bool transfers = run->transfer != nullptr && run->decode_engine == engine;
+    if (run->engine == engine || transfers)
+      keys.push_back(key);
+  }
+  for (const AttemptKey& key : keys)
+    this->FailAttempt(key, AttemptFailure::kConnectionLost);
+}
+
 void EngineFleet::AddEngine(const EngineSpec& spec) {
   auto address = Capture([&] { return ParseIpAddress(spec.address); });
   if (!address.ok()) {
@@ -205,6 +234,17 @@
   engine.router->SetUsable(engine.router_index, usable);
 }
 
+bool EngineFleet::MayStart(std::string_view id) const {
+  return this->MayProbe(id) && this->context.members.MayReceiveWork(id);
+}
+
+bool EngineFleet::MayProbe(std::string_view id) const {
+  const Engine* engine = this->FindEngine(id);
+  return engine != nullptr && engine->configured &&
+         this->context.members.StateOf(id) != MemberState::kLeaving &&
+         this->context.permission.MayStart(id);
+}
+
 std::optional<Placement> EngineFleet::Place(const AttemptRequest& attempt,
                                             RouteRequest route) {
   Router* router = this->RouterOf(attempt.model);
@@ -215,10 +255,7 @@
   if (!decision)
     return std::nullopt;
   Engine* engine = this->FindEngine(router->EngineId(decision->engine));
-  // The router's view is refreshed every 100 ms; the permission is asked again
-  // directly before the write.
-  if (engine == nullptr ||
-      !this->context.permission.MayStart(engine->spec.id)) {
+  if (engine == nullptr || !this->MayStart(engine->spec.id)) {
     router->SetUsable(decision->engine, false);
     return std::nullopt;
   }
@@ -245,7 +282,7 @@
       {{"content-type", "application/json"}},
       internal::GenerateBody(attempt, this->context.clock.Now())};
   request.allow_send = [this, engine, alive = this->alive] {
-    return *alive && this->context.permission.MayStart(engine);
+    return *alive && this->MayStart(engine);
   };
   return request;
 }
@@ -257,7 +294,7 @@
     auto found = *alive ? this->running.find(key) : this->running.end();
     if (!*alive || found == this->running.end())
       return;
-    found->second->refused = status != 200;
+    found->second->status = status;
     if (!FindHeader(headers, "x-leaving").empty()) {
       this->context.members.OnLeavingMark(found->second->engine,
                                           kUnknownIncarnation);
@@ -287,7 +324,9 @@
 void EngineFleet::OnStreamDone(const AttemptKey& key,
                                std::string_view finish_reason) {
   Running& run = *this->running.at(key);
-  bool more = run.attempt.resume_from < run.attempt.max_tokens;
+  // Any other reason means that the model ended the answer by itself.
+  bool more = finish_reason == kCutReason &&
+              run.attempt.resume_from < run.attempt.max_tokens;
   if (run.prefill_only && run.got_token && more) {
     this->HandOver(key);
     return;
@@ -299,7 +338,10 @@
 void EngineFleet::HandOver(const AttemptKey& key) {
   Running& run = *this->running.at(key);
   run.prefill_only = false;
-  run.stream.reset();
+  // The end of this stream comes after its last line; without the cancellation
+  // it would be taken for the end of the decode stream.
+  if (run.stream != nullptr)
+    std::exchange(run.stream, nullptr)->Cancel();
   std::optional<uint32_t> chosen = run.router->ChooseDecode(key.Packed());
   if (!chosen) {
     this->FailAttempt(key, AttemptFailure::kRefused);
@@ -316,13 +358,14 @@
     this->StartDecode(key);
     return;
   }
-  run.transfer = TransferKv(*source->connection, *target->connection,
-                            run.blocks, [this, key](bool moved) {
-                              this->context.metrics.Count(
-                                  "cranberryhill_kv_transfers_total",
-                                  {{"moved", moved ? "true" : "false"}});
-                              this->StartDecode(key);
-                            });
+  run.transfer = TransferKv(
+      *source->connection, *target->connection, run.blocks,
+      [this, id = run.decode_engine] { return this->MayStart(id); },
+      [this, key](bool moved) {
+        this->context.metrics.Count("cranberryhill_kv_transfers_total",
+                                    {{"moved", moved ? "true" : "false"}});
+        this->StartDecode(key);
+      });
 }
 
 void EngineFleet::StartDecode(const AttemptKey& key) {
@@ -331,7 +374,7 @@
     return;
   Running& run = *found->second;
   Engine* engine = this->FindEngine(run.decode_engine);
-  if (engine == nullptr) {
+  if (engine == nullptr || !this->MayStart(run.decode_engine)) {
     this->FailAttempt(key, AttemptFailure::kRefused);
     return;
   }
@@ -344,7 +387,7 @@
 
 void EngineFleet::OnLines(const AttemptKey& key, std::string_view chunk) {
   auto found = this->running.find(key);
-  if (found == this->running.end() || found->second->refused)
+  if (found == this->running.end() || found->second->status != kStatusOk)
     return;
   found->second->buffer.append(chunk);
   if (found->second->buffer.size() > kMaxLineBytes) {
@@ -393,8 +436,12 @@
   if (found == this->running.end())
     return;
   // A stream that ends without its last line is incomplete.
-  this->FailAttempt(key, found->second->refused ? AttemptFailure::kRefused
-                                                : AttemptFailure::kBadStream);
+  AttemptFailure failure = AttemptFailure::kBadStream;
+  if (SaysNotRun(found->second->status))
+    failure = AttemptFailure::kRefused;
+  else if (found->second->status != kStatusOk)
+    failure = AttemptFailure::kConnectionLost;
+  this->FailAttempt(key, failure);
 }
 
 void EngineFleet::OnFailure(const AttemptKey& key,
@@ -405,7 +452,8 @@
   AttemptFailure reason = AttemptFailure::kConnectionLost;
   if (!failure.may_have_been_sent)
     reason = AttemptFailure::kNotSent;
-  else if (failure.reason == CloseReason::kRefused || found->second->refused)
+  else if (failure.reason == CloseReason::kRefused ||
+           SaysNotRun(found->second->status))
     reason = AttemptFailure::kRefused;
   else if (failure.reason == CloseReason::kConnectionLost)
     reason = AttemptFailure::kEngineCrashed;
@@ -459,8 +507,11 @@
     if (*alive && *status == 200)
       this->context.permission.OnUse(id, now);
   };
-  engine->connection->Send(this->GenerateRequest(engine->spec.id, probe),
-                           std::move(callbacks));
+  Http2ClientRequest request = this->GenerateRequest(engine->spec.id, probe);
+  request.allow_send = [this, id = engine->spec.id, alive = this->alive] {
+    return *alive && this->MayProbe(id);
+  };
+  engine->connection->Send(std::move(request), std::move(callbacks));
   this->context.metrics.Count("cranberryhill_probes_total");
 }
 
