daemon: give a decode engine without the blocks time for the prompt

After a hand-over the stall bound came from the gap between tokens, mostly the minimum of 2 s. A decode engine that computes a long prompt again, because the KV transfer failed, was cancelled as stalled on each attempt. A handed-over attempt now waits for its own first token, with the bound of a prefill when the blocks were not moved.

Test: DecodeEngineGetsTimeForThePrompt failed before this change.

--- a/cranberryhill/daemon/chat_service.cc
+++ b/cranberryhill/daemon/chat_service.cc
@@ -436,11 +436,12 @@
 
 void ChatService::OnAttemptHandedOver(const AttemptKey& key,
                                       std::string_view engine,
+                                      absl::Duration first_token,
                                       absl::Duration token_gap) {
   if (Chat* chat = this->Find(key.request)) {
     this->Apply(key.request,
-                chat->life->OnPlaced(key.attempt, engine, token_gap, token_gap,
-                                     this->context.clock.Now()));
+                chat->life->OnPlaced(key.attempt, engine, first_token,
+                                     token_gap, this->context.clock.Now()));
   }
 }
 
--- a/cranberryhill/daemon/chat_service.h
+++ b/cranberryhill/daemon/chat_service.h
@@ -124,6 +124,7 @@
   void OnAttemptFailed(const AttemptKey& key, AttemptFailure failure) override;
   void OnAttemptHandedOver(const AttemptKey& key,
                            std::string_view engine,
+                           absl::Duration first_token,
                            absl::Duration token_gap) override;
 
  private:
--- a/cranberryhill/daemon/chat_service_test.cc
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -137,6 +137,18 @@
   BOOST_TEST((chat.refusal->outcome == RefusalOutcome::kRunFailed));
 }
 
+// Guards against a stall bound of 2 s on a decode engine that has to compute
+// the prompt again because the blocks were not moved.
+BOOST_AUTO_TEST_CASE(DecodeEngineGetsTimeForThePrompt) {
+  ChatFixture f({"prefill", "decode"});
+  f.Engine(0).export_fails = true;
+  f.Engine(0).prefill = f.Engine(1).prefill = absl::Milliseconds(2500);
+  ChatRecord& first = f.Submit(kPrompt, 5, absl::Minutes(1), 20000);
+  f.RunFor(absl::Seconds(20));
+  BOOST_TEST(first.answered);
+  BOOST_TEST(f.Runs(kPrompt) == 2U);
+}
+
 // Guards against streams that stay on an engine beyond the drain time, and
 // against tokens that are lost or repeated by the move.
 BOOST_AUTO_TEST_CASE(StreamsMoveAwayFromMarkedEngine) {
--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -56,6 +56,7 @@
   std::string engine;
   std::string decode_engine;  // Differs when the engine only does prefill.
   bool prefill_only = false;  // The present stream ends after one token.
+  absl::Duration first_token;
   absl::Duration token_gap;
   std::unique_ptr<KvTransfer> transfer;
   Router* router = nullptr;
@@ -260,6 +261,7 @@
   run->engine = engine->spec.id;
   run->decode_engine = router->EngineId(decision->decode_engine);
   run->prefill_only = run->decode_engine != run->engine;
+  run->first_token = decision->first_token;
   run->token_gap = decision->gap;
   run->router = router;
   run->started = this->context.clock.Now();
@@ -349,7 +351,7 @@
     return;
   }
   if (source == target || run.blocks.empty()) {
-    this->StartDecode(key);
+    this->StartDecode(key, source == target);
     return;
   }
   run.transfer = TransferKv(
@@ -358,11 +360,11 @@
       [this, key](bool moved) {
         this->context.metrics.Count("cranberryhill_kv_transfers_total",
                                     {{"moved", moved ? "true" : "false"}});
-        this->StartDecode(key);
+        this->StartDecode(key, moved);
       });
 }
 
-void EngineFleet::StartDecode(const AttemptKey& key) {
+void EngineFleet::StartDecode(const AttemptKey& key, bool has_blocks) {
   auto found = this->running.find(key);
   if (found == this->running.end())
     return;
@@ -375,7 +377,10 @@
   run.engine = run.decode_engine;
   run.started = this->context.clock.Now();
   run.buffer.clear();
-  this->listener.OnAttemptHandedOver(key, run.engine, run.token_gap);
+  // Without the blocks the engine computes the prompt again.
+  this->listener.OnAttemptHandedOver(
+      key, run.engine, has_blocks ? run.token_gap : run.first_token,
+      run.token_gap);
   this->SendGenerate(*engine, key);
 }
 
--- a/cranberryhill/daemon/engine_fleet.h
+++ b/cranberryhill/daemon/engine_fleet.h
@@ -80,8 +80,10 @@
                                AttemptFailure failure) = 0;
 
   /// The attempt goes on, after its prefill, on another engine.
+  /// @param first_token Expected time to its next token there.
   virtual void OnAttemptHandedOver(const AttemptKey& key,
                                    std::string_view engine,
+                                   absl::Duration first_token,
                                    absl::Duration token_gap) = 0;
 };
 
@@ -177,7 +179,7 @@
   void SendGenerate(Engine& engine, const AttemptKey& key);
   void OnStreamDone(const AttemptKey& key, std::string_view finish_reason);
   void HandOver(const AttemptKey& key);
-  void StartDecode(const AttemptKey& key);
+  void StartDecode(const AttemptKey& key, bool has_blocks);
   void OnLines(const AttemptKey& key, std::string_view chunk);
   bool OnLine(const AttemptKey& key, std::string_view line);
   void OnEnd(const AttemptKey& key);
--- a/cranberryhill/request/request_life.cc
+++ b/cranberryhill/request/request_life.cc
@@ -70,6 +70,11 @@
   Attempt* placed = this->FindLive(attempt);
   if (this->ended || placed == nullptr)
     return {};
+  if (placed->delivered) {
+    // A hand-over: the new engine has to deliver its own first token.
+    placed->delivered = false;
+    placed->resume_from = this->next_token;
+  }
   placed->engine = engine;
   placed->started = now;
   placed->last_progress = now;
--- a/cranberryhill/request/request_life.h
+++ b/cranberryhill/request/request_life.h
@@ -144,7 +144,7 @@
   /// Starts the first attempt, or refuses a condemned request.
   RequestActions Start(absl::Time now);
 
-  /// Reports the engine that an attempt was sent to.
+  /// Reports the engine that an attempt was sent to, or handed over to.
   /// @param first_token Expected time to its first token.
   /// @param token_gap Expected time between its tokens.
   RequestActions OnPlaced(AttemptNumber attempt,
