daemon: suspect requests that crash the decode engine of a hand-over

Whether a stream was in prefill when its engine crashed was told by the first token of the attempt, which comes from the prefill engine. A request that crashed decode engines while they computed its prompt again for more than 2 s never became suspect and crashed one engine after the other.

Test: SlowCrashOnDecodeEnginesIsBounded failed before this change (6 engines instead of at most 2).

--- a/cranberryhill/daemon/chat_service_test.cc
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -149,6 +149,26 @@
   BOOST_TEST(f.Runs(kPrompt) == 2U);
 }
 
+// Guards against a request that crashes more than two engines when it does so
+// on decode engines that compute its prompt for longer than 2 s.
+BOOST_AUTO_TEST_CASE(SlowCrashOnDecodeEnginesIsBounded) {
+  ChatFixture f({"prefill", "decode", "decode", "decode", "decode"});
+  f.Engine(0).export_fails = true;
+  for (size_t i = 1; i < 5; ++i) {
+    f.Engine(i).prefill = absl::Seconds(3);
+    f.Engine(i).crash_on = "poison";
+    f.Engine(i).crash_time = absl::Milliseconds(2500);
+  }
+  f.Engine(0).prefill = absl::Seconds(1);
+  f.Submit("poison", 10, absl::Minutes(2), 20000);
+  f.RunFor(absl::Minutes(2));
+  uint32_t crashes = 0;
+  for (FakeEngine& engine : f.engines.all())
+    crashes += engine.poisoned;
+  BOOST_TEST(crashes >= 1U);
+  BOOST_TEST(crashes <= 2U);
+}
+
 // Guards against streams that stay on an engine beyond the drain time, and
 // against tokens that are lost or repeated by the move.
 BOOST_AUTO_TEST_CASE(StreamsMoveAwayFromMarkedEngine) {
--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -61,7 +61,8 @@
   std::unique_ptr<KvTransfer> transfer;
   Router* router = nullptr;
   absl::Time started;
-  bool got_token = false;
+  bool got_token = false;       // From any of the attempt's engines.
+  bool engine_started = false;  // The present engine sent a token.
   int status = kStatusOk;
   std::string buffer;  // An incomplete line.
   std::shared_ptr<Http2Stream> stream;
@@ -209,7 +210,7 @@
   for (const auto& [key, attempt] : this->running) {
     if (attempt->engine == engine.spec.id) {
       streams.push_back({attempt->attempt.fingerprint, attempt->started,
-                         !attempt->got_token});
+                         !attempt->engine_started});
     }
   }
   size_t noted = this->context.crashes.OnEngineCrashed(streams, now);
@@ -376,6 +377,7 @@
   }
   run.engine = run.decode_engine;
   run.started = this->context.clock.Now();
+  run.engine_started = false;
   run.buffer.clear();
   // Without the blocks the engine computes the prompt again.
   this->listener.OnAttemptHandedOver(
@@ -420,6 +422,7 @@
     return false;
   }
   run.attempt.resume_from = event.index + 1;
+  run.engine_started = true;
   if (!run.got_token) {
     run.got_token = true;
     run.router->OnFirstToken(key.Packed());
