--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -59,11 +59,13 @@
   std::string engine;
   std::string decode_engine;  // Differs when the engine only does prefill.
   bool prefill_only = false;  // The present stream ends after one token.
+  absl::Duration first_token;
   absl::Duration token_gap;
   std::unique_ptr<KvTransfer> transfer;
   Router* router = nullptr;
   absl::Time started;
-  bool got_token = false;
+  bool got_token = false;       // From any of the attempt's engines.
+  bool engine_started = false;  // The present engine sent a token.
   int status = kStatusOk;
   std::string buffer;  // An incomplete line.
   std::shared_ptr<Http2Stream> stream;
@@ -214,7 +216,7 @@
   for (const auto& [key, attempt] : this->running) {
     if (attempt->engine == engine.spec.id) {
       streams.push_back({attempt->attempt.fingerprint, attempt->started,
-                         !attempt->got_token});
+                         !attempt->engine_started});
     }
   }
   size_t noted = this->context.crashes.OnEngineCrashed(streams, now);
@@ -266,6 +268,7 @@
   run->engine = engine->spec.id;
   run->decode_engine = router->EngineId(decision->decode_engine);
   run->prefill_only = run->decode_engine != run->engine;
+  run->first_token = decision->first_token;
   run->token_gap = decision->gap;
   run->router = router;
   run->started = this->context.clock.Now();
@@ -355,7 +358,7 @@
     return;
   }
   if (source == target || run.blocks.empty()) {
-    this->StartDecode(key);
+    this->StartDecode(key, source == target);
     return;
   }
   run.transfer = TransferKv(
@@ -364,11 +367,11 @@
       [this, key](bool moved) {
         this->context.metrics.Count("cranberryhill_kv_transfers_total",
                                     {{"moved", moved ? "true" : "false"}});
-        this->StartDecode(key);
+        this->StartDecode(key, moved);
       });
 }
 
-void EngineFleet::StartDecode(const AttemptKey& key) {
+void EngineFleet::StartDecode(const AttemptKey& key, bool has_blocks) {
   auto found = this->running.find(key);
   if (found == this->running.end())
     return;
@@ -380,8 +383,12 @@
   }
   run.engine = run.decode_engine;
   run.started = this->context.clock.Now();
+  run.engine_started = false;
   run.buffer.clear();
-  this->listener.OnAttemptHandedOver(key, run.engine, run.token_gap);
+  // Without the blocks the engine computes the prompt again.
+  this->listener.OnAttemptHandedOver(
+      key, run.engine, has_blocks ? run.token_gap : run.first_token,
+      run.token_gap);
   this->SendGenerate(*engine, key);
 }
 
@@ -421,6 +428,7 @@
     return false;
   }
   run.attempt.resume_from = event.index + 1;
+  run.engine_started = true;
   if (!run.got_token) {
     run.got_token = true;
     run.router->OnFirstToken(key.Packed());
