--- a/tools/faults.sh
+++ b/tools/faults.sh
@@ -15,8 +15,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-bin=build/programs
-standins=build/standins
 base=40
 cases=""
 seed=""
@@ -75,151 +73,12 @@
       ;;
   esac
 done
-if ((base % 10 != 0 || base < 10 || base > 240)); then
-  echo "--base must be a multiple of 10 from 10 to 240" >&2
-  exit 2
-fi
-
-work=$(mktemp -d)
+. tools/demo_system.sh
 [ -z "$keep" ] || mkdir -p "$keep"
-platform=127.0.$base.1:7000
-zone_a=$((base + 1))
-zone_b=$((base + 2))
-zone_c=$((base + 3))
-targets=127.0.$zone_a.1:8081,127.0.$zone_b.1:8081,127.0.$zone_c.1:8081
-services=127.0.$zone_a.21:9100,127.0.$zone_b.21:9100,127.0.$zone_c.21:9100
-
-# --- processes ---
-
-# The ids of running processes are files, so that faults in subshells can
-# replace a process.
-start() {  # start NAME COMMAND...
-  local name=$1
-  shift
-  "$@" >>"$work/$name.out" 2>>"$work/$name.log" &
-  echo $! >"$work/pids/$name"
-  disown  # The shell would report each process that a case kills.
-}
-
-pid_of() { cat "$work/pids/$1" 2>/dev/null; }
-
-kill_hard() {  # kill_hard NAME
-  local pid
-  pid=$(pid_of "$1")
-  rm -f "$work/pids/$1"
-  kill -KILL "$pid" 2>/dev/null || true
-}
-
-stop_system() {
-  local file pid tries
-  for file in "$work"/pids/*; do
-    [ -e "$file" ] || continue
-    pid=$(cat "$file")
-    kill -CONT "$pid" 2>/dev/null || true
-    kill -TERM "$pid" 2>/dev/null || true
-  done
-  for file in "$work"/pids/*; do
-    [ -e "$file" ] || continue
-    pid=$(cat "$file")
-    for tries in $(seq 20); do
-      kill -0 "$pid" 2>/dev/null || break
-      sleep 0.1
-    done
-    kill -KILL "$pid" 2>/dev/null || true
-    rm -f "$file"
-  done
-  wait 2>/dev/null || true
-}
-
-stop_all() {
-  stop_system
-  rm -rf "$work"
-}
-trap stop_all EXIT
-trap 'exit 130' INT TERM
-
-engine_address() {  # engine_address a1
-  local zone=$((base + $(printf '%d' "'${1:0:1}") - 96))
-  echo "127.0.$zone.1${1:1:1}:9000"
-}
-
-start_engine() {  # start_engine a1
-  start "engine-$1" "$standins/fake_engine" --model=parts:1 --role=mixed \
-    --listen="$(engine_address "$1")"
-}
-
-start_entry() {  # start_entry a
-  start "entry-$1" "$bin/cranberryhilld" --settings="$work/entry-$1.json"
-}
-
-ctl() {
-  "$bin/cranberryhillctl" --platform="$platform" --environment=demo \
-    --author="${author:-faults}" "$@"
-}
-
-engine_post() {  # engine_post a1 PATH JSON
-  curl -sS -m 5 --http2-prior-knowledge "http://$(engine_address "$1")$2" \
-    -d "$3" >/dev/null
-}
-
-engine_status() {  # engine_status a1 FIELD
-  curl -sS -m 5 --http2-prior-knowledge \
-    "http://$(engine_address "$1")/v1/status" |
-    python3 -c 'import json,sys; print(json.load(sys.stdin)[sys.argv[1]])' "$2"
-}
-
-platform_faults() { curl -sS -m 5 "http://$platform/faults" -d "$1" >/dev/null; }
-
-entry_status() {  # entry_status a
-  curl -s -m 2 "http://127.0.$((base + $(printf '%d' "'$1") - 96)).1:8080/operator/status" || true
-}
-
-# Waits until the page of entry instance $1 shows $2, for $3 tenths of seconds.
-wait_for_entry() {
-  local tries
-  for tries in $(seq "$3"); do
-    grep -q "$2" <<<"$(entry_status "$1")" && return 0
-    sleep 0.1
-  done
-  return 1
-}
 
 # A failed check of the running case; faults run in subshells.
 problem() { echo "$*" >>"$work/problems"; }
 
-engines="a1 a2 b1 b2 c1 c2"
-
-start_system() {
-  local name tries
-  rm -rf "$work"/*
-  mkdir -p "$work/pids"
-  local change="s/127\.0\.4\([0-3]\)\./127.0.$((base / 10))\1./g"
-  for name in entry-a entry-b entry-c environment; do
-    sed "$change" "examples/demo/$name.json" >"$work/$name.json"
-  done
-  start platform "$standins/fake_platform" --listen="$platform"
-  for name in $engines; do start_engine "$name"; done
-  for name in a b c; do
-    start "desk-$name" "$standins/fake_service" --port=9100 \
-      --ip="127.0.$((base + $(printf '%d' "'$name") - 96)).21"
-    start_entry "$name"
-  done
-  for tries in $(seq 100); do
-    ctl status >/dev/null 2>&1 && break
-    sleep 0.1
-  done
-  ctl apply "$work/environment.json" >/dev/null
-  ctl promote >/dev/null
-  for name in a b c; do
-    wait_for_entry "$name" '"generation":1' 200 &&
-      wait_for_entry "$name" '"may_start":true' 200 || {
-      echo "entry-$name did not start" >&2
-      tail -n 5 "$work"/*.log >&2
-      exit 1
-    }
-  done
-}
-
 # --- faults; each returns when its effect is over or only needs time ---
 
 fault_none() { :; }
@@ -421,12 +280,20 @@
   done
 }
 
-run_load() {  # run_load NAME writes load.json
+start_load() {  # Writes load.json.
   "$bin/cranberryhill-load" --targets="$targets" --services="$services" \
     --rate="$rate" --service_rate="$service_rate" --mix="$mix" --verify \
     --seed="$load_seed" --duration="${seconds}s" --fault_at="${fault_at}s" \
     --chat_timeout=30s --expected_refusals="$expected" --output=json \
-    --report="$work/load.html" >"$work/load.json" 2>"$work/load.log" || true
+    --report="$work/load.html" >"$work/load.json" 2>"$work/load.log" &
+  load=$!
+  echo "$load" >"$work/pids/load"
+}
+
+# The verdict comes from the report, so the exit code does not matter.
+finish_load() {
+  wait "$load" || true
+  rm -f "$work/pids/load"
 }
 
 # Prints the line of a case and appends it to the table.
@@ -487,25 +354,27 @@
 }
 
 run_case() {  # run_case NAME[+NAME]
-  local part pids=() load
+  local part
   case_settings "$1"
   start_system
-  run_load "$1" &
-  load=$!
+  start_load
   sleep "$fault_at"
   for part in ${1//+/ }; do
     "fault_$part" &
-    pids+=($!)
+    echo $! >"$work/pids/fault-$part"
   done
-  for part in "${pids[@]}"; do wait "$part" || problem "a fault step failed"; done
-  wait "$load"
+  for part in ${1//+/ }; do
+    wait "$(pid_of "fault-$part")" || problem "a step of $part failed"
+    rm -f "$work/pids/fault-$part"
+  done
+  finish_load
   report_case "$1"
   stop_system
 }
 
 # Random faults one after the other in one system, with pauses in between.
 run_random() {
-  local step name order=() all load
+  local step name order=() all
   RANDOM=$seed
   mapfile -t all < <(awk 'NF && $1 != "none" && $1 != "engine_leaving" \
     && $1 != "role_change" && $1 != "entry_restarted_without_table" \
@@ -520,14 +389,13 @@
   done
   echo "seed $seed: ${order[*]} (${seconds} s)"
   start_system
-  run_load random &
-  load=$!
+  start_load
   sleep "$fault_at"
   for name in "${order[@]}"; do
     "fault_$name"
     sleep $((1 + RANDOM % 4))
   done
-  wait "$load"
+  finish_load
   report_case "random-$seed"
   stop_system
 }
