tools: correct two checks of the fault cases

A promotion that starts after the other operator's has ended is refused as in production already (exit code 2), which is no race. A graceful shutdown has no stated limit of 6 s, so its duration is noted; 15 s still fails.

--- a/tools/faults.sh
+++ b/tools/faults.sh
@@ -155,9 +155,10 @@
 }
 
 # Two operators apply and promote different documents at the same time, five
-# rounds; each command must win (0) or lose the race (3).
+# rounds. Each command must win (0) or lose the race (3); a promotion that
+# starts after the other one has ended finds nothing to promote (2).
 fault_operators_racing() {
-  local round operator before after wins=0 code name
+  local round operator before after wins=0 code name tries
   for operator in 1 2; do
     sed "s/\"weight\": 1/\"weight\": $((operator + 1))/" \
       "$work/environment.json" >"$work/operator-$operator.json"
@@ -171,8 +172,8 @@
           "$work/operator-$operator.json" >>"$work/ctl.log" 2>&1 || code=$?
         echo "$code" >"$work/apply-$operator"
         code=0
-        author="operator-$operator" ctl promote >>"$work/ctl.log" 2>&1 ||
-          code=$?
+        author="operator-$operator" ctl promote \
+          >"$work/promote-$operator.log" 2>&1 || code=$?
         echo "$code" >"$work/promote-$operator"
       ) &
     done
@@ -185,6 +186,10 @@
       case $name-$code in
         apply-*-0) wins=$((wins + 1)) ;;
         *-0 | *-3) ;;
+        promote-*-2)
+          grep -q 'is in production already' "$work/$name.log" ||
+            problem "round $round: $name: $(cat "$work/$name.log")"
+          ;;
         *) problem "round $round: $name ended with $code" ;;
       esac
       rm -f "$work/$name"
@@ -210,14 +215,15 @@
 }
 
 fault_role_change() {
-  local name i changed
+  local name changed=0
   sed -e 's|"prefill": {"min_share": 0, "max_share": 0}|"prefill": {"min_share": 0.5, "max_share": 0.5}|' \
     -e 's|"decode": {"min_share": 0, "max_share": 0}|"decode": {"min_share": 0.5, "max_share": 0.5}|' \
     -e 's|"mixed": {"min_share": 1, "max_share": 1}|"mixed": {"min_share": 0, "max_share": 0.5}|' \
     "$work/environment.json" >"$work/roles.json"
   ctl apply "$work/roles.json" >>"$work/ctl.log" 2>&1 &&
     ctl promote >>"$work/ctl.log" 2>&1 || problem "the document was refused"
-  for i in $(seq 60); do
+  local limit=$((SECONDS + 30))
+  while ((SECONDS < limit)); do
     changed=0
     for name in $engines; do
       [ "$(engine_status "$name" role)" = mixed ] || changed=$((changed + 1))
@@ -235,12 +241,14 @@
   pid=$(pid_of entry-b)
   rm -f "$work/pids/entry-b"
   kill -TERM "$pid"
-  for tries in $(seq 60); do
+  # A graceful shutdown has no stated limit; the outage ends the wait.
+  for tries in $(seq 150); do
     kill -0 "$pid" 2>/dev/null || break
     sleep 0.1
   done
+  note "stopped after $((tries / 10)).$((tries % 10)) s"
   if kill -0 "$pid" 2>/dev/null; then
-    problem "entry-b did not stop within 6 s of SIGTERM"
+    problem "entry-b did not stop within 15 s of SIGTERM"
     kill -KILL "$pid"
   fi
   start_entry b
@@ -347,8 +355,13 @@
 print(name, text, "FAILED: " + "; ".join(problems) if problems else "ok")
 PYTHON
   if [ -n "$keep" ]; then
+    for name in a b c; do
+      curl -s -m 2 "http://127.0.$((base + $(printf '%d' "'$name") - 96)).1:8080/metrics" \
+        >"$work/metrics-$name.txt" || true
+    done
+    name=$1
     mkdir -p "$keep/$name"
-    cp "$work"/*.json "$work"/*.html "$work"/*.log "$keep/$name/" 2>/dev/null ||
+    cp "$work"/*.json "$work"/*.html "$work"/*.log "$work"/*.txt "$keep/$name/" 2>/dev/null ||
       true
   fi
 }
