--- a/tools/faults.sh
+++ b/tools/faults.sh
@@ -429,7 +429,8 @@
     "wr.refus", "refused", "unknown", "late", "resets", "normal", "result"
 }
 {
-  for (i = 2; i <= NF; ++i) { split($i, pair, "="); value[pair[1]] = pair[2] }
+  for (i = 2; i <= NF; ++i)
+    if ($i ~ /=[0-9]/) { split($i, pair, "="); value[pair[1]] = pair[2] }
   printf format, $1, value["requests"], value["lost"], value["doubled"],
     value["cut"], value["wrong"], value["wrongly_refused"], value["refused"],
     value["unknown"], value["late"], value["resets"], value["normal_after"],
