daemon: use the policy's estimates, restart a failed HTTP/1.1 port, publish members

Admission walks only customers with waiting requests: with 4,600 customers in the document a daemon at rest spent 5.6% of a core on empty queues.

--- a/cranberryhill/admission/admission_queue.cc
+++ b/cranberryhill/admission/admission_queue.cc
@@ -24,7 +24,19 @@
     : clock(clock), options(options), rate_time(clock.Now()) {}
 
 AdmissionQueue::Customer& AdmissionQueue::CustomerOf(const std::string& name) {
-  return this->customers[this->options.fair ? name : std::string()];
+  const std::string& key = this->options.fair ? name : std::string();
+  Customer& customer = this->customers[key];
+  customer.name = key;
+  return customer;
+}
+
+// A copy, because starting or refusing a request changes the map.
+std::vector<AdmissionQueue::Customer*> AdmissionQueue::WaitingCustomers()
+    const {
+  std::vector<Customer*> waiting;
+  for (const auto& [name, customer] : this->waiting_customers)
+    waiting.push_back(customer);
+  return waiting;
 }
 
 void AdmissionQueue::SetWeight(std::string_view customer, double weight) {
@@ -63,10 +75,8 @@
   if (work_s <= 0 || rate <= 0)
     return absl::ZeroDuration();
   double weights = 0;
-  for (const auto& [name, other] : this->customers) {
-    if (!other.lanes[kShortLane].empty() || !other.lanes[kLongLane].empty())
-      weights += other.weight;
-  }
+  for (const auto& [name, other] : this->waiting_customers)
+    weights += other->weight;
   return absl::Seconds(work_s * weights / (rate * customer.weight));
 }
 
@@ -129,6 +139,7 @@
                            return time < LatestStart(other.request);
                          });
   }
+  this->waiting_customers.try_emplace(customer.name, &customer);
   waiting.insert(position, {std::move(request), now});
   ++this->size;
   return std::nullopt;
@@ -140,12 +151,15 @@
   customer.queued_work_s -= absl::ToDoubleSeconds(lane[position].request.work);
   lane.erase(lane.begin() + static_cast<std::ptrdiff_t>(position));
   --this->size;
-  if (customer.lanes[kShortLane].empty() && customer.lanes[kLongLane].empty())
+  if (customer.lanes[kShortLane].empty() && customer.lanes[kLongLane].empty()) {
     customer.queued_work_s = 0;
+    this->waiting_customers.erase(customer.name);
+  }
 }
 
 void AdmissionQueue::RefuseLate(std::vector<AdmissionAction>& actions) {
-  for (auto& [name, customer] : this->customers) {
+  for (Customer* waiting : this->WaitingCustomers()) {
+    Customer& customer = *waiting;
     for (auto& lane : customer.lanes) {
       for (size_t i = 0; i < lane.size();) {
         if (!this->Late(lane[i])) {
@@ -176,9 +190,9 @@
                                std::vector<AdmissionAction>& actions) {
   absl::Time now = this->clock.Now();
   std::vector<Customer*> order;
-  for (auto& [name, customer] : this->customers) {
-    if (!customer.lanes[lane].empty())
-      order.push_back(&customer);
+  for (Customer* customer : this->WaitingCustomers()) {
+    if (!customer->lanes[lane].empty())
+      order.push_back(customer);
   }
   auto later = [](const Customer* a, const Customer* b) {
     return a->virtual_time > b->virtual_time;
@@ -212,6 +226,8 @@
 
 std::vector<AdmissionAction> AdmissionQueue::Poll(DispatchGate& gate) {
   std::vector<AdmissionAction> actions;
+  if (this->size == 0)
+    return actions;
   this->RefuseLate(actions);
   this->StartLane(kLongLane, true, gate, actions);
   this->StartLane(kShortLane, false, gate, actions);
@@ -220,7 +236,8 @@
 }
 
 void AdmissionQueue::Cancel(uint64_t request) {
-  for (auto& [name, customer] : this->customers) {
+  for (Customer* waiting : this->WaitingCustomers()) {
+    Customer& customer = *waiting;
     for (auto& lane : customer.lanes) {
       auto found =
           std::find_if(lane.begin(), lane.end(), [&](const Waiting& waiting) {
--- a/cranberryhill/admission/admission_queue.h
+++ b/cranberryhill/admission/admission_queue.h
@@ -108,6 +108,7 @@
     absl::Time arrived;
   };
   struct Customer {
+    std::string name;
     double weight = 1;
     double virtual_time = 0;  // Work started, divided by the weight.
     double queued_work_s = 0;
@@ -115,6 +116,7 @@
   };
 
   Customer& CustomerOf(const std::string& name);
+  std::vector<Customer*> WaitingCustomers() const;
   size_t LaneOf(const AdmissionRequest& request) const;
   bool Late(const Waiting& waiting) const;
   double StartedRate() const;
@@ -134,6 +136,8 @@
   const Clock& clock;
   const AdmissionOptions options;
   std::map<std::string, Customer, std::less<>> customers;
+  // Those with waiting requests, by name; polls walk only these.
+  std::map<std::string, Customer*, std::less<>> waiting_customers;
   double virtual_now = 0;
   size_t size = 0;
   double started_rate = 0;  // Work per second, exponentially weighted.
--- a/cranberryhill/daemon/chat_service.cc
+++ b/cranberryhill/daemon/chat_service.cc
@@ -10,9 +10,6 @@
 namespace cranberryhill {
 namespace {
 
-// Design page, section 1.3.
-constexpr absl::Duration kTokenGapTarget = absl::Milliseconds(66);
-
 // Kind of call under which output lengths are learned.
 std::string_view KindOf(CallerApi api) {
   return api == CallerApi::kChatCompletions ? "chat" : "completion";
@@ -182,19 +179,17 @@
 }
 
 void ChatService::Admit(Chat& chat) {
-  double prefill_s = this->speed.PrefillSeconds(
-      static_cast<double>(chat.request.prompt_tokens), 1);
-  double decode_s =
-      this->speed.DecodeTokenSeconds(kTokenGapTarget) * chat.output.mean;
+  const RequestEstimate estimate =
+      this->fleet->RouterOf(chat.request.model)->EstimateWork(RouteOf(chat));
   ArrivedWork& work = this->arrived[chat.request.model];
-  work.prefill_s += prefill_s;
-  work.decode_s += decode_s;
+  work.prefill_s += absl::ToDoubleSeconds(estimate.prefill);
+  work.decode_s += absl::ToDoubleSeconds(estimate.decode);
 
   AdmissionRequest request;
   request.id = chat.id;
   request.customer = chat.customer;
-  request.work = absl::Seconds(prefill_s + decode_s);
-  request.min_first_token = absl::Seconds(prefill_s);
+  request.work = estimate.prefill + estimate.decode;
+  request.min_first_token = estimate.min_first_token;
   // A prompt that cannot meet the target even on an idle engine is served as
   // soon as it can be; its caller's own deadline still holds.
   absl::Duration target = std::max(this->context.settings.first_token_target,
--- a/cranberryhill/daemon/chat_service.h
+++ b/cranberryhill/daemon/chat_service.h
@@ -25,7 +25,6 @@
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/caller/caller_request.h"
 #include "cranberryhill/caller/refusal.h"
-#include "cranberryhill/cost/engine_speed.h"
 #include "cranberryhill/cost/output_predictor.h"
 #include "cranberryhill/daemon/engine_fleet.h"
 #include "cranberryhill/daemon/metrics.h"
@@ -153,7 +152,6 @@
   AdmissionQueue queue;
   BudgetPermits permits;
   OutputPredictor predictor;
-  SpeedModel speed;
   std::map<ChatId, std::unique_ptr<Chat>> chats;
   std::vector<ChatId> finished;
   std::map<std::string, ArrivedWork, std::less<>> arrived;
--- a/cranberryhill/daemon/daemon.cc
+++ b/cranberryhill/daemon/daemon.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iterator>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -132,6 +134,7 @@
   void StepShutdown();
   bool WorkDone() const;
   void PublishMetrics();
+  void PublishMembers();
   std::string StatusText();
   void ReadPeerObservations(const PeerMessage& message, absl::Duration transit);
   void ReadPeerPlan(const PeerMessage& message, absl::Duration transit);
@@ -250,6 +253,11 @@
       [this](const std::string& peer, PeerDocumentCallback done) {
         this->peers.FetchDocument(peer, std::move(done));
       });
+  this->http1.SetOnFailed([this](const Error& error) {
+    this->metrics.Count("cranberryhill_restarts_total");
+    this->root.OnFailed(this->http1, error);
+  });
+  this->root.SetOnExhausted([this](const Error&) { this->RequestShutdown(); });
   this->root.Add(this->peers);
   this->root.Add(this->http2);
   this->root.Add(this->http1);
@@ -364,6 +372,18 @@
       ids.push_back(id);
   }
   this->peers.SetInstances(instances);
+  std::set<std::string> zone = {this->settings.instance_id};
+  for (const PeerInstance& instance : instances) {
+    if (instance.availability_zone == this->settings.availability_zone)
+      zone.insert(instance.id);
+  }
+  this->fleet.SetEntryInstances(
+      static_cast<uint32_t>(zone.size()),
+      static_cast<uint32_t>(
+          std::distance(zone.begin(), zone.find(this->settings.instance_id))));
+  this->limits.SetInstances(
+      static_cast<uint32_t>(ids.size() + 1),
+      static_cast<uint32_t>(this->peers.exchange().subset().size()));
   this->config.SetPeers(std::move(ids));
 }
 
@@ -377,6 +397,7 @@
   if (auto version = this->config.in_force()) {
     absl::Duration elapsed = now - this->last_work_report;
     if (elapsed >= absl::Seconds(1)) {
+      this->PublishMembers();
       this->last_work_report = now;
       for (const ModelSpec& model : version->document.models) {
         this->control.ObserveWork(
@@ -400,6 +421,25 @@
                     this->phase == Phase::kServing ? 0 : 1);
 }
 
+void Daemon::Impl::PublishMembers() {
+  static constexpr std::pair<MemberKind, std::string_view> kKinds[] = {
+      {MemberKind::kEntryInstance, "entry_instance"},
+      {MemberKind::kEngine, "engine"},
+      {MemberKind::kService, "service"}};
+  for (const auto& [kind, name] : kKinds) {
+    std::map<MemberState, int> counts = {{MemberState::kLive, 0},
+                                         {MemberState::kLeaving, 0},
+                                         {MemberState::kSuspect, 0}};
+    for (const std::string& id : this->members.Members(kind))
+      ++counts[this->members.StateOf(id)];
+    for (const auto& [state, count] : counts) {
+      this->metrics.Set("cranberryhill_members",
+                        {{"kind", name}, {"state", MemberStateName(state)}},
+                        count);
+    }
+  }
+}
+
 bool Daemon::Impl::WorkDone() const {
   return this->chats.running() == 0 && this->services.running() == 0 &&
          this->guard.unfinished() == 0 && this->http2.active_streams() == 0;
--- a/cranberryhill/daemon/engine_fleet.cc
+++ b/cranberryhill/daemon/engine_fleet.cc
@@ -21,6 +21,7 @@
 constexpr absl::Duration kMaxReconnectWait = absl::Seconds(5);
 constexpr absl::Duration kPollTimeout = absl::Seconds(3);
 constexpr int kProbePriority = -100;
+constexpr int kLowPriority = -1;  // Long work; short work has 0.
 constexpr size_t kMaxLineBytes = size_t{64} * 1024;
 // Cache events are late anyway, and what this instance sent is known at once.
 constexpr absl::Duration kCacheEventInterval = absl::Seconds(5);
@@ -90,6 +91,13 @@
   return found == this->engines.end() ? nullptr : found->second.get();
 }
 
+void EngineFleet::SetEntryInstances(uint32_t count, uint32_t index) {
+  this->entry_instances = count;
+  this->entry_index = index;
+  for (auto& [model, router] : this->routers)
+    router->SetEntryInstances(count, index);
+}
+
 Router* EngineFleet::RouterOf(std::string_view model) {
   auto found = this->routers.find(model);
   return found == this->routers.end() ? nullptr : found->second.get();
@@ -164,6 +172,7 @@
     options.zone = this->context.availability_zone;
     router = std::make_unique<Router>(this->context.clock, this->context.random,
                                       options);
+    router->SetEntryInstances(this->entry_instances, this->entry_index);
   }
   auto engine = std::make_unique<Engine>();
   engine->spec = spec;
@@ -264,6 +273,8 @@
   router->OnSent(route, *decision);
   auto run = std::make_unique<Running>();
   run->attempt = attempt;
+  if (decision->low_priority)
+    run->attempt.priority = kLowPriority;
   run->blocks.assign(route.blocks.begin(), route.blocks.end());
   run->engine = engine->spec.id;
   run->decode_engine = router->EngineId(decision->decode_engine);
--- a/cranberryhill/daemon/engine_fleet.h
+++ b/cranberryhill/daemon/engine_fleet.h
@@ -121,6 +121,10 @@
   /// running on dropped engines go on.
   void SetEngines(std::span<const EngineSpec> engines);
 
+  /// Sets how many entry instances of the zone use the same engines.
+  /// @param index Position of this one in their sorted list.
+  void SetEntryInstances(uint32_t count, uint32_t index);
+
   /// @return The router of `model`, or null when no engine serves it.
   Router* RouterOf(std::string_view model);
 
@@ -210,6 +214,8 @@
   std::map<std::string, std::unique_ptr<Router>, std::less<>> routers;
   std::map<AttemptKey, std::unique_ptr<Running>> running;
   size_t ticks = 0;
+  uint32_t entry_instances = 1;
+  uint32_t entry_index = 0;
   std::shared_ptr<bool> alive;
 };
 
--- a/cranberryhill/daemon/http1_port.cc
+++ b/cranberryhill/daemon/http1_port.cc
@@ -101,7 +101,7 @@
     this->http.minThreads(kMinThreads);
     this->http.maxThreads(kMaxThreads);
     this->http.addService(cxxtools::Regex("^/"), *this);
-    this->thread = std::thread([this] { this->loop.run(); });
+    this->thread = std::thread([this] { this->Run(); });
   }
 
   ~Server() override {
@@ -146,6 +146,18 @@
                                        "this instance is shutting down"));
   }
 
+  void Run() {
+    try {
+      this->loop.run();
+    } catch (const std::exception& failure) {
+      Error error{ErrorCode::kInternal, "http1 port", "", failure.what()};
+      this->port.executor.Post([this_port = &this->port, error] {
+        if (this_port->on_failed)
+          this_port->on_failed(error);
+      });
+    }
+  }
+
   // Requests that were handed to the core thread may have run.
   void EndAll() {
     std::lock_guard lock(this->mutex);
--- a/cranberryhill/daemon/http1_port.h
+++ b/cranberryhill/daemon/http1_port.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "cranberryhill/base/executor.h"
 #include "cranberryhill/daemon/caller_front.h"
@@ -45,6 +46,13 @@
   ~Http1Port() override;
 
   std::string_view name() const override { return "http1 port"; }
+
+  /// Sets the function that is told, on the core thread, when the server's
+  /// thread has ended by a failure.
+  void SetOnFailed(std::function<void(const Error&)> callback) {
+    this->on_failed = std::move(callback);
+  }
+
   Result<void> Start() override;
   void Stop() override;
 
@@ -55,6 +63,7 @@
   Executor& executor;
   CallerFront& front;
   DaemonPages& pages;
+  std::function<void(const Error&)> on_failed;
   std::unique_ptr<Server> server;
 };
 
