roles, admission, daemon: meet bounds, forget old rates, say when not ready

Change: a change that brings counts nearer to their bounds needs no gain; a start rate older than 4 s is not used; health answers starting with 503.

--- a/cranberryhill/admission/admission_queue.cc
+++ b/cranberryhill/admission/admission_queue.cc
@@ -15,6 +15,7 @@
 // Part of the time left that a request may be expected to spend in the queue.
 constexpr double kMaxQueueShare = 0.7;
 constexpr double kRateSeconds = 2;
+constexpr absl::Duration kRateMemory = absl::Seconds(4);
 constexpr absl::Duration kMinRetryAfter = absl::Seconds(1);
 constexpr absl::Duration kMaxRetryAfter = absl::Seconds(30);
 
@@ -72,7 +73,10 @@
 absl::Duration AdmissionQueue::TimeToStart(const Customer& customer,
                                            double work_s) const {
   double rate = this->StartedRate();
-  if (work_s <= 0 || rate <= 0)
+  // After a pause the rate says nothing: it has decayed because there was no
+  // work, or because this process did not run.
+  bool known = this->clock.Now() - this->rate_time <= kRateMemory;
+  if (work_s <= 0 || rate <= 0 || !known)
     return absl::ZeroDuration();
   double weights = 0;
   for (const auto& [name, other] : this->waiting_customers)
--- a/cranberryhill/admission/admission_test.cc
+++ b/cranberryhill/admission/admission_test.cc
@@ -114,6 +114,23 @@
   BOOST_TEST(queue.Size() == 0U);
 }
 
+// Guards against a start rate that decayed during a pause: requests that arrive
+// together after it would all be refused although engines are free.
+BOOST_AUTO_TEST_CASE(BurstAfterAPauseIsQueued) {
+  ManualClock clock;
+  AdmissionQueue queue(clock, {});
+  SlotGate gate;
+  gate.slots = 1;
+  BOOST_REQUIRE(!queue.Offer(MakeRequest(clock, 1, "a", 0.1, 1)));
+  queue.Poll(gate);
+  clock.Advance(absl::Seconds(9));
+  for (uint64_t id = 2; id < 12; ++id)
+    BOOST_TEST(!queue.Offer(MakeRequest(clock, id, "a", 0.1, 1)));
+  gate.slots = 10;
+  queue.Poll(gate);
+  BOOST_TEST(gate.started.size() == 11U);
+}
+
 // Guards against requests that are lost or answered twice: each one offered is
 // refused or started exactly once, and none starts too late to be in time.
 RC_BOOST_PROP(EachRequestIsDecidedOnce,
--- a/cranberryhill/daemon/daemon.cc
+++ b/cranberryhill/daemon/daemon.cc
@@ -135,6 +135,7 @@
   bool WorkDone() const;
   void PublishMetrics();
   void PublishMembers();
+  std::string_view StateName() const;
   std::string StatusText();
   void ReadPeerObservations(const PeerMessage& message, absl::Duration transit);
   void ReadPeerPlan(const PeerMessage& message, absl::Duration transit);
@@ -605,9 +606,9 @@
   if (path == "/metrics")
     return {200, "text/plain; version=0.0.4", "", this->metrics.Text()};
   if (path == "/health") {
-    bool serving = this->phase == Phase::kServing;
-    return {serving ? 200 : 503, "application/json", "",
-            serving ? R"({"state":"serving"})" : R"({"state":"leaving"})"};
+    std::string_view state = this->StateName();
+    return {state == "serving" ? 200 : 503, "application/json", "",
+            Json{{"state", state}}.dump()};
   }
   if (path == "/operator/status" && method == "GET")
     return {200, "application/json", "", this->StatusText()};
@@ -620,17 +621,32 @@
   return {refusal.http_status, "application/json", "", RefusalBody(refusal)};
 }
 
+// "starting" until work can be started: callers would be refused before.
+std::string_view Daemon::Impl::StateName() const {
+  if (this->phase != Phase::kServing)
+    return "leaving";
+  auto version = this->config.in_force();
+  if (version == nullptr)
+    return "starting";
+  const std::vector<EngineSpec>& engines = version->document.engines;
+  bool usable =
+      engines.empty() || std::any_of(engines.begin(), engines.end(),
+                                     [this](const EngineSpec& engine) {
+                                       return this->views.MayStart(engine.id);
+                                     });
+  return usable ? "serving" : "starting";
+}
+
 std::string Daemon::Impl::StatusText() {
-  Json status = {
-      {"instance", this->settings.instance_id},
-      {"availability_zone", this->settings.availability_zone},
-      {"environment", this->settings.environment},
-      {"incarnation", this->incarnation},
-      {"state", this->phase == Phase::kServing ? "serving" : "leaving"},
-      {"chats", this->chats.running()},
-      {"service_calls", this->services.running()},
-      {"holds_lease", this->control.holds_lease()},
-      {"peers", this->peers.exchange().subset()}};
+  Json status = {{"instance", this->settings.instance_id},
+                 {"availability_zone", this->settings.availability_zone},
+                 {"environment", this->settings.environment},
+                 {"incarnation", this->incarnation},
+                 {"state", this->StateName()},
+                 {"chats", this->chats.running()},
+                 {"service_calls", this->services.running()},
+                 {"holds_lease", this->control.holds_lease()},
+                 {"peers", this->peers.exchange().subset()}};
   if (auto version = this->config.in_force()) {
     status["generation"] = version->production.generation;
     status["version"] = version->production.version;
--- a/cranberryhill/roles/role_planner.cc
+++ b/cranberryhill/roles/role_planner.cc
@@ -132,16 +132,7 @@
 }
 
 bool RolePlanner::WithinBounds(const RoleCounts& counts, int engines) const {
-  // Shares are rounded in favour of the bound's purpose: a minimum share above
-  // 0 means at least one engine, a maximum below 1 leaves one to the others.
-  auto within = [&](int count, const ShareBounds& bounds) {
-    constexpr double kRounding = 1e-9;
-    return count >= std::ceil(bounds.min_share * engines - kRounding) &&
-           count <= std::floor(bounds.max_share * engines + kRounding);
-  };
-  return within(counts.prefill, this->options.prefill) &&
-         within(counts.decode, this->options.decode) &&
-         within(counts.mixed, this->options.mixed);
+  return this->Violation(counts, engines) == 0;
 }
 
 RoleCounts RolePlanner::BestCounts(double prefill_fraction, int engines) const {
@@ -228,8 +219,65 @@
   return this->reversals * std::exp(-age / kReversalMemoryS);
 }
 
+// Number of engines by which the counts miss the bounds.
+int RolePlanner::Violation(const RoleCounts& counts, int engines) const {
+  auto missed = [&](int count, const ShareBounds& bounds) {
+    constexpr double kRounding = 1e-9;
+    int low =
+        static_cast<int>(std::ceil(bounds.min_share * engines - kRounding));
+    int high =
+        static_cast<int>(std::floor(bounds.max_share * engines + kRounding));
+    return std::max(0, low - count) + std::max(0, count - high);
+  };
+  return missed(counts.prefill, this->options.prefill) +
+         missed(counts.decode, this->options.decode) +
+         missed(counts.mixed, this->options.mixed);
+}
+
+// The bounds are part of the configuration, so a move towards them needs no
+// gain and no observation of the mix.
+std::optional<RoleChange> RolePlanner::TowardsBounds() const {
+  RoleCounts now = this->Counts();
+  int total = now.prefill + now.decode + now.mixed;
+  int least = this->Violation(now, total);
+  std::optional<RoleChange> best;
+  for (EngineRole from :
+       {EngineRole::kPrefill, EngineRole::kDecode, EngineRole::kMixed}) {
+    for (EngineRole to :
+         {EngineRole::kPrefill, EngineRole::kDecode, EngineRole::kMixed}) {
+      RoleCounts next = now;
+      --CountOf(next, from);
+      ++CountOf(next, to);
+      if (from == to || this->LeastLoaded(from) == nullptr ||
+          this->Violation(next, total) >= least) {
+        continue;
+      }
+      least = this->Violation(next, total);
+      best = RoleChange{.engine = {}, .from = from, .to = to};
+    }
+  }
+  return best;
+}
+
+const PlannedEngine* RolePlanner::LeastLoaded(EngineRole role) const {
+  const PlannedEngine* least = nullptr;
+  for (const PlannedEngine& engine : this->engines) {
+    if (engine.available && engine.role == role &&
+        (least == nullptr || engine.load < least->load))
+      least = &engine;
+  }
+  return least;
+}
+
 std::optional<RoleChange> RolePlanner::Plan() {
-  if (this->change_open || this->observed < this->options.warm_up ||
+  if (this->change_open)
+    return std::nullopt;
+  if (std::optional<RoleChange> change = this->TowardsBounds()) {
+    change->engine = this->LeastLoaded(change->from)->id;
+    this->change_open = true;
+    return change;
+  }
+  if (this->observed < this->options.warm_up ||
       this->slow.prefill + this->slow.decode <= 0)
     return std::nullopt;
   double fraction = this->options.hysteresis ? FractionOf(this->slow)
@@ -244,12 +292,7 @@
       this->options.gain_margin * std::pow(kReversalFactor, reversals);
   if (this->options.hysteresis && change->gain < margin * change->cost)
     return std::nullopt;
-  const PlannedEngine* least = nullptr;
-  for (const PlannedEngine& engine : this->engines) {
-    if (engine.available && engine.role == change->from &&
-        (least == nullptr || engine.load < least->load))
-      least = &engine;
-  }
+  const PlannedEngine* least = this->LeastLoaded(change->from);
   if (least == nullptr)
     return std::nullopt;
   change->engine = least->id;
--- a/cranberryhill/roles/role_planner.h
+++ b/cranberryhill/roles/role_planner.h
@@ -118,6 +118,9 @@
   double Rating(const RoleCounts& counts,
                 double prefill_fraction,
                 double demand) const;
+  int Violation(const RoleCounts& counts, int engines) const;
+  std::optional<RoleChange> TowardsBounds() const;
+  const PlannedEngine* LeastLoaded(EngineRole role) const;
   bool WithinBounds(const RoleCounts& counts, int engines) const;
   RoleCounts Counts() const;
   double ExpectedDuration() const;
--- a/cranberryhill/roles/roles_test.cc
+++ b/cranberryhill/roles/roles_test.cc
@@ -103,6 +103,23 @@
   }
 }
 
+// Guards against bounds of a new document that are never met because a change
+// to meet them gains nothing.
+BOOST_AUTO_TEST_CASE(ChangedBoundsAreMetWithoutWork) {
+  RolePlannerOptions options;
+  options.prefill = {0.5, 0.5};
+  options.decode = {0.5, 0.5};
+  options.mixed = {0, 0};
+  Group group(options, {.prefill = 0, .decode = 0, .mixed = 6});
+  group.Run(0, 6 * 13);
+  BOOST_TEST(group.changes == 6);
+  BOOST_TEST(group.changed.size() == 6U);
+  int prefill = 0;
+  for (const PlannedEngine& engine : group.engines)
+    prefill += engine.role == EngineRole::kPrefill ? 1 : 0;
+  BOOST_TEST(prefill == 3);
+}
+
 // Guards against counts outside the document's bounds, and against groups that
 // can prefill but not decode or the other way round.
 RC_BOOST_PROP(BestCountsStayWithinBounds, (uint8_t percent)) {
