--- a/cranberryhill/daemon/chat_fixture_test.cc
+++ b/cranberryhill/daemon/chat_fixture_test.cc
@@ -84,9 +84,12 @@
 void ChatFixture::SlowTick() {
   if (this->table_up && this->clock.Now() >= this->next_scan) {
     this->next_scan = this->clock.Now() + absl::Milliseconds(500);
-    this->views.OnRows(
-        {{PlanRowKey("annex", "z1", "0"), 1, FormatPlanRecord(this->plan)}},
-        this->clock.Now());
+    std::vector<Row> rows;
+    if (this->plan.plan_version > 0) {
+      rows.push_back(
+          {PlanRowKey("annex", "z1", "0"), 1, FormatPlanRecord(this->plan)});
+    }
+    this->views.OnRows(rows, this->clock.Now());
   }
   this->fleet.Tick();
   for (const std::string& engine : this->views.ProbesDue())
--- a/cranberryhill/daemon/chat_fixture_test.h
+++ b/cranberryhill/daemon/chat_fixture_test.h
@@ -85,7 +85,7 @@
 
   std::vector<FakeEngine*> by_index;
   std::shared_ptr<VersionInForce> version;
-  PlanRecord plan{1, {}};
+  PlanRecord plan;
   absl::Time next_scan;
   std::vector<std::string> forbidden;
 };
