daemon: check after each step that ended chats left no stream

The streams of a cancelled chat ended by themselves before the end of the property, which therefore passed with ChatService::Cancel() not cancelling.

--- a/cranberryhill/daemon/chat_service_test.cc
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -327,6 +327,10 @@
       ApplyFault(f, step, number);
     }
     f.RunFor(absl::Milliseconds(*rc::gen::inRange(0, 1500)));
+    for (const ChatRecord& chat : f.records) {
+      if (chat.cancelled || (chat.ends > 0 && &chat != poison))
+        RC_ASSERT(f.Running(chat.prompt) == 0U);
+    }
   }
   f.RunFor(absl::Seconds(31));
   uint32_t crashes = 0;
