--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -7,7 +7,7 @@
 mkdir -p "$cache"
 files=("$@")
 if ((${#files[@]} == 0)); then
-  mapfile -t files < <(git ls-files -co --exclude-standard '*.cc')
+  mapfile -t files < <(git ls-files -co --exclude-standard "*.cc")
 fi
 headers=$(git ls-files -co --exclude-standard '*.h' | xargs cat .clang-tidy | sha1sum | cut -c1-40)
 export cache headers
