--- a/cranberryhill/daemon/control_part.cc
+++ b/cranberryhill/daemon/control_part.cc
@@ -13,6 +13,7 @@
 
 constexpr absl::Duration kPlanInterval = absl::Seconds(1);
 constexpr absl::Duration kCleanInterval = absl::Seconds(1);
+constexpr absl::Duration kCalmInterval = absl::Milliseconds(500);
 // Of the instances that may take a lease, this many read its row often; the
 // others step in when all of these are gone. Otherwise the reads would grow
 // with the number of instances.
@@ -251,8 +252,7 @@
     this->UpdatePollIntervals();
     this->UpdateDesired();
   }
-  this->executor->Tick();
-  this->planner->Tick();
+  this->TickChanges(now);
   if (this->calls_lease->Grant() && now >= this->next_clean) {
     this->next_clean = now + kCleanInterval;
     this->cleaner->Step();
@@ -260,6 +260,19 @@
   this->PublishMetrics();
 }
 
+void ControlPart::TickChanges(absl::Time now) {
+  // Without a change in progress all engines only have to be looked at now and
+  // then, which matters when there are hundreds.
+  const std::optional<PlanRecord>& plan = this->planner->plan();
+  bool calm =
+      this->executor->Idle() && (!plan.has_value() || plan->draining.empty());
+  if (calm && now < this->next_calm_tick)
+    return;
+  this->next_calm_tick = now + kCalmInterval;
+  this->executor->Tick();
+  this->planner->Tick();
+}
+
 void ControlPart::PublishMetrics() {
   Metrics& metrics = this->context.metrics;
   std::optional<LeaseGrant> grant = this->zone_lease->Grant();
--- a/cranberryhill/daemon/control_part.h
+++ b/cranberryhill/daemon/control_part.h
@@ -79,6 +79,7 @@
  private:
   struct Group;
 
+  void TickChanges(absl::Time now);
   void UpdatePollIntervals();
   void PlanRoles();
   void PlanGroup(Group& group);
@@ -97,6 +98,7 @@
   std::map<std::string, std::string, std::less<>> wanted_roles;  // By engine.
   absl::Time next_plan = absl::InfinitePast();
   absl::Time next_clean = absl::InfinitePast();
+  absl::Time next_calm_tick = absl::InfinitePast();
   bool held_before = false;
 };
 
--- a/cranberryhill/daemon/daemon.cc
+++ b/cranberryhill/daemon/daemon.cc
@@ -304,7 +304,11 @@
 void Daemon::Impl::FastTick() {
   this->chats.Tick();
   this->guard.Tick();
-  this->loop->RunAfter(kFastTick, [this] { this->FastTick(); });
+  // Without work there is nothing to check often; wake-ups are most of what a
+  // daemon at rest costs.
+  bool busy = this->chats.running() > 0 || this->guard.unfinished() > 0;
+  this->loop->RunAfter(busy ? kFastTick : kSlowTick,
+                       [this] { this->FastTick(); });
 }
 
 void Daemon::Impl::SlowTick() {
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -27,7 +27,6 @@
 PLATFORM = "127.0.60.1:7000"
 WARM_UP_S = 8
 MEASURE_S = 20
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class Processes:
@@ -63,9 +62,14 @@
 
 def usage(pid):
     """Returns CPU seconds, resident bytes, bytes read and bytes written."""
+    # The run time of the scheduler is exact; utime and stime count whole ticks
+    # and charge too much to a process that wakes up with them.
+    cpu = 0.0
+    for task in os.listdir(f"/proc/{pid}/task"):
+        with open(f"/proc/{pid}/task/{task}/schedstat") as file:
+            cpu += int(file.read().split()[0]) / 1e9
     with open(f"/proc/{pid}/stat") as file:
         fields = file.read().rsplit(")", 1)[1].split()
-    cpu = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
     resident = int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
     io = {}
     with open(f"/proc/{pid}/io") as file:
