base: keep the names of engine roles in one place

The names stood three times: in roles, in environment and in the parser of engine answers. roles/role.{h,cc} held nothing else and is gone.

--- a/cranberryhill/roles/role.cc
+++ b/cranberryhill/base/engine_role.cc
@@ -1,8 +1,8 @@
-#include "cranberryhill/roles/role.h"
+#include "cranberryhill/base/engine_role.h"
 
 namespace cranberryhill {
 
-std::string_view RoleName(EngineRole role) {
+std::string_view EngineRoleName(EngineRole role) {
   switch (role) {
     case EngineRole::kPrefill:
       return "prefill";
@@ -14,10 +14,10 @@
   return "mixed";
 }
 
-std::optional<EngineRole> ParseRole(std::string_view name) {
+std::optional<EngineRole> ParseEngineRole(std::string_view name) {
   for (EngineRole role :
        {EngineRole::kPrefill, EngineRole::kDecode, EngineRole::kMixed}) {
-    if (RoleName(role) == name)
+    if (EngineRoleName(role) == name)
       return role;
   }
   return std::nullopt;
--- a/cranberryhill/daemon/control_part.cc
+++ b/cranberryhill/daemon/control_part.cc
@@ -4,9 +4,9 @@
 #include <set>
 #include <utility>
 
+#include "cranberryhill/base/engine_role.h"
 #include "cranberryhill/base/hash.h"
 #include "cranberryhill/base/log.h"
-#include "cranberryhill/roles/role.h"
 
 namespace cranberryhill {
 namespace {
@@ -186,7 +186,7 @@
       }
       PlannedEngine engine;
       engine.id = spec.id;
-      engine.role = ParseRole(report->role).value_or(EngineRole::kMixed);
+      engine.role = ParseEngineRole(report->role).value_or(EngineRole::kMixed);
       engine.available = this->context.members.MayReceiveWork(spec.id) &&
                          this->planner->StepOf(spec.id) == ChangeStep::kNone;
       engine.load = static_cast<double>(report->running + report->queued);
@@ -214,13 +214,13 @@
   if (!change)
     return;
   group.changing = change->engine;
-  group.target = std::string(RoleName(change->to));
+  group.target = std::string(EngineRoleName(change->to));
   this->wanted_roles[change->engine] = group.target;
   this->context.metrics.Count("cranberryhill_role_changes_total",
                               {{"to", group.target}});
   LogLine("role change of {} from {} to {}: gain {:.1f}, cost {:.1f} engine-s",
-          change->engine, RoleName(change->from), group.target, change->gain,
-          change->cost);
+          change->engine, EngineRoleName(change->from), group.target,
+          change->gain, change->cost);
 }
 
 void ControlPart::Tick() {
--- a/cranberryhill/daemon/internal/engine_messages.cc
+++ b/cranberryhill/daemon/internal/engine_messages.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "cranberryhill/base/json.h"
 #include "cranberryhill/daemon/engine_fleet.h"
@@ -28,14 +29,10 @@
   return models;
 }
 
-Result<EngineRole> ParseReportedRole(std::string_view role) {
-  if (role == "prefill")
-    return EngineRole::kPrefill;
-  if (role == "decode")
-    return EngineRole::kDecode;
-  if (role == "mixed")
-    return EngineRole::kMixed;
-  return MakeError(ErrorCode::kInvalidArgument, "status.role", role,
+Result<EngineRole> ParseReportedRole(std::string_view name) {
+  if (std::optional<EngineRole> role = ParseEngineRole(name))
+    return *role;
+  return MakeError(ErrorCode::kInvalidArgument, "status.role", name,
                    "must be prefill, decode or mixed");
 }
 
--- a/cranberryhill/environment/environment_document.cc
+++ b/cranberryhill/environment/environment_document.cc
@@ -355,18 +355,6 @@
 
 }  // namespace
 
-std::string_view EngineRoleName(EngineRole role) {
-  switch (role) {
-    case EngineRole::kPrefill:
-      return "prefill";
-    case EngineRole::kDecode:
-      return "decode";
-    case EngineRole::kMixed:
-      return "mixed";
-  }
-  return "unknown";
-}
-
 RoleCount RoleCountOf(const RoleShare& share, size_t engines) {
   auto total = static_cast<double>(engines);
   return {
--- a/cranberryhill/environment/environment_document.h
+++ b/cranberryhill/environment/environment_document.h
@@ -23,9 +23,6 @@
 inline constexpr std::array<EngineRole, 3> kEngineRoles = {
     EngineRole::kPrefill, EngineRole::kDecode, EngineRole::kMixed};
 
-/// @return "prefill", "decode" or "mixed".
-std::string_view EngineRoleName(EngineRole role);
-
 struct ModelSpec {
   std::string name;
   std::vector<std::string> versions;  ///< At least one; the first is preferred.
--- a/cranberryhill/roles/role_planner.h
+++ b/cranberryhill/roles/role_planner.h
@@ -17,7 +17,7 @@
 
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
-#include "cranberryhill/roles/role.h"
+#include "cranberryhill/base/engine_role.h"
 
 namespace cranberryhill {
 
--- a/cranberryhill/roles/roles_test.cc
+++ b/cranberryhill/roles/roles_test.cc
@@ -154,8 +154,8 @@
 BOOST_AUTO_TEST_CASE(RoleNamesRoundTrip) {
   for (EngineRole role :
        {EngineRole::kPrefill, EngineRole::kDecode, EngineRole::kMixed})
-    BOOST_TEST((ParseRole(RoleName(role)) == role));
-  BOOST_TEST(!ParseRole("train").has_value());
+    BOOST_TEST((ParseEngineRole(EngineRoleName(role)) == role));
+  BOOST_TEST(!ParseEngineRole("train").has_value());
 }
 
 }  // namespace
--- a/cranberryhill/routing/router.h
+++ b/cranberryhill/routing/router.h
@@ -27,11 +27,11 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/engine_role.h"
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/cost/engine_speed.h"
 #include "cranberryhill/cost/load_tracker.h"
 #include "cranberryhill/cost/work.h"
-#include "cranberryhill/roles/role.h"
 #include "cranberryhill/routing/prefix_index.h"
 
 namespace cranberryhill {
--- a/programs/bench/entry_policy.h
+++ b/programs/bench/entry_policy.h
@@ -17,9 +17,9 @@
 
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/engine_role.h"
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/cost/load_tracker.h"
-#include "cranberryhill/roles/role.h"
 #include "cranberryhill/routing/router.h"
 #include "programs/bench/workload.h"
 
--- a/programs/bench/fake_engine.h
+++ b/programs/bench/fake_engine.h
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "cranberryhill/roles/role.h"
+#include "cranberryhill/base/engine_role.h"
 #include "cranberryhill/routing/prefix_index.h"
 
 namespace cranberryhill::bench {
--- a/programs/bench/simulation.cc
+++ b/programs/bench/simulation.cc
@@ -702,7 +702,7 @@
   std::string line = fmt::format("{:6.1f}", this->now);
   for (const EngineState& state : this->engines) {
     const FakeEngine& engine = *state.engine;
-    line += fmt::format(" {}{}{}/{}/{:.0f}k", RoleName(engine.role)[0],
+    line += fmt::format(" {}{}{}/{}/{:.0f}k", EngineRoleName(engine.role)[0],
                         state.changing ? "*" : "", engine.Running(),
                         engine.Queued(), engine.WaitingPrefill() / 1000);
   }
