--- a/cmake/cranberryhill.cmake
+++ b/cmake/cranberryhill.cmake
@@ -4,8 +4,10 @@
 set(CRANBERRYHILL_RC_PARAMS "seed=20261204 max_success=100" CACHE STRING
     "RapidCheck parameters of the test runs")
 
-add_library(ch_test_main OBJECT ${CMAKE_SOURCE_DIR}/cmake/test_main.cc)
-target_compile_definitions(ch_test_main PRIVATE BOOST_TEST_DYN_LINK)
+if(NOT CRANBERRYHILL_GATEWAY_ONLY)
+  add_library(ch_test_main OBJECT ${CMAKE_SOURCE_DIR}/cmake/test_main.cc)
+  target_compile_definitions(ch_test_main PRIVATE BOOST_TEST_DYN_LINK)
+endif()
 
 function(cranberryhill_library name)
   cmake_parse_arguments(arg "" "" "DEPS" ${ARGN})
@@ -21,7 +23,7 @@
     set(scope INTERFACE)
   endif()
   target_link_libraries(ch_${name} ${scope} ${arg_DEPS})
-  if(tests)
+  if(tests AND NOT CRANBERRYHILL_GATEWAY_ONLY)
     add_executable(${name}_test ${tests})
     target_compile_definitions(${name}_test PRIVATE BOOST_TEST_DYN_LINK)
     target_link_libraries(${name}_test PRIVATE ch_${name} ch_test_main
--- /dev/null
+++ b/cranberryhill/forward/configuration.cc
@@ -0,0 +1,70 @@
+#include "cranberryhill/forward/configuration.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/string_view.h"
+
+namespace cranberryhill::forward {
+namespace {
+
+std::string LowerHost(std::string_view host) {
+  size_t colon = host.find(':');
+  if (colon != std::string_view::npos)
+    host = host.substr(0, colon);
+  return absl::AsciiStrToLower(absl::string_view(host.data(), host.size()));
+}
+
+}  // namespace
+
+RouteTable::RouteTable(std::shared_ptr<const Configuration> configuration)
+    : held(std::move(configuration)) {
+  for (const Route& route : this->held->routes)
+    this->by_host[LowerHost(route.host)].push_back(&route);
+  for (auto& [host, routes] : this->by_host) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const Route* a, const Route* b) {
+                       return a->path_prefix.size() > b->path_prefix.size();
+                     });
+  }
+}
+
+const Route* RouteTable::Match(std::string_view host,
+                               std::string_view target) const {
+  auto found = this->by_host.find(LowerHost(host));
+  if (found == this->by_host.end())
+    return nullptr;
+  std::string_view path = target.substr(0, target.find('?'));
+  for (const Route* route : found->second) {
+    if (path.starts_with(route->path_prefix))
+      return route;
+  }
+  return nullptr;
+}
+
+const ServiceConfig* RouteTable::Service(std::string_view name) const {
+  for (const ServiceConfig& service : this->held->services) {
+    if (service.name == name)
+      return &service;
+  }
+  return nullptr;
+}
+
+std::string_view PickService(const Route& route, uint64_t draw) {
+  uint64_t total = 0;
+  for (const ServiceShare& share : route.services)
+    total += share.weight;
+  if (total == 0)
+    return route.services.empty() ? std::string_view()
+                                  : route.services.front().service;
+  uint64_t at = draw % total;
+  for (const ServiceShare& share : route.services) {
+    if (at < share.weight)
+      return share.service;
+    at -= share.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace cranberryhill::forward
--- /dev/null
+++ b/cranberryhill/forward/placement.h
@@ -0,0 +1,90 @@
+#ifndef CRANBERRYHILL_FORWARD_PLACEMENT_H_
+#define CRANBERRYHILL_FORWARD_PLACEMENT_H_
+
+// Chooses the replica of a request, by the expected time to the first byte.
+// Prompts with shared parts go to the replicas that a hash of these parts
+// ranks first, so that all instances agree where a part is cached without
+// telling each other. Answers the load of long shared prompts whose reading
+// fills the fleet, and of plain services with few slots.
+//
+//   Placement placement("addis-a", EngineSpeed{});
+//   PlacementChoice choice = placement.ChooseEngine(replicas, shape, now, {});
+
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "cranberryhill/forward/prompt.h"
+#include "cranberryhill/forward/replica_set.h"
+
+namespace cranberryhill::forward {
+
+/// Speed of a model engine. The figures are those of the operators' sheets.
+struct EngineSpeed {
+  double prompt_tokens_per_ms = 157;  ///< Of an engine that only reads prompts.
+  /// An engine that also generates reads prompts at this share of the speed.
+  double decode_read_share = 0.5;
+  double decode_chunk_tokens = 256;  ///< Read between two generation steps.
+  double step_ms = 3.55;             ///< A generation step without requests.
+  double step_ms_per_request = 0.0462;
+  /// From the end of reading to the first event: the events of the sheets hold
+  /// ten tokens, so ten steps, and the engine's own start-up.
+  double first_event_ms = 40;
+  /// Start and bytes of a move of cached tokens, per thousand tokens.
+  double transfer_setup_ms = 8;
+  double transfer_ms_per_k = 0.3;
+};
+
+struct PlacementChoice {
+  std::shared_ptr<Replica> target;  ///< Runs the request; null: nobody can.
+  std::shared_ptr<Replica> reader;  ///< Reads the prompt first; may be null.
+  absl::Duration expected_first;    ///< Time to the first byte.
+  double target_tokens = 0;  ///< Prompt tokens that `target` has to read.
+  double reader_tokens = 0;  ///< Prompt tokens that `reader` has to read.
+};
+
+/// Stateless but for its settings.
+class Placement {
+ public:
+  Placement(std::string availability_zone, EngineSpeed speed)
+      : zone(std::move(availability_zone)), speed(speed) {}
+
+  /// @param candidates Usable replicas of a model service.
+  /// @param excluded Ids of replicas that the request must not be sent to.
+  PlacementChoice ChooseEngine(
+      std::span<const std::shared_ptr<Replica>> candidates,
+      const PromptShape& shape,
+      absl::Time now,
+      std::span<const std::string> excluded) const;
+
+  /// @param candidates Usable replicas of a plain service.
+  PlacementChoice ChooseServer(
+      std::span<const std::shared_ptr<Replica>> candidates,
+      absl::Time now,
+      std::span<const std::string> excluded) const;
+
+ private:
+  using ReplicaPtr = std::shared_ptr<Replica>;
+
+  double ReadingTimeMs(const Replica& replica,
+                       const PromptShape& shape,
+                       double* tokens) const;
+  double WaitMs(const Replica& replica, absl::Time now) const;
+  double PenaltyMs(const Replica& replica, absl::Time now) const;
+  double StepMs(const Replica& replica, absl::Time now) const;
+  double MsPerToken(const Replica& replica, absl::Time now) const;
+
+  std::string zone;
+  EngineSpeed speed;
+};
+
+/// @return Requests of other instances that a replica probably has, by its
+///     last report; older reports count less.
+double OthersAt(const Replica& replica, absl::Time now);
+
+}  // namespace cranberryhill::forward
+
+#endif  // CRANBERRYHILL_FORWARD_PLACEMENT_H_
--- /dev/null
+++ b/cranberryhill/forward/replica_set.cc
@@ -0,0 +1,150 @@
+#include "cranberryhill/forward/replica_set.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "absl/container/flat_hash_set.h"
+
+namespace cranberryhill::forward {
+namespace {
+
+/// A replica that left the registry goes on serving for a while; within this
+/// time it is used where its service has no other replica. It stays below the
+/// 2 s after which leaving replicas must get no new request.
+constexpr absl::Duration kUseAfterRemoval = absl::Seconds(1);
+/// Entries that lapsed during an outage of the registry come back within 2 s
+/// of its return.
+constexpr absl::Duration kReturnAfterOutage = absl::Seconds(2);
+/// Removed replicas are forgotten after this time.
+constexpr absl::Duration kForgetAfter = absl::Seconds(10);
+/// First pause after a failure; doubles with each failure in a row.
+constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(300);
+constexpr int kMaxDoublings = 4;
+/// Failures in a row before a replica is avoided. One failure alone is often
+/// that of a single connection.
+constexpr int kFailuresToAvoid = 2;
+/// Weight of the newest outcome in the failure rate.
+constexpr double kOutcomeWeight = 0.1;
+/// Share of the engine's memory that cached parts are believed to fill; the
+/// rest is taken by running requests.
+constexpr double kCacheShare = 0.85;
+constexpr int64_t kDefaultCacheTokens = 900000;
+
+}  // namespace
+
+std::string Replica::Address() const {
+  return this->entry.ip + ":" + std::to_string(this->entry.port);
+}
+
+void ReplicaSet::Apply(const ReplicaEntry& entry) {
+  auto& slot = this->by_id[entry.id];
+  bool same_process = slot != nullptr && slot->entry.ip == entry.ip &&
+                      slot->entry.port == entry.port &&
+                      slot->entry.started_ms == entry.started_ms &&
+                      slot->entry.service == entry.service;
+  if (!same_process) {
+    slot = std::make_shared<Replica>();
+    slot->cache.SetCapacity(
+        static_cast<int64_t>(kCacheShare * kDefaultCacheTokens));
+  }
+  slot->entry = entry;
+  slot->listed = true;
+}
+
+void ReplicaSet::Remove(std::string_view id) {
+  auto found = this->by_id.find(std::string(id));
+  if (found == this->by_id.end() || !found->second->listed)
+    return;
+  found->second->listed = false;
+  found->second->removed_at = this->clock.Now();
+}
+
+void ReplicaSet::Reset(const std::vector<ReplicaEntry>& entries) {
+  absl::flat_hash_set<std::string_view> present;
+  for (const ReplicaEntry& entry : entries) {
+    present.insert(entry.id);
+    this->Apply(entry);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [id, replica] : this->by_id) {
+    if (!present.contains(id))
+      gone.push_back(id);
+  }
+  for (const std::string& id : gone)
+    this->Remove(id);
+}
+
+std::vector<std::shared_ptr<Replica>> ReplicaSet::Usable(
+    std::string_view service) {
+  this->DropForgotten();
+  absl::Time now = this->clock.Now();
+  absl::Duration grace = now - this->regained_at < kReturnAfterOutage
+                             ? kReturnAfterOutage
+                             : kUseAfterRemoval;
+  std::vector<std::shared_ptr<Replica>> listed;
+  std::vector<std::shared_ptr<Replica>> removed;
+  for (const auto& [id, replica] : this->by_id) {
+    if (replica->entry.service != service || replica->entry.leaving)
+      continue;
+    if (replica->listed)
+      listed.push_back(replica);
+    else if (now - replica->removed_at < grace)
+      removed.push_back(replica);
+  }
+  return listed.empty() ? removed : listed;
+}
+
+std::shared_ptr<Replica> ReplicaSet::Find(std::string_view id) const {
+  auto found = this->by_id.find(std::string(id));
+  if (found == this->by_id.end() || !found->second->listed)
+    return nullptr;
+  return found->second;
+}
+
+std::vector<std::shared_ptr<Replica>> ReplicaSet::Listed() const {
+  std::vector<std::shared_ptr<Replica>> all;
+  for (const auto& [id, replica] : this->by_id) {
+    if (replica->listed)
+      all.push_back(replica);
+  }
+  return all;
+}
+
+void ReplicaSet::OnSuccess(Replica& replica) {
+  replica.failures_in_row = 0;
+  replica.avoid_until = absl::InfinitePast();
+  replica.failure_rate *= 1 - kOutcomeWeight;
+}
+
+void ReplicaSet::OnFailure(Replica& replica) {
+  ++replica.failures_in_row;
+  replica.failure_rate += kOutcomeWeight * (1 - replica.failure_rate);
+  if (replica.failures_in_row < kFailuresToAvoid)
+    return;
+  int doublings =
+      std::min(replica.failures_in_row - kFailuresToAvoid, kMaxDoublings);
+  replica.avoid_until =
+      this->clock.Now() + kFirstAvoidance * std::pow(2, doublings);
+}
+
+void ReplicaSet::OnWrongInstance(Replica& replica) {
+  // The registry still lists the old process. It is used again when its entry
+  // changes.
+  replica.entry.leaving = true;
+}
+
+void ReplicaSet::OnLoadReport(Replica& replica, const LoadReport& report) {
+  replica.load = report;
+  replica.load_at = this->clock.Now();
+  replica.outstanding_at_load = replica.outstanding;
+}
+
+void ReplicaSet::DropForgotten() {
+  absl::Time now = this->clock.Now();
+  absl::erase_if(this->by_id, [now](const auto& item) {
+    return !item.second->listed &&
+           now - item.second->removed_at > kForgetAfter;
+  });
+}
+
+}  // namespace cranberryhill::forward
--- /dev/null
+++ b/cranberryhill/forward/replica_set.h
@@ -0,0 +1,118 @@
+#ifndef CRANBERRYHILL_FORWARD_REPLICA_SET_H_
+#define CRANBERRYHILL_FORWARD_REPLICA_SET_H_
+
+// The replicas that may be used, by the operators' registry and by what this
+// instance observes of them.
+//
+//   ReplicaSet replicas(clock);
+//   replicas.Apply(entry);
+//   for (const auto& replica : replicas.Usable("parts", now)) ...
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/engine_role.h"
+#include "cranberryhill/forward/prompt_cache.h"
+
+namespace cranberryhill::forward {
+
+/// What the registry says of a replica.
+struct ReplicaEntry {
+  std::string id;
+  std::string service;
+  std::string ip;
+  uint16_t port = 0;
+  std::string availability_zone;
+  int slots = 1;
+  bool leaving = false;
+  std::optional<EngineRole> role;  ///< Of model engines only.
+  std::string model;               ///< First model loaded; empty if none.
+  int64_t started_ms = 0;  ///< Start of the process; 0 if it is not told.
+  int64_t orders = 0;      ///< Orders that the engine has accepted.
+};
+
+/// What a replica says of its load in an answer.
+struct LoadReport {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+  double slowness = 1;  ///< Time that work takes now; 1 is as usual.
+};
+
+/// A replica with this instance's observations.
+struct Replica {
+  ReplicaEntry entry;
+  bool listed = true;       ///< In the registry.
+  absl::Time removed_at;    ///< When it left the registry.
+  int outstanding = 0;      ///< Own requests without a complete answer.
+  double queued_tokens = 0; ///< Own prompt tokens sent and not yet read.
+  double queued_prompts = 0;
+  LoadReport load;
+  absl::Time load_at = absl::InfinitePast();
+  int outstanding_at_load = 0;  ///< Own share of the reported load.
+  int failures_in_row = 0;
+  double failure_rate = 0;  ///< Recent, 0 to 1.
+  absl::Time avoid_until = absl::InfinitePast();
+  PromptCache cache{0};
+
+  std::string Address() const;
+};
+
+/// Not thread-safe.
+class ReplicaSet {
+ public:
+  /// @param clock Must outlive this object.
+  explicit ReplicaSet(const Clock& clock) : clock(clock) {}
+
+  /// Adds or changes a replica. A process that started anew under its id is
+  /// taken as unknown.
+  void Apply(const ReplicaEntry& entry);
+
+  /// Marks a replica as gone from the registry.
+  void Remove(std::string_view id);
+
+  /// Takes over the whole registry; replicas that are not in it are removed.
+  void Reset(const std::vector<ReplicaEntry>& entries);
+
+  /// Tells that the registry has been reached again after an outage.
+  void OnRegistryRegained() { this->regained_at = this->clock.Now(); }
+
+  /// @return Replicas of a service that may get new requests. Replicas that
+  ///     have just left the registry are returned only when there is no other.
+  std::vector<std::shared_ptr<Replica>> Usable(std::string_view service);
+
+  /// @return The replica with this id if it is listed, or null.
+  std::shared_ptr<Replica> Find(std::string_view id) const;
+
+  /// Records the outcome of a send.
+  void OnSuccess(Replica& replica);
+  void OnFailure(Replica& replica);
+
+  /// Records that another process has the address of this replica.
+  void OnWrongInstance(Replica& replica);
+
+  void OnLoadReport(Replica& replica, const LoadReport& report);
+
+  /// @return All listed replicas.
+  std::vector<std::shared_ptr<Replica>> Listed() const;
+
+  size_t size() const { return this->by_id.size(); }  // NOLINT
+
+ private:
+  void DropForgotten();
+
+  const Clock& clock;
+  absl::flat_hash_map<std::string, std::shared_ptr<Replica>> by_id;
+  absl::Time regained_at = absl::InfinitePast();
+};
+
+}  // namespace cranberryhill::forward
+
+#endif  // CRANBERRYHILL_FORWARD_REPLICA_SET_H_
--- /dev/null
+++ b/cranberryhill/forward/retry_window.cc
@@ -0,0 +1,44 @@
+#include "cranberryhill/forward/retry_window.h"
+
+namespace cranberryhill::forward {
+namespace {
+
+// Sends are counted when they leave, the bound holds for arrivals; the rest
+// covers what the two windows cut differently.
+constexpr double kUsedShare = 0.9;
+
+}  // namespace
+
+void RetryWindow::Expire() {
+  absl::Time oldest = this->clock.Now() - this->bounds.window;
+  while (!this->requests.empty() && this->requests.front() < oldest)
+    this->requests.pop_front();
+  while (!this->extras.empty() && this->extras.front() < oldest)
+    this->extras.pop_front();
+}
+
+void RetryWindow::OnRequest() {
+  this->Expire();
+  this->requests.push_back(this->clock.Now());
+}
+
+void RetryWindow::OnExtra() {
+  this->extras.push_back(this->clock.Now());
+}
+
+bool RetryWindow::HasRoom() {
+  this->Expire();
+  double allowed = this->bounds.ratio * kUsedShare *
+                       static_cast<double>(this->requests.size()) +
+                   this->bounds.own_slack;
+  return static_cast<double>(this->extras.size()) + 1 <= allowed;
+}
+
+bool RetryWindow::TryTake() {
+  if (!this->HasRoom())
+    return false;
+  this->OnExtra();
+  return true;
+}
+
+}  // namespace cranberryhill::forward
--- /dev/null
+++ b/cranberryhill/gateway/event_log.h
@@ -0,0 +1,82 @@
+#ifndef CRANBERRYHILL_GATEWAY_EVENT_LOG_H_
+#define CRANBERRYHILL_GATEWAY_EVENT_LOG_H_
+
+// Structured lines on standard output: one for each decision that touches a
+// request or changes what the process believes.
+//
+//   log.Write(LogEvent("request_sent").Add("request", id).Add("replica", r));
+//
+// Lines over the rate are counted and dropped, and a line that the other end
+// of the pipe has no room for is dropped as well: logging never blocks.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+
+namespace spdlog {
+class logger;
+}
+
+namespace cranberryhill::gateway {
+
+/// One line: the name of the event and its fields, as JSON.
+class LogEvent {
+ public:
+  explicit LogEvent(std::string_view name);
+
+  LogEvent& Add(std::string_view key, std::string_view value);
+  LogEvent& Add(std::string_view key, const char* value) {
+    return this->Add(key, std::string_view(value));
+  }
+  LogEvent& Add(std::string_view key, int64_t value);
+  LogEvent& Add(std::string_view key, int value) {
+    return this->Add(key, static_cast<int64_t>(value));
+  }
+  LogEvent& Add(std::string_view key, uint64_t value) {
+    return this->Add(key, static_cast<int64_t>(value));
+  }
+  LogEvent& Add(std::string_view key, double value);
+  LogEvent& Add(std::string_view key, bool value);
+  /// Written in milliseconds; name keys accordingly.
+  LogEvent& Add(std::string_view key, absl::Duration value);
+
+  const std::string& text() const { return this->line; }  // NOLINT
+
+ private:
+  std::string line;
+};
+
+/// Receives lines.
+class EventLog {
+ public:
+  virtual ~EventLog() = default;
+
+  virtual void Write(const LogEvent& event) = 0;
+};
+
+/// Writes to standard output by spdlog. Not thread-safe.
+class StdoutEventLog : public EventLog {
+ public:
+  /// @param clock Must outlive this object.
+  /// @param lines_per_s Lines beyond this are dropped and counted.
+  StdoutEventLog(const Clock& clock, int lines_per_s);
+  ~StdoutEventLog() override;
+
+  void Write(const LogEvent& event) override;
+
+ private:
+  const Clock& clock;
+  const double lines_per_s;
+  double allowance;
+  absl::Time refilled;
+  uint64_t dropped = 0;
+  std::shared_ptr<spdlog::logger> logger;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_EVENT_LOG_H_
--- /dev/null
+++ b/cranberryhill/gateway/exchange.cc
@@ -0,0 +1,604 @@
+#include "cranberryhill/gateway/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryhill::gateway {
+namespace {
+
+/// A replica in the same region answers a connection attempt within a few
+/// milliseconds; a lost packet is sent again after a second.
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
+/// A whole answer that is larger than this is refused; the sheets' answers
+/// have a few kilobytes.
+constexpr size_t kMaxAnswerBytes = 8 << 20;
+/// Time for the caller's side within its deadline.
+constexpr absl::Duration kDeadlineMargin = absl::Milliseconds(20);
+/// Another send is of use only if this much time is left.
+constexpr absl::Duration kLeastTimeForSend = absl::Milliseconds(30);
+/// A resumable stream without an event for this long goes on elsewhere.
+/// Callers give up after 2 s.
+constexpr absl::Duration kResumeAfterPause = absl::Milliseconds(1000);
+/// A request that may be repeated is sent elsewhere after this many times its
+/// latency target without a first byte.
+constexpr double kFirstByteTargets = 2.0;
+constexpr absl::Duration kLeastFirstByteLimit = absl::Milliseconds(300);
+/// Prompt reads of one request; the second one follows a failure.
+constexpr int kMaxPromptReads = 2;
+/// Named in refusals where no better time is known: replicas that crash or are
+/// replaced are back after a second or more.
+constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
+/// Most urgent and least urgent priority of a replica.
+constexpr int kLowestPriority = 9;
+
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/// @return True for statuses that callers take as "not run".
+bool PromisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected ||
+         status == kTooManyRequests || status == kUnavailable;
+}
+
+std::string_view OutcomeName(forward::SendOutcome outcome) {
+  switch (outcome) {
+    case forward::SendOutcome::kNotSent:
+      return "not_sent";
+    case forward::SendOutcome::kNotRun:
+      return "not_run";
+    case forward::SendOutcome::kFailed:
+      return "failed";
+    case forward::SendOutcome::kBroken:
+      return "broken";
+    case forward::SendOutcome::kTimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+std::string_view StepName(forward::NextStep step) {
+  switch (step) {
+    case forward::NextStep::kSendAgain:
+      return "send_again";
+    case forward::NextStep::kResume:
+      return "resume";
+    case forward::NextStep::kRefuse:
+      return "refuse";
+    case forward::NextStep::kPassFailure:
+      return "pass_failure";
+    case forward::NextStep::kAnswerUnknown:
+      return "answer_unknown";
+    case forward::NextStep::kCutStream:
+      return "cut_stream";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+Exchange::Exchange(ExchangeContext& context,
+                   std::shared_ptr<const forward::RouteTable> routes,
+                   const forward::Route& route,
+                   http1::IncomingRequest request,
+                   CallerRequest facts,
+                   std::shared_ptr<http1::Responder> responder)
+    : context(context),
+      routes(std::move(routes)),
+      route(route),
+      request(std::move(request)),
+      facts(std::move(facts)),
+      responder(std::move(responder)),
+      policy(route),
+      timer(context.io) {
+  this->service = std::string(forward::PickService(
+      route, this->context.random.UniformInt(0, UINT64_MAX)));
+  const forward::ServiceConfig* config = this->routes->Service(this->service);
+  this->is_engine = config != nullptr && config->engine.has_value();
+  absl::Duration allowed = this->route.timeout;
+  if (this->facts.time_left)
+    allowed = std::min(allowed, *this->facts.time_left - kDeadlineMargin);
+  this->deadline = this->request.arrived + allowed;
+}
+
+Exchange::~Exchange() = default;
+
+LogEvent Exchange::Event(std::string_view name) const {
+  LogEvent event(name);
+  event.Add("request", this->facts.attempt_id).Add("route", this->route.name);
+  return event;
+}
+
+void Exchange::Start() {
+  this->context.retry_budget(this->service).OnRequest();
+  this->SendNext();
+}
+
+void Exchange::SendNext() {
+  absl::Duration left = this->TimeLeft();
+  if (left < kLeastTimeForSend)
+    return this->Refuse("no_time_left", kDefaultRetryAfter);
+  std::vector<std::shared_ptr<forward::Replica>> usable =
+      this->context.replicas.Usable(this->service);
+  forward::PlacementChoice choice =
+      this->is_engine
+          ? this->context.placement.ChooseEngine(usable, this->facts.prompt,
+                                                 this->Now(), this->excluded)
+          : this->context.placement.ChooseServer(usable, this->Now(),
+                                                 this->excluded);
+  if (choice.target == nullptr)
+    return this->Refuse("no_replica", kDefaultRetryAfter);
+  if (choice.expected_first > left) {
+    return this->Refuse(
+        "expected_too_late",
+        std::max(kDefaultRetryAfter, choice.expected_first - left));
+  }
+  bool may_read = choice.reader != nullptr &&
+                  this->prompt_reads < kMaxPromptReads && !this->stream_begun;
+  if (may_read)
+    return this->StartReading(choice);
+  this->StartRun(choice.target, choice.target_tokens + choice.reader_tokens,
+                 "");
+}
+
+void Exchange::StartReading(const forward::PlacementChoice& choice) {
+  ++this->prompt_reads;
+  this->phase = Phase::kReadingPrompt;
+  this->planned_runner = choice.target;
+  this->context.metrics.CountDecision("prompt_read");
+  ForwardFields fields;
+  fields.time_left = this->TimeLeft();
+  fields.replica_id = choice.reader->entry.id;
+  fields.priority = std::clamp(this->route.priority, 0, kLowestPriority);
+  fields.read_prompt_only = true;
+  choice.reader->cache.Record(this->facts.prompt, this->Now());
+  this->Send(choice.reader, choice.reader_tokens, fields);
+}
+
+void Exchange::StartRun(std::shared_ptr<forward::Replica> replica,
+                        double unread_tokens,
+                        std::string cache_source) {
+  this->phase = Phase::kRunning;
+  if (!this->policy.replicas().empty())
+    this->context.retry_budget(this->service).OnExtra();
+  this->policy.OnSent(replica->entry.id);
+  ForwardFields fields;
+  fields.time_left = this->TimeLeft();
+  fields.replica_id = replica->entry.id;
+  if (this->is_engine)
+    fields.priority = std::clamp(this->route.priority, 0, kLowestPriority);
+  fields.cache_source = std::move(cache_source);
+  fields.resume_after = this->splitter.last_id();
+  if (this->is_engine)
+    replica->cache.Record(this->facts.prompt, this->Now());
+  this->Send(std::move(replica), unread_tokens, fields);
+}
+
+void Exchange::Send(std::shared_ptr<forward::Replica> replica,
+                    double unread_tokens,
+                    const ForwardFields& fields) {
+  this->replica = std::move(replica);
+  ++this->replica->outstanding;
+  this->queued_tokens = this->is_engine ? unread_tokens : 0;
+  this->replica->queued_tokens += this->queued_tokens;
+  this->answer_head = {};
+  this->answer_facts = {};
+  this->answer_body.clear();
+  this->has_head = false;
+  this->relaying = false;
+  this->sent_at = this->Now();
+  this->last_progress = this->sent_at;
+  this->connection = this->context.pool.Acquire(*this->replica);
+  this->context.log.Write(
+      this->Event("request_sent")
+          .Add("replica", this->replica->entry.id)
+          .Add("read_only", fields.read_prompt_only)
+          .Add("unread_tokens", unread_tokens)
+          .Add("outstanding", this->replica->outstanding)
+          .Add("load_age_ms", this->sent_at - this->replica->load_at)
+          .Add("left_ms", fields.time_left)
+          .Add("configuration", this->routes->configuration().version));
+  http1::RequestHead head =
+      this->context.wire.EncodeForward(this->request.head, fields);
+  http1::SendOptions options{kConnectTimeout,
+                             this->request.head.method == "HEAD"};
+  this->ArmTimer();
+  auto self = this->shared_from_this();
+  this->connection->Send(
+      http1::SerializeRequest(head, this->request.body.size()) +
+          this->request.body,
+      options, *this);
+}
+
+/// Takes the send in progress off the replica's books.
+void Exchange::SettleSend() {
+  if (this->replica == nullptr)
+    return;
+  --this->replica->outstanding;
+  this->replica->queued_tokens =
+      std::max(0.0, this->replica->queued_tokens - this->queued_tokens);
+  this->queued_tokens = 0;
+  if (this->connection != nullptr)
+    this->context.pool.Release(*this->replica, std::move(this->connection));
+  this->connection = nullptr;
+  this->replica = nullptr;
+}
+
+bool Exchange::IsOwnAnswer(const http1::AnswerHead& head) {
+  AnswerFacts head_facts = this->context.wire.DecodeAnswer(head);
+  if (!head_facts.attempt_id.empty())
+    return head_facts.attempt_id == this->facts.attempt_id;
+  // A success names its request; a refusal may come before the replica has
+  // read the request's id.
+  return head.status >= 300;
+}
+
+void Exchange::OnHead(http1::AnswerHead head) {
+  this->answer_facts = this->context.wire.DecodeAnswer(head);
+  this->answer_head = std::move(head);
+  this->has_head = true;
+  this->last_progress = this->Now();
+  if (this->answer_facts.load) {
+    this->context.replicas.OnLoadReport(*this->replica,
+                                        *this->answer_facts.load);
+  }
+  bool success =
+      this->answer_head.status >= 200 && this->answer_head.status < 300;
+  this->relaying = this->phase == Phase::kRunning && success &&
+                   this->answer_facts.is_signed &&
+                   this->answer_facts.is_event_stream;
+}
+
+void Exchange::OnBody(std::string_view data) {
+  auto self = this->shared_from_this();
+  this->last_progress = this->Now();
+  if (this->relaying)
+    return this->RelayEvents(data);
+  if (this->answer_body.size() + data.size() <= kMaxAnswerBytes)
+    this->answer_body.append(data);
+}
+
+void Exchange::RelayEvents(std::string_view data) {
+  std::string events = this->splitter.Feed(data);
+  if (events.empty())
+    return;
+  // The prompt has been read when the first event comes.
+  this->replica->queued_tokens =
+      std::max(0.0, this->replica->queued_tokens - this->queued_tokens);
+  this->queued_tokens = 0;
+  if (!this->stream_begun) {
+    this->stream_begun = true;
+    this->context.metrics.ObserveFirstByte(this->Now() -
+                                           this->request.arrived);
+    http1::AnswerHead head = this->answer_head;
+    head.headers.RemoveConnectionFields();
+    this->responder->BeginStream(std::move(head));
+  }
+  this->responder->SendPart(events);
+}
+
+void Exchange::OnEnd(http1::AnswerEnd end, std::string_view reason) {
+  auto self = this->shared_from_this();
+  if (this->phase == Phase::kReadingPrompt)
+    return this->OnPromptRead(end, reason);
+  if (this->phase == Phase::kRunning)
+    this->OnRunEnd(end, reason);
+}
+
+void Exchange::OnPromptRead(http1::AnswerEnd end, std::string_view reason) {
+  std::shared_ptr<forward::Replica> reader = this->replica;
+  bool answered = end == http1::AnswerEnd::kComplete;
+  int status = this->answer_head.status;
+  std::string body = std::move(this->answer_body);
+  bool not_run = this->answer_facts.not_run;
+  if (answered && this->answer_facts.wrong_instance)
+    this->context.replicas.OnWrongInstance(*reader);
+  this->SettleSend();
+  if (answered && status == 200) {
+    auto decoded = Capture(
+        [&] { return this->context.wire.DecodePromptHandle(body); });
+    if (decoded.ok()) {
+      this->context.replicas.OnSuccess(*reader);
+      this->handle = decoded.value();
+      this->handle_address = reader->Address();
+      std::shared_ptr<forward::Replica> runner = this->planned_runner;
+      if (!runner->listed || runner->entry.leaving) {
+        this->ReleaseHandle();
+        return this->SendNext();
+      }
+      return this->StartRun(std::move(runner), 0,
+                            this->context.wire.CacheSource(
+                                this->handle_address, this->handle));
+    }
+  }
+  if (!not_run)
+    this->context.replicas.OnFailure(*reader);
+  this->context.log.Write(this->Event("prompt_read_failed")
+                              .Add("replica", reader->entry.id)
+                              .Add("status", answered ? status : 0)
+                              .Add("not_run", not_run)
+                              .Add("reason", reason));
+  this->excluded.push_back(reader->entry.id);
+  // Only the first accepted read is free of the budget. A read that failed
+  // counts, and the next one needs room of its own.
+  forward::RetryWindow& budget = this->context.retry_budget(this->service);
+  if (end != http1::AnswerEnd::kNotConnected)
+    budget.OnExtra();
+  if (!budget.HasRoom())
+    this->prompt_reads = kMaxPromptReads;
+  this->SendNext();
+}
+
+forward::SendOutcome Exchange::Classify(http1::AnswerEnd end) const {
+  if (end == http1::AnswerEnd::kNotConnected)
+    return forward::SendOutcome::kNotSent;
+  if (end == http1::AnswerEnd::kBroken)
+    return forward::SendOutcome::kBroken;
+  if (this->answer_facts.not_run)
+    return forward::SendOutcome::kNotRun;
+  bool success = this->answer_head.status >= 200 && this->answer_head.status < 300;
+  // A success that nobody signed is not the replica's answer.
+  if (success)
+    return forward::SendOutcome::kBroken;
+  return forward::SendOutcome::kFailed;
+}
+
+void Exchange::OnRunEnd(http1::AnswerEnd end, std::string_view reason) {
+  bool complete = end == http1::AnswerEnd::kComplete;
+  if (complete && this->relaying && this->splitter.rest().empty() &&
+      this->stream_begun) {
+    this->context.replicas.OnSuccess(*this->replica);
+    this->handle.clear();
+    this->responder->EndStream();
+    return this->Finish("answered", "", this->answer_head.status);
+  }
+  bool passes = complete && !this->relaying && !this->answer_facts.not_run &&
+                !this->stream_begun && this->answer_head.status < 500 &&
+                !PromisesNotRun(this->answer_head.status) &&
+                (this->answer_head.status >= 300 ||
+                 this->answer_facts.is_signed);
+  if (passes) {
+    this->context.replicas.OnSuccess(*this->replica);
+    this->handle.clear();
+    return this->AnswerWhole();
+  }
+  this->OnSendFailed(this->relaying ? forward::SendOutcome::kBroken
+                                    : this->Classify(end),
+                     reason);
+}
+
+void Exchange::OnSendFailed(forward::SendOutcome outcome,
+                            std::string_view reason) {
+  std::shared_ptr<forward::Replica> failed = this->replica;
+  if (this->answer_facts.wrong_instance)
+    this->context.replicas.OnWrongInstance(*failed);
+  else if (outcome != forward::SendOutcome::kNotRun)
+    this->context.replicas.OnFailure(*failed);
+  if (this->connection != nullptr && !this->connection->Reusable())
+    this->connection->Cancel();
+  this->SettleSend();
+  this->splitter.DropRest();
+
+  // A cache that cannot be fetched is no reason to leave the replica: it may
+  // read the prompt itself.
+  bool had_cache = !this->handle.empty();
+  if (had_cache)
+    this->ReleaseHandle();
+  forward::RetryWindow& budget = this->context.retry_budget(this->service);
+  bool budget_left = budget.HasRoom() && this->TimeLeft() > kLeastTimeForSend;
+  if (had_cache && outcome == forward::SendOutcome::kNotRun &&
+      !this->answer_facts.wrong_instance && !this->own_cache_failed &&
+      budget_left) {
+    this->own_cache_failed = true;
+    this->prompt_reads = kMaxPromptReads;
+    this->context.log.Write(this->Event("cache_not_fetched")
+                                .Add("replica", failed->entry.id));
+    return this->StartRun(std::move(failed), this->facts.prompt.prompt_tokens,
+                          "");
+  }
+  forward::NextStep step = this->policy.After(
+      outcome,
+      this->stream_begun ? forward::AnswerProgress::kEvents
+                         : forward::AnswerProgress::kNothing,
+      budget_left);
+  this->context.metrics.CountDecision(StepName(step));
+  this->context.log.Write(
+      this->Event("send_ended")
+          .Add("replica", failed->entry.id)
+          .Add("outcome", OutcomeName(outcome))
+          .Add("status", this->has_head ? this->answer_head.status : 0)
+          .Add("reason", reason)
+          .Add("took_ms", this->Now() - this->sent_at)
+          .Add("events", static_cast<int64_t>(this->splitter.events()))
+          .Add("budget_left", budget_left)
+          .Add("next", StepName(step)));
+  this->excluded.push_back(failed->entry.id);
+  switch (step) {
+    case forward::NextStep::kSendAgain:
+    case forward::NextStep::kResume:
+      return this->SendNext();
+    case forward::NextStep::kRefuse:
+      return this->Refuse("not_run_by_replica", kDefaultRetryAfter);
+    case forward::NextStep::kPassFailure:
+      // Callers take these statuses as "not run", and it has run.
+      if (PromisesNotRun(this->answer_head.status))
+        return this->AnswerOwn(kBadGateway, "failed_by_replica");
+      return this->AnswerWhole();
+    case forward::NextStep::kAnswerUnknown:
+      return this->AnswerOwn(kBadGateway, "no_answer_from_replica");
+    case forward::NextStep::kCutStream:
+      return this->CutStream("stream_broken");
+  }
+}
+
+/// Frees a cache that no run will take; its memory is of no use to others.
+void Exchange::ReleaseHandle() {
+  if (this->handle.empty())
+    return;
+  class Releaser : public http1::AnswerHandler {
+   public:
+    bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
+    void OnHead(http1::AnswerHead) override {}
+    void OnBody(std::string_view) override {}
+    void OnEnd(http1::AnswerEnd, std::string_view) override {
+      this->link->Cancel();
+      delete this;
+    }
+    std::shared_ptr<http1::ClientConnection> link;
+  };
+  size_t colon = this->handle_address.rfind(':');
+  forward::Replica source;
+  source.entry.ip = this->handle_address.substr(0, colon);
+  source.entry.port =
+      static_cast<uint16_t>(std::stoi(this->handle_address.substr(colon + 1)));
+  auto* releaser = new Releaser;  // Deletes itself in OnEnd().
+  releaser->link = this->context.pool.Acquire(source);
+  http1::RequestHead head = this->context.wire.EncodeRelease(
+      this->handle_address, this->handle);
+  releaser->link->Send(http1::SerializeRequest(head, 0), {}, *releaser);
+  this->handle.clear();
+}
+
+absl::Duration Exchange::FirstByteLimit() const {
+  return std::max(kLeastFirstByteLimit,
+                  this->route.target_latency * kFirstByteTargets);
+}
+
+absl::Time Exchange::NextCheck() const {
+  absl::Time next = this->deadline;
+  bool may_move = this->phase == Phase::kReadingPrompt ||
+                  (this->phase == Phase::kRunning && this->route.MayRepeat());
+  if (!may_move)
+    return next;
+  absl::Duration limit =
+      this->stream_begun ? kResumeAfterPause : this->FirstByteLimit();
+  return std::min(next, this->last_progress + limit);
+}
+
+void Exchange::ArmTimer() {
+  absl::Time next = this->NextCheck();
+  if (next >= this->timer_at)
+    return;
+  this->timer_at = next;
+  absl::Duration wait = std::max(absl::ZeroDuration(), next - this->Now());
+  this->timer.expires_after(absl::ToChronoMicroseconds(wait));
+  this->timer.async_wait(
+      [weak = this->weak_from_this()](boost::system::error_code error) {
+        auto self = weak.lock();
+        if (error || self == nullptr)
+          return;
+        self->timer_at = absl::InfiniteFuture();
+        self->OnTimer();
+      });
+}
+
+void Exchange::OnTimer() {
+  if (this->phase == Phase::kDone)
+    return;
+  auto self = this->shared_from_this();
+  absl::Time now = this->Now();
+  if (now < this->NextCheck())
+    return this->ArmTimer();
+  bool over = now >= this->deadline;
+  if (!over) {
+    forward::RetryWindow& budget = this->context.retry_budget(this->service);
+    bool reading = this->phase == Phase::kReadingPrompt;
+    bool other = reading || (this->policy.replicas().size() <
+                             static_cast<size_t>(this->route.max_replicas));
+    if (!other || !budget.HasRoom() || this->Now() >= this->deadline) {
+      // Nobody else may run it: the replica keeps it until the deadline.
+      this->last_progress = now;
+      return this->ArmTimer();
+    }
+  }
+  if (this->connection != nullptr)
+    this->connection->Cancel();
+  if (over) {
+    bool unsent = this->phase == Phase::kReadingPrompt &&
+                  !this->policy.MayHaveRun();
+    this->context.replicas.OnFailure(*this->replica);
+    this->SettleSend();
+    this->ReleaseHandle();
+    if (this->stream_begun)
+      return this->CutStream("deadline");
+    if (unsent)
+      return this->Refuse("deadline_before_run", kDefaultRetryAfter);
+    return this->AnswerOwn(kGatewayTimeout, "deadline");
+  }
+  if (this->phase == Phase::kReadingPrompt) {
+    this->has_head = false;
+    this->answer_facts = {};
+    return this->OnPromptRead(http1::AnswerEnd::kBroken, "no progress");
+  }
+  this->OnSendFailed(forward::SendOutcome::kTimedOut, "no progress");
+}
+
+void Exchange::OnCallerLeft() {
+  if (this->phase == Phase::kDone)
+    return;
+  auto self = this->shared_from_this();
+  if (this->connection != nullptr)
+    this->connection->Cancel();
+  this->SettleSend();
+  this->ReleaseHandle();
+  this->Finish("caller_left", "", 0);
+}
+
+void Exchange::Refuse(std::string_view reason, absl::Duration retry_after) {
+  if (this->stream_begun)
+    return this->CutStream(reason);
+  if (this->policy.MayHaveRun())
+    return this->AnswerOwn(kBadGateway, reason);
+  this->responder->SendWhole(
+      this->context.wire.OwnAnswer(kUnavailable, retry_after), "");
+  this->Finish("refused", reason, kUnavailable);
+}
+
+void Exchange::AnswerWhole() {
+  http1::AnswerHead head = this->answer_head;
+  head.headers.RemoveConnectionFields();
+  absl::Duration took = this->Now() - this->request.arrived;
+  this->context.metrics.ObserveFirstByte(took);
+  this->responder->SendWhole(std::move(head), this->answer_body);
+  this->Finish(this->answer_head.status < 500 ? "answered" : "failed",
+               this->answer_head.status < 500 ? "" : "failed_by_replica",
+               this->answer_head.status);
+}
+
+void Exchange::AnswerOwn(int status, std::string_view reason) {
+  if (this->stream_begun)
+    return this->CutStream(reason);
+  this->responder->SendWhole(
+      this->context.wire.OwnAnswer(status, std::nullopt), "");
+  this->Finish("failed", reason, status);
+}
+
+void Exchange::CutStream(std::string_view reason) {
+  this->responder->Abort();
+  this->Finish("cut", reason, this->answer_head.status);
+}
+
+void Exchange::Finish(std::string_view outcome,
+                      std::string_view reason,
+                      int status) {
+  this->phase = Phase::kDone;
+  this->timer.cancel();
+  this->SettleSend();
+  absl::Duration took = this->Now() - this->request.arrived;
+  this->context.metrics.CountOutcome(outcome);
+  this->context.metrics.ObserveWhole(took);
+  this->context.log.Write(
+      this->Event("request_ended")
+          .Add("outcome", outcome)
+          .Add("reason", reason)
+          .Add("status", status)
+          .Add("took_ms", took)
+          .Add("replicas", static_cast<int64_t>(this->policy.replicas().size()))
+          .Add("events", static_cast<int64_t>(this->splitter.events())));
+  this->responder = nullptr;
+}
+
+}  // namespace cranberryhill::gateway
--- /dev/null
+++ b/cranberryhill/gateway/metrics.cc
@@ -0,0 +1,80 @@
+#include "cranberryhill/gateway/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace cranberryhill::gateway {
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kSeconds{
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 3, 5, 8};
+
+prometheus::Histogram& AddHistogram(prometheus::Registry& registry,
+                                    const std::string& name,
+                                    const std::string& help) {
+  return prometheus::BuildHistogram()
+      .Name(name)
+      .Help(help)
+      .Register(registry)
+      .Add({}, kSeconds);
+}
+
+prometheus::Counter& Lookup(
+    prometheus::Family<prometheus::Counter>& family,
+    absl::flat_hash_map<std::string, prometheus::Counter*>& known,
+    const std::string& label,
+    std::string_view value) {
+  prometheus::Counter*& counter = known[std::string(value)];
+  if (counter == nullptr)
+    counter = &family.Add({{label, std::string(value)}});
+  return *counter;
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : outcomes(prometheus::BuildCounter()
+                   .Name("cranberryhill_requests_total")
+                   .Help("Requests by outcome")
+                   .Register(this->registry)),
+      decisions(prometheus::BuildCounter()
+                    .Name("cranberryhill_decisions_total")
+                    .Help("Decisions about requests")
+                    .Register(this->registry)),
+      gauges(prometheus::BuildGauge()
+                 .Name("cranberryhill_state")
+                 .Help("What the process believes")
+                 .Register(this->registry)),
+      first_byte(AddHistogram(this->registry,
+                              "cranberryhill_first_byte_seconds",
+                              "From the request to the first byte answered")),
+      whole(AddHistogram(this->registry,
+                         "cranberryhill_whole_answer_seconds",
+                         "From the request to the end of its answer")) {}
+
+void GatewayMetrics::CountOutcome(std::string_view outcome) {
+  Lookup(this->outcomes, this->outcome_counters, "outcome", outcome)
+      .Increment();
+}
+
+void GatewayMetrics::CountDecision(std::string_view decision) {
+  Lookup(this->decisions, this->decision_counters, "decision", decision)
+      .Increment();
+}
+
+void GatewayMetrics::ObserveFirstByte(absl::Duration latency) {
+  this->first_byte.Observe(absl::ToDoubleSeconds(latency));
+}
+
+void GatewayMetrics::ObserveWhole(absl::Duration latency) {
+  this->whole.Observe(absl::ToDoubleSeconds(latency));
+}
+
+void GatewayMetrics::SetGauge(std::string_view name, double value) {
+  this->gauges.Add({{"name", std::string(name)}}).Set(value);
+}
+
+std::string GatewayMetrics::Render() const {
+  return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
+
+}  // namespace cranberryhill::gateway
--- /dev/null
+++ b/cranberryhill/gateway/metrics.h
@@ -0,0 +1,53 @@
+#ifndef CRANBERRYHILL_GATEWAY_METRICS_H_
+#define CRANBERRYHILL_GATEWAY_METRICS_H_
+
+// Counters and latency histograms of a gateway, in the Prometheus text format.
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+#include <string_view>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+namespace cranberryhill::gateway {
+
+/// Not thread-safe.
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  /// Counts a request by its outcome, such as "answered" or "refused".
+  void CountOutcome(std::string_view outcome);
+
+  /// Counts a decision, such as "retry", "resume" or "prompt_read".
+  void CountDecision(std::string_view decision);
+
+  void ObserveFirstByte(absl::Duration latency);
+  void ObserveWhole(absl::Duration latency);
+
+  void SetGauge(std::string_view name, double value);
+
+  /// @return All metrics as text.
+  std::string Render() const;
+
+ private:
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& outcomes;
+  prometheus::Family<prometheus::Counter>& decisions;
+  prometheus::Family<prometheus::Gauge>& gauges;
+  prometheus::Histogram& first_byte;
+  prometheus::Histogram& whole;
+  // The families look labels up under a lock; these maps keep the results.
+  absl::flat_hash_map<std::string, prometheus::Counter*> outcome_counters;
+  absl::flat_hash_map<std::string, prometheus::Counter*> decision_counters;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_METRICS_H_
--- /dev/null
+++ b/cranberryhill/gateway/settings.cc
@@ -0,0 +1,85 @@
+#include "cranberryhill/gateway/settings.h"
+
+#include <arpa/inet.h>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/numbers.h"
+#include "cranberryhill/base/json.h"
+
+namespace cranberryhill::gateway {
+namespace {
+
+/// Longest time in settings; larger values are taken as a wrong unit.
+constexpr double kMaxSeconds = 3600;
+
+bool IsIpV4(const std::string& text) {
+  in_addr ignored{};
+  return inet_pton(AF_INET, text.c_str(), &ignored) == 1;
+}
+
+Result<ListenAddress> ReadAddress(ObjectReader& reader,
+                                  std::string_view name,
+                                  std::optional<std::string> fallback = {}) {
+  BOOST_LEAF_AUTO(text, reader.String(name, fallback));
+  ListenAddress address;
+  if (text.empty() && fallback)
+    return address;
+  size_t colon = text.rfind(':');
+  uint32_t port = 0;
+  bool valid = colon != std::string::npos &&
+               absl::SimpleAtoi(text.substr(colon + 1), &port) && port > 0 &&
+               port <= 65535 && IsIpV4(text.substr(0, colon));
+  if (!valid) {
+    return MakeError(ErrorCode::kInvalidArgument, reader.PathOf(name), text,
+                     "must be IP:PORT");
+  }
+  address.ip = text.substr(0, colon);
+  address.port = static_cast<uint16_t>(port);
+  return address;
+}
+
+Result<absl::Duration> ReadSeconds(ObjectReader& reader,
+                                   std::string_view name,
+                                   absl::Duration fallback) {
+  BOOST_LEAF_AUTO(seconds, reader.Double(name, {0.001, kMaxSeconds},
+                                         absl::ToDoubleSeconds(fallback)));
+  return absl::Seconds(seconds);
+}
+
+}  // namespace
+
+Result<GatewaySettings> ParseGatewaySettings(std::string_view text) {
+  BOOST_LEAF_AUTO(json, ParseJson(text, "settings"));
+  ObjectReader reader(json, "settings");
+  GatewaySettings settings;
+  BOOST_LEAF_ASSIGN(settings.instance_id, reader.String("instance_id"));
+  BOOST_LEAF_ASSIGN(settings.availability_zone,
+                    reader.String("availability_zone"));
+  BOOST_LEAF_ASSIGN(settings.callers, ReadAddress(reader, "callers_address"));
+  BOOST_LEAF_ASSIGN(settings.readiness,
+                    ReadAddress(reader, "readiness_address"));
+  BOOST_LEAF_ASSIGN(settings.control,
+                    ReadAddress(reader, "control_address", ""));
+  BOOST_LEAF_ASSIGN(settings.metrics,
+                    ReadAddress(reader, "metrics_address", ""));
+  BOOST_LEAF_ASSIGN(settings.store, ReadAddress(reader, "store_address"));
+  BOOST_LEAF_ASSIGN(
+      settings.shutdown_time,
+      ReadSeconds(reader, "shutdown_s", settings.shutdown_time));
+  BOOST_LEAF_ASSIGN(settings.lease_time,
+                    ReadSeconds(reader, "lease_s", settings.lease_time));
+  BOOST_LEAF_ASSIGN(
+      settings.retries.ratio,
+      reader.Double("retry_ratio", {0, 1}, settings.retries.ratio));
+  BOOST_LEAF_ASSIGN(
+      settings.retries.window,
+      ReadSeconds(reader, "retry_window_s", settings.retries.window));
+  BOOST_LEAF_AUTO(lines, reader.Int("log_lines_per_s", {1, 1'000'000},
+                                    settings.log_lines_per_s));
+  settings.log_lines_per_s = static_cast<int>(lines);
+  BOOST_LEAF_CHECK(reader.RefuseUnknownFields());
+  return settings;
+}
+
+}  // namespace cranberryhill::gateway
--- /dev/null
+++ b/cranberryhill/gateway/settings.h
@@ -0,0 +1,41 @@
+#ifndef CRANBERRYHILL_GATEWAY_SETTINGS_H_
+#define CRANBERRYHILL_GATEWAY_SETTINGS_H_
+
+// Settings of a gateway process: JSON with comments, checked when read.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/result.h"
+#include "cranberryhill/forward/retry_window.h"
+
+namespace cranberryhill::gateway {
+
+/// An IP address and a port.
+struct ListenAddress {
+  std::string ip;
+  uint16_t port = 0;
+};
+
+struct GatewaySettings {
+  std::string instance_id;
+  std::string availability_zone;
+  ListenAddress callers;    ///< Requests.
+  ListenAddress readiness;  ///< Asked by the load balancer.
+  ListenAddress control;    ///< Status; may have port 0 for none.
+  ListenAddress metrics;    ///< May have port 0 for none.
+  ListenAddress store;
+  absl::Duration shutdown_time = absl::Seconds(8);
+  absl::Duration lease_time = absl::Seconds(3);
+  forward::RetryBounds retries;
+  int log_lines_per_s = 400;
+};
+
+/// @return kInvalidArgument with the field, the value and the rule.
+Result<GatewaySettings> ParseGatewaySettings(std::string_view text);
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/cranberryhill/gateway/store_client.cc
@@ -0,0 +1,70 @@
+#include "cranberryhill/gateway/store_client.h"
+
+#include <utility>
+
+namespace cranberryhill::gateway {
+namespace {
+
+constexpr absl::Duration kConnectTimeout = absl::Seconds(1);
+/// A page holds at most 1 MB of rows; base64 and field names come on top.
+constexpr size_t kMaxBody = 8 << 20;
+
+}  // namespace
+
+StoreClient::StoreClient(boost::asio::io_context& io,
+                         boost::asio::ip::tcp::endpoint endpoint)
+    : io(io), endpoint(std::move(endpoint)), timer(io) {}
+
+StoreClient::~StoreClient() {
+  this->Cancel();
+}
+
+void StoreClient::Call(const StoreCall& call,
+                       absl::Duration timeout,
+                       Callback done) {
+  this->done = std::move(done);
+  this->answer = {};
+  if (this->connection == nullptr || !this->connection->Reusable())
+    this->connection = http1::ClientConnection::Create(this->io, this->endpoint);
+  this->timer.expires_after(absl::ToChronoMilliseconds(timeout));
+  this->timer.async_wait([this](boost::system::error_code error) {
+    if (error || !this->done)
+      return;
+    this->connection->Cancel();
+    this->Finish({0, "", "no answer within the timeout"});
+  });
+  this->connection->Send(
+      http1::SerializeRequest(call.head, call.body.size()) + call.body,
+      {kConnectTimeout, false}, *this);
+}
+
+void StoreClient::Cancel() {
+  this->timer.cancel();
+  this->done = nullptr;
+  if (this->connection != nullptr)
+    this->connection->Cancel();
+}
+
+void StoreClient::OnHead(http1::AnswerHead head) {
+  this->answer.status = head.status;
+}
+
+void StoreClient::OnBody(std::string_view data) {
+  if (this->answer.body.size() + data.size() <= kMaxBody)
+    this->answer.body.append(data);
+}
+
+void StoreClient::OnEnd(http1::AnswerEnd end, std::string_view reason) {
+  this->timer.cancel();
+  if (end != http1::AnswerEnd::kComplete)
+    this->answer = {0, "", std::string(reason)};
+  this->Finish(std::move(this->answer));
+}
+
+void StoreClient::Finish(StoreAnswer answer) {
+  Callback callback = std::exchange(this->done, nullptr);
+  if (callback)
+    callback(std::move(answer));
+}
+
+}  // namespace cranberryhill::gateway
--- /dev/null
+++ b/cranberryhill/gateway/store_client.h
@@ -0,0 +1,62 @@
+#ifndef CRANBERRYHILL_GATEWAY_STORE_CLIENT_H_
+#define CRANBERRYHILL_GATEWAY_STORE_CLIENT_H_
+
+// Calls to the store, one at a time on a kept connection.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/http1/client.h"
+
+namespace cranberryhill::gateway {
+
+/// Result of a call. Status 0: no answer; a write may have taken effect.
+struct StoreAnswer {
+  int status = 0;
+  std::string body;
+  std::string reason;  ///< Why there is no answer.
+};
+
+/// Not thread-safe; at most one call in progress.
+class StoreClient : public http1::AnswerHandler {
+ public:
+  using Callback = std::function<void(StoreAnswer)>;
+
+  /// @param io Must outlive this object.
+  StoreClient(boost::asio::io_context& io,
+              boost::asio::ip::tcp::endpoint endpoint);
+  ~StoreClient() override;
+
+  /// @param timeout Ends the call and its connection.
+  /// @param done Called once, unless this object is destroyed before.
+  void Call(const StoreCall& call, absl::Duration timeout, Callback done);
+
+  /// Ends the call in progress without calling back.
+  void Cancel();
+
+  bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
+  void OnHead(http1::AnswerHead head) override;
+  void OnBody(std::string_view data) override;
+  void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
+
+ private:
+  void Finish(StoreAnswer answer);
+
+  boost::asio::io_context& io;
+  const boost::asio::ip::tcp::endpoint endpoint;
+  boost::asio::steady_timer timer;
+  std::shared_ptr<http1::ClientConnection> connection;
+  Callback done;
+  StoreAnswer answer;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_STORE_CLIENT_H_
--- /dev/null
+++ b/cranberryhill/gateway/store_codec.cc
@@ -0,0 +1,17 @@
+#include "cranberryhill/gateway/store_codec.h"
+
+namespace cranberryhill::gateway {
+
+std::string_view StoreTableName(StoreTable table) {
+  switch (table) {
+    case StoreTable::kConfiguration:
+      return "configuration";
+    case StoreTable::kReplicas:
+      return "replicas";
+    case StoreTable::kControl:
+      return "control";
+  }
+  return "unknown";
+}
+
+}  // namespace cranberryhill::gateway
--- /dev/null
+++ b/cranberryhill/gateway/store_codec.h
@@ -0,0 +1,86 @@
+#ifndef CRANBERRYHILL_GATEWAY_STORE_CODEC_H_
+#define CRANBERRYHILL_GATEWAY_STORE_CODEC_H_
+
+// How a deployment's store of rows is asked, and how its answers read.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/result.h"
+#include "cranberryhill/forward/configuration.h"
+#include "cranberryhill/forward/replica_set.h"
+#include "cranberryhill/http1/message.h"
+
+namespace cranberryhill::gateway {
+
+enum class StoreTable {
+  kConfiguration,  ///< Written by operators.
+  kReplicas,       ///< Written by replicas.
+  kControl,        ///< Written by the gateway: the lease of engine orders.
+};
+
+/// @return The name of a table for logs and metrics.
+std::string_view StoreTableName(StoreTable table);
+
+struct StoreRow {
+  std::string key;
+  std::string value;
+  uint64_t version = 0;
+  bool removed = false;
+};
+
+struct StorePage {
+  std::vector<StoreRow> rows;
+  uint64_t version = 0;  ///< Of the store when the page was read.
+  bool has_more = false;
+};
+
+/// A call with a body.
+struct StoreCall {
+  http1::RequestHead head;
+  std::string body;
+};
+
+class StoreCodec {
+ public:
+  virtual ~StoreCodec() = default;
+
+  /// @param from First key of the page; empty for the first page.
+  virtual StoreCall EncodeRead(StoreTable table,
+                               std::string_view from) const = 0;
+
+  /// @param after Version that is known already.
+  /// @param wait How long the store may wait for a change.
+  virtual StoreCall EncodeWatch(StoreTable table,
+                                uint64_t after,
+                                absl::Duration wait) const = 0;
+
+  /// A write that takes effect only if the row has `expected_version`; 0
+  /// stands for a row that does not exist.
+  virtual StoreCall EncodeWrite(StoreTable table,
+                                std::string_view key,
+                                std::string_view value,
+                                uint64_t expected_version) const = 0;
+
+  virtual Result<StorePage> DecodePage(std::string_view body) const = 0;
+
+  /// @return The version of a write that took effect.
+  virtual Result<uint64_t> DecodeWrite(std::string_view body) const = 0;
+
+  /// @return kInvalidArgument for a row that names no replica to use.
+  virtual Result<forward::ReplicaEntry> DecodeReplica(
+      const StoreRow& row) const = 0;
+
+  /// @return True for the row that holds the configuration in force.
+  virtual bool IsConfiguration(const StoreRow& row) const = 0;
+
+  virtual Result<forward::Configuration> DecodeConfiguration(
+      std::string_view value) const = 0;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_STORE_CODEC_H_
--- /dev/null
+++ b/cranberryhill/gateway/table_follower.h
@@ -0,0 +1,89 @@
+#ifndef CRANBERRYHILL_GATEWAY_TABLE_FOLLOWER_H_
+#define CRANBERRYHILL_GATEWAY_TABLE_FOLLOWER_H_
+
+// Follows one table of the store: reads it whole, then waits for changes, and
+// reads it whole again when changes may have been missed.
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/random.h"
+#include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/gateway/store_client.h"
+#include "cranberryhill/gateway/store_codec.h"
+
+namespace cranberryhill::gateway {
+
+/// Told what the table holds.
+class TableObserver {
+ public:
+  virtual ~TableObserver() = default;
+
+  /// The whole table as of one version.
+  virtual void OnTable(StoreTable table, const std::vector<StoreRow>& rows) = 0;
+
+  /// Rows that changed since, in order.
+  virtual void OnChanges(StoreTable table,
+                         const std::vector<StoreRow>& rows) = 0;
+
+  /// The store has answered again after `outage` without an answer.
+  virtual void OnRegained(StoreTable table, absl::Duration outage) = 0;
+};
+
+/// Not thread-safe.
+class TableFollower {
+ public:
+  /// @param codec, observer, log, clock, random Must outlive this object.
+  TableFollower(StoreTable table,
+                boost::asio::io_context& io,
+                boost::asio::ip::tcp::endpoint store,
+                const StoreCodec& codec,
+                TableObserver& observer,
+                EventLog& log,
+                const Clock& clock,
+                Random& random);
+
+  void Start() { this->ReadPage(""); }
+  void Stop();
+
+  /// @return True once the table was read whole.
+  bool has_table() const { return this->read_whole; }  // NOLINT
+
+  /// @return Time since the store last answered.
+  absl::Duration Age() const { return this->clock.Now() - this->answered_at; }
+
+  /// @return Calls made so far.
+  uint64_t calls() const { return this->call_count; }  // NOLINT
+
+ private:
+  void ReadPage(const std::string& from);
+  void OnPage(StoreAnswer answer);
+  void Watch();
+  void OnWatch(StoreAnswer answer);
+  void OnAnswered();
+  void OnFailed(const StoreAnswer& answer);
+  void RetryAfter(absl::Duration pause);
+
+  const StoreTable table;
+  const StoreCodec& codec;
+  TableObserver& observer;
+  EventLog& log;
+  const Clock& clock;
+  Random& random;
+  StoreClient client;
+  boost::asio::steady_timer retry_timer;
+  std::vector<StoreRow> rows;
+  uint64_t version = 0;
+  bool must_read = true;
+  bool read_whole = false;
+  int failures = 0;
+  uint64_t call_count = 0;
+  absl::Time answered_at;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_TABLE_FOLLOWER_H_
--- /dev/null
+++ b/cranberryhill/http1/client.h
@@ -0,0 +1,117 @@
+#ifndef CRANBERRYHILL_HTTP1_CLIENT_H_
+#define CRANBERRYHILL_HTTP1_CLIENT_H_
+
+// One HTTP/1.1 connection to a server, which carries one request at a time and
+// hands the answer on as it arrives.
+//
+//   auto link = ClientConnection::Create(io, endpoint);
+//   link->Send(std::move(bytes), options, handler);
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "cranberryhill/http1/answer_reader.h"
+
+namespace cranberryhill::http1 {
+
+/// How an exchange over a connection ended.
+enum class AnswerEnd {
+  kComplete,       ///< The whole answer was received.
+  kNotConnected,   ///< No connection; no byte of the request was sent.
+  kBroken,         ///< The connection failed or the answer is malformed.
+};
+
+/// Receives one answer. After OnEnd() nothing more is called.
+class AnswerHandler : public AnswerSink {
+ public:
+  /// @return False when `head` answers another request; the answer is then
+  ///     dropped and the next one is read.
+  virtual bool IsOwnAnswer(const AnswerHead& head) = 0;
+
+  /// @param reason For logs; empty for kComplete.
+  virtual void OnEnd(AnswerEnd end, std::string_view reason) = 0;
+};
+
+struct SendOptions {
+  absl::Duration connect_timeout = absl::Milliseconds(500);
+  bool head_request = false;
+};
+
+/// Belongs to the thread of its io_context.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  static std::shared_ptr<ClientConnection> Create(
+      boost::asio::io_context& io,
+      boost::asio::ip::tcp::endpoint endpoint);
+
+  /// Sends a request, after connecting if needed. Requires that no request is
+  /// in progress.
+  /// @param request Head and body.
+  /// @param handler Must live until OnEnd() or Cancel().
+  void Send(std::string request, SendOptions options, AnswerHandler& handler);
+
+  /// Closes the connection; the handler is not called again.
+  void Cancel();
+
+  /// @return True when the connection is open, idle and clean.
+  bool Reusable() const;
+
+  /// @return True once a connection was established.
+  bool connected() const { return this->state != State::kNew; }  // NOLINT
+
+  /// Called when an idle connection ends.
+  void SetOnIdleClosed(std::function<void()> callback) {
+    this->on_idle_closed = std::move(callback);
+  }
+
+  /// @return How long the server keeps the connection open without requests,
+  ///     by its last answer.
+  absl::Duration idle_limit() const { return this->idle_time; }  // NOLINT
+
+ private:
+  enum class State { kNew, kConnecting, kBusy, kIdle, kClosed };
+  class Sink;
+
+  ClientConnection(boost::asio::io_context& io,
+                   boost::asio::ip::tcp::endpoint endpoint);
+
+  void Connect(absl::Duration timeout);
+  void WriteRequest();
+  void Read();
+  void OnReadable();
+  void OnBytes(std::string_view data);
+  void OnReadFailed(const boost::system::error_code& error);
+  void NewReader();
+  void OnAnswerDone();
+  void Finish(AnswerEnd end, std::string_view reason);
+  void CloseSocket();
+
+  boost::asio::io_context& io;
+  const boost::asio::ip::tcp::endpoint endpoint;
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer connect_timer;
+  State state = State::kNew;
+  SendOptions options;
+  std::string request;
+  std::string incoming;
+  AnswerHandler* handler = nullptr;
+  std::unique_ptr<Sink> sink;
+  std::unique_ptr<AnswerReader> reader;
+  std::function<void()> on_idle_closed;
+  absl::Duration idle_time;
+  int foreign_answers = 0;
+  bool reading = false;
+  bool written = false;
+  bool clean = true;
+};
+
+}  // namespace cranberryhill::http1
+
+#endif  // CRANBERRYHILL_HTTP1_CLIENT_H_
--- /dev/null
+++ b/cranberryhill/http1/message.cc
@@ -0,0 +1,175 @@
+#include "cranberryhill/http1/message.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace cranberryhill::http1 {
+namespace {
+
+constexpr std::string_view kConnectionFields[] = {
+    "Connection",       "Keep-Alive",         "Proxy-Connection",
+    "TE",               "Trailer",            "Transfer-Encoding",
+    "Upgrade",          "Proxy-Authenticate", "Proxy-Authorization",
+    "Content-Length",   "Expect",
+};
+
+char LowerCase(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view Trim(std::string_view text) {
+  size_t begin = text.find_first_not_of(" \t");
+  if (begin == std::string_view::npos)
+    return {};
+  return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
+}
+
+std::vector<std::string> ListedNames(const HeaderList& headers) {
+  std::vector<std::string> names;
+  for (const HeaderField& field : headers) {
+    if (!EqualsIgnoreCase(field.name, "Connection"))
+      continue;
+    std::string_view rest = field.value;
+    while (!rest.empty()) {
+      size_t comma = std::min(rest.find(','), rest.size());
+      names.emplace_back(Trim(rest.substr(0, comma)));
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+  }
+  return names;
+}
+
+void AppendFields(const HeaderList& headers, std::string& out) {
+  for (const HeaderField& field : headers) {
+    out.append(field.name).append(": ").append(field.value).append("\r\n");
+  }
+}
+
+}  // namespace
+
+bool EqualsIgnoreCase(std::string_view left, std::string_view right) {
+  return std::equal(
+      left.begin(), left.end(), right.begin(), right.end(),
+      [](char a, char b) { return LowerCase(a) == LowerCase(b); });
+}
+
+void HeaderList::Add(std::string_view name, std::string_view value) {
+  this->fields.push_back({std::string(name), std::string(value)});
+}
+
+void HeaderList::Set(std::string_view name, std::string_view value) {
+  this->Remove(name);
+  this->Add(name, value);
+}
+
+void HeaderList::Remove(std::string_view name) {
+  std::erase_if(this->fields, [name](const HeaderField& field) {
+    return EqualsIgnoreCase(field.name, name);
+  });
+}
+
+std::optional<std::string_view> HeaderList::Find(std::string_view name) const {
+  for (const HeaderField& field : this->fields) {
+    if (EqualsIgnoreCase(field.name, name))
+      return field.value;
+  }
+  return std::nullopt;
+}
+
+size_t HeaderList::Count(std::string_view name) const {
+  return static_cast<size_t>(std::count_if(
+      this->fields.begin(), this->fields.end(),
+      [name](const HeaderField& field) {
+        return EqualsIgnoreCase(field.name, name);
+      }));
+}
+
+void HeaderList::RemoveConnectionFields() {
+  std::vector<std::string> listed = ListedNames(*this);
+  std::erase_if(this->fields, [&listed](const HeaderField& field) {
+    auto same = [&field](std::string_view name) {
+      return EqualsIgnoreCase(field.name, name);
+    };
+    return std::any_of(std::begin(kConnectionFields),
+                       std::end(kConnectionFields), same) ||
+           std::any_of(listed.begin(), listed.end(), same);
+  });
+}
+
+std::string SerializeRequest(const RequestHead& head, uint64_t body_bytes) {
+  std::string out;
+  out.reserve(1024);
+  out.append(head.method).append(" ").append(head.target);
+  out.append(" HTTP/1.1\r\n");
+  AppendFields(head.headers, out);
+  bool bodiless = head.method == "GET" || head.method == "HEAD" ||
+                  head.method == "DELETE" || head.method == "OPTIONS";
+  if (body_bytes > 0 || !bodiless)
+    out.append(fmt::format("Content-Length: {}\r\n", body_bytes));
+  out.append("\r\n");
+  return out;
+}
+
+std::string SerializeAnswer(const AnswerHead& head,
+                            BodyFraming framing,
+                            bool close) {
+  std::string_view reason =
+      head.reason.empty() ? ReasonPhrase(head.status) : head.reason;
+  std::string out = fmt::format("HTTP/1.1 {} {}\r\n", head.status, reason);
+  AppendFields(head.headers, out);
+  switch (framing.kind) {
+    case BodyFraming::Kind::kLength:
+      out.append(fmt::format("Content-Length: {}\r\n", framing.bytes));
+      break;
+    case BodyFraming::Kind::kChunked:
+      out.append("Transfer-Encoding: chunked\r\n");
+      break;
+    case BodyFraming::Kind::kClose:
+      break;
+  }
+  if (close || framing.kind == BodyFraming::Kind::kClose)
+    out.append("Connection: close\r\n");
+  out.append("\r\n");
+  return out;
+}
+
+std::string SerializeChunk(std::string_view data) {
+  if (data.empty())
+    return {};
+  return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+std::string_view ReasonPhrase(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Unknown";
+  }
+}
+
+}  // namespace cranberryhill::http1
--- /dev/null
+++ b/cranberryhill/http1/request_reader.cc
@@ -0,0 +1,120 @@
+#include "cranberryhill/http1/request_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <utility>
+
+namespace cranberryhill::http1 {
+
+namespace http = boost::beast::http;
+
+struct RequestReader::Parser {
+  http::request_parser<http::string_body> beast;
+};
+
+namespace {
+
+int StatusOf(const boost::system::error_code& error) {
+  if (error == http::error::header_limit)
+    return 431;
+  if (error == http::error::body_limit)
+    return 413;
+  return 400;
+}
+
+}  // namespace
+
+RequestReader::RequestReader(RequestLimits limits)
+    : parser(std::make_unique<Parser>()) {
+  this->parser->beast.header_limit(limits.header_bytes);
+  this->parser->beast.body_limit(limits.body_bytes);
+  this->parser->beast.eager(false);
+}
+
+RequestReader::~RequestReader() = default;
+
+size_t RequestReader::Feed(std::string_view input) {
+  size_t used = 0;
+  auto& beast = this->parser->beast;
+  while (this->progress == State::kHeader || this->progress == State::kBody) {
+    boost::system::error_code error;
+    std::string_view rest = input.substr(used);
+    if (rest.empty() && !beast.is_header_done())
+      break;
+    size_t taken =
+        beast.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+    used += taken;
+    if (error == http::error::need_more)
+      break;
+    if (error) {
+      this->Fail(StatusOf(error), error.message());
+      break;
+    }
+    if (this->progress == State::kHeader && beast.is_header_done())
+      this->OnHeaderDone();
+    if (this->progress == State::kBody && beast.is_done())
+      this->progress = State::kDone;
+    else if (taken == 0)
+      break;
+  }
+  return used;
+}
+
+void RequestReader::OnHeaderDone() {
+  const auto& fields = this->parser->beast.get();
+  size_t lengths = 0;
+  size_t encodings = 0;
+  size_t hosts = 0;
+  for (const auto& field : fields) {
+    lengths += field.name() == http::field::content_length ? 1 : 0;
+    hosts += field.name() == http::field::host ? 1 : 0;
+    if (field.name() != http::field::transfer_encoding)
+      continue;
+    ++encodings;
+    std::string_view value(field.value().data(), field.value().size());
+    if (!EqualsIgnoreCase(value, "chunked"))
+      return this->Fail(400, "Transfer-Encoding is not \"chunked\"");
+  }
+  if (lengths + encodings > 1)
+    return this->Fail(400, "the length of the body is given more than once");
+  if (encodings > 0 && fields.version() < 11)
+    return this->Fail(400, "chunked body in an HTTP/1.0 request");
+  if (hosts > 1 || (hosts == 0 && fields.version() >= 11))
+    return this->Fail(400, "there must be one Host field");
+  this->progress = State::kBody;
+}
+
+void RequestReader::Fail(int status, std::string_view why) {
+  this->progress = State::kFailed;
+  this->failure = status;
+  this->reason = std::string(why);
+}
+
+bool RequestReader::ExpectsContinue() const {
+  auto field = this->parser->beast.get().find(http::field::expect);
+  if (field == this->parser->beast.get().end())
+    return false;
+  return EqualsIgnoreCase({field->value().data(), field->value().size()},
+                          "100-continue");
+}
+
+RequestHead RequestReader::TakeHead() {
+  const auto& request = this->parser->beast.get();
+  RequestHead head;
+  head.method = std::string(request.method_string());
+  head.target = std::string(request.target());
+  head.http_1_1 = request.version() >= 11;
+  head.keep_alive = request.keep_alive();
+  for (const auto& field : request) {
+    head.headers.Add({field.name_string().data(), field.name_string().size()},
+                     {field.value().data(), field.value().size()});
+  }
+  return head;
+}
+
+std::string RequestReader::TakeBody() {
+  return std::move(this->parser->beast.get().body());
+}
+
+}  // namespace cranberryhill::http1
--- /dev/null
+++ b/cranberryhill/http1/server.cc
@@ -0,0 +1,435 @@
+#include "cranberryhill/http1/server.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "cranberryhill/http1/socket_options.h"
+
+namespace cranberryhill::http1 {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kReadBytes = 16384;
+/// Bytes of further requests that are read while one is being answered. Enough
+/// to notice that the caller has left; more stays in the kernel's buffer.
+constexpr size_t kMaxReadAhead = 65536;
+/// A caller that leaves this many bytes of a stream unread has stopped reading.
+constexpr size_t kMaxUnsentBytes = 2 << 20;
+/// How often time limits of connections are checked.
+constexpr std::chrono::milliseconds kSweepInterval(250);
+/// A connection closed with unread bytes is reset, which can destroy the
+/// answer on its way; after an answer that closes, bytes are read and dropped
+/// for this long.
+constexpr absl::Duration kLinger = absl::Seconds(1);
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+class Server::Connection : public Responder,
+                           public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Server& server, tcp::socket socket)
+      : server(&server),
+        socket(std::move(socket)),
+        reader(std::make_unique<RequestReader>(server.limits.request)),
+        waiting_since(server.clock.Now()) {}
+
+  void Start() { this->Read(); }
+
+  bool busy() const { return this->phase == Phase::kAnswering; }  // NOLINT
+
+  void SendWhole(AnswerHead head, std::string_view body) override {
+    if (this->phase != Phase::kAnswering || this->streaming)
+      return;
+    bool close = this->MustClose();
+    this->Write(SerializeAnswer(head, BodyFraming::Length(body.size()), close));
+    if (this->method != "HEAD")
+      this->Write(body);
+    this->FinishAnswer(close);
+  }
+
+  void BeginStream(AnswerHead head) override {
+    if (this->phase != Phase::kAnswering || this->streaming)
+      return;
+    this->streaming = true;
+    this->close_after_stream = this->MustClose() || !this->http_1_1;
+    this->Write(SerializeAnswer(
+        head, this->http_1_1 ? BodyFraming::Chunked() : BodyFraming::Close(),
+        this->close_after_stream));
+  }
+
+  void SendPart(std::string_view data) override {
+    if (this->phase != Phase::kAnswering || !this->streaming)
+      return;
+    if (this->http_1_1)
+      this->Write(SerializeChunk(data));
+    else
+      this->Write(data);
+    if (this->outgoing.size() > kMaxUnsentBytes)
+      this->Close();
+  }
+
+  void EndStream() override {
+    if (this->phase != Phase::kAnswering || !this->streaming)
+      return;
+    if (this->http_1_1)
+      this->Write(kLastChunk);
+    this->FinishAnswer(this->close_after_stream);
+  }
+
+  void Abort() override {
+    if (this->phase != Phase::kAnswering)
+      return;
+    this->active = nullptr;
+    // The end of a body without a length is marked by an orderly close, so
+    // only a reset shows that this one is cut.
+    if (!this->http_1_1)
+      return this->Reset();
+    this->phase = Phase::kClosing;
+    this->close_after_write = true;
+    this->MaybeCloseAfterWrite();
+  }
+
+  /// Closes the connection if a time limit has passed.
+  void CheckTime(absl::Time now) {
+    const ServerLimits& limits = this->server->limits;
+    switch (this->phase) {
+      case Phase::kAnswering:
+        return;
+      case Phase::kReading:
+        if (now - this->waiting_since < limits.request_time)
+          return;
+        this->phase = Phase::kAnswering;
+        this->force_close = true;
+        this->server->handler.OnMalformed(408, "the request came too slowly");
+        return this->SendWhole({408, "", {}}, "");
+      case Phase::kIdle:
+        if (now - this->waiting_since >= limits.idle_time)
+          this->Close();
+        return;
+      case Phase::kClosing:
+        if (now - this->waiting_since >= kLinger)
+          this->Close();
+        return;
+    }
+  }
+
+  void CloseIfIdle() {
+    if (this->phase == Phase::kIdle)
+      this->BeginLinger();
+  }
+
+  void Close() {
+    if (!this->socket.is_open())
+      return;
+    error_code ignored;
+    this->socket.close(ignored);
+    this->phase = Phase::kClosing;
+    auto left = std::exchange(this->active, nullptr);
+    auto self = this->shared_from_this();
+    this->server->connections.erase(self);
+    if (left)
+      left->OnCallerLeft();
+  }
+
+ private:
+  enum class Phase { kIdle, kReading, kAnswering, kClosing };
+
+  bool MustClose() const {
+    return this->force_close || this->server->closing || !this->keep_alive;
+  }
+
+  void Reset() {
+    error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->Close();
+  }
+
+  void Read() {
+    if (this->reading || !this->socket.is_open())
+      return;
+    if (this->phase == Phase::kAnswering &&
+        this->incoming.size() > kMaxReadAhead)
+      return;
+    this->reading = true;
+    this->socket.async_wait(
+        tcp::socket::wait_read,
+        [self = this->shared_from_this()](error_code error) {
+          self->reading = false;
+          if (!error)
+            self->OnReadable();
+        });
+  }
+
+  // The buffer is on the stack, so that an idle connection holds no memory
+  // for its next request.
+  void OnReadable() {
+    if (!this->socket.is_open())
+      return;
+    std::array<char, kReadBytes> buffer;
+    error_code error;
+    this->socket.non_blocking(true, error);
+    size_t bytes = this->socket.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block)
+      return this->Read();
+    if (error)
+      return this->Close();
+    if (this->phase != Phase::kClosing)
+      this->incoming.append(buffer.data(), bytes);
+    this->Consume();
+    this->Read();
+  }
+
+  void Consume() {
+    while (this->phase == Phase::kIdle || this->phase == Phase::kReading) {
+      if (this->phase == Phase::kIdle) {
+        if (this->incoming.empty())
+          return;
+        this->phase = Phase::kReading;
+        this->waiting_since = this->server->clock.Now();
+        this->request_began = this->waiting_since;
+      }
+      size_t used = this->reader->Feed(this->incoming);
+      this->incoming.erase(0, used);
+      if (this->reader->state() == RequestReader::State::kFailed)
+        return this->RefuseMalformed();
+      if (this->reader->state() != RequestReader::State::kDone) {
+        if (this->reader->state() == RequestReader::State::kBody &&
+            !this->continue_sent && this->reader->ExpectsContinue()) {
+          this->continue_sent = true;
+          this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        return;
+      }
+      this->Dispatch();
+    }
+  }
+
+  void RefuseMalformed() {
+    int status = this->reader->failure_status();
+    this->server->handler.OnMalformed(status, this->reader->failure_reason());
+    this->phase = Phase::kAnswering;
+    this->force_close = true;
+    this->SendWhole({status, "", {}}, "");
+  }
+
+  void Dispatch() {
+    IncomingRequest request{this->reader->TakeHead(), this->reader->TakeBody(),
+                            this->request_began};
+    this->reader =
+        std::make_unique<RequestReader>(this->server->limits.request);
+    this->continue_sent = false;
+    this->phase = Phase::kAnswering;
+    this->streaming = false;
+    this->keep_alive = request.head.keep_alive;
+    this->http_1_1 = request.head.http_1_1;
+    this->method = request.head.method;
+    auto self = this->shared_from_this();
+    auto started =
+        this->server->handler.OnRequest(std::move(request), self);
+    if (this->phase == Phase::kAnswering)
+      this->active = std::move(started);
+  }
+
+  void FinishAnswer(bool close) {
+    this->active = nullptr;
+    this->streaming = false;
+    this->waiting_since = this->server->clock.Now();
+    if (close)
+      return this->BeginLinger();
+    this->phase = Phase::kIdle;
+    // Consume() runs from the event loop, so that a pipelined request does
+    // not nest inside the answer to the one before it.
+    if (!this->incoming.empty()) {
+      asio::post(this->server->io, [self = this->shared_from_this()] {
+        self->Consume();
+        self->Read();
+      });
+    }
+    this->Read();
+  }
+
+  // Sends what is pending, then the end of the stream, and reads until the
+  // other end closes or the time is up.
+  void BeginLinger() {
+    this->phase = Phase::kClosing;
+    this->waiting_since = this->server->clock.Now();
+    this->shutdown_after_write = true;
+    this->incoming.clear();
+    this->MaybeCloseAfterWrite();
+    this->Read();
+  }
+
+  void Write(std::string_view data) {
+    this->outgoing.append(data);
+    if (!this->writing)
+      this->StartWrite();
+  }
+
+  void StartWrite() {
+    if (this->outgoing.empty() || !this->socket.is_open())
+      return;
+    this->writing = true;
+    // Parts written in the same turn of the loop leave in one call.
+    asio::post(this->server->io, [self = this->shared_from_this()] {
+      self->in_flight = std::exchange(self->outgoing, {});
+      asio::async_write(self->socket, asio::buffer(self->in_flight),
+                        [self](error_code error, size_t) {
+                          self->OnWritten(error);
+                        });
+    });
+  }
+
+  void OnWritten(error_code error) {
+    this->writing = false;
+    this->in_flight.clear();
+    if (error)
+      return this->Close();
+    this->StartWrite();
+    this->MaybeCloseAfterWrite();
+  }
+
+  void MaybeCloseAfterWrite() {
+    if (this->writing || !this->socket.is_open())
+      return;
+    if (this->close_after_write)
+      return this->Close();
+    if (this->shutdown_after_write) {
+      this->shutdown_after_write = false;
+      error_code ignored;
+      this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+  }
+
+  Server* server;
+  tcp::socket socket;
+  std::unique_ptr<RequestReader> reader;
+  Phase phase = Phase::kIdle;
+  absl::Time waiting_since;  // Start of the current phase, for time limits.
+  absl::Time request_began;
+  std::string incoming;
+  std::string outgoing;
+  std::string in_flight;
+  std::string method;
+  std::shared_ptr<ActiveRequest> active;
+  bool reading = false;
+  bool writing = false;
+  bool streaming = false;
+  bool keep_alive = true;
+  bool http_1_1 = true;
+  bool continue_sent = false;
+  bool force_close = false;
+  bool close_after_stream = false;
+  bool close_after_write = false;
+  bool shutdown_after_write = false;
+};
+
+Server::Server(asio::io_context& io,
+               const Clock& clock,
+               RequestHandler& handler,
+               ServerLimits limits)
+    : io(io),
+      clock(clock),
+      handler(handler),
+      limits(limits),
+      acceptor(io),
+      sweep_timer(io) {}
+
+Server::~Server() {
+  this->CloseAll();
+}
+
+Result<void> Server::Listen(const std::string& ip, uint16_t port) {
+  error_code error;
+  tcp::endpoint endpoint(asio::ip::make_address(ip, error), port);
+  if (!error)
+    this->acceptor.open(endpoint.protocol(), error);
+  if (!error)
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    this->acceptor.bind(endpoint, error);
+  if (!error)
+    this->acceptor.listen(kBacklog, error);
+  if (error) {
+    return MakeError(ErrorCode::kUnavailable, "listen",
+                     ip + ":" + std::to_string(port), error.message());
+  }
+  this->Accept();
+  this->ScheduleSweep();
+  return {};
+}
+
+uint16_t Server::port() const {
+  return this->acceptor.local_endpoint().port();
+}
+
+void Server::CloseIdle() {
+  std::vector<std::shared_ptr<Connection>> open(this->connections.begin(),
+                                                this->connections.end());
+  for (const auto& connection : open)
+    connection->CloseIfIdle();
+}
+
+void Server::StopAccepting() {
+  error_code ignored;
+  this->acceptor.close(ignored);
+}
+
+void Server::CloseAll() {
+  this->StopAccepting();
+  std::vector<std::shared_ptr<Connection>> open(this->connections.begin(),
+                                                this->connections.end());
+  for (const auto& connection : open)
+    connection->Close();
+}
+
+size_t Server::ActiveRequests() const {
+  return static_cast<size_t>(std::count_if(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& connection) { return connection->busy(); }));
+}
+
+void Server::Accept() {
+  this->acceptor.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !this->acceptor.is_open())
+      return;
+    if (!error) {
+      SetSocketOptions(socket);
+      auto connection =
+          std::make_shared<Connection>(*this, std::move(socket));
+      this->connections.insert(connection);
+      connection->Start();
+    }
+    this->Accept();
+  });
+}
+
+void Server::ScheduleSweep() {
+  this->sweep_timer.expires_after(kSweepInterval);
+  this->sweep_timer.async_wait([this](error_code error) {
+    if (error)
+      return;
+    this->Sweep();
+    this->ScheduleSweep();
+  });
+}
+
+void Server::Sweep() {
+  absl::Time now = this->clock.Now();
+  std::vector<std::shared_ptr<Connection>> open(this->connections.begin(),
+                                                this->connections.end());
+  for (const auto& connection : open)
+    connection->CheckTime(now);
+}
+
+}  // namespace cranberryhill::http1
--- /dev/null
+++ b/cranberryhill/http1/server.h
@@ -0,0 +1,142 @@
+#ifndef CRANBERRYHILL_HTTP1_SERVER_H_
+#define CRANBERRYHILL_HTTP1_SERVER_H_
+
+// An HTTP/1.1 server that reads whole requests and can stream answers.
+//
+//   Server server(io, clock, handler, ServerLimits{});
+//   server.Listen("10.1.0.38", 8080);
+//
+// The handler gets one request of a connection at a time and answers through
+// the Responder, at once or later.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/result.h"
+#include "cranberryhill/http1/message.h"
+#include "cranberryhill/http1/request_reader.h"
+
+namespace cranberryhill::http1 {
+
+struct ServerLimits {
+  RequestLimits request;
+  /// Longest time from the first byte of a request to its last.
+  absl::Duration request_time = absl::Seconds(3);
+  /// Longest time a connection may wait for its next request.
+  absl::Duration idle_time = absl::Seconds(15);
+};
+
+struct IncomingRequest {
+  RequestHead head;
+  std::string body;
+  absl::Time arrived;  ///< When its first byte was read.
+};
+
+/// Answers one request. Calls after the caller has left have no effect.
+class Responder {
+ public:
+  virtual ~Responder() = default;
+
+  /// Sends a whole answer. `head` must hold no framing fields.
+  virtual void SendWhole(AnswerHead head, std::string_view body) = 0;
+
+  /// Starts an answer whose body follows in parts.
+  virtual void BeginStream(AnswerHead head) = 0;
+
+  /// Sends body bytes of a stream.
+  virtual void SendPart(std::string_view data) = 0;
+
+  /// Ends the stream as complete.
+  virtual void EndStream() = 0;
+
+  /// Ends the connection so that the answer does not look complete.
+  virtual void Abort() = 0;
+};
+
+/// A request that is being worked on.
+class ActiveRequest {
+ public:
+  virtual ~ActiveRequest() = default;
+
+  /// The caller closed its connection before the answer was complete.
+  virtual void OnCallerLeft() = 0;
+};
+
+class RequestHandler {
+ public:
+  virtual ~RequestHandler() = default;
+
+  /// @param responder Valid for as long as it is kept.
+  /// @return Told when the caller leaves; null if the answer is sent already.
+  virtual std::shared_ptr<ActiveRequest> OnRequest(
+      IncomingRequest request,
+      std::shared_ptr<Responder> responder) = 0;
+
+  /// A request was refused because it cannot be parsed or is over a limit.
+  virtual void OnMalformed(int status, std::string_view reason) = 0;
+};
+
+/// Runs on the thread of `io`.
+class Server {
+ public:
+  /// @param io, clock, handler Must outlive this object.
+  Server(boost::asio::io_context& io,
+         const Clock& clock,
+         RequestHandler& handler,
+         ServerLimits limits);
+  ~Server();
+
+  /// @return kUnavailable when the address cannot be bound.
+  Result<void> Listen(const std::string& ip, uint16_t port);
+
+  /// @return The bound port.
+  uint16_t port() const;  // NOLINT
+
+  /// Applies to requests that start afterwards.
+  void SetLimits(ServerLimits limits) { this->limits = limits; }
+
+  /// Answers from now on say "Connection: close".
+  void CloseAfterAnswers() { this->closing = true; }
+
+  /// Closes the connections that wait for a request.
+  void CloseIdle();
+
+  /// Stops accepting connections.
+  void StopAccepting();
+
+  /// Closes all connections at once.
+  void CloseAll();
+
+  /// @return Requests that have not been answered in full.
+  size_t ActiveRequests() const;
+
+  size_t OpenConnections() const { return this->connections.size(); }
+
+ private:
+  class Connection;
+
+  void Accept();
+  void ScheduleSweep();
+  void Sweep();
+
+  boost::asio::io_context& io;
+  const Clock& clock;
+  RequestHandler& handler;
+  ServerLimits limits;
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::steady_timer sweep_timer;
+  std::unordered_set<std::shared_ptr<Connection>> connections;
+  bool closing = false;
+};
+
+}  // namespace cranberryhill::http1
+
+#endif  // CRANBERRYHILL_HTTP1_SERVER_H_
--- /dev/null
+++ b/cranberryhill/http1/socket_options.cc
@@ -0,0 +1,22 @@
+#include "cranberryhill/http1/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace cranberryhill::http1 {
+
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket) {
+  int handle = socket.native_handle();
+  auto set = [handle](int level, int name, int value) {
+    (void)setsockopt(handle, level, name, &value, sizeof(value));
+  };
+  set(IPPROTO_TCP, TCP_NODELAY, 1);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+}  // namespace cranberryhill::http1
--- /dev/null
+++ b/cranberryhill/http1/socket_options.h
@@ -0,0 +1,29 @@
+#ifndef CRANBERRYHILL_HTTP1_SOCKET_OPTIONS_H_
+#define CRANBERRYHILL_HTTP1_SOCKET_OPTIONS_H_
+
+// Options of every TCP socket: no delay, and time-outs of the kernel for peers
+// that stop answering without a reset.
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace cranberryhill::http1 {
+
+/// Links go silent without a reset. Unacknowledged bytes fail a connection
+/// after this many milliseconds.
+inline constexpr int kUserTimeoutMs = 2500;
+
+/// An idle connection is probed after this many seconds and fails after
+/// kKeepAliveProbes unanswered probes one second apart, so a silent link is
+/// found within 3 s, the shortest span in which the operators' rules take an
+/// instance as undisturbed again.
+inline constexpr int kKeepAliveIdleS = 1;
+inline constexpr int kKeepAliveIntervalS = 1;
+inline constexpr int kKeepAliveProbes = 2;
+
+/// Sets the options. Failures are ignored: the connection works without them,
+/// and a closed socket is reported by the next read.
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket);
+
+}  // namespace cranberryhill::http1
+
+#endif  // CRANBERRYHILL_HTTP1_SOCKET_OPTIONS_H_
--- a/tools/install_deps.sh
+++ b/tools/install_deps.sh
@@ -5,7 +5,7 @@
 packages=(
   cmake ninja-build g++ clang-format clang-tidy clang libclang-rt-14-dev ccache
   curl python3 git
-  libcxxtools-dev libnghttp2-dev prometheus-cpp-dev libabsl-dev libfmt-dev
+  libspdlog-dev libcxxtools-dev libnghttp2-dev prometheus-cpp-dev libabsl-dev libfmt-dev
   libboost1.81-dev libboost-test1.81-dev librapidcheck-dev
   nlohmann-json3-dev libxxhash-dev libssl-dev
 )
