--- a/cranberryhill/forward/configuration.cc
+++ b/cranberryhill/forward/configuration.cc
@@ -9,6 +9,11 @@
 namespace cranberryhill::forward {
 namespace {
 
+/// Callers of streams wait for the longest of these.
+constexpr absl::Duration kLeastPatience = absl::Seconds(2);
+constexpr int kPatienceTargets = 4;
+constexpr int kPatienceGaps = 8;
+
 std::string LowerHost(std::string_view host) {
   size_t colon = host.find(':');
   if (colon != std::string_view::npos)
@@ -18,6 +23,11 @@
 
 }  // namespace
 
+absl::Duration Route::CallerPatience() const {
+  return std::max({kLeastPatience, kPatienceTargets * this->target_latency,
+                   kPatienceGaps * this->target_gap});
+}
+
 RouteTable::RouteTable(std::shared_ptr<const Configuration> configuration)
     : held(std::move(configuration)) {
   for (const Route& route : this->held->routes)
@@ -43,6 +53,18 @@
   return nullptr;
 }
 
+absl::Duration RouteTable::ShortestTarget(std::string_view service) const {
+  absl::Duration shortest = absl::InfiniteDuration();
+  for (const Route& route : this->held->routes) {
+    bool uses = std::any_of(
+        route.services.begin(), route.services.end(),
+        [service](const ServiceShare& s) { return s.service == service; });
+    if (uses)
+      shortest = std::min(shortest, route.target_latency);
+  }
+  return shortest;
+}
+
 const ServiceConfig* RouteTable::Service(std::string_view name) const {
   for (const ServiceConfig& service : this->held->services) {
     if (service.name == name)
--- a/cranberryhill/forward/configuration.h
+++ b/cranberryhill/forward/configuration.h
@@ -45,6 +45,10 @@
   bool resumable = false;
   std::vector<ServiceShare> services;
 
+  /// @return How long callers wait for the first event of a stream, and between
+  ///     two, before they give up.
+  absl::Duration CallerPatience() const;
+
   /// @return True when a request may run again after a run that failed.
   bool MayRepeat() const {
     return this->kind == RequestKind::kIdempotent ||
@@ -94,6 +98,9 @@
   ///     the path, or null.
   const Route* Match(std::string_view host, std::string_view target) const;
 
+  /// @return The shortest latency target among the routes to a service.
+  absl::Duration ShortestTarget(std::string_view service) const;
+
   /// @return The service, or null.
   const ServiceConfig* Service(std::string_view name) const;
 
--- a/cranberryhill/forward/placement.cc
+++ b/cranberryhill/forward/placement.cc
@@ -20,13 +20,19 @@
 /// Bytes between availability zones are priced; among replicas that are about
 /// as fast, the one in the own zone is taken.
 constexpr double kOtherZoneMs = 6;
-/// Prompt tokens of a request whose size is not known, the mean of the sheets.
-constexpr double kTypicalPromptTokens = 3000;
-/// Chance that a replica ranked first for a shared part holds it though this
-/// instance never sent it there: another instance may have.
-constexpr double kHomeHasPart = 0.5;
-/// A shared part is looked for at this many replicas.
-constexpr size_t kHomes = 2;
+/// Among replicas that hold none of a prompt's parts, the one ranked first for
+/// them is taken unless another is faster by more than this. Without it two
+/// instances that see the same part for the first time would read it at two
+/// replicas.
+constexpr double kHomeMs = 30;
+/// Weight of the time that reading shared tokens again takes from others, in
+/// relation to the time that it takes from the request itself.
+constexpr double kRereadWeight = 1;
+/// Reading at an engine that generates slows all its streams; a stream of 60
+/// events then takes its whole deadline.
+constexpr double kSlowedStreamsWeight = 1;
+/// Steps by whose slowness runners are compared: about one event.
+constexpr double kStepsWeight = 10;
 
 bool Contains(std::span<const std::string> ids, const std::string& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -48,18 +54,30 @@
 }
 
 double Placement::StepMs(const Replica& replica, absl::Time now) const {
+  // The peers' own figures are newer than the replica's report.
+  double others = std::max<double>(replica.peer_running, OthersAt(replica, now));
   return this->speed.step_ms +
-         this->speed.step_ms_per_request *
-             (replica.outstanding + OthersAt(replica, now));
+         this->speed.step_ms_per_request * (replica.outstanding + others);
 }
 
 double Placement::MsPerToken(const Replica& replica, absl::Time now) const {
-  if (replica.entry.role == EngineRole::kPrefill)
-    return 1 / this->speed.prompt_tokens_per_ms;
+  if (replica.entry.role == EngineRole::kPrefill) {
+    return 1 / this->speed.prompt_tokens_per_ms +
+           this->speed.step_ms / this->speed.chunk_tokens;
+  }
   return 1 / (this->speed.prompt_tokens_per_ms * this->speed.decode_read_share) +
          this->StepMs(replica, now) / this->speed.decode_chunk_tokens;
 }
 
+double Placement::ReadMs(const Replica& replica,
+                         double tokens,
+                         double prompt_tokens,
+                         absl::Time now) const {
+  double pairs = tokens * (prompt_tokens - tokens / 2);
+  return this->speed.prompt_start_ms + tokens * this->MsPerToken(replica, now) +
+         pairs / 1e6 * this->speed.ms_per_million_pairs;
+}
+
 double Placement::PenaltyMs(const Replica& replica, absl::Time now) const {
   double penalty = replica.failure_rate * kFailureMs;
   if (now < replica.avoid_until)
@@ -69,32 +87,20 @@
   return penalty;
 }
 
-double Placement::WaitMs(const Replica& replica, absl::Time now) const {
-  // Of the reported requests, those that wait have prompts to be read.
-  double age_ms = replica.load_at == absl::InfinitePast()
-                      ? 0
-                      : absl::ToDoubleMilliseconds(now - replica.load_at);
-  double others_waiting =
-      replica.entry.role == EngineRole::kPrefill
-          ? OthersAt(replica, now)
-          : replica.load.waiting * std::exp2(-age_ms / kLoadHalfLifeMs);
-  double tokens =
-      replica.queued_tokens + others_waiting * kTypicalPromptTokens;
-  return tokens * this->MsPerToken(replica, now);
+double Placement::WaitMs(const Replica& replica,
+                         ReadLane lane,
+                         absl::Time now) const {
+  return (replica.queued.Before(lane) + replica.peer_queued.Before(lane)) *
+         this->MsPerToken(replica, now);
 }
 
 PlacementChoice Placement::ChooseEngine(
     std::span<const ReplicaPtr> candidates,
     const PromptShape& shape,
+    const LatencyLimits& limits,
     absl::Time now,
     std::span<const std::string> excluded) const {
   uint64_t key = shape.SharedKey();
-  auto unread = [&](const Replica& replica, bool is_home) {
-    double cached = replica.cache.CachedTokens(shape);
-    if (cached == 0 && is_home)
-      cached = kHomeHasPart * shape.SharedTokens();
-    return std::max(1.0, shape.prompt_tokens - cached);
-  };
   std::vector<ReplicaPtr> readers;
   std::vector<ReplicaPtr> runners;
   for (const ReplicaPtr& replica : candidates) {
@@ -110,45 +116,89 @@
   };
   std::sort(readers.begin(), readers.end(), by_rank);
   std::sort(runners.begin(), runners.end(), by_rank);
+  PlacementChoice choice =
+      this->ChooseInLane(readers, runners, shape, ReadLane::kOnTime, now);
+  if (choice.target == nullptr)
+    return choice;
+  const Replica& reader =
+      choice.reader != nullptr ? *choice.reader : *choice.target;
+  bool on_time =
+      choice.expected_first <= limits.target &&
+      absl::Milliseconds(this->WaitMs(reader, ReadLane::kOnTime, now)) <=
+          limits.longest_wait;
+  if (on_time)
+    return choice;
+  return this->ChooseInLane(readers, runners, shape, ReadLane::kDeferred, now);
+}
+
+PlacementChoice Placement::ChooseInLane(std::span<const ReplicaPtr> readers,
+                                        std::span<const ReplicaPtr> runners,
+                                        const PromptShape& shape,
+                                        ReadLane lane,
+                                        absl::Time now) const {
+  bool has_shared = shape.SharedKey() != 0;
+  auto unread = [&shape](const Replica& replica) {
+    return std::max(
+        1.0, 1.0 * shape.prompt_tokens - replica.cache.CachedTokens(shape));
+  };
+  // Shared tokens that somebody holds and `replica` would read again take time
+  // from all other requests.
+  uint32_t held_somewhere = 0;
+  for (const auto& group : {readers, runners}) {
+    for (const ReplicaPtr& replica : group) {
+      held_somewhere =
+          std::max(held_somewhere, replica->cache.CachedTokens(shape));
+    }
+  }
+  auto extra_ms = [&](const Replica& replica, size_t rank) {
+    double again = held_somewhere - replica.cache.CachedTokens(shape);
+    return kRereadWeight * again * this->MsPerToken(replica, now) +
+           (has_shared && rank > 0 ? kHomeMs : 0);
+  };
 
   PlacementChoice best;
-  double best_ms = std::numeric_limits<double>::infinity();
-  double transfer_ms = this->speed.transfer_setup_ms +
-                       shape.prompt_tokens / 1000.0 *
-                           this->speed.transfer_ms_per_k;
+  double best_cost = std::numeric_limits<double>::infinity();
   // The runner after a reader: the least loaded one.
   ReplicaPtr free_runner;
-  double free_runner_ms = std::numeric_limits<double>::infinity();
+  double free_runner_cost = std::numeric_limits<double>::infinity();
   for (size_t i = 0; i < runners.size(); ++i) {
     const Replica& replica = *runners[i];
-    double base_ms =
-        this->PenaltyMs(replica, now) + this->speed.first_event_ms;
-    double step_excess = (this->StepMs(replica, now) - this->speed.step_ms) * 10;
-    if (base_ms + step_excess < free_runner_ms) {
-      free_runner_ms = base_ms + step_excess;
+    double slower_ms = kStepsWeight * (this->StepMs(replica, now) -
+                                       this->speed.step_ms);
+    double penalty_ms = this->PenaltyMs(replica, now);
+    if (penalty_ms + slower_ms < free_runner_cost) {
+      free_runner_cost = penalty_ms + slower_ms;
       free_runner = runners[i];
     }
-    double tokens = unread(replica, key != 0 && i < kHomes);
-    double ms = base_ms + this->WaitMs(replica, now) +
-                tokens * this->MsPerToken(replica, now);
-    if (ms < best_ms) {
-      best_ms = ms;
-      best = {runners[i], nullptr, {}, tokens, 0};
+    double tokens = unread(replica);
+    double read_ms = this->ReadMs(replica, tokens, shape.prompt_tokens, now);
+    double time_ms = this->WaitMs(replica, lane, now) + read_ms +
+                     this->speed.first_event_ms;
+    double cost = time_ms + penalty_ms + extra_ms(replica, i) +
+                  kSlowedStreamsWeight * read_ms;
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = {runners[i], nullptr, absl::Milliseconds(time_ms), lane, tokens, 0};
     }
   }
+  double transfer_ms = this->speed.transfer_setup_ms +
+                       shape.prompt_tokens / 1000.0 *
+                           this->speed.transfer_ms_per_k;
   for (size_t i = 0; i < readers.size() && free_runner != nullptr; ++i) {
     const Replica& replica = *readers[i];
-    double tokens = unread(replica, key != 0 && i < kHomes);
-    double ms = this->PenaltyMs(replica, now) + this->WaitMs(replica, now) +
-                tokens * this->MsPerToken(replica, now) + transfer_ms +
-                free_runner_ms;
-    if (ms < best_ms) {
-      best_ms = ms;
-      best = {free_runner, readers[i], {}, 0, tokens};
+    double tokens = unread(replica);
+    double time_ms =
+        this->WaitMs(replica, lane, now) +
+        this->ReadMs(replica, tokens, shape.prompt_tokens, now) + transfer_ms +
+        this->speed.first_event_ms;
+    double cost = time_ms + this->PenaltyMs(replica, now) +
+                  extra_ms(replica, i) + free_runner_cost;
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = {free_runner, readers[i], absl::Milliseconds(time_ms), lane, 0,
+              tokens};
     }
   }
-  if (best.target != nullptr)
-    best.expected_first = absl::Milliseconds(best_ms);
   return best;
 }
 
@@ -170,7 +220,7 @@
     double ms = kTypicalWorkMs + queue_ms + this->PenaltyMs(*replica, now);
     if (ms < best_ms) {
       best_ms = ms;
-      best = {replica, nullptr, absl::Milliseconds(ms), 0, 0};
+      best = {replica, nullptr, absl::Milliseconds(ms), ReadLane::kOnTime, 0, 0};
     }
   }
   return best;
--- a/cranberryhill/forward/placement.h
+++ b/cranberryhill/forward/placement.h
@@ -8,7 +8,8 @@
 // fills the fleet, and of plain services with few slots.
 //
 //   Placement placement("addis-a", EngineSpeed{});
-//   PlacementChoice choice = placement.ChooseEngine(replicas, shape, now, {});
+//   PlacementChoice choice =
+//       placement.ChooseEngine(replicas, shape, limits, now, {});
 
 #include <memory>
 #include <span>
@@ -22,26 +23,41 @@
 
 namespace cranberryhill::forward {
 
-/// Speed of a model engine. The figures are those of the operators' sheets.
+/// Speed of a model engine. The figures are those of the operators' sheets;
+/// times of single requests to idle engines agree with them.
 struct EngineSpeed {
   double prompt_tokens_per_ms = 157;  ///< Of an engine that only reads prompts.
-  /// An engine that also generates reads prompts at this share of the speed.
+  double chunk_tokens = 1024;         ///< Read in one step.
+  /// An engine that also generates reads at this share of the speed, in chunks
+  /// of a quarter of the size, between two generation steps.
   double decode_read_share = 0.5;
-  double decode_chunk_tokens = 256;  ///< Read between two generation steps.
-  double step_ms = 3.55;             ///< A generation step without requests.
+  double decode_chunk_tokens = 256;
+  double step_ms = 3.55;  ///< A step without requests.
   double step_ms_per_request = 0.0462;
-  /// From the end of reading to the first event: the events of the sheets hold
-  /// ten tokens, so ten steps, and the engine's own start-up.
-  double first_event_ms = 40;
+  double prompt_start_ms = 26;  ///< Of a prompt, beside its tokens.
+  /// Attention over the tokens before, per million pairs of tokens.
+  double ms_per_million_pairs = 0.109;
+  /// From the end of reading, or of fetching the cache, to the first event.
+  double first_event_ms = 8;
   /// Start and bytes of a move of cached tokens, per thousand tokens.
-  double transfer_setup_ms = 8;
-  double transfer_ms_per_k = 0.3;
+  double transfer_setup_ms = 6;
+  double transfer_ms_per_k = 0.4;
+};
+
+/// When an answer is of use to the caller, counted from now.
+struct LatencyLimits {
+  absl::Duration target = absl::InfiniteDuration();  ///< Earns full credit.
+  /// Longest time in the queue of an engine within the on-time lane. The same
+  /// for all routes of a service, so that a route with a longer target does
+  /// not fill the queue that one with a shorter target needs to be empty.
+  absl::Duration longest_wait = absl::InfiniteDuration();
 };
 
 struct PlacementChoice {
   std::shared_ptr<Replica> target;  ///< Runs the request; null: nobody can.
   std::shared_ptr<Replica> reader;  ///< Reads the prompt first; may be null.
   absl::Duration expected_first;    ///< Time to the first byte.
+  ReadLane lane = ReadLane::kOnTime;
   double target_tokens = 0;  ///< Prompt tokens that `target` has to read.
   double reader_tokens = 0;  ///< Prompt tokens that `reader` has to read.
 };
@@ -57,6 +73,7 @@
   PlacementChoice ChooseEngine(
       std::span<const std::shared_ptr<Replica>> candidates,
       const PromptShape& shape,
+      const LatencyLimits& limits,
       absl::Time now,
       std::span<const std::string> excluded) const;
 
@@ -69,10 +86,16 @@
  private:
   using ReplicaPtr = std::shared_ptr<Replica>;
 
-  double ReadingTimeMs(const Replica& replica,
-                       const PromptShape& shape,
-                       double* tokens) const;
-  double WaitMs(const Replica& replica, absl::Time now) const;
+  double ReadMs(const Replica& replica,
+                double tokens,
+                double prompt_tokens,
+                absl::Time now) const;
+  double WaitMs(const Replica& replica, ReadLane lane, absl::Time now) const;
+  PlacementChoice ChooseInLane(std::span<const ReplicaPtr> readers,
+                               std::span<const ReplicaPtr> runners,
+                               const PromptShape& shape,
+                               ReadLane lane,
+                               absl::Time now) const;
   double PenaltyMs(const Replica& replica, absl::Time now) const;
   double StepMs(const Replica& replica, absl::Time now) const;
   double MsPerToken(const Replica& replica, absl::Time now) const;
--- a/cranberryhill/forward/prompt_cache.cc
+++ b/cranberryhill/forward/prompt_cache.cc
@@ -5,9 +5,14 @@
 namespace cranberryhill::forward {
 
 void PromptCache::Record(const PromptShape& shape, absl::Time now) {
-  for (size_t i = 0; i + 1 < shape.parts.size(); ++i) {
-    const PromptPart& part = shape.parts[i];
-    Part& held = this->parts[part.id];
+  if (!shape.parts.empty())
+    this->RecordParts(std::span(shape.parts).first(shape.parts.size() - 1), now);
+}
+
+void PromptCache::RecordParts(std::span<const PromptPart> parts,
+                              absl::Time now) {
+  for (const PromptPart& part : parts) {
+    HeldPart& held = this->parts[part.id];
     this->held_tokens += static_cast<int64_t>(part.tokens) - held.tokens;
     held = {part.tokens, now};
   }
--- a/cranberryhill/forward/prompt_cache.h
+++ b/cranberryhill/forward/prompt_cache.h
@@ -9,6 +9,7 @@
 //   uint32_t cached = cache.CachedTokens(shape);
 
 #include <cstdint>
+#include <span>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -27,6 +28,9 @@
   /// is not shared and is left out.
   void Record(const PromptShape& shape, absl::Time now);
 
+  /// Records shared parts alone.
+  void RecordParts(std::span<const PromptPart> parts, absl::Time now);
+
   /// @return Tokens of the leading parts that are held without a gap.
   uint32_t CachedTokens(const PromptShape& shape) const;
 
@@ -36,7 +40,7 @@
   void SetCapacity(int64_t tokens) { this->capacity_tokens = tokens; }
 
  private:
-  struct Part {
+  struct HeldPart {
     uint32_t tokens = 0;
     absl::Time used;
   };
@@ -45,7 +49,7 @@
 
   int64_t capacity_tokens;
   int64_t held_tokens = 0;
-  absl::flat_hash_map<uint64_t, Part> parts;
+  absl::flat_hash_map<uint64_t, HeldPart> parts;
 };
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -27,11 +27,17 @@
 constexpr double kOutcomeWeight = 0.1;
 /// Share of the engine's memory that cached parts are believed to fill; the
 /// rest is taken by running requests.
-constexpr double kCacheShare = 0.85;
+constexpr double kCacheShare = 0.9;
+/// Until the configuration tells.
 constexpr int64_t kDefaultCacheTokens = 900000;
 
 }  // namespace
 
+void QueuedTokens::Add(ReadLane lane, double tokens) {
+  double& sum = lane == ReadLane::kOnTime ? this->on_time : this->deferred;
+  sum = std::max(0.0, sum + tokens);
+}
+
 std::string Replica::Address() const {
   return this->entry.ip + ":" + std::to_string(this->entry.port);
 }
@@ -44,13 +50,24 @@
                       slot->entry.service == entry.service;
   if (!same_process) {
     slot = std::make_shared<Replica>();
-    slot->cache.SetCapacity(
-        static_cast<int64_t>(kCacheShare * kDefaultCacheTokens));
+    auto capacity = this->cache_tokens.find(entry.service);
+    slot->cache.SetCapacity(capacity == this->cache_tokens.end()
+                                ? kDefaultCacheTokens
+                                : capacity->second);
   }
   slot->entry = entry;
   slot->listed = true;
 }
 
+void ReplicaSet::SetCacheCapacity(std::string_view service, int64_t tokens) {
+  auto cached = static_cast<int64_t>(kCacheShare * static_cast<double>(tokens));
+  this->cache_tokens[std::string(service)] = cached;
+  for (auto& [id, replica] : this->by_id) {
+    if (replica->entry.service == service)
+      replica->cache.SetCapacity(cached);
+  }
+}
+
 void ReplicaSet::Remove(std::string_view id) {
   auto found = this->by_id.find(std::string(id));
   if (found == this->by_id.end() || !found->second->listed)
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -35,7 +35,6 @@
   std::optional<EngineRole> role;  ///< Of model engines only.
   std::string model;               ///< First model loaded; empty if none.
   int64_t started_ms = 0;  ///< Start of the process; 0 if it is not told.
-  int64_t orders = 0;      ///< Orders that the engine has accepted.
 };
 
 /// What a replica says of its load in an answer.
@@ -46,14 +45,37 @@
   double slowness = 1;  ///< Time that work takes now; 1 is as usual.
 };
 
+/// The order in which engines read prompts.
+enum class ReadLane {
+  kOnTime,    ///< Can meet its latency target; read first.
+  kDeferred,  ///< Cannot; read when nothing else waits.
+};
+
+/// Prompt tokens sent to an engine and not yet read.
+struct QueuedTokens {
+  double on_time = 0;
+  double deferred = 0;
+
+  /// Adds tokens to a lane; a sum below zero counts as zero.
+  void Add(ReadLane lane, double tokens);
+
+  /// @return Tokens that are read before a new prompt of `lane`.
+  double Before(ReadLane lane) const {
+    return lane == ReadLane::kOnTime ? this->on_time
+                                     : this->on_time + this->deferred;
+  }
+};
+
 /// A replica with this instance's observations.
 struct Replica {
   ReplicaEntry entry;
   bool listed = true;       ///< In the registry.
   absl::Time removed_at;    ///< When it left the registry.
   int outstanding = 0;      ///< Own requests without a complete answer.
-  double queued_tokens = 0; ///< Own prompt tokens sent and not yet read.
-  double queued_prompts = 0;
+  QueuedTokens queued;      ///< By own requests.
+  /// The same two figures of all other instances, as they last told.
+  int peer_running = 0;
+  QueuedTokens peer_queued;
   LoadReport load;
   absl::Time load_at = absl::InfinitePast();
   int outstanding_at_load = 0;  ///< Own share of the reported load.
@@ -75,6 +97,9 @@
   /// taken as unknown.
   void Apply(const ReplicaEntry& entry);
 
+  /// Sets the memory of the engines of a service, in tokens.
+  void SetCacheCapacity(std::string_view service, int64_t tokens);
+
   /// Marks a replica as gone from the registry.
   void Remove(std::string_view id);
 
@@ -110,6 +135,7 @@
 
   const Clock& clock;
   absl::flat_hash_map<std::string, std::shared_ptr<Replica>> by_id;
+  absl::flat_hash_map<std::string, int64_t> cache_tokens;  // By service.
   absl::Time regained_at = absl::InfinitePast();
 };
 
--- /dev/null
+++ b/cranberryhill/gateway/control_table.cc
@@ -0,0 +1,135 @@
+#include "cranberryhill/gateway/control_table.h"
+
+#include <utility>
+
+namespace cranberryhill::gateway {
+namespace {
+
+constexpr absl::Duration kWriteTimeout = absl::Seconds(1);
+constexpr int kOk = 200;
+constexpr int kConflictStatus = 412;
+
+}  // namespace
+
+ControlTable::ControlTable(boost::asio::io_context& io,
+                           boost::asio::ip::tcp::endpoint store,
+                           const StoreCodec& codec,
+                           EventLog& log,
+                           const Clock& clock,
+                           Random& random)
+    : codec(codec),
+      log(log),
+      follower(StoreTable::kControl,
+               io,
+               store,
+               codec,
+               *this,
+               log,
+               clock,
+               random),
+      writer(io, store) {}
+
+void ControlTable::Stop() {
+  this->follower.Stop();
+  this->writer.Cancel();
+}
+
+void ControlTable::Read(std::vector<std::string> keys, ReadCallback callback) {
+  if (!this->known()) {
+    return callback(
+        Error{ErrorCode::kUnavailable, "control table", "", "was not read"});
+  }
+  std::vector<Row> found;
+  for (const std::string& key : keys) {
+    auto row = this->known_rows.find(key);
+    if (row != this->known_rows.end())
+      found.push_back(row->second);
+  }
+  callback(found);
+}
+
+void ControlTable::Scan(std::string prefix,
+                        std::string after,
+                        size_t limit,
+                        ReadCallback callback) {
+  if (!this->known()) {
+    return callback(
+        Error{ErrorCode::kUnavailable, "control table", "", "was not read"});
+  }
+  std::vector<Row> found;
+  for (auto row = this->known_rows.lower_bound(prefix);
+       row != this->known_rows.end() && found.size() < limit &&
+       row->first.starts_with(prefix);
+       ++row) {
+    if (row->first > after)
+      found.push_back(row->second);
+  }
+  callback(found);
+}
+
+void ControlTable::Commit(Transaction transaction, CommitCallback callback) {
+  bool one_row = transaction.checks.size() == 1 &&
+                 transaction.puts.size() == 1 && transaction.deletes.empty() &&
+                 transaction.checks[0].key == transaction.puts[0].key;
+  if (!one_row || this->writing)
+    return callback({CommitState::kUnavailable, ""});
+  Row row{transaction.puts[0].key, 0, transaction.puts[0].value};
+  this->writing = true;
+  ++this->write_calls;
+  StoreCall call =
+      this->codec.EncodeWrite(StoreTable::kControl, row.key, row.value,
+                              transaction.checks[0].version);
+  this->writer.Call(
+      call, kWriteTimeout,
+      [this, row, callback = std::move(callback)](StoreAnswer answer) {
+        this->writing = false;
+        callback(this->OnWritten(row, answer));
+      });
+}
+
+CommitOutcome ControlTable::OnWritten(Row row, const StoreAnswer& answer) {
+  std::string reason = answer.reason;
+  if (answer.status == kOk) {
+    auto version =
+        Capture([&] { return this->codec.DecodeWrite(answer.body); });
+    if (version.ok()) {
+      row.version = version.value();
+      this->Apply(row);
+      return {CommitState::kCommitted, ""};
+    }
+    reason = version.error().ToString();
+  }
+  this->log.Write(LogEvent("store_write_failed")
+                      .Add("key", row.key)
+                      .Add("status", answer.status)
+                      .Add("reason", reason));
+  if (answer.status == kConflictStatus)
+    return {CommitState::kConflict, row.key};
+  bool may_be_done = answer.status == 0 || answer.status == kOk;
+  return {may_be_done ? CommitState::kUnknown : CommitState::kUnavailable, ""};
+}
+
+void ControlTable::OnTable(StoreTable /*table*/,
+                           const std::vector<StoreRow>& rows) {
+  // Rows of this table are never removed, so a full read only adds.
+  for (const StoreRow& row : rows)
+    this->Apply({row.key, row.version, row.value});
+}
+
+void ControlTable::OnChanges(StoreTable /*table*/,
+                             const std::vector<StoreRow>& rows) {
+  for (const StoreRow& row : rows)
+    this->Apply({row.key, row.version, row.value});
+}
+
+void ControlTable::Apply(const Row& row) {
+  Row& known = this->known_rows[row.key];
+  // The answer to a write and the feed may come in either order.
+  if (row.version <= known.version)
+    return;
+  known = row;
+  if (this->on_change)
+    this->on_change(row.key);
+}
+
+}  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -22,6 +22,9 @@
 /// A request that may be repeated is sent elsewhere after this many times its
 /// latency target without a first byte.
 constexpr double kFirstByteTargets = 2.0;
+/// ... and after this many times the expected time: a queue that is known is
+/// no sign of a fault, and sending again would only lengthen it.
+constexpr double kFirstByteExpectations = 4.0;
 constexpr absl::Duration kLeastFirstByteLimit = absl::Milliseconds(300);
 /// Prompt reads of one request; the second one follows a failure.
 constexpr int kMaxPromptReads = 2;
@@ -30,6 +33,12 @@
 constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
 /// Most urgent and least urgent priority of a replica.
 constexpr int kLowestPriority = 9;
+/// All prompts that can be read on time have one priority: they are read in the
+/// order of arrival, so that no route starves another.
+constexpr int kOnTimePriority = 3;
+/// Share of the shortest latency target that may pass in an engine's queue; the
+/// rest is for reading, moving the cache and the first event.
+constexpr double kLongestWaitShare = 0.6;
 
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
@@ -121,21 +130,23 @@
   absl::Duration left = this->TimeLeft();
   if (left < kLeastTimeForSend)
     return this->Refuse("no_time_left", kDefaultRetryAfter);
-  std::vector<std::shared_ptr<forward::Replica>> usable =
-      this->context.replicas.Usable(this->service);
-  forward::PlacementChoice choice =
-      this->is_engine
-          ? this->context.placement.ChooseEngine(usable, this->facts.prompt,
-                                                 this->Now(), this->excluded)
-          : this->context.placement.ChooseServer(usable, this->Now(),
-                                                 this->excluded);
+  forward::PlacementChoice choice = this->Choose();
   if (choice.target == nullptr)
     return this->Refuse("no_replica", kDefaultRetryAfter);
-  if (choice.expected_first > left) {
+  this->expected_first = choice.expected_first;
+  this->first_byte_limit = this->FirstByteLimit(choice.expected_first);
+  // Callers of streams give up before their deadline if nothing comes.
+  absl::Duration useful = left;
+  if (this->is_engine && !this->stream_begun) {
+    useful = std::min(useful, this->route.CallerPatience() -
+                                  (this->Now() - this->request.arrived));
+  }
+  if (choice.expected_first > useful) {
     return this->Refuse(
         "expected_too_late",
-        std::max(kDefaultRetryAfter, choice.expected_first - left));
+        std::max(kDefaultRetryAfter, choice.expected_first - useful));
   }
+  this->lane = choice.lane;
   bool may_read = choice.reader != nullptr &&
                   this->prompt_reads < kMaxPromptReads && !this->stream_begun;
   if (may_read)
@@ -144,6 +155,25 @@
                  "");
 }
 
+int Exchange::Priority() const {
+  return this->lane == forward::ReadLane::kOnTime ? kOnTimePriority
+                                                  : kLowestPriority;
+}
+
+forward::PlacementChoice Exchange::Choose() {
+  std::vector<std::shared_ptr<forward::Replica>> usable =
+      this->context.replicas.Usable(this->service);
+  absl::Time now = this->Now();
+  if (!this->is_engine)
+    return this->context.placement.ChooseServer(usable, now, this->excluded);
+  absl::Duration elapsed = now - this->request.arrived;
+  forward::LatencyLimits limits{
+      this->route.target_latency - elapsed,
+      this->routes->ShortestTarget(this->service) * kLongestWaitShare};
+  return this->context.placement.ChooseEngine(usable, this->facts.prompt,
+                                              limits, now, this->excluded);
+}
+
 void Exchange::StartReading(const forward::PlacementChoice& choice) {
   ++this->prompt_reads;
   this->phase = Phase::kReadingPrompt;
@@ -152,9 +182,10 @@
   ForwardFields fields;
   fields.time_left = this->TimeLeft();
   fields.replica_id = choice.reader->entry.id;
-  fields.priority = std::clamp(this->route.priority, 0, kLowestPriority);
+  fields.priority = this->Priority();
   fields.read_prompt_only = true;
   choice.reader->cache.Record(this->facts.prompt, this->Now());
+  this->context.share.NoteSent(choice.reader->entry.id, this->facts.prompt);
   this->Send(choice.reader, choice.reader_tokens, fields);
 }
 
@@ -169,11 +200,13 @@
   fields.time_left = this->TimeLeft();
   fields.replica_id = replica->entry.id;
   if (this->is_engine)
-    fields.priority = std::clamp(this->route.priority, 0, kLowestPriority);
+    fields.priority = this->Priority();
   fields.cache_source = std::move(cache_source);
   fields.resume_after = this->splitter.last_id();
-  if (this->is_engine)
+  if (this->is_engine) {
     replica->cache.Record(this->facts.prompt, this->Now());
+    this->context.share.NoteSent(replica->entry.id, this->facts.prompt);
+  }
   this->Send(std::move(replica), unread_tokens, fields);
 }
 
@@ -183,7 +216,7 @@
   this->replica = std::move(replica);
   ++this->replica->outstanding;
   this->queued_tokens = this->is_engine ? unread_tokens : 0;
-  this->replica->queued_tokens += this->queued_tokens;
+  this->replica->queued.Add(this->lane, this->queued_tokens);
   this->answer_head = {};
   this->answer_facts = {};
   this->answer_body.clear();
@@ -198,6 +231,10 @@
           .Add("read_only", fields.read_prompt_only)
           .Add("unread_tokens", unread_tokens)
           .Add("outstanding", this->replica->outstanding)
+          .Add("queued_tokens", this->replica->queued.Before(this->lane) +
+                                    this->replica->peer_queued.Before(this->lane))
+          .Add("deferred", this->lane == forward::ReadLane::kDeferred)
+          .Add("expected_ms", this->expected_first)
           .Add("load_age_ms", this->sent_at - this->replica->load_at)
           .Add("left_ms", fields.time_left)
           .Add("configuration", this->routes->configuration().version));
@@ -218,8 +255,7 @@
   if (this->replica == nullptr)
     return;
   --this->replica->outstanding;
-  this->replica->queued_tokens =
-      std::max(0.0, this->replica->queued_tokens - this->queued_tokens);
+  this->replica->queued.Add(this->lane, -this->queued_tokens);
   this->queued_tokens = 0;
   if (this->connection != nullptr)
     this->context.pool.Release(*this->replica, std::move(this->connection));
@@ -266,11 +302,15 @@
   if (events.empty())
     return;
   // The prompt has been read when the first event comes.
-  this->replica->queued_tokens =
-      std::max(0.0, this->replica->queued_tokens - this->queued_tokens);
+  this->replica->queued.Add(this->lane, -this->queued_tokens);
   this->queued_tokens = 0;
   if (!this->stream_begun) {
     this->stream_begun = true;
+    this->context.log.Write(
+        this->Event("first_event")
+            .Add("replica", this->replica->entry.id)
+            .Add("took_ms", this->Now() - this->sent_at)
+            .Add("others", forward::OthersAt(*this->replica, this->Now())));
     this->context.metrics.ObserveFirstByte(this->Now() -
                                            this->request.arrived);
     http1::AnswerHead head = this->answer_head;
@@ -302,6 +342,11 @@
         [&] { return this->context.wire.DecodePromptHandle(body); });
     if (decoded.ok()) {
       this->context.replicas.OnSuccess(*reader);
+      this->context.log.Write(this->Event("prompt_read")
+                                  .Add("replica", reader->entry.id)
+                                  .Add("took_ms", this->Now() - this->sent_at)
+                                  .Add("others", forward::OthersAt(
+                                                     *reader, this->Now())));
       this->handle = decoded.value();
       this->handle_address = reader->Address();
       std::shared_ptr<forward::Replica> runner = this->planned_runner;
@@ -462,9 +507,10 @@
   this->handle.clear();
 }
 
-absl::Duration Exchange::FirstByteLimit() const {
-  return std::max(kLeastFirstByteLimit,
-                  this->route.target_latency * kFirstByteTargets);
+absl::Duration Exchange::FirstByteLimit(absl::Duration expected) const {
+  return std::max({kLeastFirstByteLimit,
+                   this->route.target_latency * kFirstByteTargets,
+                   expected * kFirstByteExpectations});
 }
 
 absl::Time Exchange::NextCheck() const {
@@ -474,7 +520,7 @@
   if (!may_move)
     return next;
   absl::Duration limit =
-      this->stream_begun ? kResumeAfterPause : this->FirstByteLimit();
+      this->stream_begun ? kResumeAfterPause : this->first_byte_limit;
   return std::min(next, this->last_progress + limit);
 }
 
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -20,6 +20,7 @@
 #include "cranberryhill/forward/attempt_policy.h"
 #include "cranberryhill/forward/configuration.h"
 #include "cranberryhill/forward/event_splitter.h"
+#include "cranberryhill/forward/load_share.h"
 #include "cranberryhill/forward/placement.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/retry_window.h"
@@ -38,6 +39,7 @@
   const Clock& clock;
   const WireFormat& wire;
   forward::ReplicaSet& replicas;
+  forward::LoadShare& share;
   const forward::Placement& placement;
   ConnectionPool& pool;
   GatewayMetrics& metrics;
@@ -94,7 +96,9 @@
   void ArmTimer();
   void OnTimer();
   absl::Time NextCheck() const;
-  absl::Duration FirstByteLimit() const;
+  forward::PlacementChoice Choose();
+  int Priority() const;
+  absl::Duration FirstByteLimit(absl::Duration expected) const;
 
   void Refuse(std::string_view reason, absl::Duration retry_after);
   void AnswerWhole();
@@ -122,8 +126,11 @@
   std::shared_ptr<forward::Replica> replica;  // Of the send in progress.
   std::shared_ptr<http1::ClientConnection> connection;
   double queued_tokens = 0;  // Added to the replica's queue by this send.
+  forward::ReadLane lane = forward::ReadLane::kOnTime;
   absl::Time sent_at;
   absl::Time last_progress;
+  absl::Duration expected_first;    // By the last choice of a replica.
+  absl::Duration first_byte_limit;  // Longest time without a first byte.
   int prompt_reads = 0;
   bool own_cache_failed = false;
   std::string handle;          // Of a cache that no run has taken yet.
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -8,7 +8,7 @@
 namespace cranberryhill::gateway {
 namespace {
 
-constexpr std::chrono::milliseconds kUpkeepInterval(500);
+constexpr std::chrono::milliseconds kUpkeepInterval(250);
 /// The load balancer asks once a second and takes an instance out after two
 /// answers that are not 200; until then it sends new connections.
 constexpr absl::Duration kBalancerNotice = absl::Milliseconds(3200);
@@ -46,12 +46,16 @@
       wire(wire),
       codec(codec),
       replicas(clock),
+      share(this->settings.instance_id,
+            random.UniformInt(1, UINT64_MAX),
+            clock),
       placement(this->settings.availability_zone, forward::EngineSpeed{}),
       pool(io, clock),
       context{io,
               clock,
               wire,
               this->replicas,
+              this->share,
               this->placement,
               this->pool,
               this->metrics,
@@ -76,6 +80,28 @@
                        log,
                        clock,
                        random),
+      control_table(io,
+                    EndpointOf(this->settings.store),
+                    codec,
+                    log,
+                    clock,
+                    random),
+      peers(io,
+            this->settings.instance_id,
+            this->settings.peers,
+            this->control_table,
+            this->share,
+            this->replicas,
+            log),
+      orders(io,
+             this->settings.instance_id,
+             this->settings.lease_time,
+             this->control_table,
+             this->replicas,
+             wire,
+             log,
+             clock,
+             random),
       callers(io, clock, *this, {}),
       readiness(io, clock, this->readiness_pages, {}),
       control(io, clock, this->control_pages, {}),
@@ -108,6 +134,12 @@
           .Add("availability_zone", this->settings.availability_zone));
   this->configuration_follower.Start();
   this->replica_follower.Start();
+  if (this->settings.peers.port != 0) {
+    BOOST_LEAF_CHECK(this->peers.Start());
+    this->control_table.SetOnChange(
+        [this](std::string_view) { this->peers.OnTableChanged(); });
+    this->control_table.Start();
+  }
   this->ScheduleUpkeep();
   return {};
 }
@@ -217,6 +249,12 @@
   this->callers.SetLimits({{limits.header_bytes, limits.body_bytes},
                            limits.request_time,
                            limits.idle_time});
+  for (const forward::ServiceConfig& service : configuration->services) {
+    if (service.engine && service.engine->kv_capacity_tokens > 0) {
+      this->replicas.SetCacheCapacity(service.name,
+                                      service.engine->kv_capacity_tokens);
+    }
+  }
   this->routes = std::make_shared<const forward::RouteTable>(configuration);
   this->log.Write(
       LogEvent("configuration_in_force")
@@ -267,6 +305,8 @@
     if (error)
       return;
     this->pool.CloseStale();
+    if (this->ready())
+      this->orders.Tick(*this->routes);
     this->CheckShutdown();
     this->ScheduleUpkeep();
   });
@@ -360,7 +400,10 @@
   this->metrics.SetGauge("store_calls",
                          static_cast<double>(
                              this->replica_follower.calls() +
-                             this->configuration_follower.calls()));
+                             this->configuration_follower.calls() +
+                             this->control_table.calls()));
+  this->metrics.SetGauge("orders", static_cast<double>(this->orders.orders()));
+  this->metrics.SetGauge("peers", static_cast<double>(this->share.peers()));
   this->metrics.SetGauge("replica_connections_opened",
                          static_cast<double>(this->pool.opened()));
   return {200, "text/plain; version=0.0.4", this->metrics.Render()};
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -22,13 +22,17 @@
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/base/result.h"
 #include "cranberryhill/forward/configuration.h"
+#include "cranberryhill/forward/load_share.h"
 #include "cranberryhill/forward/placement.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/retry_window.h"
 #include "cranberryhill/gateway/connection_pool.h"
+#include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/exchange.h"
 #include "cranberryhill/gateway/metrics.h"
+#include "cranberryhill/gateway/order_desk.h"
+#include "cranberryhill/gateway/peer_link.h"
 #include "cranberryhill/gateway/settings.h"
 #include "cranberryhill/gateway/status_pages.h"
 #include "cranberryhill/gateway/table_follower.h"
@@ -92,6 +96,7 @@
   const StoreCodec& codec;
 
   forward::ReplicaSet replicas;
+  forward::LoadShare share;
   forward::Placement placement;
   ConnectionPool pool;
   GatewayMetrics metrics;
@@ -101,6 +106,9 @@
       budgets;
   TableFollower configuration_follower;
   TableFollower replica_follower;
+  ControlTable control_table;
+  PeerLink peers;
+  OrderDesk orders;
   http1::Server callers;
   StatusPages readiness_pages;
   StatusPages control_pages;
--- /dev/null
+++ b/cranberryhill/gateway/order_desk.cc
@@ -0,0 +1,213 @@
+#include "cranberryhill/gateway/order_desk.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <optional>
+#include <utility>
+
+namespace cranberryhill::gateway {
+namespace {
+
+/// The lease is sought only while an order is due, so it is short.
+constexpr absl::Duration kTerm = absl::Seconds(5);
+constexpr absl::Duration kRenewInterval = absl::Seconds(2);
+constexpr absl::Duration kPollInterval = absl::Milliseconds(500);
+/// An order arrives within this time of its decision, or not at all: connecting
+/// ends after 300 ms and the request is one packet.
+constexpr absl::Duration kOrderTime = absl::Seconds(1);
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+
+LeaseSettings MakeLeaseSettings(const std::string& instance) {
+  LeaseSettings settings;
+  settings.key = "lease/orders";
+  settings.holder = instance;
+  settings.term = kTerm;
+  settings.renew_interval = kRenewInterval;
+  settings.poll_interval = kPollInterval;
+  return settings;
+}
+
+}  // namespace
+
+/// Asks an engine for its state, then gives it one order.
+class OrderDesk::Errand : public http1::AnswerHandler {
+ public:
+  Errand(OrderDesk& desk,
+         const forward::Replica& engine,
+         std::string service,
+         forward::RoleChange change)
+      : desk(desk),
+        service(std::move(service)),
+        change(std::move(change)),
+        address(engine.Address()),
+        link(http1::ClientConnection::Create(
+            desk.io,
+            {boost::asio::ip::make_address(engine.entry.ip),
+             engine.entry.port})) {}
+
+  ~Errand() override { this->link->Cancel(); }
+
+  void Start() {
+    this->link->Send(
+        http1::SerializeRequest(
+            this->desk.wire.EncodeReportRequest(this->address), 0),
+        {kConnectTimeout, false}, *this);
+  }
+
+  bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
+  void OnHead(http1::AnswerHead head) override { this->status = head.status; }
+  void OnBody(std::string_view data) override { this->body.append(data); }
+
+  void OnEnd(http1::AnswerEnd end, std::string_view reason) override {
+    bool complete = end == http1::AnswerEnd::kComplete;
+    if (!this->ordered)
+      this->OnReport(complete, reason);
+    else
+      this->OnAnswer(complete, reason);
+  }
+
+ private:
+  void OnReport(bool complete, std::string_view reason) {
+    auto report = Capture(
+        [&] { return this->desk.wire.DecodeReport(this->body); });
+    bool usable = complete && this->status == kOk && report.ok() &&
+                  !report.value().busy;
+    // The lease is checked again right before the order leaves.
+    auto grant = this->desk.lease.Grant();
+    if (!usable || !grant || !this->desk.MayOrder())
+      return this->End(false, usable ? "lease_lost" : reason);
+    RoleOrder order{this->change.replica, this->change.role,
+                    this->desk.instance, grant->fencing_number,
+                    report.value().orders};
+    EncodedRequest request =
+        this->desk.wire.EncodeRoleOrder(this->address, order);
+    this->ordered = true;
+    this->body.clear();
+    this->status = 0;
+    ++this->desk.order_count;
+    this->desk.log.Write(
+        LogEvent("order_sent")
+            .Add("replica", this->change.replica)
+            .Add("role", EngineRoleName(this->change.role))
+            .Add("fencing_token", order.fencing_token)
+            .Add("expected_orders", order.expected_orders)
+            .Add("lease_left_ms",
+                 grant->valid_until - this->desk.clock.Now()));
+    this->link->Send(
+        http1::SerializeRequest(request.head, request.body.size()) +
+            request.body,
+        {kConnectTimeout, false}, *this);
+  }
+
+  void OnAnswer(bool complete, std::string_view reason) {
+    bool accepted =
+        complete && (this->status == kOk || this->status == kAccepted);
+    // Without an answer the order may still be carried out, so the engine
+    // counts as changing.
+    this->End(accepted || !complete, accepted ? "accepted" : reason);
+  }
+
+  void End(bool may_hold, std::string_view reason) {
+    this->desk.log.Write(LogEvent("order_ended")
+                             .Add("replica", this->change.replica)
+                             .Add("role", EngineRoleName(this->change.role))
+                             .Add("status", this->status)
+                             .Add("may_hold", may_hold)
+                             .Add("reason", reason));
+    if (!may_hold)
+      this->desk.balances.at(this->service).OnRefused(this->change.replica);
+    this->desk.OnErrandDone(this);
+  }
+
+  OrderDesk& desk;
+  const std::string service;
+  const forward::RoleChange change;
+  const std::string address;
+  std::shared_ptr<http1::ClientConnection> link;
+  std::string body;
+  int status = 0;
+  bool ordered = false;
+};
+
+OrderDesk::OrderDesk(boost::asio::io_context& io,
+                     std::string instance,
+                     absl::Duration turn_gap,
+                     ControlTable& table,
+                     forward::ReplicaSet& replicas,
+                     const WireFormat& wire,
+                     EventLog& log,
+                     const Clock& clock,
+                     Random& random)
+    : io(io),
+      instance(std::move(instance)),
+      turn_gap(turn_gap),
+      replicas(replicas),
+      wire(wire),
+      log(log),
+      clock(clock),
+      random(random),
+      lease(MakeLeaseSettings(this->instance), table, clock, random) {}
+
+OrderDesk::~OrderDesk() = default;
+
+bool OrderDesk::MayOrder() const {
+  auto grant = this->lease.Grant();
+  if (!grant)
+    return false;
+  absl::Time now = this->clock.Now();
+  // The holder before this one may have given its last order when its lease
+  // ended. The first holder of all has none before it.
+  bool first = grant->fencing_number <= 1;
+  return (first || now - grant->acquired >= this->turn_gap) &&
+         grant->valid_until - now >= kOrderTime;
+}
+
+void OrderDesk::Tick(const forward::RouteTable& routes) {
+  bool needed = false;
+  for (const forward::ServiceConfig& service :
+       routes.configuration().services) {
+    if (!service.engine)
+      continue;
+    auto engines = this->replicas.Usable(service.name);
+    auto& balance =
+        this->balances.try_emplace(service.name, this->clock).first->second;
+    if (!balance.NeedsChange(engines))
+      continue;
+    needed = true;
+    if (!this->MayOrder())
+      continue;
+    while (auto change = balance.Next(engines))
+      this->StartErrand(service.name, *change);
+  }
+  if (needed)
+    this->lease.Tick();
+  bool holds = this->lease.Grant().has_value();
+  if (holds != std::exchange(this->held, holds)) {
+    this->log.Write(LogEvent(holds ? "order_lease_held" : "order_lease_ended")
+                        .Add("fencing_token",
+                             holds ? this->lease.Grant()->fencing_number
+                                   : uint64_t{0}));
+  }
+}
+
+void OrderDesk::StartErrand(const std::string& service,
+                            const forward::RoleChange& change) {
+  this->balances.at(service).OnOrdered(change);
+  auto engine = this->replicas.Find(change.replica);
+  if (engine == nullptr)
+    return;
+  auto errand = std::make_unique<Errand>(*this, *engine, service, change);
+  Errand* started = errand.get();
+  this->errands[started] = std::move(errand);
+  started->Start();
+}
+
+void OrderDesk::OnErrandDone(Errand* errand) {
+  // The errand is still on the stack of this call.
+  boost::asio::post(this->io, [this, errand] { this->errands.erase(errand); });
+}
+
+}  // namespace cranberryhill::gateway
--- /dev/null
+++ b/cranberryhill/gateway/order_desk.h
@@ -0,0 +1,71 @@
+#ifndef CRANBERRYHILL_GATEWAY_ORDER_DESK_H_
+#define CRANBERRYHILL_GATEWAY_ORDER_DESK_H_
+
+// Gives engines the orders that RoleBalance asks for, while this instance
+// holds the lease of orders. An engine gets orders of one holder at a time.
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/random.h"
+#include "cranberryhill/forward/configuration.h"
+#include "cranberryhill/forward/replica_set.h"
+#include "cranberryhill/forward/role_balance.h"
+#include "cranberryhill/gateway/control_table.h"
+#include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/gateway/wire_format.h"
+#include "cranberryhill/lease/lease_keeper.h"
+
+namespace cranberryhill::gateway {
+
+/// Not thread-safe.
+class OrderDesk {
+ public:
+  /// All references must outlive this object.
+  /// @param turn_gap Orders of two holders must be this far apart.
+  OrderDesk(boost::asio::io_context& io,
+            std::string instance,
+            absl::Duration turn_gap,
+            ControlTable& table,
+            forward::ReplicaSet& replicas,
+            const WireFormat& wire,
+            EventLog& log,
+            const Clock& clock,
+            Random& random);
+  ~OrderDesk();
+
+  /// Seeks the lease when a role must change, and gives the next order. Call
+  /// it several times a second.
+  void Tick(const forward::RouteTable& routes);
+
+  uint64_t orders() const { return this->order_count; }  // NOLINT
+
+ private:
+  class Errand;
+
+  bool MayOrder() const;
+  void StartErrand(const std::string& service,
+                   const forward::RoleChange& change);
+  void OnErrandDone(Errand* errand);
+
+  boost::asio::io_context& io;
+  const std::string instance;
+  const absl::Duration turn_gap;
+  forward::ReplicaSet& replicas;
+  const WireFormat& wire;
+  EventLog& log;
+  const Clock& clock;
+  Random& random;
+  LeaseKeeper lease;
+  bool held = false;
+  std::map<std::string, forward::RoleBalance> balances;
+  std::map<Errand*, std::unique_ptr<Errand>> errands;
+  uint64_t order_count = 0;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_ORDER_DESK_H_
--- /dev/null
+++ b/cranberryhill/gateway/peer_link.cc
@@ -0,0 +1,159 @@
+#include "cranberryhill/gateway/peer_link.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <chrono>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+
+namespace cranberryhill::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+constexpr std::string_view kRowPrefix = "instance/";
+/// A prompt of a thousand tokens takes 10 ms to read, so a load that is 60 ms
+/// old still tells busy engines from idle ones.
+constexpr std::chrono::milliseconds kInterval(60);
+/// With many instances each sends less often: a message to 60 peers takes
+/// about as long as serving one request.
+constexpr std::chrono::milliseconds kIntervalPerPeer(6);
+/// Without work a message is sent only every so many intervals.
+constexpr int kIdleRounds = 8;
+
+}  // namespace
+
+PeerLink::PeerLink(asio::io_context& io,
+                   std::string instance,
+                   ListenAddress address,
+                   ControlTable& table,
+                   forward::LoadShare& share,
+                   forward::ReplicaSet& replicas,
+                   EventLog& log)
+    : io(io),
+      instance(std::move(instance)),
+      address(std::move(address)),
+      table(table),
+      share(share),
+      replicas(replicas),
+      log(log),
+      socket(io),
+      timer(io) {}
+
+Result<void> PeerLink::Start() {
+  error_code error;
+  udp::endpoint endpoint(asio::ip::make_address(this->address.ip, error),
+                         this->address.port);
+  if (!error)
+    this->socket.open(endpoint.protocol(), error);
+  if (!error)
+    this->socket.bind(endpoint, error);
+  if (!error)
+    this->socket.non_blocking(true, error);
+  if (error) {
+    return MakeError(ErrorCode::kUnavailable, "peer_address",
+                     this->address.ip + ":" +
+                         std::to_string(this->address.port),
+                     error.message());
+  }
+  this->Receive();
+  this->ScheduleSend();
+  return {};
+}
+
+void PeerLink::OnTableChanged() {
+  this->endpoints.clear();
+  for (const auto& [key, row] : this->table.rows()) {
+    if (!key.starts_with(kRowPrefix) ||
+        key.substr(kRowPrefix.size()) == this->instance)
+      continue;
+    size_t colon = row.value.rfind(':');
+    uint32_t port = 0;
+    error_code error;
+    auto ip = asio::ip::make_address(row.value.substr(0, colon), error);
+    if (error || colon == std::string::npos ||
+        !absl::SimpleAtoi(row.value.substr(colon + 1), &port) ||
+        port == 0 || port > 65535) {
+      this->log.Write(LogEvent("peer_row_unreadable").Add("key", key));
+      continue;
+    }
+    this->endpoints.emplace_back(ip, static_cast<uint16_t>(port));
+  }
+}
+
+void PeerLink::Announce() {
+  if (!this->table.known())
+    return;
+  std::string key = std::string(kRowPrefix) + this->instance;
+  std::string text =
+      this->address.ip + ":" + std::to_string(this->address.port);
+  auto known = this->table.rows().find(key);
+  uint64_t version = kAbsentVersion;
+  if (known != this->table.rows().end()) {
+    if (known->second.value == text)
+      return;
+    version = known->second.version;
+  }
+  // Repeated with the next round until the row is seen in the table.
+  this->table.Commit({{{key, version}}, {{key, text}}, {}},
+                     [](const CommitOutcome&) {});
+}
+
+void PeerLink::Receive() {
+  this->socket.async_wait(udp::socket::wait_read, [this](error_code error) {
+    if (error)
+      return;
+    while (true) {
+      error_code receive_error;
+      udp::endpoint from;
+      size_t bytes = this->socket.receive_from(asio::buffer(this->buffer),
+                                               from, 0, receive_error);
+      if (receive_error)
+        break;
+      auto message = Capture([&] {
+        return forward::DecodeLoadMessage({this->buffer.data(), bytes});
+      });
+      if (message.ok())
+        this->share.Merge(message.value(), this->replicas);
+      else
+        this->log.Write(LogEvent("peer_message_unreadable")
+                            .Add("from", from.address().to_string())
+                            .Add("reason", message.error().ToString()));
+    }
+    this->Receive();
+  });
+}
+
+void PeerLink::ScheduleSend() {
+  auto interval = std::max(
+      kInterval, kIntervalPerPeer * static_cast<int>(this->endpoints.size()));
+  this->timer.expires_after(interval);
+  this->timer.async_wait([this](error_code error) {
+    if (error)
+      return;
+    this->Announce();
+    this->SendToAll();
+    this->ScheduleSend();
+  });
+}
+
+void PeerLink::SendToAll() {
+  this->share.ForgetSilent(this->replicas);
+  forward::LoadMessage message = this->share.Collect(this->replicas);
+  bool idle = message.work.empty() && message.cached.empty();
+  this->idle_rounds = idle ? this->idle_rounds + 1 : 0;
+  // The first message without work tells the peers that it has ended.
+  if (this->idle_rounds > 2 && this->idle_rounds % kIdleRounds != 0)
+    return;
+  std::string bytes = forward::EncodeLoadMessage(message);
+  for (const udp::endpoint& peer : this->endpoints) {
+    // A datagram that is lost is replaced by the next one.
+    error_code ignored;
+    this->socket.send_to(asio::buffer(bytes), peer, 0, ignored);
+  }
+}
+
+}  // namespace cranberryhill::gateway
--- /dev/null
+++ b/cranberryhill/gateway/peer_link.h
@@ -0,0 +1,65 @@
+#ifndef CRANBERRYHILL_GATEWAY_PEER_LINK_H_
+#define CRANBERRYHILL_GATEWAY_PEER_LINK_H_
+
+// Exchanges load messages with the other instances by datagrams. Instances
+// find each other by rows in the control table.
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+#include <vector>
+
+#include "cranberryhill/base/result.h"
+#include "cranberryhill/forward/load_share.h"
+#include "cranberryhill/forward/replica_set.h"
+#include "cranberryhill/gateway/control_table.h"
+#include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/gateway/settings.h"
+
+namespace cranberryhill::gateway {
+
+/// Not thread-safe.
+class PeerLink {
+ public:
+  /// All references must outlive this object.
+  PeerLink(boost::asio::io_context& io,
+           std::string instance,
+           ListenAddress address,
+           ControlTable& table,
+           forward::LoadShare& share,
+           forward::ReplicaSet& replicas,
+           EventLog& log);
+
+  /// @return kUnavailable when the address cannot be bound.
+  Result<void> Start();
+
+  /// Takes over changed rows, and writes the own row if it is missing.
+  void OnTableChanged();
+
+  size_t peers() const { return this->endpoints.size(); }  // NOLINT
+
+ private:
+  void Receive();
+  void ScheduleSend();
+  void SendToAll();
+  void Announce();
+
+  boost::asio::io_context& io;
+  const std::string instance;
+  const ListenAddress address;
+  ControlTable& table;
+  forward::LoadShare& share;
+  forward::ReplicaSet& replicas;
+  EventLog& log;
+  boost::asio::ip::udp::socket socket;
+  boost::asio::steady_timer timer;
+  std::vector<boost::asio::ip::udp::endpoint> endpoints;
+  std::array<char, 16384> buffer{};
+  int idle_rounds = 0;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_PEER_LINK_H_
--- a/cranberryhill/gateway/settings.cc
+++ b/cranberryhill/gateway/settings.cc
@@ -63,6 +63,7 @@
                     ReadAddress(reader, "control_address", ""));
   BOOST_LEAF_ASSIGN(settings.metrics,
                     ReadAddress(reader, "metrics_address", ""));
+  BOOST_LEAF_ASSIGN(settings.peers, ReadAddress(reader, "peer_address", ""));
   BOOST_LEAF_ASSIGN(settings.store, ReadAddress(reader, "store_address"));
   BOOST_LEAF_ASSIGN(
       settings.shutdown_time,
--- a/cranberryhill/gateway/settings.h
+++ b/cranberryhill/gateway/settings.h
@@ -26,8 +26,10 @@
   ListenAddress readiness;  ///< Asked by the load balancer.
   ListenAddress control;    ///< Status; may have port 0 for none.
   ListenAddress metrics;    ///< May have port 0 for none.
+  ListenAddress peers;      ///< Datagrams of other instances; may be none.
   ListenAddress store;
   absl::Duration shutdown_time = absl::Seconds(8);
+  /// Orders of two holders must be this far apart.
   absl::Duration lease_time = absl::Seconds(3);
   forward::RetryBounds retries;
   int log_lines_per_s = 400;
--- a/cranberryhill/gateway/wire_format.h
+++ b/cranberryhill/gateway/wire_format.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "absl/time/time.h"
+#include "cranberryhill/base/engine_role.h"
 #include "cranberryhill/base/result.h"
 #include "cranberryhill/forward/prompt.h"
 #include "cranberryhill/forward/replica_set.h"
@@ -45,6 +46,28 @@
   std::optional<forward::LoadReport> load;
 };
 
+/// What an engine says of itself.
+struct EngineReport {
+  std::optional<EngineRole> role;
+  bool busy = false;     ///< An order is being carried out.
+  int64_t orders = 0;    ///< Orders accepted since the engine's start.
+};
+
+/// An order to an engine to change its role.
+struct RoleOrder {
+  std::string replica_id;
+  EngineRole role = EngineRole::kDecode;
+  std::string holder;          ///< Instance that gives the order.
+  uint64_t fencing_token = 0;  ///< Grows with each change of the holder.
+  int64_t expected_orders = 0; ///< The order is void after any other one.
+};
+
+/// A request with its body.
+struct EncodedRequest {
+  http1::RequestHead head;
+  std::string body;
+};
+
 class WireFormat {
  public:
   virtual ~WireFormat() = default;
@@ -73,6 +96,12 @@
   virtual http1::RequestHead EncodeRelease(std::string_view address,
                                            std::string_view handle) const = 0;
 
+  virtual http1::RequestHead EncodeReportRequest(
+      std::string_view address) const = 0;
+  virtual Result<EngineReport> DecodeReport(std::string_view body) const = 0;
+  virtual EncodedRequest EncodeRoleOrder(std::string_view address,
+                                         const RoleOrder& order) const = 0;
+
   /// @return An answer of the gateway itself. `retry_after` is sent with
   ///     refusals of requests that have not run.
   virtual http1::AnswerHead OwnAnswer(
