--- a/cranberryhill/forward/load_share.cc
+++ b/cranberryhill/forward/load_share.cc
@@ -15,7 +15,7 @@
 constexpr absl::Duration kSilence = absl::Seconds(1);
 
 /// First element of every message; changes with the format.
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 
 }  // namespace
 
@@ -34,7 +34,8 @@
   }
   std::string bytes;
   json::to_msgpack(json::array({kFormat, message.instance, message.incarnation,
-                                message.sequence, work, cached}),
+                                message.sequence, work, cached,
+                                message.changing}),
                    bytes);
   return bytes;
 }
@@ -66,6 +67,7 @@
       }
       message.cached.push_back(std::move(prompt));
     }
+    message.changing = fields.at(6).get<std::vector<std::string>>();
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
@@ -81,9 +83,10 @@
   this->noted.push_back({std::move(prompt), kSendsPerRecord});
 }
 
-LoadMessage LoadShare::Collect(const ReplicaSet& replicas) {
+LoadMessage LoadShare::Collect(const ReplicaSet& replicas,
+                               std::vector<std::string> changing) {
   LoadMessage message{this->instance, this->incarnation, this->next_sequence++,
-                      {}, {}};
+                      {}, {}, std::move(changing)};
   for (const auto& replica : replicas.Listed()) {
     if (!replica->entry.role || replica->outstanding == 0)
       continue;
@@ -115,6 +118,8 @@
     if (replica != nullptr)
       replica->cache.RecordParts(prompt.parts, peer.heard_at);
   }
+  for (const std::string& replica : message.changing)
+    replicas.OnChanging(replica);
   return true;
 }
 
--- a/cranberryhill/forward/load_share.h
+++ b/cranberryhill/forward/load_share.h
@@ -7,7 +7,7 @@
 // for an idle one. Messages may be lost, repeated or reordered.
 //
 //   LoadShare share("entry-a1", clock);
-//   peer.Send(EncodeLoadMessage(share.Collect(replicas)));
+//   peer.Send(EncodeLoadMessage(share.Collect(replicas, {})));
 //   share.Merge(message, replicas);
 
 #include <cstdint>
@@ -43,6 +43,7 @@
   uint64_t sequence = 0;
   std::vector<EngineWork> work;  ///< Engines that are not listed have none.
   std::vector<CachedPrompt> cached;
+  std::vector<std::string> changing;  ///< Engines whose role is being changed.
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
@@ -64,7 +65,9 @@
   void NoteSent(std::string_view replica, const PromptShape& shape);
 
   /// @return The next message to all peers.
-  LoadMessage Collect(const ReplicaSet& replicas);
+  /// @param changing Engines whose role this instance has ordered to change.
+  LoadMessage Collect(const ReplicaSet& replicas,
+                      std::vector<std::string> changing);
 
   /// Takes over what a peer says. Older messages than known are ignored.
   /// @return False if the message was ignored.
--- a/cranberryhill/forward/placement.cc
+++ b/cranberryhill/forward/placement.cc
@@ -131,6 +131,27 @@
   return this->ChooseInLane(readers, runners, shape, ReadLane::kDeferred, now);
 }
 
+double Placement::RunCost(const Replica& replica, absl::Time now) const {
+  return this->PenaltyMs(replica, now) +
+         kStepsWeight * (this->StepMs(replica, now) - this->speed.step_ms);
+}
+
+std::shared_ptr<Replica> Placement::ChooseRunner(
+    std::span<const ReplicaPtr> candidates,
+    absl::Time now,
+    std::span<const std::string> excluded) const {
+  ReplicaPtr best;
+  for (const ReplicaPtr& replica : candidates) {
+    if (replica->entry.role == EngineRole::kPrefill ||
+        Contains(excluded, replica->entry.id))
+      continue;
+    if (best == nullptr ||
+        this->RunCost(*replica, now) < this->RunCost(*best, now))
+      best = replica;
+  }
+  return best;
+}
+
 PlacementChoice Placement::ChooseInLane(std::span<const ReplicaPtr> readers,
                                         std::span<const ReplicaPtr> runners,
                                         const PromptShape& shape,
@@ -163,13 +184,12 @@
   double free_runner_cost = std::numeric_limits<double>::infinity();
   for (size_t i = 0; i < runners.size(); ++i) {
     const Replica& replica = *runners[i];
-    double slower_ms = kStepsWeight * (this->StepMs(replica, now) -
-                                       this->speed.step_ms);
-    double penalty_ms = this->PenaltyMs(replica, now);
-    if (penalty_ms + slower_ms < free_runner_cost) {
-      free_runner_cost = penalty_ms + slower_ms;
+    if (double run_cost = this->RunCost(replica, now);
+        run_cost < free_runner_cost) {
+      free_runner_cost = run_cost;
       free_runner = runners[i];
     }
+    double penalty_ms = this->PenaltyMs(replica, now);
     double tokens = unread(replica);
     double read_ms = this->ReadMs(replica, tokens, shape.prompt_tokens, now);
     double time_ms = this->WaitMs(replica, lane, now) + read_ms +
--- a/cranberryhill/forward/placement.h
+++ b/cranberryhill/forward/placement.h
@@ -77,6 +77,13 @@
       absl::Time now,
       std::span<const std::string> excluded) const;
 
+  /// @return The engine that generates with least work, or null. For a prompt
+  ///     whose cache is kept elsewhere.
+  std::shared_ptr<Replica> ChooseRunner(
+      std::span<const std::shared_ptr<Replica>> candidates,
+      absl::Time now,
+      std::span<const std::string> excluded) const;
+
   /// @param candidates Usable replicas of a plain service.
   PlacementChoice ChooseServer(
       std::span<const std::shared_ptr<Replica>> candidates,
@@ -97,6 +104,7 @@
                                ReadLane lane,
                                absl::Time now) const;
   double PenaltyMs(const Replica& replica, absl::Time now) const;
+  double RunCost(const Replica& replica, absl::Time now) const;
   double StepMs(const Replica& replica, absl::Time now) const;
   double MsPerToken(const Replica& replica, absl::Time now) const;
 
--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -23,6 +23,11 @@
 /// Failures in a row before a replica is avoided. One failure alone is often
 /// that of a single connection.
 constexpr int kFailuresToAvoid = 2;
+/// A replica that was full has finished some of its requests after this time.
+constexpr absl::Duration kFullPause = absl::Milliseconds(150);
+/// News of a change of role is repeated several times a second while the change
+/// lasts.
+constexpr absl::Duration kChangeNews = absl::Milliseconds(600);
 /// Weight of the newest outcome in the failure rate.
 constexpr double kOutcomeWeight = 0.1;
 /// Share of the engine's memory that cached parts are believed to fill; the
@@ -55,6 +60,8 @@
                                 ? kDefaultCacheTokens
                                 : capacity->second);
   }
+  if (slot->entry.role != entry.role)
+    slot->changing_until = absl::InfinitePast();
   slot->entry = entry;
   slot->listed = true;
 }
@@ -91,24 +98,40 @@
     this->Remove(id);
 }
 
+std::vector<std::shared_ptr<Replica>> ReplicaSet::Members(
+    std::string_view service) const {
+  std::vector<std::shared_ptr<Replica>> members;
+  for (const auto& [id, replica] : this->by_id) {
+    if (replica->entry.service == service && replica->listed &&
+        !replica->entry.leaving)
+      members.push_back(replica);
+  }
+  return members;
+}
+
 std::vector<std::shared_ptr<Replica>> ReplicaSet::Usable(
     std::string_view service) {
   this->DropForgotten();
   absl::Time now = this->clock.Now();
+  std::vector<std::shared_ptr<Replica>> members = this->Members(service);
+  std::vector<std::shared_ptr<Replica>> steady;
+  for (const auto& replica : members) {
+    if (replica->changing_until <= now)
+      steady.push_back(replica);
+  }
+  if (!steady.empty())
+    return steady;
+  if (!members.empty())
+    return members;
   absl::Duration grace = now - this->regained_at < kReturnAfterOutage
                              ? kReturnAfterOutage
                              : kUseAfterRemoval;
-  std::vector<std::shared_ptr<Replica>> listed;
-  std::vector<std::shared_ptr<Replica>> removed;
   for (const auto& [id, replica] : this->by_id) {
-    if (replica->entry.service != service || replica->entry.leaving)
-      continue;
-    if (replica->listed)
-      listed.push_back(replica);
-    else if (now - replica->removed_at < grace)
-      removed.push_back(replica);
+    if (replica->entry.service == service && !replica->entry.leaving &&
+        !replica->listed && now - replica->removed_at < grace)
+      members.push_back(replica);
   }
-  return listed.empty() ? removed : listed;
+  return members;
 }
 
 std::shared_ptr<Replica> ReplicaSet::Find(std::string_view id) const {
@@ -144,6 +167,17 @@
       this->clock.Now() + kFirstAvoidance * std::pow(2, doublings);
 }
 
+void ReplicaSet::OnRejected(Replica& replica) {
+  absl::Time now = this->clock.Now();
+  replica.avoid_until = std::max(replica.avoid_until, now + kFullPause);
+}
+
+void ReplicaSet::OnChanging(std::string_view id) {
+  auto replica = this->Find(id);
+  if (replica != nullptr)
+    replica->changing_until = this->clock.Now() + kChangeNews;
+}
+
 void ReplicaSet::OnWrongInstance(Replica& replica) {
   // The registry still lists the old process. It is used again when its entry
   // changes.
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -82,6 +82,8 @@
   int failures_in_row = 0;
   double failure_rate = 0;  ///< Recent, 0 to 1.
   absl::Time avoid_until = absl::InfinitePast();
+  /// While an order changes its role it refuses all new requests.
+  absl::Time changing_until = absl::InfinitePast();
   PromptCache cache{0};
 
   std::string Address() const;
@@ -109,7 +111,11 @@
   /// Tells that the registry has been reached again after an outage.
   void OnRegistryRegained() { this->regained_at = this->clock.Now(); }
 
-  /// @return Replicas of a service that may get new requests. Replicas that
+  /// @return All replicas of a service that are listed and not leaving.
+  std::vector<std::shared_ptr<Replica>> Members(std::string_view service) const;
+
+  /// @return Replicas of a service that may get new requests. Replicas whose
+  ///     role is changing are returned only when there is no other. Replicas that
   ///     have just left the registry are returned only when there is no other.
   std::vector<std::shared_ptr<Replica>> Usable(std::string_view service);
 
@@ -120,6 +126,13 @@
   void OnSuccess(Replica& replica);
   void OnFailure(Replica& replica);
 
+  /// Records that a replica refused a request without running it: it is full,
+  /// or its role is changing.
+  void OnRejected(Replica& replica);
+
+  /// Records that an order is being carried out at a replica.
+  void OnChanging(std::string_view id);
+
   /// Records that another process has the address of this replica.
   void OnWrongInstance(Replica& replica);
 
--- a/cranberryhill/forward/retry_window.cc
+++ b/cranberryhill/forward/retry_window.cc
@@ -26,19 +26,12 @@
   this->extras.push_back(this->clock.Now());
 }
 
-bool RetryWindow::HasRoom() {
+bool RetryWindow::HasRoom(int sends) {
   this->Expire();
   double allowed = this->bounds.ratio * kUsedShare *
                        static_cast<double>(this->requests.size()) +
                    this->bounds.own_slack;
-  return static_cast<double>(this->extras.size()) + 1 <= allowed;
-}
-
-bool RetryWindow::TryTake() {
-  if (!this->HasRoom())
-    return false;
-  this->OnExtra();
-  return true;
+  return static_cast<double>(this->extras.size()) + sends <= allowed;
 }
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/retry_window.h
+++ b/cranberryhill/forward/retry_window.h
@@ -7,7 +7,9 @@
 //
 //   RetryWindow budget(clock, bounds);
 //   budget.OnRequest();
-//   if (budget.TryTake()) ...send to a second replica...
+//   if (budget.HasRoom()) {
+//     budget.OnExtra();
+//     ...send to a second replica...
 
 #include <deque>
 
@@ -33,13 +35,10 @@
   /// Counts the first send of a request.
   void OnRequest();
 
-  /// @return True when an extra send fits; it is then counted.
-  bool TryTake();
+  /// @return True when `sends` more extra sends fit.
+  bool HasRoom(int sends = 1);
 
-  /// @return True when TryTake() would succeed.
-  bool HasRoom();
-
-  /// Counts an extra send that could not be avoided.
+  /// Counts an extra send.
   void OnExtra();
 
   void SetBounds(RetryBounds bounds) { this->bounds = bounds; }
--- a/cranberryhill/forward/role_balance.cc
+++ b/cranberryhill/forward/role_balance.cc
@@ -16,6 +16,9 @@
 constexpr absl::Duration kSettleTime = absl::Milliseconds(1200);
 /// An order that got no answer may be carried out up to 12 s later.
 constexpr absl::Duration kOrderLost = absl::Seconds(13);
+/// Longest time that a change of role takes; the sheets say 3 s, and running
+/// requests end first.
+constexpr absl::Duration kChangeTime = absl::Seconds(6);
 /// An engine that changes its role serves nothing for seconds, so no more than
 /// this share changes at the same time while requests are running.
 constexpr double kChangingShare = 0.34;
@@ -125,6 +128,15 @@
                     to_reader ? EngineRole::kPrefill : EngineRole::kDecode};
 }
 
+std::vector<std::string> RoleBalance::Changing() const {
+  std::vector<std::string> changing;
+  for (const auto& [replica, order] : this->pending) {
+    if (this->clock.Now() - order.ordered_at < kChangeTime)
+      changing.push_back(replica);
+  }
+  return changing;
+}
+
 void RoleBalance::OnOrdered(const RoleChange& change) {
   this->pending[change.replica] = {change.role, this->clock.Now()};
 }
--- a/cranberryhill/forward/role_balance.h
+++ b/cranberryhill/forward/role_balance.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -49,6 +50,9 @@
   /// Records that an order was refused: it may be given again.
   void OnRefused(std::string_view replica);
 
+  /// @return Engines with an order that is not settled.
+  std::vector<std::string> Changing() const;
+
   /// @return Engines that should generate, of `engines` in `zones` zones.
   static size_t WantedRunners(size_t engines, size_t zones);
 
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -21,7 +21,7 @@
 constexpr absl::Duration kResumeAfterPause = absl::Milliseconds(1000);
 /// A request that may be repeated is sent elsewhere after this many times its
 /// latency target without a first byte.
-constexpr double kFirstByteTargets = 2.0;
+constexpr double kFirstByteTargets = 2.5;
 /// ... and after this many times the expected time: a queue that is known is
 /// no sign of a fault, and sending again would only lengthen it.
 constexpr double kFirstByteExpectations = 4.0;
@@ -147,8 +147,12 @@
         std::max(kDefaultRetryAfter, choice.expected_first - useful));
   }
   this->lane = choice.lane;
-  bool may_read = choice.reader != nullptr &&
-                  this->prompt_reads < kMaxPromptReads && !this->stream_begun;
+  // The first read is free of the budget; another one is an extra send beside
+  // the run that follows it.
+  forward::RetryWindow& budget = this->context.retry_budget(this->service);
+  bool may_read = choice.reader != nullptr && !this->stream_begun &&
+                  (this->prompt_reads == 0 ||
+                   (this->prompt_reads < kMaxPromptReads && budget.HasRoom(2)));
   if (may_read)
     return this->StartReading(choice);
   this->StartRun(choice.target, choice.target_tokens + choice.reader_tokens,
@@ -175,7 +179,8 @@
 }
 
 void Exchange::StartReading(const forward::PlacementChoice& choice) {
-  ++this->prompt_reads;
+  if (this->prompt_reads++ > 0)
+    this->context.retry_budget(this->service).OnExtra();
   this->phase = Phase::kReadingPrompt;
   this->planned_runner = choice.target;
   this->context.metrics.CountDecision("prompt_read");
@@ -359,7 +364,9 @@
                                 this->handle_address, this->handle));
     }
   }
-  if (!not_run)
+  if (not_run)
+    this->context.replicas.OnRejected(*reader);
+  else
     this->context.replicas.OnFailure(*reader);
   this->context.log.Write(this->Event("prompt_read_failed")
                               .Add("replica", reader->entry.id)
@@ -367,13 +374,16 @@
                               .Add("not_run", not_run)
                               .Add("reason", reason));
   this->excluded.push_back(reader->entry.id);
-  // Only the first accepted read is free of the budget. A read that failed
-  // counts, and the next one needs room of its own.
+  if (end == http1::AnswerEnd::kNotConnected) {
+    --this->prompt_reads;
+    return this->SendNext();
+  }
+  // Only an accepted read is free of the budget, so whatever follows one that
+  // failed is an extra send.
   forward::RetryWindow& budget = this->context.retry_budget(this->service);
-  if (end != http1::AnswerEnd::kNotConnected)
-    budget.OnExtra();
   if (!budget.HasRoom())
-    this->prompt_reads = kMaxPromptReads;
+    return this->Refuse("retry_budget", kDefaultRetryAfter);
+  budget.OnExtra();
   this->SendNext();
 }
 
@@ -420,30 +430,23 @@
   std::shared_ptr<forward::Replica> failed = this->replica;
   if (this->answer_facts.wrong_instance)
     this->context.replicas.OnWrongInstance(*failed);
-  else if (outcome != forward::SendOutcome::kNotRun)
+  else if (outcome == forward::SendOutcome::kNotRun)
+    this->context.replicas.OnRejected(*failed);
+  else
     this->context.replicas.OnFailure(*failed);
   if (this->connection != nullptr && !this->connection->Reusable())
     this->connection->Cancel();
   this->SettleSend();
   this->splitter.DropRest();
 
-  // A cache that cannot be fetched is no reason to leave the replica: it may
-  // read the prompt itself.
+  forward::RetryWindow& budget = this->context.retry_budget(this->service);
+  bool budget_left = budget.HasRoom() && this->TimeLeft() > kLeastTimeForSend;
   bool had_cache = !this->handle.empty();
+  if (had_cache && outcome == forward::SendOutcome::kNotRun && budget_left &&
+      this->RunElsewhereOrUncached(failed))
+    return;
   if (had_cache)
     this->ReleaseHandle();
-  forward::RetryWindow& budget = this->context.retry_budget(this->service);
-  bool budget_left = budget.HasRoom() && this->TimeLeft() > kLeastTimeForSend;
-  if (had_cache && outcome == forward::SendOutcome::kNotRun &&
-      !this->answer_facts.wrong_instance && !this->own_cache_failed &&
-      budget_left) {
-    this->own_cache_failed = true;
-    this->prompt_reads = kMaxPromptReads;
-    this->context.log.Write(this->Event("cache_not_fetched")
-                                .Add("replica", failed->entry.id));
-    return this->StartRun(std::move(failed), this->facts.prompt.prompt_tokens,
-                          "");
-  }
   forward::NextStep step = this->policy.After(
       outcome,
       this->stream_begun ? forward::AnswerProgress::kEvents
@@ -479,6 +482,36 @@
   }
 }
 
+/// Goes on after a runner refused a request whose prompt is kept at a reader:
+/// at another runner with the same cache, or where the route allows just one,
+/// without it.
+/// @return False when neither is possible.
+bool Exchange::RunElsewhereOrUncached(
+    const std::shared_ptr<forward::Replica>& refused) {
+  this->excluded.push_back(refused->entry.id);
+  auto usable = this->context.replicas.Usable(this->service);
+  std::shared_ptr<forward::Replica> other =
+      this->context.placement.ChooseRunner(usable, this->Now(), this->excluded);
+  if (other != nullptr && this->policy.MaySendTo(other->entry.id)) {
+    this->context.log.Write(this->Event("run_refused")
+                                .Add("replica", refused->entry.id)
+                                .Add("next", other->entry.id));
+    std::string source =
+        this->context.wire.CacheSource(this->handle_address, this->handle);
+    this->StartRun(std::move(other), 0, std::move(source));
+    return true;
+  }
+  this->ReleaseHandle();
+  if (std::exchange(this->tried_uncached, true) ||
+      !this->policy.MaySendTo(refused->entry.id))
+    return false;
+  this->prompt_reads = kMaxPromptReads;
+  this->context.log.Write(this->Event("cache_not_fetched")
+                              .Add("replica", refused->entry.id));
+  this->StartRun(refused, this->facts.prompt.prompt_tokens, "");
+  return true;
+}
+
 /// Frees a cache that no run will take; its memory is of no use to others.
 void Exchange::ReleaseHandle() {
   if (this->handle.empty())
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -90,6 +90,7 @@
   void OnRunEnd(http1::AnswerEnd end, std::string_view reason);
   forward::SendOutcome Classify(http1::AnswerEnd end) const;
   void OnSendFailed(forward::SendOutcome outcome, std::string_view reason);
+  bool RunElsewhereOrUncached(const std::shared_ptr<forward::Replica>& refused);
   void RelayEvents(std::string_view data);
   void ReleaseHandle();
 
@@ -132,7 +133,7 @@
   absl::Duration expected_first;    // By the last choice of a replica.
   absl::Duration first_byte_limit;  // Longest time without a first byte.
   int prompt_reads = 0;
-  bool own_cache_failed = false;
+  bool tried_uncached = false;  // After a runner refused the cache.
   std::string handle;          // Of a cache that no run has taken yet.
   std::string handle_address;  // Of the replica that keeps it.
   std::shared_ptr<forward::Replica> planned_runner;
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "cranberryhill/gateway/gateway.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -20,6 +21,12 @@
 /// Named where this process cannot serve yet; another instance can.
 constexpr absl::Duration kRetryAfterNotReady = absl::Milliseconds(300);
 
+/// The slack of extra sends is divided by the instances that are known, times
+/// this for those that have started and are not known yet, and by no fewer than
+/// kLeastInstances while the table is being read.
+constexpr double kUnknownInstances = 1.3;
+constexpr double kLeastInstances = 6;
+
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -86,13 +93,6 @@
                     log,
                     clock,
                     random),
-      peers(io,
-            this->settings.instance_id,
-            this->settings.peers,
-            this->control_table,
-            this->share,
-            this->replicas,
-            log),
       orders(io,
              this->settings.instance_id,
              this->settings.lease_time,
@@ -102,6 +102,14 @@
              log,
              clock,
              random),
+      peers(io,
+            this->settings.instance_id,
+            this->settings.peers,
+            this->control_table,
+            this->share,
+            this->replicas,
+            this->orders,
+            log),
       callers(io, clock, *this, {}),
       readiness(io, clock, this->readiness_pages, {}),
       control(io, clock, this->control_pages, {}),
@@ -137,7 +145,7 @@
   if (this->settings.peers.port != 0) {
     BOOST_LEAF_CHECK(this->peers.Start());
     this->control_table.SetOnChange(
-        [this](std::string_view) { this->peers.OnTableChanged(); });
+        [this](std::string_view) { this->OnPeersChanged(); });
     this->control_table.Start();
   }
   this->ScheduleUpkeep();
@@ -290,11 +298,26 @@
           .Add("row_version", row.version));
 }
 
+forward::RetryBounds Gateway::OwnRetryBounds() const {
+  forward::RetryBounds bounds = this->settings.retries;
+  auto instances = static_cast<double>(this->peers.peers() + 1);
+  bounds.own_slack = std::clamp(
+      this->settings.retry_slack / (instances * kUnknownInstances), 1.0,
+      std::max(1.0, this->settings.retry_slack / kLeastInstances));
+  return bounds;
+}
+
+void Gateway::OnPeersChanged() {
+  this->peers.OnTableChanged();
+  for (auto& [service, budget] : this->budgets)
+    budget->SetBounds(this->OwnRetryBounds());
+}
+
 forward::RetryWindow& Gateway::BudgetOf(std::string_view service) {
   auto& budget = this->budgets[std::string(service)];
   if (budget == nullptr) {
     budget = std::make_unique<forward::RetryWindow>(this->clock,
-                                                    this->settings.retries);
+                                                    this->OwnRetryBounds());
   }
   return *budget;
 }
@@ -314,8 +337,9 @@
 
 void Gateway::Reload(const GatewaySettings& settings) {
   this->settings.retries = settings.retries;
+  this->settings.retry_slack = settings.retry_slack;
   for (auto& [service, budget] : this->budgets)
-    budget->SetBounds(settings.retries);
+    budget->SetBounds(this->OwnRetryBounds());
   this->log.Write(LogEvent("settings_reloaded")
                       .Add("retry_ratio", settings.retries.ratio));
 }
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -80,6 +80,8 @@
  private:
   void ApplyConfiguration(const StoreRow& row);
   void ApplyReplica(const StoreRow& row);
+  forward::RetryBounds OwnRetryBounds() const;
+  void OnPeersChanged();
   forward::RetryWindow& BudgetOf(std::string_view service);
   void ScheduleUpkeep();
   void CheckShutdown();
@@ -107,8 +109,8 @@
   TableFollower configuration_follower;
   TableFollower replica_follower;
   ControlTable control_table;
-  PeerLink peers;
   OrderDesk orders;
+  PeerLink peers;
   http1::Server callers;
   StatusPages readiness_pages;
   StatusPages control_pages;
--- a/cranberryhill/gateway/order_desk.cc
+++ b/cranberryhill/gateway/order_desk.cc
@@ -11,6 +11,9 @@
 /// The lease is sought only while an order is due, so it is short.
 constexpr absl::Duration kTerm = absl::Seconds(5);
 constexpr absl::Duration kRenewInterval = absl::Seconds(2);
+/// All instances see at the same time that a role must change; each waits for
+/// a part of this, so that one of them writes first and the others see it.
+constexpr absl::Duration kSeekSpread = absl::Seconds(1);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(500);
 /// An order arrives within this time of its decision, or not at all: connecting
 /// ends after 300 ms and the request is one packet.
@@ -167,11 +170,13 @@
 
 void OrderDesk::Tick(const forward::RouteTable& routes) {
   bool needed = false;
+  for (const std::string& engine : this->Changing())
+    this->replicas.OnChanging(engine);
   for (const forward::ServiceConfig& service :
        routes.configuration().services) {
     if (!service.engine)
       continue;
-    auto engines = this->replicas.Usable(service.name);
+    auto engines = this->replicas.Members(service.name);
     auto& balance =
         this->balances.try_emplace(service.name, this->clock).first->second;
     if (!balance.NeedsChange(engines))
@@ -182,7 +187,13 @@
     while (auto change = balance.Next(engines))
       this->StartErrand(service.name, *change);
   }
-  if (needed)
+  absl::Time now = this->clock.Now();
+  if (!needed) {
+    this->seek_from = absl::InfiniteFuture();
+  } else if (this->seek_from == absl::InfiniteFuture()) {
+    this->seek_from = now + kSeekSpread * this->random.UniformDouble();
+  }
+  if (this->held || now >= this->seek_from)
     this->lease.Tick();
   bool holds = this->lease.Grant().has_value();
   if (holds != std::exchange(this->held, holds)) {
@@ -193,6 +204,15 @@
   }
 }
 
+std::vector<std::string> OrderDesk::Changing() const {
+  std::vector<std::string> all;
+  for (const auto& [service, balance] : this->balances) {
+    std::vector<std::string> some = balance.Changing();
+    all.insert(all.end(), some.begin(), some.end());
+  }
+  return all;
+}
+
 void OrderDesk::StartErrand(const std::string& service,
                             const forward::RoleChange& change) {
   this->balances.at(service).OnOrdered(change);
--- a/cranberryhill/gateway/order_desk.h
+++ b/cranberryhill/gateway/order_desk.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
@@ -41,6 +42,9 @@
   /// it several times a second.
   void Tick(const forward::RouteTable& routes);
 
+  /// @return Engines whose role is being changed by orders of this instance.
+  std::vector<std::string> Changing() const;
+
   uint64_t orders() const { return this->order_count; }  // NOLINT
 
  private:
@@ -61,6 +65,7 @@
   Random& random;
   LeaseKeeper lease;
   bool held = false;
+  absl::Time seek_from = absl::InfiniteFuture();
   std::map<std::string, forward::RoleBalance> balances;
   std::map<Errand*, std::unique_ptr<Errand>> errands;
   uint64_t order_count = 0;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -32,6 +32,7 @@
                    ControlTable& table,
                    forward::LoadShare& share,
                    forward::ReplicaSet& replicas,
+                   const OrderDesk& orders,
                    EventLog& log)
     : io(io),
       instance(std::move(instance)),
@@ -39,6 +40,7 @@
       table(table),
       share(share),
       replicas(replicas),
+      orders(orders),
       log(log),
       socket(io),
       timer(io) {}
@@ -142,8 +144,10 @@
 
 void PeerLink::SendToAll() {
   this->share.ForgetSilent(this->replicas);
-  forward::LoadMessage message = this->share.Collect(this->replicas);
-  bool idle = message.work.empty() && message.cached.empty();
+  forward::LoadMessage message =
+      this->share.Collect(this->replicas, this->orders.Changing());
+  bool idle = message.work.empty() && message.cached.empty() &&
+              message.changing.empty();
   this->idle_rounds = idle ? this->idle_rounds + 1 : 0;
   // The first message without work tells the peers that it has ended.
   if (this->idle_rounds > 2 && this->idle_rounds % kIdleRounds != 0)
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -16,6 +16,7 @@
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/gateway/order_desk.h"
 #include "cranberryhill/gateway/settings.h"
 
 namespace cranberryhill::gateway {
@@ -30,6 +31,7 @@
            ControlTable& table,
            forward::LoadShare& share,
            forward::ReplicaSet& replicas,
+           const OrderDesk& orders,
            EventLog& log);
 
   /// @return kUnavailable when the address cannot be bound.
@@ -52,6 +54,7 @@
   ControlTable& table;
   forward::LoadShare& share;
   forward::ReplicaSet& replicas;
+  const OrderDesk& orders;
   EventLog& log;
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer timer;
--- a/cranberryhill/gateway/settings.cc
+++ b/cranberryhill/gateway/settings.cc
@@ -68,14 +68,19 @@
   BOOST_LEAF_ASSIGN(
       settings.shutdown_time,
       ReadSeconds(reader, "shutdown_s", settings.shutdown_time));
-  BOOST_LEAF_ASSIGN(settings.lease_time,
-                    ReadSeconds(reader, "lease_s", settings.lease_time));
+  BOOST_LEAF_AUTO(
+      lease_ms,
+      reader.Int("lease_ms", {1, 3'600'000},
+                 absl::ToInt64Milliseconds(settings.lease_time)));
+  settings.lease_time = absl::Milliseconds(lease_ms);
   BOOST_LEAF_ASSIGN(
       settings.retries.ratio,
       reader.Double("retry_ratio", {0, 1}, settings.retries.ratio));
   BOOST_LEAF_ASSIGN(
       settings.retries.window,
       ReadSeconds(reader, "retry_window_s", settings.retries.window));
+  BOOST_LEAF_ASSIGN(settings.retry_slack,
+                    reader.Double("retry_slack", {0, 1e6}, 0));
   BOOST_LEAF_AUTO(lines, reader.Int("log_lines_per_s", {1, 1'000'000},
                                     settings.log_lines_per_s));
   settings.log_lines_per_s = static_cast<int>(lines);
--- a/cranberryhill/gateway/settings.h
+++ b/cranberryhill/gateway/settings.h
@@ -32,6 +32,8 @@
   /// Orders of two holders must be this far apart.
   absl::Duration lease_time = absl::Seconds(3);
   forward::RetryBounds retries;
+  /// Extra sends in a window beside the ratio, shared by all instances.
+  double retry_slack = 0;
   int log_lines_per_s = 400;
 };
 
