--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -7,10 +7,32 @@
 namespace cranberryhill::gateway {
 namespace {
 
-/// How long the store may wait for a change. Each call has a price, and a
-/// connection that went silent is found by keep-alive probes in between.
-constexpr absl::Duration kWatchTime = absl::Seconds(8);
-/// On top of kWatchTime, for a slow store.
+/// How one table is followed. Each call has a price, so the store may wait long
+/// for a change, and after one the next call pauses, so that changes that come
+/// together cost one call. Connections that go silent are found by keep-alive
+/// probes in between.
+struct Pace {
+  absl::Duration wait;
+  absl::Duration pause;
+};
+
+Pace PaceOf(StoreTable table) {
+  switch (table) {
+    case StoreTable::kConfiguration:
+      // In force within 2 s of its acknowledgement; storms of changes come
+      // every 330 ms.
+      return {absl::Seconds(12), absl::Milliseconds(300)};
+    case StoreTable::kReplicas:
+      // A leaving replica must get no request 2 s after its notice.
+      return {absl::Seconds(12), absl::Milliseconds(300)};
+    case StoreTable::kControl:
+      // Instances announce themselves once; nothing waits for the news.
+      return {absl::Seconds(25), absl::Seconds(2)};
+  }
+  return {};
+}
+
+/// On top of the wait, for a slow store.
 constexpr absl::Duration kWatchSlack = absl::Seconds(2);
 /// A slow store takes 60 times its usual 4 ms and more.
 constexpr absl::Duration kReadTimeout = absl::Seconds(2);
@@ -38,12 +60,12 @@
       clock(clock),
       random(random),
       client(io, std::move(store)),
-      retry_timer(io),
+      pause_timer(io),
       answered_at(clock.Now()) {}
 
 void TableFollower::Stop() {
   this->client.Cancel();
-  this->retry_timer.cancel();
+  this->pause_timer.cancel();
 }
 
 void TableFollower::ReadPage(const std::string& from) {
@@ -78,14 +100,15 @@
                       .Add("rows", static_cast<int64_t>(this->rows.size()))
                       .Add("version", this->version));
   this->observer.OnTable(this->table, std::exchange(this->rows, {}));
-  this->Watch();
+  this->ContinueAfter(PaceOf(this->table).pause);
 }
 
 void TableFollower::Watch() {
   ++this->call_count;
   this->client.Call(
-      this->codec.EncodeWatch(this->table, this->version, kWatchTime),
-      kWatchTime + kWatchSlack,
+      this->codec.EncodeWatch(this->table, this->version,
+                              PaceOf(this->table).wait),
+      PaceOf(this->table).wait + kWatchSlack,
       [this](StoreAnswer answer) { this->OnWatch(std::move(answer)); });
 }
 
@@ -106,9 +129,10 @@
   this->version = std::max(this->version, page.value().version);
   for (const StoreRow& row : page.value().rows)
     this->version = std::max(this->version, row.version);
-  if (!page.value().rows.empty())
-    this->observer.OnChanges(this->table, page.value().rows);
-  this->Watch();
+  if (page.value().rows.empty())
+    return this->Watch();
+  this->observer.OnChanges(this->table, page.value().rows);
+  this->ContinueAfter(PaceOf(this->table).pause);
 }
 
 void TableFollower::OnAnswered() {
@@ -133,12 +157,12 @@
   double doubled = std::pow(2, std::min(this->failures - 1, 4));
   absl::Duration pause = std::min(kLongestPause, kFirstPause * doubled);
   // Spread, so that instances do not return to the store in step.
-  this->RetryAfter(pause * (0.5 + this->random.UniformDouble()));
+  this->ContinueAfter(pause * (0.5 + this->random.UniformDouble()));
 }
 
-void TableFollower::RetryAfter(absl::Duration pause) {
-  this->retry_timer.expires_after(absl::ToChronoMilliseconds(pause));
-  this->retry_timer.async_wait([this](boost::system::error_code error) {
+void TableFollower::ContinueAfter(absl::Duration pause) {
+  this->pause_timer.expires_after(absl::ToChronoMilliseconds(pause));
+  this->pause_timer.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
     if (this->must_read)
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -65,7 +65,7 @@
   void OnWatch(StoreAnswer answer);
   void OnAnswered();
   void OnFailed(const StoreAnswer& answer);
-  void RetryAfter(absl::Duration pause);
+  void ContinueAfter(absl::Duration pause);
 
   const StoreTable table;
   const StoreCodec& codec;
@@ -74,7 +74,7 @@
   const Clock& clock;
   Random& random;
   StoreClient client;
-  boost::asio::steady_timer retry_timer;
+  boost::asio::steady_timer pause_timer;
   std::vector<StoreRow> rows;
   uint64_t version = 0;
   bool must_read = true;
