--- a/cranberryhill/forward/attempt_policy.cc
+++ b/cranberryhill/forward/attempt_policy.cc
@@ -21,8 +21,8 @@
                               bool budget_left) {
   if (outcome == SendOutcome::kNotSent && !this->sent_to.empty())
     this->sent_to.pop_back();
-  bool unsafe = outcome != SendOutcome::kNotSent &&
-                outcome != SendOutcome::kNotRun;
+  bool unsafe =
+      outcome != SendOutcome::kNotSent && outcome != SendOutcome::kNotRun;
   this->may_have_run = this->may_have_run || unsafe;
   bool another = budget_left && this->ReplicaLeft() &&
                  (!this->may_have_run || this->may_repeat);
--- a/cranberryhill/forward/attempt_policy.h
+++ b/cranberryhill/forward/attempt_policy.h
@@ -19,11 +19,11 @@
 
 /// How one send to a replica ended.
 enum class SendOutcome {
-  kNotSent,     ///< No connection; nothing reached the replica.
-  kNotRun,      ///< The replica says that it did not run the request.
-  kFailed,      ///< The replica answered with a failure after it ran.
-  kBroken,      ///< No whole answer; the request may have run.
-  kTimedOut,    ///< Ended by us for lack of progress; it may have run.
+  kNotSent,   ///< No connection; nothing reached the replica.
+  kNotRun,    ///< The replica says that it did not run the request.
+  kFailed,    ///< The replica answered with a failure after it ran.
+  kBroken,    ///< No whole answer; the request may have run.
+  kTimedOut,  ///< Ended by us for lack of progress; it may have run.
 };
 
 /// What the caller has of the answer.
--- a/cranberryhill/forward/load_share.cc
+++ b/cranberryhill/forward/load_share.cc
@@ -23,8 +23,8 @@
   using nlohmann::json;
   json work = json::array();
   for (const EngineWork& entry : message.work)
-    work.push_back({entry.replica, entry.queued.on_time,
-                    entry.queued.deferred, entry.running});
+    work.push_back({entry.replica, entry.queued.on_time, entry.queued.deferred,
+                    entry.running});
   json cached = json::array();
   for (const CachedPrompt& entry : message.cached) {
     json parts = json::array();
@@ -33,10 +33,10 @@
     cached.push_back({entry.replica, std::move(parts)});
   }
   std::string bytes;
-  json::to_msgpack(json::array({kFormat, message.instance, message.incarnation,
-                                message.sequence, work, cached,
-                                message.changing}),
-                   bytes);
+  json::to_msgpack(
+      json::array({kFormat, message.instance, message.incarnation,
+                   message.sequence, work, cached, message.changing}),
+      bytes);
   return bytes;
 }
 
@@ -54,10 +54,10 @@
     message.incarnation = fields.at(2).get<uint64_t>();
     message.sequence = fields.at(3).get<uint64_t>();
     for (const json& entry : fields.at(4)) {
-      message.work.push_back({entry.at(0).get<std::string>(),
-                              {entry.at(1).get<double>(),
-                               entry.at(2).get<double>()},
-                              entry.at(3).get<int>()});
+      message.work.push_back(
+          {entry.at(0).get<std::string>(),
+           {entry.at(1).get<double>(), entry.at(2).get<double>()},
+           entry.at(3).get<int>()});
     }
     for (const json& entry : fields.at(5)) {
       CachedPrompt prompt{entry.at(0).get<std::string>(), {}};
@@ -85,8 +85,9 @@
 
 LoadMessage LoadShare::Collect(const ReplicaSet& replicas,
                                std::vector<std::string> changing) {
-  LoadMessage message{this->instance, this->incarnation, this->next_sequence++,
-                      {}, {}, std::move(changing)};
+  LoadMessage message{
+      this->instance,     this->incarnation, this->next_sequence++, {}, {},
+      std::move(changing)};
   for (const auto& replica : replicas.Listed()) {
     if (!replica->entry.role || replica->outstanding == 0)
       continue;
--- a/cranberryhill/forward/load_share.h
+++ b/cranberryhill/forward/load_share.h
@@ -57,9 +57,7 @@
   /// @param incarnation Distinguishes this process from earlier ones.
   /// @param clock Must outlive this object.
   LoadShare(std::string instance, uint64_t incarnation, const Clock& clock)
-      : instance(std::move(instance)),
-        incarnation(incarnation),
-        clock(clock) {}
+      : instance(std::move(instance)), incarnation(incarnation), clock(clock) {}
 
   /// Records that this instance sent `shape` to `replica`.
   void NoteSent(std::string_view replica, const PromptShape& shape);
--- a/cranberryhill/forward/placement.cc
+++ b/cranberryhill/forward/placement.cc
@@ -55,7 +55,8 @@
 
 double Placement::StepMs(const Replica& replica, absl::Time now) const {
   // The peers' own figures are newer than the replica's report.
-  double others = std::max<double>(replica.peer_running, OthersAt(replica, now));
+  double others =
+      std::max<double>(replica.peer_running, OthersAt(replica, now));
   return this->speed.step_ms +
          this->speed.step_ms_per_request * (replica.outstanding + others);
 }
@@ -65,7 +66,8 @@
     return 1 / this->speed.prompt_tokens_per_ms +
            this->speed.step_ms / this->speed.chunk_tokens;
   }
-  return 1 / (this->speed.prompt_tokens_per_ms * this->speed.decode_read_share) +
+  return 1 / (this->speed.prompt_tokens_per_ms *
+              this->speed.decode_read_share) +
          this->StepMs(replica, now) / this->speed.decode_chunk_tokens;
 }
 
@@ -122,10 +124,9 @@
     return choice;
   const Replica& reader =
       choice.reader != nullptr ? *choice.reader : *choice.target;
-  bool on_time =
-      choice.expected_first <= limits.target &&
-      absl::Milliseconds(this->WaitMs(reader, ReadLane::kOnTime, now)) <=
-          limits.longest_wait;
+  bool on_time = choice.expected_first <= limits.target &&
+                 absl::Milliseconds(this->WaitMs(reader, ReadLane::kOnTime,
+                                                 now)) <= limits.longest_wait;
   if (on_time)
     return choice;
   return this->ChooseInLane(readers, runners, shape, ReadLane::kDeferred, now);
@@ -192,31 +193,31 @@
     double penalty_ms = this->PenaltyMs(replica, now);
     double tokens = unread(replica);
     double read_ms = this->ReadMs(replica, tokens, shape.prompt_tokens, now);
-    double time_ms = this->WaitMs(replica, lane, now) + read_ms +
-                     this->speed.first_event_ms;
+    double time_ms =
+        this->WaitMs(replica, lane, now) + read_ms + this->speed.first_event_ms;
     double cost = time_ms + penalty_ms + extra_ms(replica, i) +
                   kSlowedStreamsWeight * read_ms;
     if (cost < best_cost) {
       best_cost = cost;
-      best = {runners[i], nullptr, absl::Milliseconds(time_ms), lane, tokens, 0};
+      best = {runners[i], nullptr, absl::Milliseconds(time_ms),
+              lane,       tokens,  0};
     }
   }
-  double transfer_ms = this->speed.transfer_setup_ms +
-                       shape.prompt_tokens / 1000.0 *
-                           this->speed.transfer_ms_per_k;
+  double transfer_ms =
+      this->speed.transfer_setup_ms +
+      shape.prompt_tokens / 1000.0 * this->speed.transfer_ms_per_k;
   for (size_t i = 0; i < readers.size() && free_runner != nullptr; ++i) {
     const Replica& replica = *readers[i];
     double tokens = unread(replica);
-    double time_ms =
-        this->WaitMs(replica, lane, now) +
-        this->ReadMs(replica, tokens, shape.prompt_tokens, now) + transfer_ms +
-        this->speed.first_event_ms;
+    double time_ms = this->WaitMs(replica, lane, now) +
+                     this->ReadMs(replica, tokens, shape.prompt_tokens, now) +
+                     transfer_ms + this->speed.first_event_ms;
     double cost = time_ms + this->PenaltyMs(replica, now) +
                   extra_ms(replica, i) + free_runner_cost;
     if (cost < best_cost) {
       best_cost = cost;
-      best = {free_runner, readers[i], absl::Milliseconds(time_ms), lane, 0,
-              tokens};
+      best = {free_runner, readers[i], absl::Milliseconds(time_ms),
+              lane,        0,          tokens};
     }
   }
   return best;
@@ -235,12 +236,12 @@
     double waiting = replica->outstanding + OthersAt(*replica, now);
     double slots = std::max(1, replica->entry.slots);
     // Below half of its slots a replica is as good as idle.
-    double queue_ms =
-        kTypicalWorkMs * std::max(0.0, waiting / slots - 0.5);
+    double queue_ms = kTypicalWorkMs * std::max(0.0, waiting / slots - 0.5);
     double ms = kTypicalWorkMs + queue_ms + this->PenaltyMs(*replica, now);
     if (ms < best_ms) {
       best_ms = ms;
-      best = {replica, nullptr, absl::Milliseconds(ms), ReadLane::kOnTime, 0, 0};
+      best = {replica,           nullptr, absl::Milliseconds(ms),
+              ReadLane::kOnTime, 0,       0};
     }
   }
   return best;
--- a/cranberryhill/forward/prompt.h
+++ b/cranberryhill/forward/prompt.h
@@ -34,8 +34,7 @@
   /// @return The id of the last shared part, or 0. It stands for all parts
   ///     before it, as a cached part is only of use with these.
   uint64_t SharedKey() const {
-    return this->parts.size() < 2 ? 0
-                                  : this->parts[this->parts.size() - 2].id;
+    return this->parts.size() < 2 ? 0 : this->parts[this->parts.size() - 2].id;
   }
 };
 
--- a/cranberryhill/forward/prompt_cache.cc
+++ b/cranberryhill/forward/prompt_cache.cc
@@ -6,7 +6,8 @@
 
 void PromptCache::Record(const PromptShape& shape, absl::Time now) {
   if (!shape.parts.empty())
-    this->RecordParts(std::span(shape.parts).first(shape.parts.size() - 1), now);
+    this->RecordParts(std::span(shape.parts).first(shape.parts.size() - 1),
+                      now);
 }
 
 void PromptCache::RecordParts(std::span<const PromptPart> parts,
@@ -36,10 +37,10 @@
 }
 
 void PromptCache::DropOldest() {
-  auto oldest = std::min_element(
-      this->parts.begin(), this->parts.end(), [](const auto& a, const auto& b) {
-        return a.second.used < b.second.used;
-      });
+  auto oldest = std::min_element(this->parts.begin(), this->parts.end(),
+                                 [](const auto& a, const auto& b) {
+                                   return a.second.used < b.second.used;
+                                 });
   this->held_tokens -= oldest->second.tokens;
   this->parts.erase(oldest);
 }
--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -193,8 +193,7 @@
 void ReplicaSet::DropForgotten() {
   absl::Time now = this->clock.Now();
   absl::erase_if(this->by_id, [now](const auto& item) {
-    return !item.second->listed &&
-           now - item.second->removed_at > kForgetAfter;
+    return !item.second->listed && now - item.second->removed_at > kForgetAfter;
   });
 }
 
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -69,10 +69,10 @@
 /// A replica with this instance's observations.
 struct Replica {
   ReplicaEntry entry;
-  bool listed = true;       ///< In the registry.
-  absl::Time removed_at;    ///< When it left the registry.
-  int outstanding = 0;      ///< Own requests without a complete answer.
-  QueuedTokens queued;      ///< By own requests.
+  bool listed = true;     ///< In the registry.
+  absl::Time removed_at;  ///< When it left the registry.
+  int outstanding = 0;    ///< Own requests without a complete answer.
+  QueuedTokens queued;    ///< By own requests.
   /// The same two figures of all other instances, as they last told.
   int peer_running = 0;
   QueuedTokens peer_queued;
@@ -115,8 +115,9 @@
   std::vector<std::shared_ptr<Replica>> Members(std::string_view service) const;
 
   /// @return Replicas of a service that may get new requests. Replicas whose
-  ///     role is changing are returned only when there is no other. Replicas that
-  ///     have just left the registry are returned only when there is no other.
+  ///     role is changing are returned only when there is no other. Replicas
+  ///     that have just left the registry are returned only when there is no
+  ///     other.
   std::vector<std::shared_ptr<Replica>> Usable(std::string_view service);
 
   /// @return The replica with this id if it is listed, or null.
--- a/cranberryhill/forward/retry_window.cc
+++ b/cranberryhill/forward/retry_window.cc
@@ -3,9 +3,10 @@
 namespace cranberryhill::forward {
 namespace {
 
-// Sends are counted when they leave, the bound holds for arrivals; the rest
-// covers what the two windows cut differently.
-constexpr double kUsedShare = 0.9;
+// Requests leave a window before the extra sends that they allowed do, and
+// sends are counted when they leave while the bound holds for arrivals. With
+// 0.9 a generated order of events was over the bound by 2%.
+constexpr double kUsedShare = 0.8;
 
 }  // namespace
 
--- a/cranberryhill/forward/role_balance.cc
+++ b/cranberryhill/forward/role_balance.cc
@@ -61,11 +61,10 @@
   absl::erase_if(this->pending, [&](const auto& item) {
     if (now - item.second.ordered_at > kOrderLost)
       return true;
-    auto engine = std::find_if(
-        engines.begin(), engines.end(),
-        [&](const auto& e) { return e->entry.id == item.first; });
-    return engine == engines.end() ||
-           (*engine)->entry.role == item.second.role;
+    auto engine =
+        std::find_if(engines.begin(), engines.end(),
+                     [&](const auto& e) { return e->entry.id == item.first; });
+    return engine == engines.end() || (*engine)->entry.role == item.second.role;
   });
 }
 
@@ -73,9 +72,9 @@
     std::span<const std::shared_ptr<Replica>> engines) {
   this->DropSettled(engines);
   Counts counts = this->Count(engines);
-  bool balanced =
-      engines.size() < 2 ||
-      counts.runners == RoleBalance::WantedRunners(engines.size(), counts.zones);
+  bool balanced = engines.size() < 2 ||
+                  counts.runners ==
+                      RoleBalance::WantedRunners(engines.size(), counts.zones);
   // A registry that is still filling says little about the final numbers.
   if (balanced || engines.size() != this->last_size)
     this->unbalanced_since = absl::InfiniteFuture();
@@ -117,7 +116,8 @@
   };
   const Replica* best = nullptr;
   for (const auto& engine : engines) {
-    if (this->RoleOf(*engine) != from || this->pending.contains(engine->entry.id))
+    if (this->RoleOf(*engine) != from ||
+        this->pending.contains(engine->entry.id))
       continue;
     if (best == nullptr || rank(*engine) < rank(*best))
       best = engine.get();
--- /dev/null
+++ b/cranberryhill/forward/test_replicas.h
@@ -0,0 +1,41 @@
+#ifndef CRANBERRYHILL_FORWARD_TEST_REPLICAS_H_
+#define CRANBERRYHILL_FORWARD_TEST_REPLICAS_H_
+
+// Replicas for tests.
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "cranberryhill/forward/prompt.h"
+#include "cranberryhill/forward/replica_set.h"
+
+namespace cranberryhill::forward {
+
+inline ReplicaEntry MakeEntry(std::string id,
+                              std::string zone = "a",
+                              std::optional<EngineRole> role = {}) {
+  ReplicaEntry entry;
+  entry.id = std::move(id);
+  entry.service = "service";
+  entry.ip = "127.0.0.1";
+  entry.port = 8080;
+  entry.availability_zone = std::move(zone);
+  entry.slots = 6;
+  entry.role = role;
+  return entry;
+}
+
+/// @param shared Id of the shared part.
+inline PromptShape MakePrompt(uint64_t shared,
+                              uint32_t shared_tokens,
+                              uint32_t own_tokens) {
+  PromptShape shape;
+  shape.prompt_tokens = shared_tokens + own_tokens;
+  shape.parts = {{shared, shared_tokens}, {shared + 1'000'000, own_tokens}};
+  return shape;
+}
+
+}  // namespace cranberryhill::forward
+
+#endif  // CRANBERRYHILL_FORWARD_TEST_REPLICAS_H_
--- a/cranberryhill/gateway/connection_pool.cc
+++ b/cranberryhill/gateway/connection_pool.cc
@@ -65,8 +65,8 @@
       if (!this->IsFresh(entry))
         entry.connection->Cancel();
     }
-    std::erase_if(list,
-                  [](const Kept& entry) { return !entry.connection->Reusable(); });
+    std::erase_if(
+        list, [](const Kept& entry) { return !entry.connection->Reusable(); });
   }
   absl::erase_if(this->kept,
                  [](const auto& item) { return item.second.empty(); });
--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/gateway/control_table.cc
@@ -76,9 +76,8 @@
   Row row{transaction.puts[0].key, 0, transaction.puts[0].value};
   this->writing = true;
   ++this->write_calls;
-  StoreCall call =
-      this->codec.EncodeWrite(StoreTable::kControl, row.key, row.value,
-                              transaction.checks[0].version);
+  StoreCall call = this->codec.EncodeWrite(
+      StoreTable::kControl, row.key, row.value, transaction.checks[0].version);
   this->writer.Call(
       call, kWriteTimeout,
       [this, row, callback = std::move(callback)](StoreAnswer answer) {
--- a/cranberryhill/gateway/event_log.cc
+++ b/cranberryhill/gateway/event_log.cc
@@ -44,8 +44,7 @@
     this->formatter_->format(message, formatted);
     pollfd output{STDOUT_FILENO, POLLOUT, 0};
     bool room = poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
-    if (!room ||
-        write(STDOUT_FILENO, formatted.data(), formatted.size()) < 0)
+    if (!room || write(STDOUT_FILENO, formatted.data(), formatted.size()) < 0)
       ++this->dropped;
   }
 
@@ -106,8 +105,8 @@
   absl::Time now = this->clock.Now();
   this->allowance = std::min(
       this->lines_per_s,
-      this->allowance + this->lines_per_s *
-                            absl::ToDoubleSeconds(now - this->refilled));
+      this->allowance +
+          this->lines_per_s * absl::ToDoubleSeconds(now - this->refilled));
   this->refilled = now;
   if (this->allowance < 1) {
     ++this->dropped;
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -236,8 +236,9 @@
           .Add("read_only", fields.read_prompt_only)
           .Add("unread_tokens", unread_tokens)
           .Add("outstanding", this->replica->outstanding)
-          .Add("queued_tokens", this->replica->queued.Before(this->lane) +
-                                    this->replica->peer_queued.Before(this->lane))
+          .Add("queued_tokens",
+               this->replica->queued.Before(this->lane) +
+                   this->replica->peer_queued.Before(this->lane))
           .Add("deferred", this->lane == forward::ReadLane::kDeferred)
           .Add("expected_ms", this->expected_first)
           .Add("load_age_ms", this->sent_at - this->replica->load_at)
@@ -316,8 +317,7 @@
             .Add("replica", this->replica->entry.id)
             .Add("took_ms", this->Now() - this->sent_at)
             .Add("others", forward::OthersAt(*this->replica, this->Now())));
-    this->context.metrics.ObserveFirstByte(this->Now() -
-                                           this->request.arrived);
+    this->context.metrics.ObserveFirstByte(this->Now() - this->request.arrived);
     http1::AnswerHead head = this->answer_head;
     head.headers.RemoveConnectionFields();
     this->responder->BeginStream(std::move(head));
@@ -343,15 +343,15 @@
     this->context.replicas.OnWrongInstance(*reader);
   this->SettleSend();
   if (answered && status == 200) {
-    auto decoded = Capture(
-        [&] { return this->context.wire.DecodePromptHandle(body); });
+    auto decoded =
+        Capture([&] { return this->context.wire.DecodePromptHandle(body); });
     if (decoded.ok()) {
       this->context.replicas.OnSuccess(*reader);
-      this->context.log.Write(this->Event("prompt_read")
-                                  .Add("replica", reader->entry.id)
-                                  .Add("took_ms", this->Now() - this->sent_at)
-                                  .Add("others", forward::OthersAt(
-                                                     *reader, this->Now())));
+      this->context.log.Write(
+          this->Event("prompt_read")
+              .Add("replica", reader->entry.id)
+              .Add("took_ms", this->Now() - this->sent_at)
+              .Add("others", forward::OthersAt(*reader, this->Now())));
       this->handle = decoded.value();
       this->handle_address = reader->Address();
       std::shared_ptr<forward::Replica> runner = this->planned_runner;
@@ -359,9 +359,9 @@
         this->ReleaseHandle();
         return this->SendNext();
       }
-      return this->StartRun(std::move(runner), 0,
-                            this->context.wire.CacheSource(
-                                this->handle_address, this->handle));
+      return this->StartRun(
+          std::move(runner), 0,
+          this->context.wire.CacheSource(this->handle_address, this->handle));
     }
   }
   if (not_run)
@@ -394,7 +394,8 @@
     return forward::SendOutcome::kBroken;
   if (this->answer_facts.not_run)
     return forward::SendOutcome::kNotRun;
-  bool success = this->answer_head.status >= 200 && this->answer_head.status < 300;
+  bool success =
+      this->answer_head.status >= 200 && this->answer_head.status < 300;
   // A success that nobody signed is not the replica's answer.
   if (success)
     return forward::SendOutcome::kBroken;
@@ -410,19 +411,19 @@
     this->responder->EndStream();
     return this->Finish("answered", "", this->answer_head.status);
   }
-  bool passes = complete && !this->relaying && !this->answer_facts.not_run &&
-                !this->stream_begun && this->answer_head.status < 500 &&
-                !PromisesNotRun(this->answer_head.status) &&
-                (this->answer_head.status >= 300 ||
-                 this->answer_facts.is_signed);
+  bool passes =
+      complete && !this->relaying && !this->answer_facts.not_run &&
+      !this->stream_begun && this->answer_head.status < 500 &&
+      !PromisesNotRun(this->answer_head.status) &&
+      (this->answer_head.status >= 300 || this->answer_facts.is_signed);
   if (passes) {
     this->context.replicas.OnSuccess(*this->replica);
     this->handle.clear();
     return this->AnswerWhole();
   }
-  this->OnSendFailed(this->relaying ? forward::SendOutcome::kBroken
-                                    : this->Classify(end),
-                     reason);
+  this->OnSendFailed(
+      this->relaying ? forward::SendOutcome::kBroken : this->Classify(end),
+      reason);
 }
 
 void Exchange::OnSendFailed(forward::SendOutcome outcome,
@@ -447,11 +448,11 @@
     return;
   if (had_cache)
     this->ReleaseHandle();
-  forward::NextStep step = this->policy.After(
-      outcome,
-      this->stream_begun ? forward::AnswerProgress::kEvents
-                         : forward::AnswerProgress::kNothing,
-      budget_left);
+  forward::NextStep step =
+      this->policy.After(outcome,
+                         this->stream_begun ? forward::AnswerProgress::kEvents
+                                            : forward::AnswerProgress::kNothing,
+                         budget_left);
   this->context.metrics.CountDecision(StepName(step));
   this->context.log.Write(
       this->Event("send_ended")
@@ -506,8 +507,8 @@
       !this->policy.MaySendTo(refused->entry.id))
     return false;
   this->prompt_reads = kMaxPromptReads;
-  this->context.log.Write(this->Event("cache_not_fetched")
-                              .Add("replica", refused->entry.id));
+  this->context.log.Write(
+      this->Event("cache_not_fetched").Add("replica", refused->entry.id));
   this->StartRun(refused, this->facts.prompt.prompt_tokens, "");
   return true;
 }
@@ -534,8 +535,8 @@
       static_cast<uint16_t>(std::stoi(this->handle_address.substr(colon + 1)));
   auto* releaser = new Releaser;  // Deletes itself in OnEnd().
   releaser->link = this->context.pool.Acquire(source);
-  http1::RequestHead head = this->context.wire.EncodeRelease(
-      this->handle_address, this->handle);
+  http1::RequestHead head =
+      this->context.wire.EncodeRelease(this->handle_address, this->handle);
   releaser->link->Send(http1::SerializeRequest(head, 0), {}, *releaser);
   this->handle.clear();
 }
@@ -596,8 +597,8 @@
   if (this->connection != nullptr)
     this->connection->Cancel();
   if (over) {
-    bool unsent = this->phase == Phase::kReadingPrompt &&
-                  !this->policy.MayHaveRun();
+    bool unsent =
+        this->phase == Phase::kReadingPrompt && !this->policy.MayHaveRun();
     this->context.replicas.OnFailure(*this->replica);
     this->SettleSend();
     this->ReleaseHandle();
@@ -650,8 +651,8 @@
 void Exchange::AnswerOwn(int status, std::string_view reason) {
   if (this->stream_begun)
     return this->CutStream(reason);
-  this->responder->SendWhole(
-      this->context.wire.OwnAnswer(status, std::nullopt), "");
+  this->responder->SendWhole(this->context.wire.OwnAnswer(status, std::nullopt),
+                             "");
   this->Finish("failed", reason, status);
 }
 
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -134,8 +134,8 @@
   absl::Duration first_byte_limit;  // Longest time without a first byte.
   int prompt_reads = 0;
   bool tried_uncached = false;  // After a runner refused the cache.
-  std::string handle;          // Of a cache that no run has taken yet.
-  std::string handle_address;  // Of the replica that keeps it.
+  std::string handle;           // Of a cache that no run has taken yet.
+  std::string handle_address;   // Of the replica that keeps it.
   std::shared_ptr<forward::Replica> planned_runner;
 
   http1::AnswerHead answer_head;
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -160,8 +160,8 @@
 std::shared_ptr<http1::ActiveRequest> Gateway::OnRequest(
     http1::IncomingRequest request,
     std::shared_ptr<http1::Responder> responder) {
-  auto facts = Capture(
-      [&] { return this->wire.DecodeCallerRequest(request.head); });
+  auto facts =
+      Capture([&] { return this->wire.DecodeCallerRequest(request.head); });
   if (!facts.ok()) {
     this->OnMalformed(kBadRequest, facts.error().ToString());
     responder->SendWhole(this->wire.OwnAnswer(kBadRequest, std::nullopt), "");
@@ -340,8 +340,8 @@
   this->settings.retry_slack = settings.retry_slack;
   for (auto& [service, budget] : this->budgets)
     budget->SetBounds(this->OwnRetryBounds());
-  this->log.Write(LogEvent("settings_reloaded")
-                      .Add("retry_ratio", settings.retries.ratio));
+  this->log.Write(
+      LogEvent("settings_reloaded").Add("retry_ratio", settings.retries.ratio));
 }
 
 void Gateway::Shutdown(std::function<void()> done) {
@@ -350,8 +350,10 @@
   this->shutdown_began = this->clock.Now();
   this->shutdown_done = std::move(done);
   this->callers.CloseAfterAnswers();
-  this->log.Write(LogEvent("stopping").Add(
-      "active_requests", static_cast<int64_t>(this->callers.ActiveRequests())));
+  this->log.Write(
+      LogEvent("stopping")
+          .Add("active_requests",
+               static_cast<int64_t>(this->callers.ActiveRequests())));
 }
 
 void Gateway::CheckShutdown() {
@@ -418,14 +420,12 @@
       this->routes == nullptr
           ? -1
           : static_cast<double>(this->routes->configuration().version));
+  this->metrics.SetGauge("registry_age_seconds",
+                         absl::ToDoubleSeconds(this->replica_follower.Age()));
   this->metrics.SetGauge(
-      "registry_age_seconds",
-      absl::ToDoubleSeconds(this->replica_follower.Age()));
-  this->metrics.SetGauge("store_calls",
-                         static_cast<double>(
-                             this->replica_follower.calls() +
-                             this->configuration_follower.calls() +
-                             this->control_table.calls()));
+      "store_calls", static_cast<double>(this->replica_follower.calls() +
+                                         this->configuration_follower.calls() +
+                                         this->control_table.calls()));
   this->metrics.SetGauge("orders", static_cast<double>(this->orders.orders()));
   this->metrics.SetGauge("peers", static_cast<double>(this->share.peers()));
   this->metrics.SetGauge("replica_connections_opened",
--- a/cranberryhill/gateway/order_desk.cc
+++ b/cranberryhill/gateway/order_desk.cc
@@ -54,10 +54,9 @@
   ~Errand() override { this->link->Cancel(); }
 
   void Start() {
-    this->link->Send(
-        http1::SerializeRequest(
-            this->desk.wire.EncodeReportRequest(this->address), 0),
-        {kConnectTimeout, false}, *this);
+    this->link->Send(http1::SerializeRequest(
+                         this->desk.wire.EncodeReportRequest(this->address), 0),
+                     {kConnectTimeout, false}, *this);
   }
 
   bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
@@ -74,10 +73,10 @@
 
  private:
   void OnReport(bool complete, std::string_view reason) {
-    auto report = Capture(
-        [&] { return this->desk.wire.DecodeReport(this->body); });
-    bool usable = complete && this->status == kOk && report.ok() &&
-                  !report.value().busy;
+    auto report =
+        Capture([&] { return this->desk.wire.DecodeReport(this->body); });
+    bool usable =
+        complete && this->status == kOk && report.ok() && !report.value().busy;
     // The lease is checked again right before the order leaves.
     auto grant = this->desk.lease.Grant();
     if (!usable || !grant || !this->desk.MayOrder())
@@ -97,8 +96,7 @@
             .Add("role", EngineRoleName(this->change.role))
             .Add("fencing_token", order.fencing_token)
             .Add("expected_orders", order.expected_orders)
-            .Add("lease_left_ms",
-                 grant->valid_until - this->desk.clock.Now()));
+            .Add("lease_left_ms", grant->valid_until - this->desk.clock.Now()));
     this->link->Send(
         http1::SerializeRequest(request.head, request.body.size()) +
             request.body,
@@ -197,10 +195,10 @@
     this->lease.Tick();
   bool holds = this->lease.Grant().has_value();
   if (holds != std::exchange(this->held, holds)) {
-    this->log.Write(LogEvent(holds ? "order_lease_held" : "order_lease_ended")
-                        .Add("fencing_token",
-                             holds ? this->lease.Grant()->fencing_number
-                                   : uint64_t{0}));
+    this->log.Write(
+        LogEvent(holds ? "order_lease_held" : "order_lease_ended")
+            .Add("fencing_token",
+                 holds ? this->lease.Grant()->fencing_number : uint64_t{0}));
   }
 }
 
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -56,10 +56,10 @@
   if (!error)
     this->socket.non_blocking(true, error);
   if (error) {
-    return MakeError(ErrorCode::kUnavailable, "peer_address",
-                     this->address.ip + ":" +
-                         std::to_string(this->address.port),
-                     error.message());
+    return MakeError(
+        ErrorCode::kUnavailable, "peer_address",
+        this->address.ip + ":" + std::to_string(this->address.port),
+        error.message());
   }
   this->Receive();
   this->ScheduleSend();
@@ -77,8 +77,8 @@
     error_code error;
     auto ip = asio::ip::make_address(row.value.substr(0, colon), error);
     if (error || colon == std::string::npos ||
-        !absl::SimpleAtoi(row.value.substr(colon + 1), &port) ||
-        port == 0 || port > 65535) {
+        !absl::SimpleAtoi(row.value.substr(colon + 1), &port) || port == 0 ||
+        port > 65535) {
       this->log.Write(LogEvent("peer_row_unreadable").Add("key", key));
       continue;
     }
@@ -111,8 +111,8 @@
     while (true) {
       error_code receive_error;
       udp::endpoint from;
-      size_t bytes = this->socket.receive_from(asio::buffer(this->buffer),
-                                               from, 0, receive_error);
+      size_t bytes = this->socket.receive_from(asio::buffer(this->buffer), from,
+                                               0, receive_error);
       if (receive_error)
         break;
       auto message = Capture([&] {
--- a/cranberryhill/gateway/settings.cc
+++ b/cranberryhill/gateway/settings.cc
@@ -65,13 +65,11 @@
                     ReadAddress(reader, "metrics_address", ""));
   BOOST_LEAF_ASSIGN(settings.peers, ReadAddress(reader, "peer_address", ""));
   BOOST_LEAF_ASSIGN(settings.store, ReadAddress(reader, "store_address"));
-  BOOST_LEAF_ASSIGN(
-      settings.shutdown_time,
-      ReadSeconds(reader, "shutdown_s", settings.shutdown_time));
-  BOOST_LEAF_AUTO(
-      lease_ms,
-      reader.Int("lease_ms", {1, 3'600'000},
-                 absl::ToInt64Milliseconds(settings.lease_time)));
+  BOOST_LEAF_ASSIGN(settings.shutdown_time,
+                    ReadSeconds(reader, "shutdown_s", settings.shutdown_time));
+  BOOST_LEAF_AUTO(lease_ms,
+                  reader.Int("lease_ms", {1, 3'600'000},
+                             absl::ToInt64Milliseconds(settings.lease_time)));
   settings.lease_time = absl::Milliseconds(lease_ms);
   BOOST_LEAF_ASSIGN(
       settings.retries.ratio,
--- a/cranberryhill/gateway/store_client.cc
+++ b/cranberryhill/gateway/store_client.cc
@@ -25,7 +25,8 @@
   this->done = std::move(done);
   this->answer = {};
   if (this->connection == nullptr || !this->connection->Reusable())
-    this->connection = http1::ClientConnection::Create(this->io, this->endpoint);
+    this->connection =
+        http1::ClientConnection::Create(this->io, this->endpoint);
   this->timer.expires_after(absl::ToChronoMilliseconds(timeout));
   this->timer.async_wait([this](boost::system::error_code error) {
     if (error || !this->done)
--- a/cranberryhill/gateway/wire_format.h
+++ b/cranberryhill/gateway/wire_format.h
@@ -29,10 +29,10 @@
 /// What the gateway adds for a replica.
 struct ForwardFields {
   absl::Duration time_left;
-  std::string replica_id;            ///< Any other process must refuse.
-  std::optional<int> priority;       ///< 0 is the most urgent, up to 9.
-  bool read_prompt_only = false;     ///< Keep the prompt's cache, do not run.
-  std::string cache_source;          ///< Where the prompt's cache is kept.
+  std::string replica_id;         ///< Any other process must refuse.
+  std::optional<int> priority;    ///< 0 is the most urgent, up to 9.
+  bool read_prompt_only = false;  ///< Keep the prompt's cache, do not run.
+  std::string cache_source;       ///< Where the prompt's cache is kept.
   std::optional<std::string> resume_after;  ///< Id of the last whole event.
 };
 
@@ -40,7 +40,7 @@
 struct AnswerFacts {
   std::string attempt_id;  ///< Echo; empty if missing.
   bool is_signed = false;
-  bool not_run = false;    ///< The replica did not run the request.
+  bool not_run = false;  ///< The replica did not run the request.
   bool wrong_instance = false;
   bool is_event_stream = false;
   std::optional<forward::LoadReport> load;
@@ -49,17 +49,17 @@
 /// What an engine says of itself.
 struct EngineReport {
   std::optional<EngineRole> role;
-  bool busy = false;     ///< An order is being carried out.
-  int64_t orders = 0;    ///< Orders accepted since the engine's start.
+  bool busy = false;   ///< An order is being carried out.
+  int64_t orders = 0;  ///< Orders accepted since the engine's start.
 };
 
 /// An order to an engine to change its role.
 struct RoleOrder {
   std::string replica_id;
   EngineRole role = EngineRole::kDecode;
-  std::string holder;          ///< Instance that gives the order.
-  uint64_t fencing_token = 0;  ///< Grows with each change of the holder.
-  int64_t expected_orders = 0; ///< The order is void after any other one.
+  std::string holder;           ///< Instance that gives the order.
+  uint64_t fencing_token = 0;   ///< Grows with each change of the holder.
+  int64_t expected_orders = 0;  ///< The order is void after any other one.
 };
 
 /// A request with its body.
@@ -78,8 +78,9 @@
 
   /// @return The head for a replica: method, target and the caller's fields,
   ///     without those that only the gateway may set.
-  virtual http1::RequestHead EncodeForward(const http1::RequestHead& head,
-                                           const ForwardFields& fields) const = 0;
+  virtual http1::RequestHead EncodeForward(
+      const http1::RequestHead& head,
+      const ForwardFields& fields) const = 0;
 
   virtual AnswerFacts DecodeAnswer(const http1::AnswerHead& head) const = 0;
 
--- a/cranberryhill/http1/answer_reader.cc
+++ b/cranberryhill/http1/answer_reader.cc
@@ -68,9 +68,7 @@
 
   void on_chunk_header_impl(uint64_t, BeastView, error_code&) override {}
 
-  size_t on_chunk_body_impl(uint64_t,
-                            BeastView data,
-                            error_code&) override {
+  size_t on_chunk_body_impl(uint64_t, BeastView data, error_code&) override {
     this->sink.OnBody(View(data));
     return data.size();
   }
--- /dev/null
+++ b/cranberryhill/http1/answer_reader_test.cc
@@ -0,0 +1,107 @@
+#include "cranberryhill/http1/answer_reader.h"
+
+#include <rapidcheck.h>
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace cranberryhill::http1 {
+namespace {
+
+using State = AnswerReader::State;
+
+struct Collected : AnswerSink {
+  void OnHead(AnswerHead head) override { this->head = std::move(head); }
+  void OnBody(std::string_view data) override { this->body.append(data); }
+
+  AnswerHead head;
+  std::string body;
+};
+
+struct Outcome {
+  State state;
+  size_t used = 0;
+  std::string body;
+  int status = 0;
+  bool keeps_alive = false;
+};
+
+Outcome Read(std::string_view bytes, size_t piece, bool end) {
+  Collected collected;
+  AnswerReader reader(collected, false);
+  std::string pending;
+  size_t used = 0;
+  while (!bytes.empty() && reader.state() == State::kOpen) {
+    size_t step = std::min(piece, bytes.size());
+    pending.append(bytes.substr(0, step));
+    bytes.remove_prefix(step);
+    size_t taken = reader.Feed(pending);
+    pending.erase(0, taken);
+    used += taken;
+  }
+  if (end)
+    reader.FeedEnd();
+  return {reader.state(), used, collected.body, collected.head.status,
+          reader.KeepsAlive()};
+}
+
+constexpr std::string_view kWithLength =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+constexpr std::string_view kChunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
+constexpr std::string_view kNoLength = "HTTP/1.1 200 OK\r\n\r\nhello";
+
+// Guards against an answer that is read differently in other pieces, and
+// against bytes after its end being taken for a part of it.
+RC_BOOST_PROP(any_chunking_gives_the_same_answer, ()) {
+  auto answer = std::string(*rc::gen::element(kWithLength, kChunked));
+  Outcome outcome = Read(answer + "HTTP/1.1 200 OK\r\n",
+                         *rc::gen::inRange<size_t>(1, 50), false);
+  RC_ASSERT(outcome.state == State::kDone);
+  RC_ASSERT(outcome.used == answer.size());
+  RC_ASSERT(outcome.body == "hello");
+  RC_ASSERT(outcome.keeps_alive);
+}
+
+// Guards against an answer that was cut being taken for a whole one.
+BOOST_AUTO_TEST_CASE(cut_answers_fail) {
+  for (std::string_view whole : {kWithLength, kChunked}) {
+    for (size_t length = 1; length < whole.size(); ++length) {
+      Outcome outcome = Read(whole.substr(0, length), 1000, true);
+      BOOST_TEST_CONTEXT(length) {
+        BOOST_TEST((outcome.state == State::kFailed));
+      }
+    }
+  }
+  BOOST_TEST((Read("", 1, true).state == State::kFailed));
+}
+
+// Guards against handing on a body without a length before its end is known,
+// and against using its connection again.
+BOOST_AUTO_TEST_CASE(body_without_length_ends_with_the_connection) {
+  BOOST_TEST((Read(kNoLength, 7, false).state == State::kOpen));
+  Outcome outcome = Read(kNoLength, 7, true);
+  BOOST_TEST((outcome.state == State::kDone));
+  BOOST_TEST(outcome.body == "hello");
+  BOOST_TEST(!outcome.keeps_alive);
+}
+
+// Guards against an interim answer being taken for the final one.
+BOOST_AUTO_TEST_CASE(interim_answers_are_skipped) {
+  std::string bytes =
+      "HTTP/1.1 100 Continue\r\n\r\n" + std::string(kWithLength);
+  Outcome outcome = Read(bytes, 3, false);
+  BOOST_TEST((outcome.state == State::kDone));
+  BOOST_TEST(outcome.status == 200);
+  BOOST_TEST(outcome.body == "hello");
+}
+
+// Guards against a hang on bytes that are no answer at all.
+BOOST_AUTO_TEST_CASE(other_bytes_fail) {
+  BOOST_TEST(
+      (Read("\x01\x02garbage\r\n\r\n", 100, false).state == State::kFailed));
+}
+
+}  // namespace
+}  // namespace cranberryhill::http1
--- a/cranberryhill/http1/client.h
+++ b/cranberryhill/http1/client.h
@@ -23,9 +23,9 @@
 
 /// How an exchange over a connection ended.
 enum class AnswerEnd {
-  kComplete,       ///< The whole answer was received.
-  kNotConnected,   ///< No connection; no byte of the request was sent.
-  kBroken,         ///< The connection failed or the answer is malformed.
+  kComplete,      ///< The whole answer was received.
+  kNotConnected,  ///< No connection; no byte of the request was sent.
+  kBroken,        ///< The connection failed or the answer is malformed.
 };
 
 /// Receives one answer. After OnEnd() nothing more is called.
--- /dev/null
+++ b/cranberryhill/http1/connection_test.cc
@@ -0,0 +1,270 @@
+// Server and client connections over loopback.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+
+#include "cranberryhill/http1/client.h"
+#include "cranberryhill/http1/server.h"
+
+namespace cranberryhill::http1 {
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr char kIp[] = "127.0.0.1";
+/// Bounds a test whose condition never comes true.
+constexpr std::chrono::seconds kLongest(10);
+
+struct Handler : RequestHandler {
+  using Work = std::function<void(IncomingRequest, std::shared_ptr<Responder>)>;
+
+  struct Active : ActiveRequest {
+    void OnCallerLeft() override { *this->left = true; }
+    bool* left = nullptr;
+  };
+
+  std::shared_ptr<ActiveRequest> OnRequest(
+      IncomingRequest request,
+      std::shared_ptr<Responder> responder) override {
+    ++this->requests;
+    this->work(std::move(request), std::move(responder));
+    auto active = std::make_shared<Active>();
+    active->left = &this->caller_left;
+    return active;
+  }
+  void OnMalformed(int status, std::string_view) override {
+    this->malformed = status;
+  }
+
+  Work work;
+  int requests = 0;
+  int malformed = 0;
+  bool caller_left = false;
+};
+
+struct Collected : AnswerHandler {
+  bool IsOwnAnswer(const AnswerHead& head) override {
+    return head.headers.Find("X-Id").value_or("own") == "own";
+  }
+  void OnHead(AnswerHead head) override { this->status = head.status; }
+  void OnBody(std::string_view data) override { this->body.append(data); }
+  void OnEnd(AnswerEnd end, std::string_view) override { this->end = end; }
+
+  int status = 0;
+  std::string body;
+  std::optional<AnswerEnd> end;
+};
+
+struct Fixture {
+  Fixture() {
+    auto started = Capture([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(this->server.Listen(kIp, 0));
+      return true;
+    });
+    BOOST_REQUIRE(started.ok());
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    auto until = std::chrono::steady_clock::now() + kLongest;
+    while (!condition() && std::chrono::steady_clock::now() < until)
+      this->io.run_one_for(std::chrono::milliseconds(50));
+    BOOST_REQUIRE(condition());
+  }
+
+  tcp::endpoint ServerEndpoint() {
+    return {boost::asio::ip::make_address(kIp), this->server.port()};
+  }
+
+  std::string Request(std::string_view path) {
+    RequestHead head;
+    head.method = "GET";
+    head.target = std::string(path);
+    head.headers.Add("Host", "h");
+    return SerializeRequest(head, 0);
+  }
+
+  boost::asio::io_context io{1};
+  BootClock clock;
+  Handler handler;
+  Server server{io, clock, handler, {}};
+};
+
+/// A server that writes given bytes to each connection after it has read some.
+struct RawServer {
+  RawServer(boost::asio::io_context& io, std::vector<std::string> answers)
+      : acceptor(io, {boost::asio::ip::make_address(kIp), 0}),
+        answers(std::move(answers)) {
+    this->acceptor.async_accept(
+        [this](boost::system::error_code error, tcp::socket accepted) {
+          if (error)
+            return;
+          this->socket.emplace(std::move(accepted));
+          this->Serve();
+        });
+  }
+
+  void Serve() {
+    this->socket->async_read_some(
+        boost::asio::buffer(this->buffer),
+        [this](boost::system::error_code error, size_t) {
+          if (error) {
+            this->closed = true;
+            return;
+          }
+          if (this->next < this->answers.size())
+            boost::asio::write(*this->socket, boost::asio::buffer(
+                                                  this->answers[this->next++]));
+          this->Serve();
+        });
+  }
+
+  tcp::acceptor acceptor;
+  std::vector<std::string> answers;
+  std::optional<tcp::socket> socket;
+  std::array<char, 4096> buffer{};
+  size_t next = 0;
+  bool closed = false;
+};
+
+std::string RawAnswer(std::string_view id, std::string_view body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + std::string(id) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         std::string(body);
+}
+
+// Guards against connections that are opened anew for each request.
+BOOST_FIXTURE_TEST_CASE(connection_carries_requests_one_after_the_other,
+                        Fixture) {
+  this->handler.work = [](IncomingRequest request, auto responder) {
+    responder->SendWhole({200, "", {}}, request.head.target);
+  };
+  auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
+  for (const char* path : {"/a", "/b"}) {
+    Collected answer;
+    link->Send(this->Request(path), {}, answer);
+    this->RunUntil([&] { return answer.end.has_value(); });
+    BOOST_TEST((*answer.end == AnswerEnd::kComplete));
+    BOOST_TEST(answer.body == path);
+    BOOST_TEST(link->Reusable());
+  }
+  BOOST_TEST(this->server.OpenConnections() == 1U);
+}
+
+// Guards against a late answer to an earlier request being given to the next
+// one on the connection, and against keeping such a connection.
+BOOST_FIXTURE_TEST_CASE(answer_to_another_request_is_skipped, Fixture) {
+  RawServer raw(this->io,
+                {RawAnswer("other", "wrong") + RawAnswer("own", "right")});
+  auto link = ClientConnection::Create(this->io, raw.acceptor.local_endpoint());
+  Collected answer;
+  link->Send(this->Request("/"), {}, answer);
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST((*answer.end == AnswerEnd::kComplete));
+  BOOST_TEST(answer.body == "right");
+  BOOST_TEST(!link->Reusable());
+}
+
+// Guards against bytes after a whole answer being read as the next answer.
+BOOST_FIXTURE_TEST_CASE(extra_bytes_end_the_connection, Fixture) {
+  RawServer raw(this->io, {RawAnswer("own", "right") + "HTTP/1.1 200"});
+  auto link = ClientConnection::Create(this->io, raw.acceptor.local_endpoint());
+  Collected answer;
+  link->Send(this->Request("/"), {}, answer);
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST((*answer.end == AnswerEnd::kComplete));
+  BOOST_TEST(!link->Reusable());
+}
+
+// Guards against a request whose replica is gone being reported as sent.
+BOOST_FIXTURE_TEST_CASE(refused_connection_sent_nothing, Fixture) {
+  tcp::endpoint closed = this->ServerEndpoint();
+  this->server.StopAccepting();
+  auto link = ClientConnection::Create(this->io, closed);
+  Collected answer;
+  link->Send(this->Request("/"), {}, answer);
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST((*answer.end == AnswerEnd::kNotConnected));
+}
+
+// Guards against a cut stream that looks complete to the caller.
+BOOST_FIXTURE_TEST_CASE(aborted_stream_is_not_complete, Fixture) {
+  this->handler.work = [](IncomingRequest, auto responder) {
+    responder->BeginStream({200, "", {}});
+    responder->SendPart("one");
+    responder->Abort();
+  };
+  auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
+  Collected answer;
+  link->Send(this->Request("/"), {}, answer);
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST((*answer.end == AnswerEnd::kBroken));
+  BOOST_TEST(answer.body == "one");
+}
+
+// Guards against work that goes on for a caller that has left.
+BOOST_FIXTURE_TEST_CASE(caller_that_leaves_is_noticed, Fixture) {
+  std::shared_ptr<Responder> kept;
+  this->handler.work = [&kept](IncomingRequest, auto responder) {
+    kept = std::move(responder);
+  };
+  auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
+  Collected answer;
+  link->Send(this->Request("/"), {}, answer);
+  this->RunUntil([&] { return kept != nullptr; });
+  link->Cancel();
+  this->RunUntil([&] { return this->handler.caller_left; });
+  // Answering now has no effect.
+  kept->SendWhole({200, "", {}}, "late");
+  BOOST_TEST(this->server.OpenConnections() == 0U);
+}
+
+// Guards against a second, pipelined request being served after a request that
+// cannot be parsed.
+BOOST_FIXTURE_TEST_CASE(malformed_request_ends_the_connection, Fixture) {
+  this->handler.work = [](IncomingRequest, auto responder) {
+    responder->SendWhole({200, "", {}}, "");
+  };
+  auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
+  Collected answer;
+  link->Send(
+      "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+      "Content-Length: 2\r\n\r\n" +
+          this->Request("/smuggled"),
+      {}, answer);
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST(answer.status == 400);
+  BOOST_TEST(this->handler.malformed == 400);
+  BOOST_TEST(this->handler.requests == 0);
+}
+
+// Guards against a shutdown that cuts the answer to a request in progress or
+// leaves its connection open for more.
+BOOST_FIXTURE_TEST_CASE(closing_server_finishes_the_request_in_progress,
+                        Fixture) {
+  std::shared_ptr<Responder> kept;
+  this->handler.work = [&kept](IncomingRequest, auto responder) {
+    kept = std::move(responder);
+  };
+  auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
+  Collected answer;
+  link->Send(this->Request("/"), {}, answer);
+  this->RunUntil([&] { return kept != nullptr; });
+  this->server.CloseAfterAnswers();
+  this->server.StopAccepting();
+  this->server.CloseIdle();
+  BOOST_TEST(this->server.ActiveRequests() == 1U);
+  kept->SendWhole({200, "", {}}, "done");
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST((*answer.end == AnswerEnd::kComplete));
+  BOOST_TEST(answer.body == "done");
+  BOOST_TEST(!link->Reusable());
+}
+
+}  // namespace
+}  // namespace cranberryhill::http1
--- a/cranberryhill/http1/message.cc
+++ b/cranberryhill/http1/message.cc
@@ -9,10 +9,17 @@
 namespace {
 
 constexpr std::string_view kConnectionFields[] = {
-    "Connection",       "Keep-Alive",         "Proxy-Connection",
-    "TE",               "Trailer",            "Transfer-Encoding",
-    "Upgrade",          "Proxy-Authenticate", "Proxy-Authorization",
-    "Content-Length",   "Expect",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Content-Length",
+    "Expect",
 };
 
 char LowerCase(char c) {
@@ -79,11 +86,11 @@
 }
 
 size_t HeaderList::Count(std::string_view name) const {
-  return static_cast<size_t>(std::count_if(
-      this->fields.begin(), this->fields.end(),
-      [name](const HeaderField& field) {
-        return EqualsIgnoreCase(field.name, name);
-      }));
+  return static_cast<size_t>(
+      std::count_if(this->fields.begin(), this->fields.end(),
+                    [name](const HeaderField& field) {
+                      return EqualsIgnoreCase(field.name, name);
+                    }));
 }
 
 void HeaderList::RemoveConnectionFields() {
--- a/cranberryhill/http1/message.h
+++ b/cranberryhill/http1/message.h
@@ -70,9 +70,7 @@
 struct BodyFraming {
   enum class Kind { kLength, kChunked, kClose };
 
-  static BodyFraming Length(uint64_t bytes) {
-    return {Kind::kLength, bytes};
-  }
+  static BodyFraming Length(uint64_t bytes) { return {Kind::kLength, bytes}; }
   static BodyFraming Chunked() { return {Kind::kChunked, 0}; }
   static BodyFraming Close() { return {Kind::kClose, 0}; }
 
--- a/cranberryhill/http1/request_reader.cc
+++ b/cranberryhill/http1/request_reader.cc
@@ -67,14 +67,19 @@
   size_t encodings = 0;
   size_t hosts = 0;
   for (const auto& field : fields) {
-    lengths += field.name() == http::field::content_length ? 1 : 0;
-    hosts += field.name() == http::field::host ? 1 : 0;
-    if (field.name() != http::field::transfer_encoding)
-      continue;
-    ++encodings;
     std::string_view value(field.value().data(), field.value().size());
-    if (!EqualsIgnoreCase(value, "chunked"))
-      return this->Fail(400, "Transfer-Encoding is not \"chunked\"");
+    hosts += field.name() == http::field::host ? 1 : 0;
+    if (field.name() == http::field::content_length) {
+      ++lengths;
+      // The parser also takes lists such as "3, 3".
+      if (value.find_first_not_of("0123456789") != std::string_view::npos)
+        return this->Fail(400, "Content-Length is not a number");
+    }
+    if (field.name() == http::field::transfer_encoding) {
+      ++encodings;
+      if (!EqualsIgnoreCase(value, "chunked"))
+        return this->Fail(400, "Transfer-Encoding is not \"chunked\"");
+    }
   }
   if (lengths + encodings > 1)
     return this->Fail(400, "the length of the body is given more than once");
--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -3,7 +3,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <optional>
@@ -19,7 +18,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr size_t kReadBytes = 16384;
 /// Bytes of further requests that are read while one is being answered. Enough
 /// to notice that the caller has left; more stays in the kernel's buffer.
 constexpr size_t kMaxReadAhead = 65536;
@@ -171,12 +169,10 @@
         });
   }
 
-  // The buffer is on the stack, so that an idle connection holds no memory
-  // for its next request.
   void OnReadable() {
     if (!this->socket.is_open())
       return;
-    std::array<char, kReadBytes> buffer;
+    auto& buffer = this->server->read_buffer;
     error_code error;
     this->socket.non_blocking(true, error);
     size_t bytes = this->socket.read_some(asio::buffer(buffer), error);
@@ -235,8 +231,7 @@
     this->http_1_1 = request.head.http_1_1;
     this->method = request.head.method;
     auto self = this->shared_from_this();
-    auto started =
-        this->server->handler.OnRequest(std::move(request), self);
+    auto started = this->server->handler.OnRequest(std::move(request), self);
     if (this->phase == Phase::kAnswering)
       this->active = std::move(started);
   }
@@ -283,10 +278,9 @@
     // Parts written in the same turn of the loop leave in one call.
     asio::post(this->server->io, [self = this->shared_from_this()] {
       self->in_flight = std::exchange(self->outgoing, {});
-      asio::async_write(self->socket, asio::buffer(self->in_flight),
-                        [self](error_code error, size_t) {
-                          self->OnWritten(error);
-                        });
+      asio::async_write(
+          self->socket, asio::buffer(self->in_flight),
+          [self](error_code error, size_t) { self->OnWritten(error); });
     });
   }
 
@@ -394,9 +388,9 @@
 }
 
 size_t Server::ActiveRequests() const {
-  return static_cast<size_t>(std::count_if(
-      this->connections.begin(), this->connections.end(),
-      [](const auto& connection) { return connection->busy(); }));
+  return static_cast<size_t>(
+      std::count_if(this->connections.begin(), this->connections.end(),
+                    [](const auto& connection) { return connection->busy(); }));
 }
 
 void Server::Accept() {
@@ -405,8 +399,7 @@
       return;
     if (!error) {
       SetSocketOptions(socket);
-      auto connection =
-          std::make_shared<Connection>(*this, std::move(socket));
+      auto connection = std::make_shared<Connection>(*this, std::move(socket));
       this->connections.insert(connection);
       connection->Start();
     }
--- a/cranberryhill/http1/server.h
+++ b/cranberryhill/http1/server.h
@@ -9,6 +9,7 @@
 // The handler gets one request of a connection at a time and answers through
 // the Responder, at once or later.
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -134,6 +135,9 @@
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer sweep_timer;
   std::unordered_set<std::shared_ptr<Connection>> connections;
+  // Shared by all connections, so that an idle one holds no memory for its
+  // next request.
+  std::array<char, 16384> read_buffer{};
   bool closing = false;
 };
 
--- a/programs/cranberryhill_gateway.cc
+++ b/programs/cranberryhill_gateway.cc
@@ -83,8 +83,8 @@
     return true;
   });
   if (!started.ok()) {
-    log.Write(LogEvent("start_failed")
-                  .Add("reason", started.error().ToString()));
+    log.Write(
+        LogEvent("start_failed").Add("reason", started.error().ToString()));
     return kFailure;
   }
   boost::asio::signal_set stop_signals(io, SIGTERM, SIGINT);
