gateway: contain requests that crash replicas

A broken answer counts as a crash only if the replica then refuses connections; two crashes condemn the request on all instances, which tell each other.

--- a/cranberryhill/forward/event_splitter_test.cc
+++ b/cranberryhill/forward/event_splitter_test.cc
@@ -15,7 +15,8 @@
   int count = *rc::gen::inRange(0, 12);
   for (int i = 1; i <= count; ++i) {
     std::string end = *rc::gen::element<std::string>("\n", "\r\n");
-    stream += "id: " + std::to_string(i) + end + "data: piece" + end + end;
+    stream.append("id: ").append(std::to_string(i)).append(end);
+    stream.append("data: piece").append(end).append(end);
   }
   std::string tail = *rc::gen::element<std::string>("", "id: 99\ndata: hal");
   std::string bytes = stream + tail;
--- a/cranberryhill/forward/load_share.cc
+++ b/cranberryhill/forward/load_share.cc
@@ -15,7 +15,7 @@
 constexpr absl::Duration kSilence = absl::Seconds(1);
 
 /// First element of every message; changes with the format.
-constexpr int kFormat = 2;
+constexpr int kFormat = 3;
 
 }  // namespace
 
@@ -32,10 +32,13 @@
       parts.push_back({part.id, part.tokens});
     cached.push_back({entry.replica, std::move(parts)});
   }
+  json crashes = json::array();
+  for (const CrashEntry& entry : message.crashes)
+    crashes.push_back({entry.fingerprint, entry.crashes});
   std::string bytes;
   json::to_msgpack(
       json::array({kFormat, message.instance, message.incarnation,
-                   message.sequence, work, cached, message.changing}),
+                   message.sequence, work, cached, message.changing, crashes}),
       bytes);
   return bytes;
 }
@@ -68,6 +71,10 @@
       message.cached.push_back(std::move(prompt));
     }
     message.changing = fields.at(6).get<std::vector<std::string>>();
+    for (const json& entry : fields.at(7)) {
+      message.crashes.push_back(
+          {entry.at(0).get<uint64_t>(), entry.at(1).get<uint8_t>()});
+    }
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
@@ -85,9 +92,13 @@
 
 LoadMessage LoadShare::Collect(const ReplicaSet& replicas,
                                std::vector<std::string> changing) {
-  LoadMessage message{
-      this->instance,     this->incarnation, this->next_sequence++, {}, {},
-      std::move(changing)};
+  LoadMessage message{this->instance,
+                      this->incarnation,
+                      this->next_sequence++,
+                      {},
+                      {},
+                      std::move(changing),
+                      {}};
   for (const auto& replica : replicas.Listed()) {
     if (!replica->entry.role || replica->outstanding == 0)
       continue;
--- a/cranberryhill/forward/load_share.h
+++ b/cranberryhill/forward/load_share.h
@@ -21,6 +21,7 @@
 #include "cranberryhill/base/result.h"
 #include "cranberryhill/forward/prompt.h"
 #include "cranberryhill/forward/replica_set.h"
+#include "cranberryhill/request/crash_guard.h"
 
 namespace cranberryhill::forward {
 
@@ -44,6 +45,7 @@
   std::vector<EngineWork> work;  ///< Engines that are not listed have none.
   std::vector<CachedPrompt> cached;
   std::vector<std::string> changing;  ///< Engines whose role is being changed.
+  std::vector<CrashEntry> crashes;    ///< Requests that crashed replicas.
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
--- a/cranberryhill/forward/load_share_test.cc
+++ b/cranberryhill/forward/load_share_test.cc
@@ -57,8 +57,10 @@
   ReplicaSet replicas(clock);
   replicas.Apply(Engine("x"));
   LoadShare share("me", 1, clock);
-  BOOST_TEST(share.Merge({"p", 1, 50, {{"x", {70, 0}, 1}}, {}, {}}, replicas));
-  BOOST_TEST(share.Merge({"p", 2, 1, {{"x", {5, 0}, 1}}, {}, {}}, replicas));
+  BOOST_TEST(
+      share.Merge({"p", 1, 50, {{"x", {70, 0}, 1}}, {}, {}, {}}, replicas));
+  BOOST_TEST(
+      share.Merge({"p", 2, 1, {{"x", {5, 0}, 1}}, {}, {}, {}}, replicas));
   BOOST_TEST(replicas.Find("x")->peer_queued.on_time == 5);
 }
 
@@ -91,7 +93,7 @@
   replicas.Apply(Engine("x"));
   replicas.Apply(Engine("y"));
   LoadShare receiver("me", 2, clock);
-  receiver.Merge(Decoded({"p", 1, 1, {}, {}, {"x"}}), replicas);
+  receiver.Merge(Decoded({"p", 1, 1, {}, {}, {"x"}, {}}), replicas);
   auto usable = replicas.Usable("service");
   BOOST_REQUIRE(usable.size() == 1U);
   BOOST_TEST(usable[0]->entry.id == "y");
--- a/cranberryhill/forward/role_balance.cc
+++ b/cranberryhill/forward/role_balance.cc
@@ -28,7 +28,8 @@
 size_t RoleBalance::WantedRunners(size_t engines, size_t zones) {
   if (engines < 2)
     return engines;
-  auto wanted = static_cast<size_t>(std::ceil(kRunnerShare * 1.0 * engines));
+  auto wanted = static_cast<size_t>(
+      std::ceil(kRunnerShare * static_cast<double>(engines)));
   // One per zone keeps requests within their zone and outlives a zone's loss.
   return std::clamp(std::max(wanted, zones), size_t{1}, engines - 1);
 }
--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/gateway/control_table.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 ControlTable::ControlTable(boost::asio::io_context& io,
-                           boost::asio::ip::tcp::endpoint store,
+                           const boost::asio::ip::tcp::endpoint& store,
                            const StoreCodec& codec,
                            EventLog& log,
                            const Clock& clock,
@@ -80,7 +80,7 @@
       StoreTable::kControl, row.key, row.value, transaction.checks[0].version);
   this->writer.Call(
       call, kWriteTimeout,
-      [this, row, callback = std::move(callback)](StoreAnswer answer) {
+      [this, row, callback = std::move(callback)](const StoreAnswer& answer) {
         this->writing = false;
         callback(this->OnWritten(row, answer));
       });
--- a/cranberryhill/gateway/control_table.h
+++ b/cranberryhill/gateway/control_table.h
@@ -27,7 +27,7 @@
 
   /// @param codec, log, clock, random Must outlive this object.
   ControlTable(boost::asio::io_context& io,
-               boost::asio::ip::tcp::endpoint store,
+               const boost::asio::ip::tcp::endpoint& store,
                const StoreCodec& codec,
                EventLog& log,
                const Clock& clock,
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -31,6 +31,9 @@
 /// Named in refusals where no better time is known: replicas that crash or are
 /// replaced are back after a second or more.
 constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
+/// A request that crashed two replicas is refused for minutes; it is of no use
+/// to come back sooner than this.
+constexpr absl::Duration kRetryAfterCrashes = absl::Seconds(5);
 /// Most urgent and least urgent priority of a replica.
 constexpr int kLowestPriority = 9;
 /// All prompts that can be read on time have one priority: they are read in the
@@ -101,6 +104,9 @@
       request(std::move(request)),
       facts(std::move(facts)),
       responder(std::move(responder)),
+      fingerprint(RequestFingerprint(this->facts.host,
+                                     this->request.head.target,
+                                     this->request.body)),
       policy(route),
       timer(context.io) {
   this->service = std::string(forward::PickService(
@@ -123,6 +129,9 @@
 
 void Exchange::Start() {
   this->context.retry_budget(this->service).OnRequest();
+  if (this->context.crashes.StandingOf(this->fingerprint, this->Now()) ==
+      CrashStanding::kCondemned)
+    return this->Refuse("crashes_replicas", kRetryAfterCrashes);
   this->SendNext();
 }
 
@@ -239,6 +248,8 @@
           .Add("queued_tokens",
                this->replica->queued.Before(this->lane) +
                    this->replica->peer_queued.Before(this->lane))
+          .Add("max_output_tokens",
+               static_cast<int64_t>(this->facts.prompt.max_output_tokens))
           .Add("deferred", this->lane == forward::ReadLane::kDeferred)
           .Add("expected_ms", this->expected_first)
           .Add("load_age_ms", this->sent_at - this->replica->load_at)
@@ -364,6 +375,7 @@
           this->context.wire.CacheSource(this->handle_address, this->handle));
     }
   }
+  this->NoteCrashEvidence(*reader, this->Classify(end));
   if (not_run)
     this->context.replicas.OnRejected(*reader);
   else
@@ -387,6 +399,17 @@
   this->SendNext();
 }
 
+void Exchange::NoteCrashEvidence(const forward::Replica& failed,
+                                 forward::SendOutcome outcome) {
+  const std::string& id = failed.entry.id;
+  if (outcome == forward::SendOutcome::kBroken) {
+    this->context.crash_watch.OnBroken(id, this->fingerprint, this->sent_at);
+  } else if (outcome == forward::SendOutcome::kNotSent &&
+             this->context.crash_watch.OnUnreachable(id) > 0) {
+    this->context.log.Write(LogEvent("replica_crashed").Add("replica", id));
+  }
+}
+
 forward::SendOutcome Exchange::Classify(http1::AnswerEnd end) const {
   if (end == http1::AnswerEnd::kNotConnected)
     return forward::SendOutcome::kNotSent;
@@ -437,6 +460,7 @@
     this->context.replicas.OnFailure(*failed);
   if (this->connection != nullptr && !this->connection->Reusable())
     this->connection->Cancel();
+  this->NoteCrashEvidence(*failed, outcome);
   this->SettleSend();
   this->splitter.DropRest();
 
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -19,6 +19,7 @@
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/attempt_policy.h"
 #include "cranberryhill/forward/configuration.h"
+#include "cranberryhill/forward/crash_watch.h"
 #include "cranberryhill/forward/event_splitter.h"
 #include "cranberryhill/forward/load_share.h"
 #include "cranberryhill/forward/placement.h"
@@ -40,6 +41,8 @@
   const WireFormat& wire;
   forward::ReplicaSet& replicas;
   forward::LoadShare& share;
+  CrashGuard& crashes;
+  forward::CrashWatch& crash_watch;
   const forward::Placement& placement;
   ConnectionPool& pool;
   GatewayMetrics& metrics;
@@ -98,6 +101,8 @@
   void OnTimer();
   absl::Time NextCheck() const;
   forward::PlacementChoice Choose();
+  void NoteCrashEvidence(const forward::Replica& failed,
+                         forward::SendOutcome outcome);
   int Priority() const;
   absl::Duration FirstByteLimit(absl::Duration expected) const;
 
@@ -117,6 +122,7 @@
   http1::IncomingRequest request;
   const CallerRequest facts;
   std::shared_ptr<http1::Responder> responder;
+  const uint64_t fingerprint;
   std::string service;
   bool is_engine = false;
   absl::Time deadline;
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/base/result.h"
 #include "cranberryhill/forward/configuration.h"
+#include "cranberryhill/forward/crash_watch.h"
 #include "cranberryhill/forward/load_share.h"
 #include "cranberryhill/forward/placement.h"
 #include "cranberryhill/forward/replica_set.h"
@@ -37,6 +38,7 @@
 #include "cranberryhill/gateway/status_pages.h"
 #include "cranberryhill/gateway/table_follower.h"
 #include "cranberryhill/http1/server.h"
+#include "cranberryhill/request/crash_guard.h"
 
 namespace cranberryhill::gateway {
 
@@ -99,6 +101,8 @@
 
   forward::ReplicaSet replicas;
   forward::LoadShare share;
+  CrashGuard crashes;
+  forward::CrashWatch crash_watch;
   forward::Placement placement;
   ConnectionPool pool;
   GatewayMetrics metrics;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -21,6 +21,8 @@
 /// With many instances each sends less often: a message to 60 peers takes
 /// about as long as serving one request.
 constexpr std::chrono::milliseconds kIntervalPerPeer(6);
+/// Requests that crashed replicas named in one message; condemned ones first.
+constexpr size_t kMaxCrashes = 16;
 /// Without work a message is sent only every so many intervals.
 constexpr int kIdleRounds = 8;
 
@@ -31,17 +33,21 @@
                    ListenAddress address,
                    ControlTable& table,
                    forward::LoadShare& share,
+                   CrashGuard& crashes,
                    forward::ReplicaSet& replicas,
                    const OrderDesk& orders,
-                   EventLog& log)
+                   EventLog& log,
+                   const Clock& clock)
     : io(io),
       instance(std::move(instance)),
       address(std::move(address)),
       table(table),
       share(share),
+      crashes(crashes),
       replicas(replicas),
       orders(orders),
       log(log),
+      clock(clock),
       socket(io),
       timer(io) {}
 
@@ -118,9 +124,9 @@
       auto message = Capture([&] {
         return forward::DecodeLoadMessage({this->buffer.data(), bytes});
       });
-      if (message.ok())
-        this->share.Merge(message.value(), this->replicas);
-      else
+      if (message.ok() && this->share.Merge(message.value(), this->replicas))
+        this->crashes.Absorb(message.value().crashes, this->clock.Now());
+      if (!message.ok())
         this->log.Write(LogEvent("peer_message_unreadable")
                             .Add("from", from.address().to_string())
                             .Add("reason", message.error().ToString()));
@@ -146,6 +152,7 @@
   this->share.ForgetSilent(this->replicas);
   forward::LoadMessage message =
       this->share.Collect(this->replicas, this->orders.Changing());
+  message.crashes = this->crashes.Entries(kMaxCrashes, this->clock.Now());
   bool idle = message.work.empty() && message.cached.empty() &&
               message.changing.empty();
   this->idle_rounds = idle ? this->idle_rounds + 1 : 0;
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -18,6 +18,7 @@
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/order_desk.h"
 #include "cranberryhill/gateway/settings.h"
+#include "cranberryhill/request/crash_guard.h"
 
 namespace cranberryhill::gateway {
 
@@ -30,9 +31,11 @@
            ListenAddress address,
            ControlTable& table,
            forward::LoadShare& share,
+           CrashGuard& crashes,
            forward::ReplicaSet& replicas,
            const OrderDesk& orders,
-           EventLog& log);
+           EventLog& log,
+           const Clock& clock);
 
   /// @return kUnavailable when the address cannot be bound.
   Result<void> Start();
@@ -53,9 +56,11 @@
   const ListenAddress address;
   ControlTable& table;
   forward::LoadShare& share;
+  CrashGuard& crashes;
   forward::ReplicaSet& replicas;
   const OrderDesk& orders;
   EventLog& log;
+  const Clock& clock;
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer timer;
   std::vector<boost::asio::ip::udp::endpoint> endpoints;
