--- a/cranberryhill/forward/placement.cc
+++ b/cranberryhill/forward/placement.cc
@@ -27,7 +27,7 @@
 constexpr double kHomeMs = 30;
 /// Weight of the time that reading shared tokens again takes from others, in
 /// relation to the time that it takes from the request itself.
-constexpr double kRereadWeight = 1;
+constexpr double kRereadWeight = 2;
 /// Reading at an engine that generates slows all its streams; a stream of 60
 /// events then takes its whole deadline.
 constexpr double kSlowedStreamsWeight = 1;
--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -167,6 +167,12 @@
       this->clock.Now() + kFirstAvoidance * std::pow(2, doublings);
 }
 
+void ReplicaSet::OnUnreachable(Replica& replica) {
+  // Unlike a broken answer this is no fault of a single connection.
+  replica.failures_in_row = std::max(replica.failures_in_row, kFailuresToAvoid);
+  this->OnFailure(replica);
+}
+
 void ReplicaSet::OnRejected(Replica& replica) {
   absl::Time now = this->clock.Now();
   replica.avoid_until = std::max(replica.avoid_until, now + kFullPause);
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -127,6 +127,9 @@
   void OnSuccess(Replica& replica);
   void OnFailure(Replica& replica);
 
+  /// Records that a replica refused a connection or did not answer to one.
+  void OnUnreachable(Replica& replica);
+
   /// Records that a replica refused a request without running it: it is full,
   /// or its role is changing.
   void OnRejected(Replica& replica);
--- a/cranberryhill/forward/replica_set_test.cc
+++ b/cranberryhill/forward/replica_set_test.cc
@@ -113,6 +113,15 @@
   BOOST_TEST((replica.avoid_until <= this->clock.Now()));
 }
 
+// Guards against one connection attempt after the other to a replica that has
+// crashed and is still listed.
+BOOST_FIXTURE_TEST_CASE(unreachable_replica_is_avoided_at_once, Fixture) {
+  this->replicas.Apply(MakeEntry("x"));
+  Replica& replica = *this->replicas.Find("x");
+  this->replicas.OnUnreachable(replica);
+  BOOST_TEST((replica.avoid_until > this->clock.Now()));
+}
+
 // Guards against a belief that everything sent is still cached: engines drop
 // the parts that were not used for longest.
 BOOST_AUTO_TEST_CASE(cache_forgets_the_least_recently_used_part) {
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -41,7 +41,7 @@
 constexpr int kOnTimePriority = 3;
 /// Share of the shortest latency target that may pass in an engine's queue; the
 /// rest is for reading, moving the cache and the first event.
-constexpr double kLongestWaitShare = 0.6;
+constexpr double kLongestWaitShare = 0.8;
 
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
@@ -191,7 +191,6 @@
   if (this->prompt_reads++ > 0)
     this->context.retry_budget(this->service).OnExtra();
   this->phase = Phase::kReadingPrompt;
-  this->planned_runner = choice.target;
   this->context.metrics.CountDecision("prompt_read");
   ForwardFields fields;
   fields.time_left = this->TimeLeft();
@@ -365,8 +364,12 @@
               .Add("others", forward::OthersAt(*reader, this->Now())));
       this->handle = decoded.value();
       this->handle_address = reader->Address();
-      std::shared_ptr<forward::Replica> runner = this->planned_runner;
-      if (!runner->listed || runner->entry.leaving) {
+      // Chosen now: a runner that was free before the read may be gone.
+      std::shared_ptr<forward::Replica> runner =
+          this->context.placement.ChooseRunner(
+              this->context.replicas.Usable(this->service), this->Now(),
+              this->excluded);
+      if (runner == nullptr) {
         this->ReleaseHandle();
         return this->SendNext();
       }
@@ -378,6 +381,8 @@
   this->NoteCrashEvidence(*reader, this->Classify(end));
   if (not_run)
     this->context.replicas.OnRejected(*reader);
+  else if (end == http1::AnswerEnd::kNotConnected)
+    this->context.replicas.OnUnreachable(*reader);
   else
     this->context.replicas.OnFailure(*reader);
   this->context.log.Write(this->Event("prompt_read_failed")
@@ -456,6 +461,8 @@
     this->context.replicas.OnWrongInstance(*failed);
   else if (outcome == forward::SendOutcome::kNotRun)
     this->context.replicas.OnRejected(*failed);
+  else if (outcome == forward::SendOutcome::kNotSent)
+    this->context.replicas.OnUnreachable(*failed);
   else
     this->context.replicas.OnFailure(*failed);
   if (this->connection != nullptr && !this->connection->Reusable())
@@ -599,6 +606,23 @@
       });
 }
 
+bool Exchange::HasBetterReplica() {
+  bool may_move = this->phase == Phase::kReadingPrompt ||
+                  this->policy.replicas().size() <
+                      static_cast<size_t>(this->route.max_replicas);
+  if (!may_move)
+    return false;
+  absl::Time now = this->Now();
+  auto usable = this->context.replicas.Usable(this->service);
+  return std::any_of(usable.begin(), usable.end(), [&](const auto& other) {
+    const std::string& id = other->entry.id;
+    return other->entry.role == this->replica->entry.role &&
+           id != this->replica->entry.id && now >= other->avoid_until &&
+           std::find(this->excluded.begin(), this->excluded.end(), id) ==
+               this->excluded.end();
+  });
+}
+
 void Exchange::OnTimer() {
   if (this->phase == Phase::kDone)
     return;
@@ -609,11 +633,8 @@
   bool over = now >= this->deadline;
   if (!over) {
     forward::RetryWindow& budget = this->context.retry_budget(this->service);
-    bool reading = this->phase == Phase::kReadingPrompt;
-    bool other = reading || (this->policy.replicas().size() <
-                             static_cast<size_t>(this->route.max_replicas));
-    if (!other || !budget.HasRoom() || this->Now() >= this->deadline) {
-      // Nobody else may run it: the replica keeps it until the deadline.
+    if (!budget.HasRoom() || !this->HasBetterReplica()) {
+      // Nobody else would be sooner: the replica keeps it.
       this->last_progress = now;
       return this->ArmTimer();
     }
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -97,6 +97,7 @@
   void RelayEvents(std::string_view data);
   void ReleaseHandle();
 
+  bool HasBetterReplica();
   void ArmTimer();
   void OnTimer();
   absl::Time NextCheck() const;
@@ -142,7 +143,6 @@
   bool tried_uncached = false;  // After a runner refused the cache.
   std::string handle;           // Of a cache that no run has taken yet.
   std::string handle_address;   // Of the replica that keeps it.
-  std::shared_ptr<forward::Replica> planned_runner;
 
   http1::AnswerHead answer_head;
   AnswerFacts answer_facts;
