gateway: release the lease of orders after use, act at once without a runner

The next instance waited 5.5 s for the lease to lapse and 3 s for the turn, and 466 requests were refused for want of a replica.

--- a/cranberryhill/forward/role_balance.cc
+++ b/cranberryhill/forward/role_balance.cc
@@ -14,6 +14,7 @@
 constexpr double kRunnerShare = 0.25;
 /// A deployment whose engines are being replaced is unbalanced for moments.
 constexpr absl::Duration kSettleTime = absl::Milliseconds(1200);
+constexpr absl::Duration kUrgentSettleTime = absl::Milliseconds(200);
 /// An order that got no answer may be carried out up to 12 s later.
 constexpr absl::Duration kOrderLost = absl::Seconds(13);
 /// Longest time that a change of role takes; the sheets say 3 s, and running
@@ -88,8 +89,12 @@
 
 std::optional<RoleChange> RoleBalance::Next(
     std::span<const std::shared_ptr<Replica>> engines) {
-  if (!this->NeedsChange(engines) ||
-      this->clock.Now() - this->unbalanced_since < kSettleTime)
+  if (!this->NeedsChange(engines))
+    return std::nullopt;
+  // Without an engine that generates nothing is served.
+  bool urgent = this->Count(engines).runners == 0;
+  if (this->clock.Now() - this->unbalanced_since <
+      (urgent ? kUrgentSettleTime : kSettleTime))
     return std::nullopt;
   bool idle = std::all_of(engines.begin(), engines.end(), [](const auto& e) {
     return e->outstanding == 0 && e->peer_running == 0;
--- a/cranberryhill/gateway/order_desk.cc
+++ b/cranberryhill/gateway/order_desk.cc
@@ -8,6 +8,10 @@
 namespace cranberryhill::gateway {
 namespace {
 
+constexpr char kLeaseKey[] = "lease/orders";
+/// The lease is given up when no order was due for this long. Orders come in
+/// groups, as replicas of a service are replaced one after the other.
+constexpr absl::Duration kKeepAfterUse = absl::Seconds(4);
 /// The lease is sought only while an order is due, so it is short.
 constexpr absl::Duration kTerm = absl::Seconds(5);
 constexpr absl::Duration kRenewInterval = absl::Seconds(2);
@@ -25,7 +29,7 @@
 
 LeaseSettings MakeLeaseSettings(const std::string& instance) {
   LeaseSettings settings;
-  settings.key = "lease/orders";
+  settings.key = kLeaseKey;
   settings.holder = instance;
   settings.term = kTerm;
   settings.renew_interval = kRenewInterval;
@@ -78,7 +82,7 @@
     bool usable =
         complete && this->status == kOk && report.ok() && !report.value().busy;
     // The lease is checked again right before the order leaves.
-    auto grant = this->desk.lease.Grant();
+    auto grant = this->desk.lease->Grant();
     if (!usable || !grant || !this->desk.MayOrder())
       return this->End(false, usable ? "lease_lost" : reason);
     RoleOrder order{this->change.replica, this->change.role,
@@ -150,23 +154,41 @@
       log(log),
       clock(clock),
       random(random),
-      lease(MakeLeaseSettings(this->instance), table, clock, random) {}
+      table(table),
+      lease(std::make_unique<LeaseKeeper>(MakeLeaseSettings(this->instance),
+                                          table,
+                                          clock,
+                                          random)),
+      needed_at(clock.Now()) {}
 
 OrderDesk::~OrderDesk() = default;
 
 bool OrderDesk::MayOrder() const {
-  auto grant = this->lease.Grant();
+  auto grant = this->lease->Grant();
   if (!grant)
     return false;
   absl::Time now = this->clock.Now();
-  // The holder before this one may have given its last order when its lease
-  // ended. The first holder of all has none before it.
-  bool first = grant->fencing_number <= 1;
-  return (first || now - grant->acquired >= this->turn_gap) &&
+  return now - this->others_quiet_from >= this->turn_gap &&
          grant->valid_until - now >= kOrderTime;
 }
 
+/// Notes until when another holder may have given orders.
+void OrderDesk::WatchRow() {
+  auto row = this->table.rows().find(kLeaseKey);
+  if (row == this->table.rows().end() ||
+      row->second.version == this->row_version)
+    return;
+  this->row_version = row->second.version;
+  auto record = ParseLeaseRecord(row->second.value);
+  if (record.ok() && record.value().holder == this->instance)
+    return;
+  bool released = record.ok() && record.value().released;
+  this->others_quiet_from =
+      this->clock.Now() + (released ? absl::ZeroDuration() : kTerm);
+}
+
 void OrderDesk::Tick(const forward::RouteTable& routes) {
+  this->WatchRow();
   bool needed = false;
   for (const std::string& engine : this->Changing())
     this->replicas.OnChanging(engine);
@@ -185,20 +207,42 @@
     while (auto change = balance.Next(engines))
       this->StartErrand(service.name, *change);
   }
+  this->TickLease(needed);
+}
+
+/// Seeks the lease while it is needed and gives it up some time afterwards, so
+/// that the next holder need not wait until it lapses.
+void OrderDesk::TickLease(bool needed) {
   absl::Time now = this->clock.Now();
+  if (needed)
+    this->needed_at = now;
   if (!needed) {
     this->seek_from = absl::InfiniteFuture();
   } else if (this->seek_from == absl::InfiniteFuture()) {
     this->seek_from = now + kSeekSpread * this->random.UniformDouble();
   }
+  bool done = now - this->needed_at > kKeepAfterUse;
+  if (this->held && done)
+    this->lease->Release();
   if (this->held || now >= this->seek_from)
-    this->lease.Tick();
-  bool holds = this->lease.Grant().has_value();
-  if (holds != std::exchange(this->held, holds)) {
-    this->log.Write(
-        LogEvent(holds ? "order_lease_held" : "order_lease_ended")
-            .Add("fencing_token",
-                 holds ? this->lease.Grant()->fencing_number : uint64_t{0}));
+    this->lease->Tick();
+  if (this->lease->released()) {
+    this->lease =
+        std::make_unique<LeaseKeeper>(MakeLeaseSettings(this->instance),
+                                      this->table, this->clock, this->random);
+    this->held = false;
+    this->log.Write(LogEvent("order_lease_released"));
+    return;
+  }
+  auto grant = this->lease->Grant();
+  if (grant && !this->held) {
+    this->held = true;
+    this->log.Write(LogEvent("order_lease_held")
+                        .Add("fencing_token", grant->fencing_number)
+                        .Add("others_quiet_ms", now - this->others_quiet_from));
+  } else if (!grant && this->held && !done) {
+    this->held = false;
+    this->log.Write(LogEvent("order_lease_lost"));
   }
 }
 
--- a/cranberryhill/gateway/order_desk.h
+++ b/cranberryhill/gateway/order_desk.h
@@ -51,6 +51,8 @@
   class Errand;
 
   bool MayOrder() const;
+  void WatchRow();
+  void TickLease(bool needed);
   void StartErrand(const std::string& service,
                    const forward::RoleChange& change);
   void OnErrandDone(Errand* errand);
@@ -63,8 +65,13 @@
   EventLog& log;
   const Clock& clock;
   Random& random;
-  LeaseKeeper lease;
+  ControlTable& table;
+  std::unique_ptr<LeaseKeeper> lease;
   bool held = false;
+  absl::Time needed_at;  // When a change was last due.
+  uint64_t row_version = kAbsentVersion;
+  // Orders of the holder before this one had ended by then.
+  absl::Time others_quiet_from = absl::InfinitePast();
   absl::Time seek_from = absl::InfiniteFuture();
   std::map<std::string, forward::RoleBalance> balances;
   std::map<Errand*, std::unique_ptr<Errand>> errands;
