gateway: notice a store that fell silent, by close watchers and hints of peers

Three instances among those that hear each other now watch for 1.2 s at a time; messages between instances carry the newest row of each table, and an instance that is behind renews its watch.

--- a/cranberryhill/forward/load_share.cc
+++ b/cranberryhill/forward/load_share.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cranberryhill/base/hash.h"
+
 namespace cranberryhill::forward {
 namespace {
 
@@ -15,7 +17,7 @@
 constexpr absl::Duration kSilence = absl::Seconds(1);
 
 /// First element of every message; changes with the format.
-constexpr int kFormat = 3;
+constexpr int kFormat = 4;
 
 }  // namespace
 
@@ -38,7 +40,8 @@
   std::string bytes;
   json::to_msgpack(
       json::array({kFormat, message.instance, message.incarnation,
-                   message.sequence, work, cached, message.changing, crashes}),
+                   message.sequence, work, cached, message.changing, crashes,
+                   message.table_versions}),
       bytes);
   return bytes;
 }
@@ -75,6 +78,7 @@
       message.crashes.push_back(
           {entry.at(0).get<uint64_t>(), entry.at(1).get<uint8_t>()});
     }
+    message.table_versions = fields.at(8).get<std::vector<uint64_t>>();
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
@@ -98,6 +102,7 @@
                       {},
                       {},
                       std::move(changing),
+                      {},
                       {}};
   for (const auto& replica : replicas.Listed()) {
     if (!replica->entry.role || replica->outstanding == 0)
@@ -164,4 +169,14 @@
   });
 }
 
+size_t LoadShare::Rank() const {
+  auto order = [](std::string_view name) {
+    return std::pair(StableHash(name), name);
+  };
+  return static_cast<size_t>(std::count_if(
+      this->known.begin(), this->known.end(), [&](const auto& item) {
+        return order(item.first) < order(this->instance);
+      }));
+}
+
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/load_share.h
+++ b/cranberryhill/forward/load_share.h
@@ -46,6 +46,8 @@
   std::vector<CachedPrompt> cached;
   std::vector<std::string> changing;  ///< Engines whose role is being changed.
   std::vector<CrashEntry> crashes;    ///< Requests that crashed replicas.
+  /// Newest row of each followed table that the instance knows.
+  std::vector<uint64_t> table_versions;
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
@@ -77,6 +79,10 @@
   /// ended or are no longer known.
   void ForgetSilent(ReplicaSet& replicas);
 
+  /// @return How many live peers come before this instance in an order that is
+  ///     the same everywhere.
+  size_t Rank() const;
+
   size_t peers() const { return this->known.size(); }  // NOLINT
 
  private:
--- a/cranberryhill/forward/load_share_test.cc
+++ b/cranberryhill/forward/load_share_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "cranberryhill/forward/test_replicas.h"
@@ -58,9 +59,9 @@
   replicas.Apply(Engine("x"));
   LoadShare share("me", 1, clock);
   BOOST_TEST(
-      share.Merge({"p", 1, 50, {{"x", {70, 0}, 1}}, {}, {}, {}}, replicas));
+      share.Merge({"p", 1, 50, {{"x", {70, 0}, 1}}, {}, {}, {}, {}}, replicas));
   BOOST_TEST(
-      share.Merge({"p", 2, 1, {{"x", {5, 0}, 1}}, {}, {}, {}}, replicas));
+      share.Merge({"p", 2, 1, {{"x", {5, 0}, 1}}, {}, {}, {}, {}}, replicas));
   BOOST_TEST(replicas.Find("x")->peer_queued.on_time == 5);
 }
 
@@ -93,12 +94,28 @@
   replicas.Apply(Engine("x"));
   replicas.Apply(Engine("y"));
   LoadShare receiver("me", 2, clock);
-  receiver.Merge(Decoded({"p", 1, 1, {}, {}, {"x"}, {}}), replicas);
+  receiver.Merge(Decoded({"p", 1, 1, {}, {}, {"x"}, {}, {}}), replicas);
   auto usable = replicas.Usable("service");
   BOOST_REQUIRE(usable.size() == 1U);
   BOOST_TEST(usable[0]->entry.id == "y");
 }
 
+// Guards against all instances, or none, watching the store closely.
+BOOST_AUTO_TEST_CASE(live_instances_have_different_ranks) {
+  ManualClock clock;
+  ReplicaSet replicas(clock);
+  std::vector<std::string> names{"a", "b", "c", "d"};
+  std::vector<size_t> ranks;
+  for (const std::string& own : names) {
+    LoadShare share(own, 1, clock);
+    for (const std::string& other : names)
+      share.Merge({other, 1, 1, {}, {}, {}, {}, {}}, replicas);
+    ranks.push_back(share.Rank());
+  }
+  std::sort(ranks.begin(), ranks.end());
+  BOOST_TEST((ranks == std::vector<size_t>{0, 1, 2, 3}));
+}
+
 // Guards against a crash or a wrong load from bytes that are no message.
 RC_BOOST_PROP(other_bytes_are_refused, (const std::string& bytes)) {
   auto decoded = Capture([&] { return DecodeLoadMessage(bytes); });
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -27,6 +27,11 @@
 constexpr double kUnknownInstances = 1.3;
 constexpr double kLeastInstances = 6;
 
+/// Instances that watch the store closely among those that hear each other; the
+/// others learn from them that they have missed something. More than one, as
+/// each may be cut off from the store.
+constexpr size_t kCloseWatchers = 3;
+
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -114,6 +119,7 @@
             this->crashes,
             this->replicas,
             this->orders,
+            *this,
             log,
             clock),
       callers(io, clock, *this, {}),
@@ -242,6 +248,24 @@
     this->replicas.OnRegistryRegained();
 }
 
+std::vector<uint64_t> Gateway::KnownVersions() const {
+  return {this->configuration_follower.newest_version(),
+          this->replica_follower.newest_version()};
+}
+
+void Gateway::OnPeerVersions(std::span<const uint64_t> versions) {
+  if (versions.size() != 2)
+    return;
+  this->configuration_follower.OnPeerVersion(versions[0]);
+  this->replica_follower.OnPeerVersion(versions[1]);
+}
+
+void Gateway::OnRank(size_t rank) {
+  bool close = rank < kCloseWatchers;
+  this->configuration_follower.SetCloseWatch(close);
+  this->replica_follower.SetCloseWatch(close);
+}
+
 void Gateway::ApplyConfiguration(const StoreRow& row) {
   auto decoded =
       Capture([&] { return this->codec.DecodeConfiguration(row.value); });
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,7 +44,9 @@
 namespace cranberryhill::gateway {
 
 /// Runs on the thread of `io`.
-class Gateway : public http1::RequestHandler, public TableObserver {
+class Gateway : public http1::RequestHandler,
+                public TableObserver,
+                public TableVersions {
  public:
   /// All references must outlive this object.
   /// @param readiness_path Asked by the load balancer.
@@ -79,6 +82,10 @@
   void OnChanges(StoreTable table, const std::vector<StoreRow>& rows) override;
   void OnRegained(StoreTable table, absl::Duration outage) override;
 
+  std::vector<uint64_t> KnownVersions() const override;
+  void OnPeerVersions(std::span<const uint64_t> versions) override;
+  void OnRank(size_t rank) override;
+
  private:
   void ApplyConfiguration(const StoreRow& row);
   void ApplyReplica(const StoreRow& row);
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -23,8 +23,9 @@
 constexpr std::chrono::milliseconds kIntervalPerPeer(6);
 /// Requests that crashed replicas named in one message; condemned ones first.
 constexpr size_t kMaxCrashes = 16;
-/// Without work a message is sent only every so many intervals.
-constexpr int kIdleRounds = 8;
+/// Without work messages are this far apart; they tell that the instance lives
+/// and what it knows of the store.
+constexpr absl::Duration kIdleInterval = absl::Milliseconds(400);
 
 }  // namespace
 
@@ -36,6 +37,7 @@
                    CrashGuard& crashes,
                    forward::ReplicaSet& replicas,
                    const OrderDesk& orders,
+                   TableVersions& versions,
                    EventLog& log,
                    const Clock& clock)
     : io(io),
@@ -46,6 +48,7 @@
       crashes(crashes),
       replicas(replicas),
       orders(orders),
+      versions(versions),
       log(log),
       clock(clock),
       socket(io),
@@ -124,8 +127,10 @@
       auto message = Capture([&] {
         return forward::DecodeLoadMessage({this->buffer.data(), bytes});
       });
-      if (message.ok() && this->share.Merge(message.value(), this->replicas))
+      if (message.ok() && this->share.Merge(message.value(), this->replicas)) {
         this->crashes.Absorb(message.value().crashes, this->clock.Now());
+        this->versions.OnPeerVersions(message.value().table_versions);
+      }
       if (!message.ok())
         this->log.Write(LogEvent("peer_message_unreadable")
                             .Add("from", from.address().to_string())
@@ -150,15 +155,19 @@
 
 void PeerLink::SendToAll() {
   this->share.ForgetSilent(this->replicas);
+  this->versions.OnRank(this->share.Rank());
   forward::LoadMessage message =
       this->share.Collect(this->replicas, this->orders.Changing());
   message.crashes = this->crashes.Entries(kMaxCrashes, this->clock.Now());
+  message.table_versions = this->versions.KnownVersions();
   bool idle = message.work.empty() && message.cached.empty() &&
               message.changing.empty();
   this->idle_rounds = idle ? this->idle_rounds + 1 : 0;
-  // The first message without work tells the peers that it has ended.
-  if (this->idle_rounds > 2 && this->idle_rounds % kIdleRounds != 0)
+  // The first messages without work tell the peers that it has ended.
+  absl::Time now = this->clock.Now();
+  if (this->idle_rounds > 2 && now - this->sent_at < kIdleInterval)
     return;
+  this->sent_at = now;
   std::string bytes = forward::EncodeLoadMessage(message);
   for (const udp::endpoint& peer : this->endpoints) {
     // A datagram that is lost is replaced by the next one.
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,21 @@
 
 namespace cranberryhill::gateway {
 
+/// What the store's tables have brought, here and at peers.
+class TableVersions {
+ public:
+  virtual ~TableVersions() = default;
+
+  /// @return The newest row known of each followed table.
+  virtual std::vector<uint64_t> KnownVersions() const = 0;
+
+  /// A peer knows these.
+  virtual void OnPeerVersions(std::span<const uint64_t> versions) = 0;
+
+  /// The peers that are heard have changed.
+  virtual void OnRank(size_t rank) = 0;
+};
+
 /// Not thread-safe.
 class PeerLink {
  public:
@@ -34,6 +50,7 @@
            CrashGuard& crashes,
            forward::ReplicaSet& replicas,
            const OrderDesk& orders,
+           TableVersions& versions,
            EventLog& log,
            const Clock& clock);
 
@@ -59,6 +76,7 @@
   CrashGuard& crashes;
   forward::ReplicaSet& replicas;
   const OrderDesk& orders;
+  TableVersions& versions;
   EventLog& log;
   const Clock& clock;
   boost::asio::ip::udp::socket socket;
@@ -66,6 +84,7 @@
   std::vector<boost::asio::ip::udp::endpoint> endpoints;
   std::array<char, 16384> buffer{};
   int idle_rounds = 0;
+  absl::Time sent_at = absl::InfinitePast();
 };
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -9,8 +9,7 @@
 
 /// How one table is followed. Each call has a price, so the store may wait long
 /// for a change, and after one the next call pauses, so that changes that come
-/// together cost one call. Connections that go silent are found by keep-alive
-/// probes in between.
+/// together cost one call.
 struct Pace {
   absl::Duration wait;
   absl::Duration pause;
@@ -32,12 +31,23 @@
   return {};
 }
 
+/// Wait of an instance that watches closely. A store that falls silent keeps
+/// its connections open and answers nothing, also after it is back; a change
+/// must be in force 5 s after its return at the latest (3 s for the store to
+/// count as stable, 2 s for the change).
+constexpr absl::Duration kCloseWait = absl::Milliseconds(1200);
+/// A watch that is younger than this may still bring the change that a peer
+/// has told of.
+constexpr absl::Duration kHintDelay = absl::Milliseconds(250);
 /// On top of the wait, for a slow store.
-constexpr absl::Duration kWatchSlack = absl::Seconds(2);
+constexpr absl::Duration kWatchSlack = absl::Milliseconds(600);
 /// A slow store takes 60 times its usual 4 ms and more.
-constexpr absl::Duration kReadTimeout = absl::Seconds(2);
+constexpr absl::Duration kReadTimeout = absl::Milliseconds(1500);
 constexpr absl::Duration kFirstPause = absl::Milliseconds(100);
-constexpr absl::Duration kLongestPause = absl::Milliseconds(600);
+/// Longest pause between tries of an instance that watches closely, and of the
+/// others. Refused calls have a price as well.
+constexpr absl::Duration kClosePause = absl::Milliseconds(300);
+constexpr absl::Duration kLongestPause = absl::Seconds(1);
 
 constexpr int kOk = 200;
 /// The history that was asked for is no longer kept.
@@ -86,8 +96,10 @@
   // The first page has the oldest version; changes since are read again.
   if (this->rows.empty())
     this->version = page.value().version;
-  for (StoreRow& row : page.value().rows)
+  for (StoreRow& row : page.value().rows) {
+    this->newest_row = std::max(this->newest_row, row.version);
     this->rows.push_back(std::move(row));
+  }
   if (page.value().has_more && !this->rows.empty()) {
     // The next page starts after the last key.
     return this->ReadPage(this->rows.back().key + '\x01');
@@ -105,14 +117,33 @@
 
 void TableFollower::Watch() {
   ++this->call_count;
-  this->client.Call(
-      this->codec.EncodeWatch(this->table, this->version,
-                              PaceOf(this->table).wait),
-      PaceOf(this->table).wait + kWatchSlack,
-      [this](StoreAnswer answer) { this->OnWatch(std::move(answer)); });
+  this->watching = true;
+  this->watch_began = this->clock.Now();
+  absl::Duration wait = PaceOf(this->table).wait;
+  if (this->close_watch && this->table != StoreTable::kControl)
+    wait = std::min(wait, kCloseWait);
+  this->client.Call(this->codec.EncodeWatch(this->table, this->version, wait),
+                    wait + kWatchSlack, [this](StoreAnswer answer) {
+                      this->OnWatch(std::move(answer));
+                    });
+}
+
+void TableFollower::OnPeerVersion(uint64_t newest) {
+  absl::Time now = this->clock.Now();
+  if (newest <= this->newest_row || !this->watching ||
+      now - this->watch_began < kHintDelay)
+    return;
+  this->log.Write(LogEvent("table_behind_peers")
+                      .Add("table", StoreTableName(this->table))
+                      .Add("own_version", this->newest_row)
+                      .Add("peer_version", newest)
+                      .Add("age_ms", this->Age()));
+  this->client.Cancel();
+  this->Watch();
 }
 
 void TableFollower::OnWatch(StoreAnswer answer) {
+  this->watching = false;
   if (answer.status == kGone) {
     this->log.Write(LogEvent("table_history_lost")
                         .Add("table", StoreTableName(this->table))
@@ -127,8 +158,10 @@
     return this->OnFailed({0, "", page.error().ToString()});
   this->OnAnswered();
   this->version = std::max(this->version, page.value().version);
-  for (const StoreRow& row : page.value().rows)
+  for (const StoreRow& row : page.value().rows) {
     this->version = std::max(this->version, row.version);
+    this->newest_row = std::max(this->newest_row, row.version);
+  }
   if (page.value().rows.empty())
     return this->Watch();
   this->observer.OnChanges(this->table, page.value().rows);
@@ -155,7 +188,10 @@
                         .Add("age_ms", this->Age()));
   }
   double doubled = std::pow(2, std::min(this->failures - 1, 4));
-  absl::Duration pause = std::min(kLongestPause, kFirstPause * doubled);
+  absl::Duration longest =
+      this->close_watch && this->table != StoreTable::kControl ? kClosePause
+                                                               : kLongestPause;
+  absl::Duration pause = std::min(longest, kFirstPause * doubled);
   // Spread, so that instances do not return to the store in step.
   this->ContinueAfter(pause * (0.5 + this->random.UniformDouble()));
 }
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -49,6 +49,17 @@
   void Start() { this->ReadPage(""); }
   void Stop();
 
+  /// An instance that watches closely notices sooner that the store has fallen
+  /// silent, at the price of more calls.
+  void SetCloseWatch(bool close) { this->close_watch = close; }
+
+  /// Tells that a peer knows a row of this version. The watch is renewed if
+  /// that is newer than what is known here.
+  void OnPeerVersion(uint64_t newest);
+
+  /// @return The newest row that is known.
+  uint64_t newest_version() const { return this->newest_row; }  // NOLINT
+
   /// @return True once the table was read whole.
   bool has_table() const { return this->read_whole; }  // NOLINT
 
@@ -77,6 +88,10 @@
   boost::asio::steady_timer pause_timer;
   std::vector<StoreRow> rows;
   uint64_t version = 0;
+  uint64_t newest_row = 0;
+  absl::Time watch_began;
+  bool watching = false;
+  bool close_watch = true;
   bool must_read = true;
   bool read_whole = false;
   int failures = 0;
