--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/gateway/control_table.cc
@@ -102,6 +102,8 @@
                       .Add("key", row.key)
                       .Add("status", answer.status)
                       .Add("reason", reason));
+  if (answer.status == kConflictStatus)
+    this->follower.EndPause();
   if (answer.status == kConflictStatus)
     return {CommitState::kConflict, row.key};
   bool may_be_done = answer.status == 0 || answer.status == kOk;
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -359,7 +359,7 @@
       return;
     this->pool.CloseStale();
     if (this->ready())
-      this->orders.Tick(*this->routes);
+      this->orders.Tick(*this->routes, this->share.Rank());
     this->CheckShutdown();
     this->ScheduleUpkeep();
   });
--- a/cranberryhill/gateway/order_desk.cc
+++ b/cranberryhill/gateway/order_desk.cc
@@ -18,6 +18,10 @@
 /// All instances see at the same time that a role must change; each waits for
 /// a part of this, so that one of them writes first and the others see it.
 constexpr absl::Duration kSeekSpread = absl::Seconds(1);
+/// The first instances by rank seek at once; the others only if these do not
+/// reach the store, as every instance that tries in vain makes a call.
+constexpr size_t kFirstSeekers = 3;
+constexpr absl::Duration kSeekLate = absl::Seconds(5);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(500);
 /// An order arrives within this time of its decision, or not at all: connecting
 /// ends after 300 ms and the request is one packet.
@@ -187,7 +191,7 @@
       this->clock.Now() + (released ? absl::ZeroDuration() : kTerm);
 }
 
-void OrderDesk::Tick(const forward::RouteTable& routes) {
+void OrderDesk::Tick(const forward::RouteTable& routes, size_t rank) {
   this->WatchRow();
   bool needed = false;
   for (const std::string& engine : this->Changing())
@@ -207,19 +211,20 @@
     while (auto change = balance.Next(engines))
       this->StartErrand(service.name, *change);
   }
-  this->TickLease(needed);
+  this->TickLease(needed, rank);
 }
 
 /// Seeks the lease while it is needed and gives it up some time afterwards, so
 /// that the next holder need not wait until it lapses.
-void OrderDesk::TickLease(bool needed) {
+void OrderDesk::TickLease(bool needed, size_t rank) {
   absl::Time now = this->clock.Now();
   if (needed)
     this->needed_at = now;
   if (!needed) {
     this->seek_from = absl::InfiniteFuture();
   } else if (this->seek_from == absl::InfiniteFuture()) {
-    this->seek_from = now + kSeekSpread * this->random.UniformDouble();
+    this->seek_from = now + kSeekSpread * this->random.UniformDouble() +
+                      (rank < kFirstSeekers ? absl::ZeroDuration() : kSeekLate);
   }
   bool done = now - this->needed_at > kKeepAfterUse;
   if (this->held && done)
--- a/cranberryhill/gateway/order_desk.h
+++ b/cranberryhill/gateway/order_desk.h
@@ -40,7 +40,8 @@
 
   /// Seeks the lease when a role must change, and gives the next order. Call
   /// it several times a second.
-  void Tick(const forward::RouteTable& routes);
+  /// @param rank How many live peers come before this instance.
+  void Tick(const forward::RouteTable& routes, size_t rank);
 
   /// @return Engines whose role is being changed by orders of this instance.
   std::vector<std::string> Changing() const;
@@ -52,7 +53,7 @@
 
   bool MayOrder() const;
   void WatchRow();
-  void TickLease(bool needed);
+  void TickLease(bool needed, size_t rank);
   void StartErrand(const std::string& service,
                    const forward::RoleChange& change);
   void OnErrandDone(Errand* errand);
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -40,8 +40,7 @@
                    TableVersions& versions,
                    EventLog& log,
                    const Clock& clock)
-    : io(io),
-      instance(std::move(instance)),
+    : instance(std::move(instance)),
       address(std::move(address)),
       table(table),
       share(share),
@@ -124,6 +123,10 @@
                                                0, receive_error);
       if (receive_error)
         break;
+      // An instance that has just started is heard before its row is read.
+      if (std::find(this->endpoints.begin(), this->endpoints.end(), from) ==
+          this->endpoints.end())
+        this->endpoints.push_back(from);
       auto message = Capture([&] {
         return forward::DecodeLoadMessage({this->buffer.data(), bytes});
       });
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -68,7 +68,6 @@
   void SendToAll();
   void Announce();
 
-  boost::asio::io_context& io;
   const std::string instance;
   const ListenAddress address;
   ControlTable& table;
--- a/cranberryhill/gateway/settings.cc
+++ b/cranberryhill/gateway/settings.cc
@@ -18,9 +18,10 @@
   return inet_pton(AF_INET, text.c_str(), &ignored) == 1;
 }
 
-Result<ListenAddress> ReadAddress(ObjectReader& reader,
-                                  std::string_view name,
-                                  std::optional<std::string> fallback = {}) {
+Result<ListenAddress> ReadAddress(
+    ObjectReader& reader,
+    std::string_view name,
+    const std::optional<std::string>& fallback = {}) {
   BOOST_LEAF_AUTO(text, reader.String(name, fallback));
   ListenAddress address;
   if (text.empty() && fallback)
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -7,7 +7,7 @@
 namespace cranberryhill::gateway {
 namespace {
 
-/// How one table is followed. Each call has a price, so the store may wait long
+/// How a table is followed. Each call has a price, so the store may wait long
 /// for a change, and after one the next call pauses, so that changes that come
 /// together cost one call.
 struct Pace {
@@ -15,22 +15,15 @@
   absl::Duration pause;
 };
 
-Pace PaceOf(StoreTable table) {
-  switch (table) {
-    case StoreTable::kConfiguration:
-      // In force within 2 s of its acknowledgement; storms of changes come
-      // every 330 ms.
-      return {absl::Seconds(12), absl::Milliseconds(300)};
-    case StoreTable::kReplicas:
-      // A leaving replica must get no request 2 s after its notice.
-      return {absl::Seconds(12), absl::Milliseconds(300)};
-    case StoreTable::kControl:
-      // Instances announce themselves once; nothing waits for the news.
-      return {absl::Seconds(25), absl::Seconds(2)};
-  }
-  return {};
-}
-
+/// Of close watchers: a change must be in force within 2 s of its
+/// acknowledgement, a leaving replica must get no request 2 s after its notice,
+/// and storms of changes come every 330 ms.
+constexpr absl::Duration kClosePause = absl::Milliseconds(300);
+/// Of the others, which learn from close watchers that they are behind.
+constexpr Pace kDistantPace{absl::Seconds(25), absl::Seconds(1)};
+/// Of the gateway's own table. Instances announce themselves once and hear each
+/// other's datagrams, so nothing waits for the news.
+constexpr Pace kControlPace{absl::Seconds(25), absl::Seconds(4)};
 /// Wait of an instance that watches closely. A store that falls silent keeps
 /// its connections open and answers nothing, also after it is back; a change
 /// must be in force 5 s after its return at the latest (3 s for the store to
@@ -46,9 +39,15 @@
 constexpr absl::Duration kFirstPause = absl::Milliseconds(100);
 /// Longest pause between tries of an instance that watches closely, and of the
 /// others. Refused calls have a price as well.
-constexpr absl::Duration kClosePause = absl::Milliseconds(300);
+constexpr absl::Duration kLongestClosePause = absl::Milliseconds(300);
 constexpr absl::Duration kLongestPause = absl::Seconds(1);
 
+Pace PaceOf(StoreTable table, bool close) {
+  if (table == StoreTable::kControl)
+    return kControlPace;
+  return close ? Pace{kCloseWait, kClosePause} : kDistantPace;
+}
+
 constexpr int kOk = 200;
 /// The history that was asked for is no longer kept.
 constexpr int kGone = 410;
@@ -112,16 +111,23 @@
                       .Add("rows", static_cast<int64_t>(this->rows.size()))
                       .Add("version", this->version));
   this->observer.OnTable(this->table, std::exchange(this->rows, {}));
-  this->ContinueAfter(PaceOf(this->table).pause);
+  this->pausing = true;
+  this->ContinueAfter(PaceOf(this->table, this->close_watch).pause);
+}
+
+void TableFollower::EndPause() {
+  if (!this->pausing)
+    return;
+  this->pause_timer.cancel();
+  this->Watch();
 }
 
 void TableFollower::Watch() {
+  this->pausing = false;
   ++this->call_count;
   this->watching = true;
   this->watch_began = this->clock.Now();
-  absl::Duration wait = PaceOf(this->table).wait;
-  if (this->close_watch && this->table != StoreTable::kControl)
-    wait = std::min(wait, kCloseWait);
+  absl::Duration wait = PaceOf(this->table, this->close_watch).wait;
   this->client.Call(this->codec.EncodeWatch(this->table, this->version, wait),
                     wait + kWatchSlack, [this](StoreAnswer answer) {
                       this->OnWatch(std::move(answer));
@@ -165,7 +171,8 @@
   if (page.value().rows.empty())
     return this->Watch();
   this->observer.OnChanges(this->table, page.value().rows);
-  this->ContinueAfter(PaceOf(this->table).pause);
+  this->pausing = true;
+  this->ContinueAfter(PaceOf(this->table, this->close_watch).pause);
 }
 
 void TableFollower::OnAnswered() {
@@ -189,8 +196,9 @@
   }
   double doubled = std::pow(2, std::min(this->failures - 1, 4));
   absl::Duration longest =
-      this->close_watch && this->table != StoreTable::kControl ? kClosePause
-                                                               : kLongestPause;
+      this->close_watch && this->table != StoreTable::kControl
+          ? kLongestClosePause
+          : kLongestPause;
   absl::Duration pause = std::min(longest, kFirstPause * doubled);
   // Spread, so that instances do not return to the store in step.
   this->ContinueAfter(pause * (0.5 + this->random.UniformDouble()));
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -57,6 +57,9 @@
   /// that is newer than what is known here.
   void OnPeerVersion(uint64_t newest);
 
+  /// Ends a pause between watches, when the table is known to have changed.
+  void EndPause();
+
   /// @return The newest row that is known.
   uint64_t newest_version() const { return this->newest_row; }  // NOLINT
 
@@ -91,6 +94,7 @@
   uint64_t newest_row = 0;
   absl::Time watch_began;
   bool watching = false;
+  bool pausing = false;
   bool close_watch = true;
   bool must_read = true;
   bool read_whole = false;
--- a/cranberryhill/http1/connection_test.cc
+++ b/cranberryhill/http1/connection_test.cc
@@ -141,7 +141,7 @@
 // Guards against connections that are opened anew for each request.
 BOOST_FIXTURE_TEST_CASE(connection_carries_requests_one_after_the_other,
                         Fixture) {
-  this->handler.work = [](IncomingRequest request, auto responder) {
+  this->handler.work = [](const IncomingRequest& request, auto responder) {
     responder->SendWhole({200, "", {}}, request.head.target);
   };
   auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
@@ -194,7 +194,7 @@
 
 // Guards against a cut stream that looks complete to the caller.
 BOOST_FIXTURE_TEST_CASE(aborted_stream_is_not_complete, Fixture) {
-  this->handler.work = [](IncomingRequest, auto responder) {
+  this->handler.work = [](const IncomingRequest&, auto responder) {
     responder->BeginStream({200, "", {}});
     responder->SendPart("one");
     responder->Abort();
@@ -210,7 +210,7 @@
 // Guards against work that goes on for a caller that has left.
 BOOST_FIXTURE_TEST_CASE(caller_that_leaves_is_noticed, Fixture) {
   std::shared_ptr<Responder> kept;
-  this->handler.work = [&kept](IncomingRequest, auto responder) {
+  this->handler.work = [&kept](const IncomingRequest&, auto responder) {
     kept = std::move(responder);
   };
   auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
@@ -227,7 +227,7 @@
 // Guards against a second, pipelined request being served after a request that
 // cannot be parsed.
 BOOST_FIXTURE_TEST_CASE(malformed_request_ends_the_connection, Fixture) {
-  this->handler.work = [](IncomingRequest, auto responder) {
+  this->handler.work = [](const IncomingRequest&, auto responder) {
     responder->SendWhole({200, "", {}}, "");
   };
   auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
@@ -248,7 +248,7 @@
 BOOST_FIXTURE_TEST_CASE(closing_server_finishes_the_request_in_progress,
                         Fixture) {
   std::shared_ptr<Responder> kept;
-  this->handler.work = [&kept](IncomingRequest, auto responder) {
+  this->handler.work = [&kept](const IncomingRequest&, auto responder) {
     kept = std::move(responder);
   };
   auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
