--- a/cranberryhill/forward/attempt_policy.cc
+++ b/cranberryhill/forward/attempt_policy.cc
@@ -4,6 +4,40 @@
 
 namespace cranberryhill::forward {
 
+std::string_view SendOutcomeName(SendOutcome outcome) {
+  switch (outcome) {
+    case SendOutcome::kNotSent:
+      return "not_sent";
+    case SendOutcome::kNotRun:
+      return "not_run";
+    case SendOutcome::kFailed:
+      return "failed";
+    case SendOutcome::kBroken:
+      return "broken";
+    case SendOutcome::kTimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+std::string_view NextStepName(NextStep step) {
+  switch (step) {
+    case NextStep::kSendAgain:
+      return "send_again";
+    case NextStep::kResume:
+      return "resume";
+    case NextStep::kRefuse:
+      return "refuse";
+    case NextStep::kPassFailure:
+      return "pass_failure";
+    case NextStep::kAnswerUnknown:
+      return "answer_unknown";
+    case NextStep::kCutStream:
+      return "cut_stream";
+  }
+  return "unknown";
+}
+
 void AttemptPolicy::OnSent(std::string_view replica_id) {
   if (std::find(this->sent_to.begin(), this->sent_to.end(), replica_id) ==
       this->sent_to.end())
--- a/cranberryhill/forward/attempt_policy.h
+++ b/cranberryhill/forward/attempt_policy.h
@@ -41,6 +41,10 @@
   kCutStream,      ///< End the stream so that it does not look complete.
 };
 
+/// @return Names for logs and metrics.
+std::string_view SendOutcomeName(SendOutcome outcome);
+std::string_view NextStepName(NextStep step);
+
 class AttemptPolicy {
  public:
   explicit AttemptPolicy(const Route& route)
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cranberryhill/gateway/send_and_forget.h"
+
 namespace cranberryhill::gateway {
 namespace {
 
@@ -56,40 +58,6 @@
          status == kTooManyRequests || status == kUnavailable;
 }
 
-std::string_view OutcomeName(forward::SendOutcome outcome) {
-  switch (outcome) {
-    case forward::SendOutcome::kNotSent:
-      return "not_sent";
-    case forward::SendOutcome::kNotRun:
-      return "not_run";
-    case forward::SendOutcome::kFailed:
-      return "failed";
-    case forward::SendOutcome::kBroken:
-      return "broken";
-    case forward::SendOutcome::kTimedOut:
-      return "timed_out";
-  }
-  return "unknown";
-}
-
-std::string_view StepName(forward::NextStep step) {
-  switch (step) {
-    case forward::NextStep::kSendAgain:
-      return "send_again";
-    case forward::NextStep::kResume:
-      return "resume";
-    case forward::NextStep::kRefuse:
-      return "refuse";
-    case forward::NextStep::kPassFailure:
-      return "pass_failure";
-    case forward::NextStep::kAnswerUnknown:
-      return "answer_unknown";
-    case forward::NextStep::kCutStream:
-      return "cut_stream";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 Exchange::Exchange(ExchangeContext& context,
@@ -234,6 +202,7 @@
   this->answer_facts = {};
   this->answer_body.clear();
   this->has_head = false;
+  this->too_large = false;
   this->relaying = false;
   this->sent_at = this->Now();
   this->last_progress = this->sent_at;
@@ -309,7 +278,9 @@
   this->last_progress = this->Now();
   if (this->relaying)
     return this->RelayEvents(data);
-  if (this->answer_body.size() + data.size() <= kMaxAnswerBytes)
+  if (this->answer_body.size() + data.size() > kMaxAnswerBytes)
+    this->too_large = true;
+  if (!this->too_large)
     this->answer_body.append(data);
 }
 
@@ -431,6 +402,9 @@
 }
 
 void Exchange::OnRunEnd(http1::AnswerEnd end, std::string_view reason) {
+  if (this->too_large)
+    return this->OnSendFailed(forward::SendOutcome::kBroken,
+                              "the answer is too large to be kept");
   bool complete = end == http1::AnswerEnd::kComplete;
   if (complete && this->relaying && this->splitter.rest().empty() &&
       this->stream_begun) {
@@ -484,17 +458,17 @@
                          this->stream_begun ? forward::AnswerProgress::kEvents
                                             : forward::AnswerProgress::kNothing,
                          budget_left);
-  this->context.metrics.CountDecision(StepName(step));
+  this->context.metrics.CountDecision(NextStepName(step));
   this->context.log.Write(
       this->Event("send_ended")
           .Add("replica", failed->entry.id)
-          .Add("outcome", OutcomeName(outcome))
+          .Add("outcome", SendOutcomeName(outcome))
           .Add("status", this->has_head ? this->answer_head.status : 0)
           .Add("reason", reason)
           .Add("took_ms", this->Now() - this->sent_at)
           .Add("events", static_cast<int64_t>(this->splitter.events()))
           .Add("budget_left", budget_left)
-          .Add("next", StepName(step)));
+          .Add("next", NextStepName(step)));
   this->excluded.push_back(failed->entry.id);
   switch (step) {
     case forward::NextStep::kSendAgain:
@@ -548,27 +522,15 @@
 void Exchange::ReleaseHandle() {
   if (this->handle.empty())
     return;
-  class Releaser : public http1::AnswerHandler {
-   public:
-    bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
-    void OnHead(http1::AnswerHead) override {}
-    void OnBody(std::string_view) override {}
-    void OnEnd(http1::AnswerEnd, std::string_view) override {
-      this->link->Cancel();
-      delete this;
-    }
-    std::shared_ptr<http1::ClientConnection> link;
-  };
   size_t colon = this->handle_address.rfind(':');
   forward::Replica source;
   source.entry.ip = this->handle_address.substr(0, colon);
   source.entry.port =
       static_cast<uint16_t>(std::stoi(this->handle_address.substr(colon + 1)));
-  auto* releaser = new Releaser;  // Deletes itself in OnEnd().
-  releaser->link = this->context.pool.Acquire(source);
   http1::RequestHead head =
       this->context.wire.EncodeRelease(this->handle_address, this->handle);
-  releaser->link->Send(http1::SerializeRequest(head, 0), {}, *releaser);
+  SendAndForget(this->context.pool.Acquire(source),
+                http1::SerializeRequest(head, 0));
   this->handle.clear();
 }
 
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -148,7 +148,8 @@
   AnswerFacts answer_facts;
   std::string answer_body;
   bool has_head = false;
-  bool relaying = false;  // Events of this send go to the caller.
+  bool too_large = false;  // More than is kept of a whole answer.
+  bool relaying = false;   // Events of this send go to the caller.
   bool stream_begun = false;
   forward::EventSplitter splitter;
   boost::asio::steady_timer timer;
