http1, gateway: report a request on a closed connection, order on a new one

An engine that closes its connection after the report was never ordered: the order was written to the closed connection, and nothing reported its end.

--- a/cranberryhill/gateway/order_desk.cc
+++ b/cranberryhill/gateway/order_desk.cc
@@ -54,10 +54,9 @@
         service(std::move(service)),
         change(std::move(change)),
         address(engine.Address()),
-        link(http1::ClientConnection::Create(
-            desk.io,
-            {boost::asio::ip::make_address(engine.entry.ip),
-             engine.entry.port})) {}
+        endpoint(boost::asio::ip::make_address(engine.entry.ip),
+                 engine.entry.port),
+        link(this->NewLink()) {}
 
   ~Errand() override { this->link->Cancel(); }
 
@@ -80,6 +79,10 @@
   }
 
  private:
+  std::shared_ptr<http1::ClientConnection> NewLink() {
+    return http1::ClientConnection::Create(this->desk.io, this->endpoint);
+  }
+
   void OnReport(bool complete, std::string_view reason) {
     auto report =
         Capture([&] { return this->desk.wire.DecodeReport(this->body); });
@@ -105,6 +108,8 @@
             .Add("fencing_token", order.fencing_token)
             .Add("expected_orders", order.expected_orders)
             .Add("lease_left_ms", grant->valid_until - this->desk.clock.Now()));
+    if (!this->link->Reusable())
+      this->link = this->NewLink();
     this->link->Send(
         http1::SerializeRequest(request.head, request.body.size()) +
             request.body,
@@ -135,6 +140,7 @@
   const std::string service;
   const forward::RoleChange change;
   const std::string address;
+  const boost::asio::ip::tcp::endpoint endpoint;
   std::shared_ptr<http1::ClientConnection> link;
   std::string body;
   int status = 0;
--- a/cranberryhill/http1/client.cc
+++ b/cranberryhill/http1/client.cc
@@ -1,6 +1,7 @@
 #include "cranberryhill/http1/client.h"
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <chrono>
@@ -89,6 +90,14 @@
   this->NewReader();
   if (this->state == State::kNew)
     return this->Connect(options.connect_timeout);
+  if (this->state == State::kClosed) {
+    // The other end closed the connection after its last answer.
+    boost::asio::post(this->io, [self = this->shared_from_this()] {
+      if (self->handler != nullptr)
+        self->Finish(AnswerEnd::kNotConnected, "the connection is closed");
+    });
+    return;
+  }
   this->state = State::kBusy;
   this->WriteRequest();
 }
--- a/cranberryhill/http1/connection_test.cc
+++ b/cranberryhill/http1/connection_test.cc
@@ -192,6 +192,24 @@
   BOOST_TEST((*answer.end == AnswerEnd::kNotConnected));
 }
 
+// Guards against a request that is never answered because its connection was
+// closed after the answer before.
+BOOST_FIXTURE_TEST_CASE(request_on_a_closed_connection_is_reported, Fixture) {
+  this->handler.work = [](const IncomingRequest&, auto responder) {
+    responder->SendWhole({200, "", {}}, "");
+  };
+  this->server.CloseAfterAnswers();
+  auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
+  Collected first;
+  link->Send(this->Request("/"), {}, first);
+  this->RunUntil([&] { return first.end.has_value(); });
+  BOOST_TEST(!link->Reusable());
+  Collected second;
+  link->Send(this->Request("/"), {}, second);
+  this->RunUntil([&] { return second.end.has_value(); });
+  BOOST_TEST((*second.end == AnswerEnd::kNotConnected));
+}
+
 // Guards against a cut stream that looks complete to the caller.
 BOOST_FIXTURE_TEST_CASE(aborted_stream_is_not_complete, Fixture) {
   this->handler.work = [](const IncomingRequest&, auto responder) {
