--- a/cranberryhill/gateway/event_log.cc
+++ b/cranberryhill/gateway/event_log.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cranberryhill::gateway {
@@ -72,20 +73,30 @@
   return *this;
 }
 
-LogEvent& LogEvent::Add(std::string_view key, double value) {
-  this->line.append(fmt::format(",\"{}\":{:.3f}", key, value));
+LogEvent& LogEvent::Add(std::string_view key, uint64_t value) {
+  this->line.append(fmt::format(",\"{}\":{}", key, value));
+  return *this;
+}
+
+LogEvent& LogEvent::AddNumber(std::string_view key, double value, int digits) {
+  if (std::isfinite(value))
+    this->line.append(fmt::format(",\"{}\":{:.{}f}", key, value, digits));
+  else
+    this->line.append(fmt::format(",\"{}\":null", key));
   return *this;
 }
 
+LogEvent& LogEvent::Add(std::string_view key, double value) {
+  return this->AddNumber(key, value, 3);
+}
+
 LogEvent& LogEvent::Add(std::string_view key, bool value) {
   this->line.append(fmt::format(",\"{}\":{}", key, value));
   return *this;
 }
 
 LogEvent& LogEvent::Add(std::string_view key, absl::Duration value) {
-  this->line.append(
-      fmt::format(",\"{}\":{:.1f}", key, absl::ToDoubleMilliseconds(value)));
-  return *this;
+  return this->AddNumber(key, absl::ToDoubleMilliseconds(value), 1);
 }
 
 StdoutEventLog::StdoutEventLog(const Clock& clock, int lines_per_s)
--- a/cranberryhill/gateway/event_log.h
+++ b/cranberryhill/gateway/event_log.h
@@ -36,17 +36,18 @@
   LogEvent& Add(std::string_view key, int value) {
     return this->Add(key, static_cast<int64_t>(value));
   }
-  LogEvent& Add(std::string_view key, uint64_t value) {
-    return this->Add(key, static_cast<int64_t>(value));
-  }
+  LogEvent& Add(std::string_view key, uint64_t value);
+  /// JSON has no infinity: figures that are not finite are written as null.
   LogEvent& Add(std::string_view key, double value);
   LogEvent& Add(std::string_view key, bool value);
-  /// Written in milliseconds; name keys accordingly.
+  /// Written in milliseconds; name keys accordingly. Infinite ones are null.
   LogEvent& Add(std::string_view key, absl::Duration value);
 
   const std::string& text() const { return this->line; }  // NOLINT
 
  private:
+  LogEvent& AddNumber(std::string_view key, double value, int digits);
+
   std::string line;
 };
 
