gateway: end an order's exchange after two seconds

An engine that is stopped keeps its connections open and answers nothing. Its role change stayed pending for 13 s.

--- a/cranberryhill/gateway/order_desk.cc
+++ b/cranberryhill/gateway/order_desk.cc
@@ -1,10 +1,12 @@
 #include "cranberryhill/gateway/order_desk.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <utility>
 
+#include "cranberryhill/http1/socket_options.h"
+
 namespace cranberryhill::gateway {
 namespace {
 
@@ -27,6 +29,9 @@
 /// ends after 300 ms and the request is one packet.
 constexpr absl::Duration kOrderTime = absl::Seconds(1);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
+/// An engine that is stopped keeps its connections open without an answer; the
+/// next order must not wait for it.
+constexpr absl::Duration kErrandTime = absl::Seconds(2);
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
@@ -44,7 +49,8 @@
 }  // namespace
 
 /// Asks an engine for its state, then gives it one order.
-class OrderDesk::Errand : public http1::AnswerHandler {
+class OrderDesk::Errand : public http1::AnswerHandler,
+                          public std::enable_shared_from_this<Errand> {
  public:
   Errand(OrderDesk& desk,
          const forward::Replica& engine,
@@ -54,13 +60,22 @@
         service(std::move(service)),
         change(std::move(change)),
         address(engine.Address()),
-        endpoint(boost::asio::ip::make_address(engine.entry.ip),
-                 engine.entry.port),
-        link(this->NewLink()) {}
+        endpoint(http1::TcpEndpoint(engine.entry.endpoint)),
+        link(this->NewLink()),
+        timer(desk.io) {}
 
   ~Errand() override { this->link->Cancel(); }
 
   void Start() {
+    this->timer.expires_after(absl::ToChronoMilliseconds(kErrandTime));
+    this->timer.async_wait(
+        [weak = this->weak_from_this()](boost::system::error_code error) {
+          auto self = weak.lock();
+          if (error || self == nullptr || self->ended)
+            return;
+          self->link->Cancel();
+          self->End(self->ordered, "no answer in time");
+        });
     this->link->Send(http1::SerializeRequest(
                          this->desk.wire.EncodeReportRequest(this->address), 0),
                      {kConnectTimeout, false}, *this);
@@ -125,6 +140,8 @@
   }
 
   void End(bool may_hold, std::string_view reason) {
+    this->ended = true;
+    this->timer.cancel();
     this->desk.log.Write(LogEvent("order_ended")
                              .Add("replica", this->change.replica)
                              .Add("role", EngineRoleName(this->change.role))
@@ -133,7 +150,7 @@
                              .Add("reason", reason));
     if (!may_hold)
       this->desk.balances.at(this->service).OnRefused(this->change.replica);
-    this->desk.OnErrandDone(this);
+    this->desk.OnErrandDone(this->shared_from_this());
   }
 
   OrderDesk& desk;
@@ -142,9 +159,11 @@
   const std::string address;
   const boost::asio::ip::tcp::endpoint endpoint;
   std::shared_ptr<http1::ClientConnection> link;
+  boost::asio::steady_timer timer;
   std::string body;
   int status = 0;
   bool ordered = false;
+  bool ended = false;
 };
 
 OrderDesk::OrderDesk(boost::asio::io_context& io,
@@ -272,15 +291,16 @@
   auto engine = this->replicas.Find(change.replica);
   if (engine == nullptr)
     return;
-  auto errand = std::make_unique<Errand>(*this, *engine, service, change);
-  Errand* started = errand.get();
-  this->errands[started] = std::move(errand);
-  started->Start();
+  auto errand = std::make_shared<Errand>(*this, *engine, service, change);
+  this->errands.insert(errand);
+  errand->Start();
 }
 
-void OrderDesk::OnErrandDone(Errand* errand) {
+void OrderDesk::OnErrandDone(std::shared_ptr<Errand> errand) {
   // The errand is still on the stack of this call.
-  boost::asio::post(this->io, [this, errand] { this->errands.erase(errand); });
+  boost::asio::post(this->io, [this, errand = std::move(errand)] {
+    this->errands.erase(errand);
+  });
 }
 
 }  // namespace cranberryhill::gateway
