forward: keep to a replica's number of connections

The number in the configuration was decoded and not read. Each instance has a share of it for its requests and idle connections; a replica whose share is in use is left out.

--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -44,13 +44,13 @@
 }
 
 std::string Replica::Address() const {
-  return this->entry.ip + ":" + std::to_string(this->entry.port);
+  return EndpointText(this->entry.endpoint);
 }
 
 void ReplicaSet::Apply(const ReplicaEntry& entry) {
   auto& slot = this->by_id[entry.id];
-  bool same_process = slot != nullptr && slot->entry.ip == entry.ip &&
-                      slot->entry.port == entry.port &&
+  bool same_process = slot != nullptr &&
+                      slot->entry.endpoint == entry.endpoint &&
                       slot->entry.started_ms == entry.started_ms &&
                       slot->entry.service == entry.service;
   if (!same_process) {
@@ -60,6 +60,9 @@
                                 ? kDefaultCacheTokens
                                 : capacity->second);
   }
+  auto share = this->connection_shares.find(entry.service);
+  if (share != this->connection_shares.end())
+    slot->connection_share = share->second;
   if (slot->entry.role != entry.role)
     slot->changing_until = absl::InfinitePast();
   slot->entry = entry;
@@ -75,6 +78,14 @@
   }
 }
 
+void ReplicaSet::SetConnectionShare(std::string_view service, int connections) {
+  this->connection_shares[std::string(service)] = connections;
+  for (auto& [id, replica] : this->by_id) {
+    if (replica->entry.service == service)
+      replica->connection_share = connections;
+  }
+}
+
 void ReplicaSet::Remove(std::string_view id) {
   auto found = this->by_id.find(std::string(id));
   if (found == this->by_id.end() || !found->second->listed)
@@ -114,6 +125,10 @@
   this->DropForgotten();
   absl::Time now = this->clock.Now();
   std::vector<std::shared_ptr<Replica>> members = this->Members(service);
+  bool any_listed = !members.empty();
+  std::erase_if(members, [](const auto& replica) {
+    return replica->outstanding >= replica->connection_share;
+  });
   std::vector<std::shared_ptr<Replica>> steady;
   for (const auto& replica : members) {
     if (replica->changing_until <= now)
@@ -121,7 +136,7 @@
   }
   if (!steady.empty())
     return steady;
-  if (!members.empty())
+  if (any_listed)
     return members;
   absl::Duration grace = now - this->regained_at < kReturnAfterOutage
                              ? kReturnAfterOutage
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -9,6 +9,7 @@
 //   for (const auto& replica : replicas.Usable("parts", now)) ...
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/base/engine_role.h"
 #include "cranberryhill/forward/prompt_cache.h"
 
@@ -27,8 +29,7 @@
 struct ReplicaEntry {
   std::string id;
   std::string service;
-  std::string ip;
-  uint16_t port = 0;
+  Endpoint endpoint;
   std::string availability_zone;
   int slots = 1;
   bool leaving = false;
@@ -66,6 +67,8 @@
   }
 };
 
+inline constexpr int kUnlimitedConnections = std::numeric_limits<int>::max();
+
 /// A replica with this instance's observations.
 struct Replica {
   ReplicaEntry entry;
@@ -84,8 +87,10 @@
   absl::Time avoid_until = absl::InfinitePast();
   /// While an order changes its role it refuses all new requests.
   absl::Time changing_until = absl::InfinitePast();
+  int connection_share = kUnlimitedConnections;  ///< Of this instance.
   PromptCache cache{0};
 
+  /// @return The endpoint as "IP:PORT".
   std::string Address() const;
 };
 
@@ -102,6 +107,11 @@
   /// Sets the memory of the engines of a service, in tokens.
   void SetCacheCapacity(std::string_view service, int64_t tokens);
 
+  /// Sets how many connections this instance may have to one replica of a
+  /// service; the others have their own share. Further ones would be refused,
+  /// perhaps those of another instance.
+  void SetConnectionShare(std::string_view service, int connections);
+
   /// Marks a replica as gone from the registry.
   void Remove(std::string_view id);
 
@@ -114,10 +124,11 @@
   /// @return All replicas of a service that are listed and not leaving.
   std::vector<std::shared_ptr<Replica>> Members(std::string_view service) const;
 
-  /// @return Replicas of a service that may get new requests. Replicas whose
-  ///     role is changing are returned only when there is no other. Replicas
-  ///     that have just left the registry are returned only when there is no
-  ///     other.
+  /// @return Replicas of a service that may get new requests. Replicas to which
+  ///     all connections of this instance are in use are left out. Replicas
+  ///     whose role is changing are returned only when there is no other.
+  ///     Replicas that have just left the registry are returned only when there
+  ///     is no other.
   std::vector<std::shared_ptr<Replica>> Usable(std::string_view service);
 
   /// @return The replica with this id if it is listed, or null.
@@ -152,7 +163,8 @@
 
   const Clock& clock;
   absl::flat_hash_map<std::string, std::shared_ptr<Replica>> by_id;
-  absl::flat_hash_map<std::string, int64_t> cache_tokens;  // By service.
+  absl::flat_hash_map<std::string, int64_t> cache_tokens;   // By service.
+  absl::flat_hash_map<std::string, int> connection_shares;  // By service.
   absl::Time regained_at = absl::InfinitePast();
 };
 
--- a/cranberryhill/forward/replica_set_test.cc
+++ b/cranberryhill/forward/replica_set_test.cc
@@ -46,6 +46,20 @@
   BOOST_TEST(this->Usable().empty());
 }
 
+// Guards against connections beyond what a replica accepts from all instances:
+// it would refuse those of the others.
+BOOST_FIXTURE_TEST_CASE(replica_with_all_connections_used_is_left_out,
+                        Fixture) {
+  this->replicas.Apply(MakeEntry("x"));
+  this->replicas.SetConnectionShare("service", 2);
+  this->replicas.Apply(MakeEntry("y"));
+  this->replicas.Find("x")->outstanding = 2;
+  this->replicas.Find("y")->outstanding = 1;
+  BOOST_TEST((this->Usable() == Ids{"y"}));
+  this->replicas.Find("y")->outstanding = 2;
+  BOOST_TEST(this->Usable().empty());
+}
+
 // Guards against a gap of service when the store returns without the entries
 // that lapsed while it was away: they come back within 2 s.
 BOOST_FIXTURE_TEST_CASE(lapsed_entries_are_used_until_they_are_back, Fixture) {
--- a/cranberryhill/gateway/connection_pool.cc
+++ b/cranberryhill/gateway/connection_pool.cc
@@ -1,9 +1,10 @@
 #include "cranberryhill/gateway/connection_pool.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <utility>
 
+#include "cranberryhill/http1/socket_options.h"
+
 namespace cranberryhill::gateway {
 namespace {
 
@@ -11,7 +12,7 @@
 /// is given up this much before its idle limit.
 constexpr absl::Duration kIdleMargin = absl::Milliseconds(700);
 /// Connections to one replica that are kept without a request.
-constexpr size_t kMaxKept = 24;
+constexpr int64_t kMaxKept = 24;
 
 /// A replica that starts anew at the same address gets its own connections.
 std::string KeyOf(const forward::Replica& replica) {
@@ -41,9 +42,8 @@
     }
   }
   ++this->opened_count;
-  boost::asio::ip::tcp::endpoint endpoint(
-      boost::asio::ip::make_address(replica.entry.ip), replica.entry.port);
-  return http1::ClientConnection::Create(this->io, endpoint);
+  return http1::ClientConnection::Create(
+      this->io, http1::TcpEndpoint(replica.entry.endpoint));
 }
 
 void ConnectionPool::Release(
@@ -52,7 +52,10 @@
   if (!connection->Reusable())
     return;
   auto& list = this->kept[KeyOf(replica)];
-  if (!replica.listed || list.size() >= kMaxKept) {
+  // The requests in progress use the rest of this instance's share.
+  auto most = std::min<int64_t>(
+      kMaxKept, int64_t{replica.connection_share} - replica.outstanding);
+  if (!replica.listed || static_cast<int64_t>(list.size()) >= most) {
     connection->Cancel();
     return;
   }
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -1,11 +1,12 @@
 #include "cranberryhill/gateway/gateway.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cranberryhill/http1/socket_options.h"
+
 namespace cranberryhill::gateway {
 namespace {
 
@@ -21,11 +22,15 @@
 /// Named where this process cannot serve yet; another instance can.
 constexpr absl::Duration kRetryAfterNotReady = absl::Milliseconds(300);
 
-/// The slack of extra sends is divided by the instances that are known, times
-/// this for those that have started and are not known yet, and by no fewer than
-/// kLeastInstances while the table is being read.
+/// The slack of extra sends and the connections of a replica are divided by the
+/// instances that are known, times this for those that have started and are not
+/// known yet. The slack is divided by no fewer than kLeastInstances while the
+/// table is being read.
 constexpr double kUnknownInstances = 1.3;
 constexpr double kLeastInstances = 6;
+/// Connections to one replica that an instance may always have: with one, a
+/// request that waits would block all others.
+constexpr double kLeastConnections = 2;
 
 /// Instances that watch the store closely among those that hear each other; the
 /// others learn from them that they have missed something. More than one, as
@@ -36,10 +41,6 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
-boost::asio::ip::tcp::endpoint EndpointOf(const ListenAddress& address) {
-  return {boost::asio::ip::make_address(address.ip), address.port};
-}
-
 }  // namespace
 
 Gateway::Gateway(boost::asio::io_context& io,
@@ -82,7 +83,7 @@
               }},
       configuration_follower(StoreTable::kConfiguration,
                              io,
-                             EndpointOf(this->settings.store),
+                             http1::TcpEndpoint(this->settings.store),
                              codec,
                              *this,
                              log,
@@ -90,14 +91,14 @@
                              random),
       replica_follower(StoreTable::kReplicas,
                        io,
-                       EndpointOf(this->settings.store),
+                       http1::TcpEndpoint(this->settings.store),
                        codec,
                        *this,
                        log,
                        clock,
                        random),
       control_table(io,
-                    EndpointOf(this->settings.store),
+                    http1::TcpEndpoint(this->settings.store),
                     codec,
                     log,
                     clock,
@@ -294,6 +295,7 @@
     }
   }
   this->routes = std::make_shared<const forward::RouteTable>(configuration);
+  this->ShareConnections();
   this->log.Write(
       LogEvent("configuration_in_force")
           .Add("version", version)
@@ -337,8 +339,22 @@
   return bounds;
 }
 
+void Gateway::ShareConnections() {
+  if (this->routes == nullptr)
+    return;
+  auto instances = static_cast<double>(this->peers.peers() + 1);
+  for (const auto& service : this->routes->configuration().services) {
+    if (service.max_connections == 0)
+      continue;
+    double share = service.max_connections / (instances * kUnknownInstances);
+    this->replicas.SetConnectionShare(
+        service.name, static_cast<int>(std::max(kLeastConnections, share)));
+  }
+}
+
 void Gateway::OnPeersChanged() {
   this->peers.OnTableChanged();
+  this->ShareConnections();
   for (auto& [service, budget] : this->budgets)
     budget->SetBounds(this->OwnRetryBounds());
 }
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -90,6 +90,7 @@
   void ApplyConfiguration(const StoreRow& row);
   void ApplyReplica(const StoreRow& row);
   forward::RetryBounds OwnRetryBounds() const;
+  void ShareConnections();
   void OnPeersChanged();
   forward::RetryWindow& BudgetOf(std::string_view service);
   void ScheduleUpkeep();
