base, gateway: one parser and one type for IP:PORT

ParseEndpoint moves from environment to base and replaces three parsers written by hand. That of replica rows accepted host names, and the first connection to such a replica ended the process with an uncaught exception. Also: the replica that keeps a prompt's cache is kept instead of its joined address, heads of answers are decoded once, a request that never left a connection needs no room in the retry budget to go elsewhere, and decoded fields that nothing read are gone.

--- a/cranberryhill/environment/endpoint.cc
+++ b/cranberryhill/base/endpoint.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
--- a/cranberryhill/environment/endpoint.h
+++ b/cranberryhill/base/endpoint.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_ENVIRONMENT_ENDPOINT_H_
-#define CRANBERRYHILL_ENVIRONMENT_ENDPOINT_H_
+#ifndef CRANBERRYHILL_BASE_ENDPOINT_H_
+#define CRANBERRYHILL_BASE_ENDPOINT_H_
 
 // An IP address and a TCP port, written "10.0.0.1:80" or "[::1]:80".
 //
@@ -32,4 +32,4 @@
 
 }  // namespace cranberryhill
 
-#endif  // CRANBERRYHILL_ENVIRONMENT_ENDPOINT_H_
+#endif  // CRANBERRYHILL_BASE_ENDPOINT_H_
--- a/cranberryhill/daemon/http1_port.h
+++ b/cranberryhill/daemon/http1_port.h
@@ -16,7 +16,7 @@
 
 #include "cranberryhill/base/executor.h"
 #include "cranberryhill/daemon/caller_front.h"
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/supervision/supervisor.h"
 
 namespace cranberryhill {
--- a/cranberryhill/daemon/service_gateway.cc
+++ b/cranberryhill/daemon/service_gateway.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "cranberryhill/base/log.h"
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 
 namespace cranberryhill {
 namespace {
--- a/cranberryhill/daemon/settings.h
+++ b/cranberryhill/daemon/settings.h
@@ -12,7 +12,7 @@
 
 #include "absl/time/time.h"
 #include "cranberryhill/base/result.h"
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 
 namespace cranberryhill {
 
--- a/cranberryhill/environment/environment_document.cc
+++ b/cranberryhill/environment/environment_document.cc
@@ -9,7 +9,7 @@
 
 #include "cranberryhill/base/hash.h"
 #include "cranberryhill/base/json.h"
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 
 namespace cranberryhill {
 namespace {
--- a/cranberryhill/environment/environment_document_test.cc
+++ b/cranberryhill/environment/environment_document_test.cc
@@ -3,7 +3,7 @@
 #include <rapidcheck/boost_test.h>
 #include <boost/test/unit_test.hpp>
 
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/environment/test_documents.h"
 
 namespace cranberryhill {
--- a/cranberryhill/forward/configuration.h
+++ b/cranberryhill/forward/configuration.h
@@ -56,14 +56,9 @@
   }
 };
 
-/// Capabilities of the model engines of a service.
+/// What the operators say of the model engines of a service.
 struct EngineTraits {
-  int slots = 1;
   int64_t kv_capacity_tokens = 0;
-  double kv_bytes_per_token = 0;
-  double link_mbit_per_s = 0;
-  absl::Duration handle_lifetime = absl::Seconds(5);
-  absl::Duration role_change_time = absl::Seconds(3);
 };
 
 struct ServiceConfig {
--- a/cranberryhill/forward/test_replicas.h
+++ b/cranberryhill/forward/test_replicas.h
@@ -18,8 +18,7 @@
   ReplicaEntry entry;
   entry.id = std::move(id);
   entry.service = "service";
-  entry.ip = "127.0.0.1";
-  entry.port = 8080;
+  entry.endpoint = {"127.0.0.1", 8080};
   entry.availability_zone = std::move(zone);
   entry.slots = 6;
   entry.role = role;
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -249,16 +249,18 @@
 }
 
 bool Exchange::IsOwnAnswer(const http1::AnswerHead& head) {
-  AnswerFacts head_facts = this->context.wire.DecodeAnswer(head);
-  if (!head_facts.attempt_id.empty())
-    return head_facts.attempt_id == this->facts.attempt_id;
+  this->answer_facts = this->context.wire.DecodeAnswer(head);
   // A success names its request; a refusal may come before the replica has
   // read the request's id.
-  return head.status >= 300;
+  bool own = this->answer_facts.attempt_id.empty()
+                 ? head.status >= 300
+                 : this->answer_facts.attempt_id == this->facts.attempt_id;
+  if (!own)
+    this->answer_facts = {};
+  return own;
 }
 
 void Exchange::OnHead(http1::AnswerHead head) {
-  this->answer_facts = this->context.wire.DecodeAnswer(head);
   this->answer_head = std::move(head);
   this->has_head = true;
   this->last_progress = this->Now();
@@ -334,7 +336,7 @@
               .Add("took_ms", this->Now() - this->sent_at)
               .Add("others", forward::OthersAt(*reader, this->Now())));
       this->handle = decoded.value();
-      this->handle_address = reader->Address();
+      this->handle_keeper = reader;
       // Chosen now: a runner that was free before the read may be gone.
       std::shared_ptr<forward::Replica> runner =
           this->context.placement.ChooseRunner(
@@ -344,9 +346,9 @@
         this->ReleaseHandle();
         return this->SendNext();
       }
-      return this->StartRun(
-          std::move(runner), 0,
-          this->context.wire.CacheSource(this->handle_address, this->handle));
+      return this->StartRun(std::move(runner), 0,
+                            this->context.wire.CacheSource(
+                                this->handle_keeper->Address(), this->handle));
     }
   }
   this->NoteCrashEvidence(*reader, this->Classify(end));
@@ -446,7 +448,11 @@
   this->splitter.DropRest();
 
   forward::RetryWindow& budget = this->context.retry_budget(this->service);
-  bool budget_left = budget.HasRoom() && this->TimeLeft() > kLeastTimeForSend;
+  // What never left is no extra send when it goes elsewhere.
+  bool next_is_extra = outcome != forward::SendOutcome::kNotSent ||
+                       this->policy.replicas().size() > 1;
+  bool budget_left = (!next_is_extra || budget.HasRoom()) &&
+                     this->TimeLeft() > kLeastTimeForSend;
   bool had_cache = !this->handle.empty();
   if (had_cache && outcome == forward::SendOutcome::kNotRun && budget_left &&
       this->RunElsewhereOrUncached(failed))
@@ -502,8 +508,8 @@
     this->context.log.Write(this->Event("run_refused")
                                 .Add("replica", refused->entry.id)
                                 .Add("next", other->entry.id));
-    std::string source =
-        this->context.wire.CacheSource(this->handle_address, this->handle);
+    std::string source = this->context.wire.CacheSource(
+        this->handle_keeper->Address(), this->handle);
     this->StartRun(std::move(other), 0, std::move(source));
     return true;
   }
@@ -522,14 +528,9 @@
 void Exchange::ReleaseHandle() {
   if (this->handle.empty())
     return;
-  size_t colon = this->handle_address.rfind(':');
-  forward::Replica source;
-  source.entry.ip = this->handle_address.substr(0, colon);
-  source.entry.port =
-      static_cast<uint16_t>(std::stoi(this->handle_address.substr(colon + 1)));
-  http1::RequestHead head =
-      this->context.wire.EncodeRelease(this->handle_address, this->handle);
-  SendAndForget(this->context.pool.Acquire(source),
+  http1::RequestHead head = this->context.wire.EncodeRelease(
+      this->handle_keeper->Address(), this->handle);
+  SendAndForget(this->context.pool.Acquire(*this->handle_keeper),
                 http1::SerializeRequest(head, 0));
   this->handle.clear();
 }
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -142,7 +142,7 @@
   int prompt_reads = 0;
   bool tried_uncached = false;  // After a runner refused the cache.
   std::string handle;           // Of a cache that no run has taken yet.
-  std::string handle_address;   // Of the replica that keeps it.
+  std::shared_ptr<forward::Replica> handle_keeper;
 
   http1::AnswerHead answer_head;
   AnswerFacts answer_facts;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -5,8 +5,6 @@
 #include <chrono>
 #include <utility>
 
-#include "absl/strings/numbers.h"
-
 namespace cranberryhill::gateway {
 namespace {
 
@@ -31,7 +29,7 @@
 
 PeerLink::PeerLink(asio::io_context& io,
                    std::string instance,
-                   ListenAddress address,
+                   Endpoint address,
                    ControlTable& table,
                    forward::LoadShare& share,
                    CrashGuard& crashes,
@@ -64,10 +62,8 @@
   if (!error)
     this->socket.non_blocking(true, error);
   if (error) {
-    return MakeError(
-        ErrorCode::kUnavailable, "peer_address",
-        this->address.ip + ":" + std::to_string(this->address.port),
-        error.message());
+    return MakeError(ErrorCode::kUnavailable, "peer_address",
+                     EndpointText(this->address), error.message());
   }
   this->Receive();
   this->ScheduleSend();
@@ -80,17 +76,15 @@
     if (!key.starts_with(kRowPrefix) ||
         key.substr(kRowPrefix.size()) == this->instance)
       continue;
-    size_t colon = row.value.rfind(':');
-    uint32_t port = 0;
-    error_code error;
-    auto ip = asio::ip::make_address(row.value.substr(0, colon), error);
-    if (error || colon == std::string::npos ||
-        !absl::SimpleAtoi(row.value.substr(colon + 1), &port) || port == 0 ||
-        port > 65535) {
-      this->log.Write(LogEvent("peer_row_unreadable").Add("key", key));
+    auto peer = Capture([&row, &key] { return ParseEndpoint(row.value, key); });
+    if (!peer.ok()) {
+      this->log.Write(LogEvent("peer_row_unreadable")
+                          .Add("key", key)
+                          .Add("reason", peer.error().ToString()));
       continue;
     }
-    this->endpoints.emplace_back(ip, static_cast<uint16_t>(port));
+    this->endpoints.emplace_back(asio::ip::make_address(peer.value().ip),
+                                 peer.value().port);
   }
 }
 
@@ -98,8 +92,7 @@
   if (!this->table.known())
     return;
   std::string key = std::string(kRowPrefix) + this->instance;
-  std::string text =
-      this->address.ip + ":" + std::to_string(this->address.port);
+  std::string text = EndpointText(this->address);
   auto known = this->table.rows().find(key);
   uint64_t version = kAbsentVersion;
   if (known != this->table.rows().end()) {
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -44,7 +44,7 @@
   /// All references must outlive this object.
   PeerLink(boost::asio::io_context& io,
            std::string instance,
-           ListenAddress address,
+           Endpoint address,
            ControlTable& table,
            forward::LoadShare& share,
            CrashGuard& crashes,
@@ -69,7 +69,7 @@
   void Announce();
 
   const std::string instance;
-  const ListenAddress address;
+  const Endpoint address;
   ControlTable& table;
   forward::LoadShare& share;
   CrashGuard& crashes;
--- a/cranberryhill/gateway/settings.cc
+++ b/cranberryhill/gateway/settings.cc
@@ -1,10 +1,7 @@
 #include "cranberryhill/gateway/settings.h"
 
-#include <arpa/inet.h>
-
 #include <nlohmann/json.hpp>
 
-#include "absl/strings/numbers.h"
 #include "cranberryhill/base/json.h"
 
 namespace cranberryhill::gateway {
@@ -13,31 +10,13 @@
 /// Longest time in settings; larger values are taken as a wrong unit.
 constexpr double kMaxSeconds = 3600;
 
-bool IsIpV4(const std::string& text) {
-  in_addr ignored{};
-  return inet_pton(AF_INET, text.c_str(), &ignored) == 1;
-}
-
-Result<ListenAddress> ReadAddress(
-    ObjectReader& reader,
-    std::string_view name,
-    const std::optional<std::string>& fallback = {}) {
+Result<Endpoint> ReadAddress(ObjectReader& reader,
+                             std::string_view name,
+                             const std::optional<std::string>& fallback = {}) {
   BOOST_LEAF_AUTO(text, reader.String(name, fallback));
-  ListenAddress address;
   if (text.empty() && fallback)
-    return address;
-  size_t colon = text.rfind(':');
-  uint32_t port = 0;
-  bool valid = colon != std::string::npos &&
-               absl::SimpleAtoi(text.substr(colon + 1), &port) && port > 0 &&
-               port <= 65535 && IsIpV4(text.substr(0, colon));
-  if (!valid) {
-    return MakeError(ErrorCode::kInvalidArgument, reader.PathOf(name), text,
-                     "must be IP:PORT");
-  }
-  address.ip = text.substr(0, colon);
-  address.port = static_cast<uint16_t>(port);
-  return address;
+    return Endpoint{};
+  return ParseEndpoint(text, reader.PathOf(name));
 }
 
 Result<absl::Duration> ReadSeconds(ObjectReader& reader,
--- a/cranberryhill/gateway/settings.h
+++ b/cranberryhill/gateway/settings.h
@@ -3,31 +3,25 @@
 
 // Settings of a gateway process: JSON with comments, checked when read.
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 
 #include "absl/time/time.h"
+#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/base/result.h"
 #include "cranberryhill/forward/retry_window.h"
 
 namespace cranberryhill::gateway {
 
-/// An IP address and a port.
-struct ListenAddress {
-  std::string ip;
-  uint16_t port = 0;
-};
-
 struct GatewaySettings {
   std::string instance_id;
   std::string availability_zone;
-  ListenAddress callers;    ///< Requests.
-  ListenAddress readiness;  ///< Asked by the load balancer.
-  ListenAddress control;    ///< Status; may have port 0 for none.
-  ListenAddress metrics;    ///< May have port 0 for none.
-  ListenAddress peers;      ///< Datagrams of other instances; may be none.
-  ListenAddress store;
+  Endpoint callers;    ///< Requests.
+  Endpoint readiness;  ///< Asked by the load balancer.
+  Endpoint control;    ///< Status; may have port 0 for none.
+  Endpoint metrics;    ///< May have port 0 for none.
+  Endpoint peers;      ///< Datagrams of other instances; may be none.
+  Endpoint store;
   absl::Duration shutdown_time = absl::Seconds(8);
   /// Orders of two holders must be this far apart.
   absl::Duration lease_time = absl::Seconds(3);
--- a/cranberryhill/http1/socket_options.cc
+++ b/cranberryhill/http1/socket_options.cc
@@ -4,8 +4,14 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <boost/asio/ip/address.hpp>
+
 namespace cranberryhill::http1 {
 
+boost::asio::ip::tcp::endpoint TcpEndpoint(const Endpoint& endpoint) {
+  return {boost::asio::ip::make_address(endpoint.ip), endpoint.port};
+}
+
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket) {
   int handle = socket.native_handle();
   auto set = [handle](int level, int name, int value) {
--- a/cranberryhill/http1/socket_options.h
+++ b/cranberryhill/http1/socket_options.h
@@ -6,6 +6,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "cranberryhill/base/endpoint.h"
+
 namespace cranberryhill::http1 {
 
 /// Links go silent without a reset. Unacknowledged bytes fail a connection
@@ -20,6 +22,9 @@
 inline constexpr int kKeepAliveIntervalS = 1;
 inline constexpr int kKeepAliveProbes = 2;
 
+/// @param endpoint From ParseEndpoint().
+boost::asio::ip::tcp::endpoint TcpEndpoint(const Endpoint& endpoint);
+
 /// Sets the options. Failures are ignored: the connection works without them,
 /// and a closed socket is reported by the next read.
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket);
--- a/cranberryhill/platform/internal/http_caller.h
+++ b/cranberryhill/platform/internal/http_caller.h
@@ -14,7 +14,7 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/executor.h"
 #include "cranberryhill/base/worker_pool.h"
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 
 namespace cranberryhill {
 
--- a/fuzz/environment_fuzz.cc
+++ b/fuzz/environment_fuzz.cc
@@ -6,7 +6,7 @@
 #include <set>
 #include <utility>
 
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/environment/environment_document.h"
 #include "fuzz/check.h"
 
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 #include "programs/ctl/output.h"
 
 namespace cranberryhill {
--- a/standins/fake_platform/platform_server.h
+++ b/standins/fake_platform/platform_server.h
@@ -8,7 +8,7 @@
 
 #include <memory>
 
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 #include "standins/fake_platform/platform_state.h"
 
 namespace cranberryhill {
--- a/standins/fake_platform/running_platform.h
+++ b/standins/fake_platform/running_platform.h
@@ -11,7 +11,7 @@
 #include <thread>
 
 #include "cranberryhill/base/clock.h"
-#include "cranberryhill/environment/endpoint.h"
+#include "cranberryhill/base/endpoint.h"
 #include "standins/fake_platform/platform_server.h"
 #include "standins/fake_platform/platform_state.h"
 
--- /dev/null
+++ b/standins/gateway_platform/fake_store.cc
@@ -0,0 +1,124 @@
+#include "standins/gateway_platform/fake_store.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/escaping.h"
+#include "platform/names.h"
+
+namespace cranberryhill::platform {
+namespace {
+
+using nlohmann::json;
+
+/// @return The value of a query parameter, or nothing.
+std::string Parameter(std::string_view target, std::string_view name) {
+  std::string key = std::string(name) + "=";
+  size_t at = target.find(key);
+  if (at == std::string_view::npos)
+    return {};
+  std::string_view value = target.substr(at + key.size());
+  return std::string(value.substr(0, value.find('&')));
+}
+
+}  // namespace
+
+void FakeStore::Set(std::string_view table,
+                    std::string_view key,
+                    std::optional<std::string> value) {
+  this->rows[{std::string(table), std::string(key)}] = {std::move(value),
+                                                        ++this->version};
+  this->AnswerWatches();
+}
+
+std::optional<std::string> FakeStore::Find(std::string_view table,
+                                           std::string_view key) const {
+  auto found = this->rows.find({std::string(table), std::string(key)});
+  return found == this->rows.end() ? std::nullopt : found->second.value;
+}
+
+void FakeStore::SetSilent(bool silent) {
+  this->is_silent = silent;
+  for (Watch& watch : this->watches)
+    this->unanswered.push_back(std::move(watch.responder));
+  this->watches.clear();
+}
+
+std::string FakeStore::Page(std::string_view table,
+                            uint64_t after,
+                            bool removed) const {
+  json list = json::array();
+  for (const auto& [key, row] : this->rows) {
+    if (key.first != table || row.version <= after || (!row.value && !removed))
+      continue;
+    json entry = {{"table", key.first},
+                  {"part", ""},
+                  {"key", key.second},
+                  {"row-version", row.version}};
+    if (row.value)
+      entry["value"] = absl::Base64Escape(*row.value);
+    else
+      entry["tombstone"] = true;
+    list.push_back(std::move(entry));
+  }
+  return json{{"rows", list},
+              {"has-more", false},
+              {"row-version", this->version},
+              {"now-ms", 1}}
+      .dump();
+}
+
+std::shared_ptr<http1::ActiveRequest> FakeStore::OnRequest(
+    http1::IncomingRequest request,
+    std::shared_ptr<http1::Responder> responder) {
+  const std::string& target = request.head.target;
+  std::string table = Parameter(target, "table");
+  if (this->is_silent) {
+    this->unanswered.push_back(std::move(responder));
+  } else if (this->is_down) {
+    responder->SendWhole({503, "", {}}, "");
+  } else if (target.starts_with(kRowsGetPath)) {
+    responder->SendWhole({200, "", {}}, this->Page(table, 0, false));
+  } else if (target.starts_with(kRowsFeedPath)) {
+    uint64_t after = std::stoull(Parameter(target, "after"));
+    if (after + 1 < this->history_from)
+      responder->SendWhole({410, "", {}}, "");
+    else
+      this->watches.push_back({table, after, std::move(responder)});
+    this->AnswerWatches();
+  } else {
+    this->Write(request.body, *responder);
+  }
+  return nullptr;
+}
+
+void FakeStore::Write(const std::string& body, http1::Responder& responder) {
+  json call = json::parse(body);
+  for (const json& condition : call["expected-revision"]) {
+    auto found = this->rows.find({condition["table"], condition["key"]});
+    uint64_t current = found == this->rows.end() ? 0 : found->second.version;
+    if (current != condition["row-version"].get<uint64_t>())
+      return responder.SendWhole({412, "", {}}, "{}");
+  }
+  for (const json& write : call["writes"]) {
+    std::string text;
+    absl::Base64Unescape(write["value"].get<std::string>(), &text);
+    this->Set(write["table"].get<std::string>(),
+              write["key"].get<std::string>(), text);
+  }
+  responder.SendWhole({200, "", {}},
+                      json{{"row-version", this->version}}.dump());
+}
+
+void FakeStore::AnswerWatches() {
+  std::vector<Watch> open = std::move(this->watches);
+  this->watches.clear();
+  for (Watch& watch : open) {
+    std::string page = this->Page(watch.table, watch.after, true);
+    if (json::parse(page)["rows"].empty())
+      this->watches.push_back(std::move(watch));
+    else
+      watch.responder->SendWhole({200, "", {}}, page);
+  }
+}
+
+}  // namespace cranberryhill::platform
--- /dev/null
+++ b/standins/gateway_platform/fake_store.h
@@ -0,0 +1,72 @@
+#ifndef STANDINS_GATEWAY_PLATFORM_FAKE_STORE_H_
+#define STANDINS_GATEWAY_PLATFORM_FAKE_STORE_H_
+
+// The store of the users' platform, as far as the gateway uses it: rows, pages
+// and watches, with outages on request.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "cranberryhill/http1/server.h"
+
+namespace cranberryhill::platform {
+
+/// The store of the platform, as far as the gateway uses it.
+class FakeStore : public http1::RequestHandler {
+ public:
+  /// @param value Text of the row; nothing removes it.
+  void Set(std::string_view table,
+           std::string_view key,
+           std::optional<std::string> value);
+
+  /// Answers everything with 503 while true.
+  void SetDown(bool down) { this->is_down = down; }
+
+  /// Answers nothing while true, on connections that stay open; calls made
+  /// meanwhile are never answered.
+  void SetSilent(bool silent);
+
+  /// Forgets what changed before now.
+  void DropHistory() { this->history_from = this->version + 1; }
+
+  std::optional<std::string> Find(std::string_view table,
+                                  std::string_view key) const;
+
+  std::shared_ptr<http1::ActiveRequest> OnRequest(
+      http1::IncomingRequest request,
+      std::shared_ptr<http1::Responder> responder) override;
+  void OnMalformed(int, std::string_view) override {}
+
+ private:
+  struct Row {
+    std::optional<std::string> value;
+    uint64_t version = 0;
+  };
+  struct Watch {
+    std::string table;
+    uint64_t after = 0;
+    std::shared_ptr<http1::Responder> responder;
+  };
+
+  std::string Page(std::string_view table, uint64_t after, bool removed) const;
+  void Write(const std::string& body, http1::Responder& responder);
+  void AnswerWatches();
+
+  std::map<std::pair<std::string, std::string>, Row> rows;
+  std::vector<Watch> watches;
+  std::vector<std::shared_ptr<http1::Responder>> unanswered;
+  uint64_t version = 0;
+  uint64_t history_from = 0;
+  bool is_down = false;
+  bool is_silent = false;
+};
+
+}  // namespace cranberryhill::platform
+
+#endif  // STANDINS_GATEWAY_PLATFORM_FAKE_STORE_H_
