soak: randomized fault soak of the gateway program

Gateways run as processes between stand-ins in the soak's process; a loopback proxy delays, silences, cuts and resets links, signals pause, stop, kill and restart the processes. A ledger without I/O checks what callers and replicas saw.

--- /dev/null
+++ b/programs/gateway_soak.cc
@@ -0,0 +1,192 @@
+// Runs gateways as processes between stand-ins, injects faults drawn from a
+// seed, and checks what callers and replicas see. Exit codes: 0 no promise was
+// broken, 1 some was, 2 the run could not start.
+
+#include <fmt/format.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <filesystem>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "soak/callers.h"
+#include "soak/fleet.h"
+#include "soak/ledger.h"
+#include "soak/schedule.h"
+
+ABSL_FLAG(std::string, gateway, "", "Path of cranberryhill-gateway");
+ABSL_FLAG(std::string, directory, "", "For settings files and logs; made anew");
+ABSL_FLAG(uint64_t, seed, 1, "Decides on faults and requests");
+ABSL_FLAG(uint64_t, gateways, 4, "Processes");
+ABSL_FLAG(double, faults_s, 12, "Length of the part with faults, in seconds");
+ABSL_FLAG(int, rate, 120, "Requests per second");
+
+namespace cranberryhill::soak {
+namespace {
+
+constexpr int kBroken = 1;
+constexpr int kCannotRun = 2;
+
+/// Before traffic: gateways start and engines get their roles.
+constexpr absl::Duration kWarmUp = absl::Seconds(5);
+/// After the last fault; the users' sheets grant 15 s.
+constexpr absl::Duration kRecovery = absl::Seconds(8);
+/// Planned work alone, in which no request may be lost.
+constexpr absl::Duration kPlannedWork = absl::Seconds(8);
+constexpr absl::Duration kPlannedGap = absl::Seconds(1);
+constexpr absl::Duration kPlannedLength = absl::Milliseconds(700);
+/// Without any work; all requests must be served.
+constexpr absl::Duration kCalmPart = absl::Seconds(3);
+constexpr absl::Duration kAfterPlannedWork = absl::Seconds(5);
+/// The last requests end.
+constexpr absl::Duration kTail = absl::Seconds(7);
+constexpr std::chrono::milliseconds kTick(5);
+
+class Soak {
+ public:
+  Soak(uint64_t seed, FleetOptions options)
+      : random(seed),
+        ledger(Bounds(options)),
+        fleet(io, clock, random, ledger, std::move(options)),
+        timer(io) {}
+
+  int Run() {
+    if (!this->fleet.Start()) {
+      fmt::print("the processes cannot be started\n");
+      return kCannotRun;
+    }
+    this->callers = std::make_unique<Callers>(
+        this->io, this->clock, this->random, this->fleet, this->ledger);
+    this->began = this->clock.Now() + kWarmUp;
+    this->Plan();
+    this->Tick();
+    // The processes end with the soak.
+    boost::asio::signal_set stop(this->io, SIGTERM, SIGINT);
+    stop.async_wait([this](boost::system::error_code error, int) {
+      if (!error)
+        this->io.stop();
+    });
+    this->io.run();
+    std::vector<std::string> broken = this->ledger.Violations();
+    for (const std::string& line : broken)
+      fmt::print("BROKEN {}\n", line);
+    fmt::print("{} broken={}\n", this->ledger.Summary(), broken.size());
+    return broken.empty() ? 0 : kBroken;
+  }
+
+ private:
+  struct Step {
+    absl::Duration at;
+    Fault fault;
+    bool begins = false;
+  };
+
+  static LedgerBounds Bounds(const FleetOptions& options) {
+    LedgerBounds bounds;
+    bounds.retry_slack = options.retry_slack;
+    return bounds;
+  }
+
+  void Plan() {
+    absl::Duration faults = absl::Seconds(absl::GetFlag(FLAGS_faults_s));
+    auto add = [this](const Fault& fault) {
+      fmt::print("fault {} target={} at={} lasts={}\n", FaultName(fault.kind),
+                 fault.target, absl::FormatDuration(fault.at),
+                 absl::FormatDuration(fault.lasts));
+      this->steps.push_back({fault.at, fault, true});
+      this->steps.push_back({fault.at + fault.lasts, fault, false});
+    };
+    for (const Fault& fault : DrawFaults(this->random, faults))
+      add(fault);
+    // Half of the days end with the loss of all gateways.
+    this->restart_all_at =
+        this->random.UniformInt(0, 1) == 0 ? faults : absl::InfiniteDuration();
+    this->planned_from = faults + kRecovery;
+    constexpr FaultKind kPlanned[] = {FaultKind::kTerminate, FaultKind::kHangUp,
+                                      FaultKind::kConfigure,
+                                      FaultKind::kReplicaDrains};
+    for (absl::Duration at; at < kPlannedWork; at += kPlannedGap) {
+      FaultKind kind = kPlanned[this->random.UniformInt(0, 3)];
+      add({this->planned_from + at, kPlannedLength, kind,
+           this->random.UniformInt(0, 1000)});
+    }
+    this->calm_from = this->planned_from + kPlannedWork + kAfterPlannedWork;
+    std::stable_sort(this->steps.begin(), this->steps.end(),
+                     [](const Step& a, const Step& b) { return a.at < b.at; });
+  }
+
+  void Tick() {
+    absl::Duration now = this->clock.Now() - this->began;
+    while (this->next_step < this->steps.size() &&
+           this->steps[this->next_step].at <= now) {
+      const Step& step = this->steps[this->next_step++];
+      if (step.begins)
+        this->fleet.Begin(step.fault);
+      else
+        this->fleet.End(step.fault);
+    }
+    if (now >= this->restart_all_at) {
+      this->restart_all_at = absl::InfiniteDuration();
+      fmt::print("all gateways are killed\n");
+      this->fleet.RestartAll();
+    }
+    this->fleet.Tick();
+    this->callers->Tick();
+    bool sending = now < this->calm_from + kCalmPart;
+    auto due = static_cast<int64_t>(absl::ToDoubleSeconds(now) *
+                                    absl::GetFlag(FLAGS_rate));
+    for (; sending && this->sent < due; ++this->sent)
+      this->callers->SendOne(now >= this->calm_from);
+    if (now > this->calm_from + kCalmPart + kTail)
+      return this->io.stop();
+    this->timer.expires_after(kTick);
+    this->timer.async_wait([this](boost::system::error_code) { this->Tick(); });
+  }
+
+  boost::asio::io_context io{1};
+  BootClock clock;
+  SeededRandom random;
+  Ledger ledger;
+  Fleet fleet;
+  std::unique_ptr<Callers> callers;
+  boost::asio::steady_timer timer;
+  absl::Time began;
+  std::vector<Step> steps;
+  size_t next_step = 0;
+  absl::Duration restart_all_at;
+  absl::Duration planned_from;
+  absl::Duration calm_from;
+  int64_t sent = 0;
+};
+
+int Main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  FleetOptions options;
+  options.binary = absl::GetFlag(FLAGS_gateway);
+  options.directory = absl::GetFlag(FLAGS_directory);
+  options.gateways = absl::GetFlag(FLAGS_gateways);
+  if (options.binary.empty() || options.directory.empty()) {
+    fmt::print(stderr, "--gateway and --directory are needed\n");
+    return kCannotRun;
+  }
+  std::filesystem::remove_all(options.directory);
+  std::filesystem::create_directories(options.directory);
+  fmt::print("seed {}\n", absl::GetFlag(FLAGS_seed));
+  Soak soak(absl::GetFlag(FLAGS_seed), std::move(options));
+  return soak.Run();
+}
+
+}  // namespace
+}  // namespace cranberryhill::soak
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "Randomized fault soak of the gateway. Exit codes: 0 no promise was "
+      "broken, 1 some was, 2 the run could not start.");
+  absl::ParseCommandLine(argc, argv);
+  return cranberryhill::soak::Main();
+}
--- /dev/null
+++ b/soak/callers.h
@@ -0,0 +1,59 @@
+#ifndef SOAK_CALLERS_H_
+#define SOAK_CALLERS_H_
+
+// Callers of the gateways: an open loop of requests on connections that are
+// kept until the gateway's end closes them.
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/random.h"
+#include "cranberryhill/http1/client.h"
+#include "soak/fleet.h"
+#include "soak/ledger.h"
+
+namespace cranberryhill::soak {
+
+/// Belongs to the thread of `io`.
+class Callers {
+ public:
+  /// All references must outlive this object.
+  Callers(boost::asio::io_context& io,
+          const Clock& clock,
+          Random& random,
+          Fleet& fleet,
+          Ledger& ledger);
+  ~Callers();
+
+  /// Sends one request of a random kind to a random gateway.
+  /// @param after_recovery It must be served.
+  void SendOne(bool after_recovery);
+
+  /// Gives up requests whose time is up. To be called several times a second.
+  void Tick();
+
+  /// @return Requests without an end.
+  size_t open() const { return this->calls.size(); }  // NOLINT
+
+ private:
+  class Call;
+
+  std::shared_ptr<http1::ClientConnection> Acquire(size_t gateway);
+  void OnEnd(Call& call, http1::AnswerEnd end);
+
+  boost::asio::io_context& io;
+  const Clock& clock;
+  Random& random;
+  Fleet& fleet;
+  Ledger& ledger;
+  std::vector<std::vector<std::shared_ptr<http1::ClientConnection>>> kept;
+  std::vector<std::shared_ptr<Call>> calls;
+  uint64_t next_id = 0;
+};
+
+}  // namespace cranberryhill::soak
+
+#endif  // SOAK_CALLERS_H_
--- /dev/null
+++ b/soak/fleet.cc
@@ -0,0 +1,563 @@
+#include "soak/fleet.h"
+
+#include <fmt/format.h>
+#include <sys/wait.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cranberryhill/base/hash.h"
+#include "platform/names.h"
+#include "soak/soak_address.h"
+
+namespace cranberryhill::soak {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using platform::FakeReplica;
+
+/// Time of plain work, and between two events of a stream.
+constexpr int kShortestWorkMs = 3;
+constexpr int kLongestWorkMs = 40;
+constexpr absl::Duration kEventGap = absl::Milliseconds(15);
+/// Time in which an engine carries out an order.
+constexpr absl::Duration kOrderTime = absl::Milliseconds(300);
+/// Entries that lapsed with the store are back this long after it.
+constexpr absl::Duration kEntriesBack = absl::Milliseconds(1500);
+constexpr absl::Duration kLinkDelay = absl::Milliseconds(120);
+/// A replica that announced its leaving gets nothing new after this time.
+constexpr absl::Duration kDrainTime = absl::Seconds(3);
+/// An instance counts as calm when nothing was disturbed for this long.
+constexpr absl::Duration kCalm = absl::Seconds(4);
+/// Time to stop after SIGTERM, and what more is granted for a busy machine.
+constexpr int kShutdownSeconds = 4;
+constexpr absl::Duration kLongestStop = absl::Seconds(12);
+/// A process has its signal handlers this long after its start.
+constexpr absl::Duration kHandlersSet = absl::Milliseconds(500);
+constexpr std::string_view kLongBody = "0123456789abcdef";
+
+uint16_t FreePort(asio::io_context& io) {
+  asio::ip::tcp::acceptor probe(io, {SoakAddress(), 0});
+  return probe.local_endpoint().port();
+}
+
+bool Listen(http1::Server& server) {
+  return Capture([&]() -> Result<bool> {
+           BOOST_LEAF_CHECK(server.Listen(SoakAddress().to_string(), 0));
+           return true;
+         })
+      .ok();
+}
+
+int EventCount(std::string_view id) {
+  return 3 + static_cast<int>(StableHash(id) % 10);
+}
+
+std::string EventText(std::string_view id, int number) {
+  return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+}
+
+/// @param run The status is part of the signature, so that callers can compare.
+http1::AnswerHead SignedHead(std::string_view id, int status) {
+  http1::AnswerHead head;
+  head.status = status;
+  head.headers.Add(platform::kAttemptId, id);
+  head.headers.Add(platform::kSignature, fmt::format("{}", status));
+  return head;
+}
+
+}  // namespace
+
+std::string ExpectedBody(std::string_view id, bool stream) {
+  std::string body;
+  if (stream) {
+    for (int number = 1; number <= EventCount(id); ++number)
+      body += EventText(id, number);
+    return body;
+  }
+  body = fmt::format("answer to {} ", id);
+  for (uint64_t i = 0; i < StableHash(id) % 200; ++i)
+    body += kLongBody;
+  return body;
+}
+
+struct Fleet::Server {
+  enum class Mode { kOk, kErrors, kRefuses, kBreaks, kHangs };
+
+  std::string id;
+  std::string service;
+  std::string stage;
+  std::string state = "ready";
+  FakeReplica handler;
+  std::unique_ptr<http1::Server> server;
+  std::unique_ptr<LinkProxy> link;
+  Mode mode = Mode::kOk;
+  int sequence = 1;  // Of its entry.
+  int orders = 0;
+  absl::Time draining_since = absl::InfiniteFuture();
+  std::vector<std::shared_ptr<http1::Responder>> unanswered;
+};
+
+struct Fleet::Member {
+  std::string id;
+  std::unique_ptr<GatewayProcess> process;
+  std::unique_ptr<LinkProxy> callers;
+  std::unique_ptr<LinkProxy> store;
+  Disturbance disturbance;
+  absl::Time started_at;
+  bool may_end = false;  // It was killed or told to stop.
+  absl::Time told_to_stop_at = absl::InfiniteFuture();
+};
+
+Fleet::Fleet(asio::io_context& io,
+             const Clock& clock,
+             Random& random,
+             Ledger& ledger,
+             FleetOptions options)
+    : io(io),
+      clock(clock),
+      random(random),
+      ledger(ledger),
+      options(std::move(options)),
+      store_server(io, clock, store, {}) {}
+
+Fleet::~Fleet() = default;
+
+bool Fleet::Start() {
+  bool started = Listen(this->store_server);
+  for (int i = 1; i <= 3; ++i)
+    started = started && this->AddServer(fmt::format("desk-{}", i), kDesk, "");
+  for (int i = 1; i <= 2; ++i)
+    started = started && this->AddServer(fmt::format("shop-{}", i), kShop, "");
+  for (int i = 1; i <= 6; ++i) {
+    started = started && this->AddServer(fmt::format("lm-{}", i), kEngines,
+                                         i <= 4 ? "prefill" : "decode");
+  }
+  if (!started)
+    return false;
+  this->Configure();
+  for (size_t i = 0; i < this->options.gateways; ++i) {
+    if (!this->AddMember(i))
+      return false;
+  }
+  return true;
+}
+
+bool Fleet::AddServer(std::string_view id,
+                      std::string_view service,
+                      std::string_view stage) {
+  auto server = std::make_unique<Server>();
+  server->id = std::string(id);
+  server->service = std::string(service);
+  server->stage = std::string(stage);
+  server->handler.work = [this, raw = server.get()](
+                             const http1::IncomingRequest& request,
+                             std::shared_ptr<http1::Responder> responder) {
+    this->Work(*raw, request, responder);
+  };
+  server->server = std::make_unique<http1::Server>(
+      this->io, this->clock, server->handler, http1::ServerLimits{});
+  if (!Listen(*server->server))
+    return false;
+  server->link = std::make_unique<LinkProxy>(this->io, server->server->port());
+  this->Publish(*server);
+  this->servers.push_back(std::move(server));
+  return true;
+}
+
+bool Fleet::AddMember(size_t index) {
+  auto member = std::make_unique<Member>();
+  member->id = fmt::format("entry-{}", index + 1);
+  uint16_t callers = FreePort(this->io);
+  member->callers = std::make_unique<LinkProxy>(this->io, callers);
+  member->store =
+      std::make_unique<LinkProxy>(this->io, this->store_server.port());
+  auto address = [](uint16_t port) {
+    return fmt::format("{}:{}", SoakAddress().to_string(), port);
+  };
+  json settings = {
+      {"instance_id", member->id},
+      {"availability_zone", index % 2 == 0 ? "a" : "b"},
+      {"callers_address", address(callers)},
+      {"readiness_address", address(FreePort(this->io))},
+      {"peer_address", address(FreePort(this->io))},
+      {"store_address", address(member->store->port())},
+      {"shutdown_s", kShutdownSeconds},
+      {"retry_slack", this->options.retry_slack},
+      {"log_lines_per_s", 2000},
+  };
+  std::string path =
+      fmt::format("{}/{}.json", this->options.directory, member->id);
+  std::ofstream(path) << settings.dump(2) << "\n";
+  member->process = std::make_unique<GatewayProcess>(
+      this->options.binary, path,
+      fmt::format("{}/{}.log", this->options.directory, member->id));
+  member->started_at = this->clock.Now();
+  bool started = member->process->Start();
+  this->members.push_back(std::move(member));
+  return started;
+}
+
+uint16_t Fleet::CallerPort(size_t gateway) const {
+  return this->members.at(gateway)->callers->port();
+}
+
+bool Fleet::Undisturbed(size_t gateway, absl::Time from) const {
+  return this->shared.CalmSince(from) &&
+         this->members.at(gateway)->disturbance.CalmSince(from);
+}
+
+void Fleet::Configure() {
+  ++this->version;
+  // Every second version moves the movable route to the other service.
+  std::string_view movable = this->version % 2 == 0 ? kShop : kDesk;
+  auto route = [](std::string_view name, std::string_view kind,
+                  std::string_view service) {
+    json route = {{"name", name},
+                  {"host", "h"},
+                  {"prefix", fmt::format("/{}/", name)},
+                  {"kind", kind},
+                  {"timeout-ms", 4000},
+                  {"target-latency-ms", 500},
+                  {"service", service},
+                  {"attempts", kind == "non_idempotent" ? 1 : 2}};
+    if (kind == "streaming")
+      route["resumable"] = name == "resumable";
+    return route;
+  };
+  json configuration = {
+      {"version", this->version},
+      {"routes",
+       {route("look", "idempotent", kDesk),
+        route("book", "non_idempotent", kDesk),
+        route("moving", "idempotent", movable),
+        route("resumable", "streaming", kEngines),
+        route("once", "streaming", kEngines)}},
+      {"services",
+       {{{"name", kDesk}, {"health-path", "/health"}},
+        {{"name", kShop}, {"health-path", "/health"}},
+        {{"name", kEngines},
+         {"health-path", "/health"},
+         {"engine", {{"slots", 24}, {"kv-capacity-tokens", 1000000}}}}}}};
+  this->store.Set("op", "config", configuration.dump());
+}
+
+void Fleet::Publish(Server& server) {
+  json row = {{"service", server.service},
+              {"address", fmt::format("{}:{}", SoakAddress().to_string(),
+                                      server.link->port())},
+              {"zone", StableHash(server.id) % 2 == 0 ? "a" : "b"},
+              {"version", "v1"},
+              {"slots", server.stage.empty() ? 6 : 24},
+              {"state", server.state},
+              {"sequence", server.sequence++}};
+  if (!server.stage.empty()) {
+    row["stage"] = server.stage;
+    row["models"] = {
+        {{"name", "m"}, {"version", 1}, {"adapters", json::array()}}};
+  }
+  this->store.Set("servers", server.id, row.dump());
+}
+
+void Fleet::After(absl::Duration wait, std::function<void()> action) {
+  auto timer = std::make_shared<asio::steady_timer>(
+      this->io, absl::ToChronoMicroseconds(wait));
+  timer->async_wait([timer, action = std::move(action)](
+                        boost::system::error_code) { action(); });
+}
+
+void Fleet::Work(Server& server,
+                 const http1::IncomingRequest& request,
+                 const std::shared_ptr<http1::Responder>& responder) {
+  server.handler.requests.clear();
+  const http1::HeaderList& headers = request.head.headers;
+  const std::string& target = request.head.target;
+  if (target == platform::kReportPath) {
+    json report = {
+        {"stage", server.stage}, {"busy", false}, {"sequence", server.orders}};
+    return responder->SendWhole({200, "", {}}, report.dump());
+  }
+  if (target == platform::kOrderPath)
+    return this->TakeOrder(server, request, *responder);
+  if (target.starts_with(platform::kHandlePath))
+    return responder->SendWhole({200, "", {}}, "");
+  std::string id(headers.Find(platform::kAttemptId).value_or(""));
+  bool refuses = server.mode == Server::Mode::kRefuses ||
+                 headers.Find(platform::kExpectedReplica) != server.id;
+  bool reads_only = headers.Find(platform::kStage).has_value();
+  if (refuses || !reads_only)
+    this->ledger.OnArrival(id, server.id, this->clock.Now(), !refuses);
+  if (refuses) {
+    http1::AnswerHead head = SignedHead(id, 503);
+    head.headers.Add(platform::kNotRun, "1");
+    return responder->SendWhole(std::move(head), "");
+  }
+  absl::Time now = this->clock.Now();
+  if (now - server.draining_since > kDrainTime + kCalm &&
+      this->shared.CalmSince(now - kCalm - kDrainTime)) {
+    this->ledger.OnViolation(fmt::format(
+        "drain: {} got {} {} after it announced its leaving", server.id, id,
+        absl::FormatDuration(now - server.draining_since)));
+  }
+  if (server.mode == Server::Mode::kErrors)
+    return responder->SendWhole(SignedHead(id, 500), "failed");
+  if (server.mode == Server::Mode::kBreaks)
+    return responder->Abort();
+  if (server.mode == Server::Mode::kHangs)
+    return server.unanswered.push_back(responder);
+  if (reads_only)
+    return this->ReadPrompt(id, *responder);
+  auto source = headers.Find(platform::kCacheSource);
+  if (source && !source->ends_with("/cache-" + id)) {
+    this->ledger.OnViolation(fmt::format(
+        "mixed: {} goes on from the cache {} of another request", id, *source));
+  }
+  int first = 1;
+  if (auto last = headers.Find(platform::kLastEventId))
+    first = std::stoi(std::string(*last)) + 1;
+  this->Run(server, id, first, server.service == kEngines, responder);
+}
+
+void Fleet::TakeOrder(Server& server,
+                      const http1::IncomingRequest& request,
+                      http1::Responder& responder) {
+  json order = json::parse(request.body);
+  if (order["expected-revision"] != server.orders)
+    return responder.SendWhole({409, "", {}}, "");
+  this->ledger.OnOrder(server.id, order["holder"].get<std::string>(),
+                       order["fencing-token"].get<uint64_t>(),
+                       this->clock.Now());
+  ++server.orders;
+  responder.SendWhole({202, "", {}}, "");
+  this->After(kOrderTime,
+              [this, &server, stage = order["stage"].get<std::string>()] {
+                server.stage = stage;
+                this->Publish(server);
+              });
+}
+
+void Fleet::ReadPrompt(std::string_view id, http1::Responder& responder) {
+  json handle = {{"transfer-handle", fmt::format("cache-{}", id)},
+                 {"tokens", 5000},
+                 {"version", 1}};
+  responder.SendWhole(SignedHead(id, 200), handle.dump());
+}
+
+void Fleet::Run(Server& server,
+                std::string_view id,
+                int first_event,
+                bool stream,
+                const std::shared_ptr<http1::Responder>& responder) {
+  if (!stream) {
+    auto work = absl::Milliseconds(
+        this->random.UniformInt(kShortestWorkMs, kLongestWorkMs));
+    return this->After(work, [responder, id = std::string(id)] {
+      responder->SendWhole(SignedHead(id, 200), ExpectedBody(id, false));
+    });
+  }
+  http1::AnswerHead head = SignedHead(id, 200);
+  head.headers.Add("Content-Type", "text/event-stream");
+  responder->BeginStream(std::move(head));
+  int last = EventCount(id);
+  bool breaks = server.mode != Server::Mode::kOk;
+  for (int number = first_event; number <= last; ++number) {
+    this->After(kEventGap * (number - first_event + 1),
+                [responder, id = std::string(id), number, last, breaks] {
+                  responder->SendPart(EventText(id, number));
+                  if (number == last && !breaks)
+                    responder->EndStream();
+                });
+  }
+  // A caller that resumes after the last event gets an empty rest.
+  if (first_event > last)
+    responder->EndStream();
+}
+
+Fleet::Disturbance* Fleet::DisturbanceOf(const Fault& fault) {
+  switch (fault.kind) {
+    // Planned work.
+    case FaultKind::kTerminate:
+    case FaultKind::kHangUp:
+    case FaultKind::kConfigure:
+    case FaultKind::kReplicaDrains:
+      return nullptr;
+    case FaultKind::kKill:
+    case FaultKind::kPause:
+    case FaultKind::kStoreLinkSilent:
+    case FaultKind::kStoreLinkOneWay:
+    case FaultKind::kStoreLinkReset:
+    case FaultKind::kCallerLinkReset:
+    case FaultKind::kCallerLinkDelayed:
+      return &this->members[fault.target % this->members.size()]->disturbance;
+    default:
+      return &this->shared;
+  }
+}
+
+void Fleet::Begin(const Fault& fault) {
+  if (Disturbance* disturbance = this->DisturbanceOf(fault))
+    ++disturbance->active;
+  this->Apply(fault, true);
+}
+
+void Fleet::End(const Fault& fault) {
+  this->Apply(fault, false);
+  if (Disturbance* disturbance = this->DisturbanceOf(fault)) {
+    --disturbance->active;
+    disturbance->ended_at = this->clock.Now();
+  }
+}
+
+void Fleet::Apply(const Fault& fault, bool begins) {
+  Member& member = *this->members[fault.target % this->members.size()];
+  Server& server = *this->servers[fault.target % this->servers.size()];
+  switch (fault.kind) {
+    case FaultKind::kKill:
+    case FaultKind::kPause:
+    case FaultKind::kTerminate:
+    case FaultKind::kHangUp:
+      return this->ApplyToProcess(member, fault.kind, begins);
+    case FaultKind::kStoreLinkSilent:
+      return member.store->SetState({begins, begins, {}});
+    case FaultKind::kStoreLinkOneWay:
+      return member.store->SetState({false, begins, {}});
+    case FaultKind::kStoreLinkReset:
+      return begins ? member.store->Reset() : void();
+    case FaultKind::kCallerLinkReset:
+      return begins ? member.callers->Reset() : void();
+    case FaultKind::kCallerLinkDelayed:
+      return member.callers->SetState(
+          {false, false,
+           absl::ToChronoMilliseconds(begins ? kLinkDelay
+                                             : absl::ZeroDuration())});
+    case FaultKind::kConfigure:
+      return begins ? this->Configure() : void();
+    case FaultKind::kStoreDown:
+    case FaultKind::kStoreSilent:
+    case FaultKind::kStoreLosesAnswers:
+    case FaultKind::kStoreForgets:
+    case FaultKind::kRegistryLapses:
+      return this->ApplyToStore(fault.kind, begins);
+    default:
+      return this->ApplyToReplica(server, fault.kind, begins);
+  }
+}
+
+void Fleet::ApplyToProcess(Member& member, FaultKind kind, bool begins) {
+  GatewayProcess& process = *member.process;
+  bool has_handlers =
+      process.running() && this->clock.Now() - member.started_at > kHandlersSet;
+  if (kind == FaultKind::kPause) {
+    process.Signal(begins ? SIGSTOP : SIGCONT);
+  } else if (kind == FaultKind::kKill && begins) {
+    member.may_end = true;
+    process.Signal(SIGKILL);
+  } else if (kind == FaultKind::kTerminate && begins && has_handlers) {
+    member.may_end = true;
+    member.told_to_stop_at = this->clock.Now();
+    process.Signal(SIGTERM);
+  } else if (kind == FaultKind::kHangUp && begins && has_handlers) {
+    process.Signal(SIGHUP);
+  }
+}
+
+void Fleet::ApplyToReplica(Server& server, FaultKind kind, bool begins) {
+  auto set_mode = [&server, begins](Server::Mode mode) {
+    server.mode = begins ? mode : Server::Mode::kOk;
+  };
+  switch (kind) {
+    case FaultKind::kReplicaLinkSilent:
+      return server.link->SetState({begins, begins, {}});
+    case FaultKind::kReplicaLinkOneWay:
+      return server.link->SetState({false, begins, {}});
+    case FaultKind::kReplicaLinkReset:
+      return begins ? server.link->Reset() : void();
+    case FaultKind::kReplicaLinkDelayed:
+      return server.link->SetState(
+          {false, false,
+           absl::ToChronoMilliseconds(begins ? kLinkDelay
+                                             : absl::ZeroDuration())});
+    case FaultKind::kReplicaErrors:
+      return set_mode(Server::Mode::kErrors);
+    case FaultKind::kReplicaRefuses:
+      return set_mode(Server::Mode::kRefuses);
+    case FaultKind::kReplicaBreaks:
+      return set_mode(Server::Mode::kBreaks);
+    case FaultKind::kReplicaHangs:
+      set_mode(Server::Mode::kHangs);
+      if (!begins) {
+        for (auto& responder : std::exchange(server.unanswered, {}))
+          responder->Abort();
+      }
+      return;
+    default:
+      server.state = begins ? "draining" : "ready";
+      server.draining_since =
+          begins ? this->clock.Now() : absl::InfiniteFuture();
+      this->Publish(server);
+  }
+}
+
+void Fleet::ApplyToStore(FaultKind kind, bool begins) {
+  if (kind == FaultKind::kStoreSilent)
+    return this->store.SetSilent(begins);
+  if (kind == FaultKind::kStoreLosesAnswers)
+    return this->store.SetLosesAnswers(begins);
+  if (kind == FaultKind::kStoreForgets)
+    return begins ? this->store.DropHistory() : void();
+  this->store_outages += begins ? 1 : -1;
+  this->store.SetDown(this->store_outages > 0);
+  if (kind != FaultKind::kRegistryLapses)
+    return;
+  if (begins) {
+    for (const auto& server : this->servers)
+      this->store.Set("servers", server->id, std::nullopt);
+    return;
+  }
+  this->After(kEntriesBack, [this] {
+    for (const auto& server : this->servers)
+      this->Publish(*server);
+  });
+}
+
+void Fleet::RestartAll() {
+  for (const auto& member : this->members) {
+    member->may_end = true;
+    member->disturbance.ended_at = this->clock.Now();
+    member->process->Signal(SIGKILL);
+  }
+}
+
+void Fleet::Tick() {
+  absl::Time now = this->clock.Now();
+  this->store.EndOldWatches(now);
+  for (const auto& member : this->members) {
+    if (auto status = member->process->TakeEnd()) {
+      bool stopped = WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
+      bool killed = WIFSIGNALED(*status) && WTERMSIG(*status) == SIGKILL;
+      if (!member->may_end || (!stopped && !killed)) {
+        this->ledger.OnViolation(fmt::format(
+            "ended: {} ended by itself with status {}", member->id, *status));
+      }
+      member->may_end = false;
+      member->told_to_stop_at = absl::InfiniteFuture();
+      member->started_at = now;
+      if (!member->process->Start())
+        this->ledger.OnViolation("the gateway cannot be started");
+    }
+    if (now - member->told_to_stop_at > kLongestStop) {
+      this->ledger.OnViolation(
+          fmt::format("stop: {} still runs {} after SIGTERM", member->id,
+                      absl::FormatDuration(now - member->told_to_stop_at)));
+      member->told_to_stop_at = absl::InfiniteFuture();
+      member->process->Signal(SIGKILL);
+    }
+  }
+}
+
+}  // namespace cranberryhill::soak
--- /dev/null
+++ b/soak/fleet.h
@@ -0,0 +1,128 @@
+#ifndef SOAK_FLEET_H_
+#define SOAK_FLEET_H_
+
+// The gateways under test with the stand-ins around them, and the faults that
+// are injected between them.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/random.h"
+#include "cranberryhill/http1/server.h"
+#include "soak/gateway_process.h"
+#include "soak/ledger.h"
+#include "soak/link_proxy.h"
+#include "soak/schedule.h"
+#include "standins/gateway_platform/fake_replica.h"
+#include "standins/gateway_platform/fake_store.h"
+
+namespace cranberryhill::soak {
+
+struct FleetOptions {
+  std::string binary;     ///< The gateway program.
+  std::string directory;  ///< For settings files and logs; must exist.
+  size_t gateways = 4;
+  double retry_slack = 40;
+};
+
+/// Names of services and routes; a route is the path prefix "/NAME/".
+inline constexpr std::string_view kDesk = "desk";
+inline constexpr std::string_view kShop = "shop";
+inline constexpr std::string_view kEngines = "lm";
+
+/// @return The whole answer to a request: its body or its events.
+std::string ExpectedBody(std::string_view id, bool stream);
+
+/// Belongs to the thread of `io`.
+class Fleet {
+ public:
+  /// All references must outlive this object.
+  Fleet(boost::asio::io_context& io,
+        const Clock& clock,
+        Random& random,
+        Ledger& ledger,
+        FleetOptions options);
+  ~Fleet();
+
+  /// Starts the stand-ins and the gateways.
+  /// @return False when a process or a server cannot be started.
+  bool Start();
+
+  void Begin(const Fault& fault);
+  void End(const Fault& fault);
+
+  /// Kills all gateways at once and starts them again.
+  void RestartAll();
+
+  /// Starts gateways that have ended and reports those that ended by
+  /// themselves. To be called several times a second.
+  void Tick();
+
+  size_t gateways() const { return this->members.size(); }  // NOLINT
+
+  /// @return The port at which callers reach a gateway.
+  uint16_t CallerPort(size_t gateway) const;
+
+  /// @return True when neither this gateway nor anything that all of them use
+  ///     was disturbed since `from`.
+  bool Undisturbed(size_t gateway, absl::Time from) const;
+
+ private:
+  struct Member;
+  struct Server;
+  struct Disturbance {
+    int active = 0;
+    absl::Time ended_at = absl::InfinitePast();
+
+    bool CalmSince(absl::Time from) const {
+      return this->active == 0 && this->ended_at < from;
+    }
+  };
+
+  bool AddServer(std::string_view id,
+                 std::string_view service,
+                 std::string_view stage);
+  bool AddMember(size_t index);
+  void Configure();
+  void Publish(Server& server);
+  void Work(Server& server,
+            const http1::IncomingRequest& request,
+            const std::shared_ptr<http1::Responder>& responder);
+  void TakeOrder(Server& server,
+                 const http1::IncomingRequest& request,
+                 http1::Responder& responder);
+  void ReadPrompt(std::string_view id, http1::Responder& responder);
+  void Run(Server& server,
+           std::string_view id,
+           int first_event,
+           bool stream,
+           const std::shared_ptr<http1::Responder>& responder);
+  void After(absl::Duration wait, std::function<void()> action);
+  void Apply(const Fault& fault, bool begins);
+  void ApplyToProcess(Member& member, FaultKind kind, bool begins);
+  void ApplyToReplica(Server& server, FaultKind kind, bool begins);
+  void ApplyToStore(FaultKind kind, bool begins);
+  Disturbance* DisturbanceOf(const Fault& fault);
+
+  boost::asio::io_context& io;
+  const Clock& clock;
+  Random& random;
+  Ledger& ledger;
+  const FleetOptions options;
+  platform::FakeStore store;
+  http1::Server store_server;
+  std::vector<std::unique_ptr<Server>> servers;
+  std::vector<std::unique_ptr<Member>> members;
+  Disturbance shared;  // Of the store and of replicas.
+  int version = 0;     // Of the configuration.
+  int store_outages = 0;
+};
+
+}  // namespace cranberryhill::soak
+
+#endif  // SOAK_FLEET_H_
--- /dev/null
+++ b/soak/ledger.cc
@@ -0,0 +1,224 @@
+#include "soak/ledger.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cranberryhill::soak {
+namespace {
+
+/// Statuses that promise that the request has not run and never will.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+/// @return Entries of the sorted `times` in [from, to).
+double CountIn(const std::vector<absl::Time>& times,
+               absl::Time from,
+               absl::Time to) {
+  auto first = std::lower_bound(times.begin(), times.end(), from);
+  auto last = std::lower_bound(times.begin(), times.end(), to);
+  return static_cast<double>(last - first);
+}
+
+}  // namespace
+
+void Ledger::OnSent(SentRequest request) {
+  std::string id = request.id;
+  this->requests[id].sent = std::move(request);
+}
+
+void Ledger::OnArrival(std::string_view id,
+                       std::string_view replica,
+                       absl::Time now,
+                       bool runs) {
+  auto found = this->requests.find(id);
+  if (found == this->requests.end()) {
+    this->seen.push_back(fmt::format(
+        "unasked: {} got request {} that nobody sent", replica, id));
+    return;
+  }
+  found->second.arrivals.push_back({std::string(replica), now, runs});
+}
+
+void Ledger::OnAnswer(std::string_view id, Answer answer) {
+  this->requests.find(id)->second.answers.push_back(std::move(answer));
+}
+
+void Ledger::OnOrder(std::string_view replica,
+                     std::string_view holder,
+                     uint64_t fencing_token,
+                     absl::Time now) {
+  this->orders[std::string(replica)].push_back(
+      {std::string(holder), fencing_token, now});
+}
+
+void Ledger::CheckRequest(const Request& request,
+                          std::vector<std::string>& out) const {
+  const std::string& id = request.sent.id;
+  auto runs =
+      std::count_if(request.arrivals.begin(), request.arrivals.end(),
+                    [](const Arrival& arrival) { return arrival.runs; });
+  if (!request.sent.may_repeat && runs > 1)
+    out.push_back(fmt::format("twice: {} ran {} times", id, runs));
+  if (request.answers.size() > 1) {
+    out.push_back(
+        fmt::format("mixed: {} got {} answers", id, request.answers.size()));
+  }
+  for (const Answer& answer : request.answers) {
+    if (PromisesNotRun(answer.status) && runs > 0 && !request.sent.may_repeat) {
+      out.push_back(fmt::format("refused: {} was answered {} and ran", id,
+                                answer.status));
+    }
+    if (IsSuccess(answer.status) && answer.complete &&
+        answer.body != request.sent.expected_body) {
+      out.push_back(fmt::format(
+          "mixed: {} got {} bytes that are not its answer of {} bytes", id,
+          answer.body.size(), request.sent.expected_body.size()));
+    }
+    if (IsSuccess(answer.status) && !answer.complete &&
+        !request.sent.expected_body.starts_with(answer.body)) {
+      out.push_back(fmt::format(
+          "order: {} got a part that is not the start of its answer", id));
+    }
+    if (answer.signed_status != 0 && answer.signed_status != answer.status) {
+      out.push_back(fmt::format("mixed: {} got {} for the signed answer {}", id,
+                                answer.status, answer.signed_status));
+    }
+    bool must_answer = !request.arrivals.empty() || request.sent.after_recovery;
+    if (answer.undisturbed && must_answer && !answer.complete) {
+      out.push_back(fmt::format(
+          "lost: {} got no complete answer within {} although nothing was "
+          "disturbed",
+          id, absl::FormatDuration(answer.took)));
+    }
+  }
+}
+
+void Ledger::CheckRetries(std::vector<std::string>& out) const {
+  struct Service {
+    std::vector<absl::Time> requests;
+    std::vector<absl::Time> extras;
+  };
+  std::map<std::string, Service> services;
+  int over_attempts = 0;
+  for (const auto& [id, request] : this->requests) {
+    Service& service = services[request.sent.service];
+    service.requests.push_back(request.sent.at);
+    std::set<std::string> replicas;
+    for (size_t i = 0; i < request.arrivals.size(); ++i) {
+      if (i > 0)
+        service.extras.push_back(request.arrivals[i].at);
+      if (request.arrivals[i].runs)
+        replicas.insert(request.arrivals[i].replica);
+    }
+    if (static_cast<int>(replicas.size()) > request.sent.max_replicas)
+      ++over_attempts;
+  }
+  if (over_attempts > this->bounds.over_attempts) {
+    out.push_back(fmt::format(
+        "budget: {} requests ran on more replicas than their route allows",
+        over_attempts));
+  }
+  for (auto& [name, service] : services) {
+    std::sort(service.requests.begin(), service.requests.end());
+    std::sort(service.extras.begin(), service.extras.end());
+    absl::Duration window = this->bounds.retry_window;
+    for (absl::Time from : service.extras) {
+      double extras = CountIn(service.extras, from, from + window);
+      double requests = std::max(
+          {CountIn(service.requests, from, from + window),
+           CountIn(service.requests, from - window, from),
+           CountIn(service.requests, from - window / 2, from + window / 2)});
+      double allowed =
+          this->bounds.retry_ratio * requests + this->bounds.retry_slack;
+      if (extras > allowed) {
+        out.push_back(fmt::format(
+            "budget: {} got {} extra sends for {} requests in one window", name,
+            extras, requests));
+        break;
+      }
+    }
+  }
+}
+
+void Ledger::CheckOrders(std::vector<std::string>& out) const {
+  for (const auto& [replica, list] : this->orders) {
+    for (size_t i = 1; i < list.size(); ++i) {
+      const Order& before = list[i - 1];
+      const Order& order = list[i];
+      if (order.fencing_token < before.fencing_token) {
+        out.push_back(fmt::format("one: {} got fencing token {} after {}",
+                                  replica, order.fencing_token,
+                                  before.fencing_token));
+      }
+      if (order.holder == before.holder)
+        continue;
+      if (order.fencing_token == before.fencing_token ||
+          order.at - before.at < this->bounds.lease_time) {
+        out.push_back(fmt::format(
+            "one: {} got orders of {} and {} {} apart, tokens {} and {}",
+            replica, before.holder, order.holder,
+            absl::FormatDuration(order.at - before.at), before.fencing_token,
+            order.fencing_token));
+      }
+    }
+  }
+}
+
+void Ledger::CheckRecovery(std::vector<std::string>& out) const {
+  double sent = 0;
+  double served = 0;
+  for (const auto& [id, request] : this->requests) {
+    if (!request.sent.after_recovery)
+      continue;
+    ++sent;
+    for (const Answer& answer : request.answers)
+      served += IsSuccess(answer.status) && answer.complete ? 1 : 0;
+  }
+  if (served < sent * this->bounds.served_share) {
+    out.push_back(fmt::format(
+        "recover: {} of {} requests were served after all faults had ended",
+        served, sent));
+  }
+}
+
+std::vector<std::string> Ledger::Violations() const {
+  std::vector<std::string> out = this->seen;
+  for (const auto& [id, request] : this->requests)
+    this->CheckRequest(request, out);
+  this->CheckRetries(out);
+  this->CheckOrders(out);
+  this->CheckRecovery(out);
+  return out;
+}
+
+std::string Ledger::Summary() const {
+  std::map<std::string, int> by_outcome;
+  size_t arrivals = 0;
+  for (const auto& [id, request] : this->requests) {
+    arrivals += request.arrivals.size();
+    for (const Answer& answer : request.answers) {
+      std::string name = answer.status == 0 ? "no_answer"
+                         : !answer.complete ? "cut"
+                                            : std::to_string(answer.status);
+      ++by_outcome[name];
+    }
+  }
+  std::string line =
+      fmt::format("requests={} arrivals={}", this->requests.size(), arrivals);
+  for (const auto& [name, count] : by_outcome)
+    line += fmt::format(" {}={}", name, count);
+  size_t orders = 0;
+  for (const auto& [replica, list] : this->orders)
+    orders += list.size();
+  return line + fmt::format(" orders={}", orders);
+}
+
+}  // namespace cranberryhill::soak
--- /dev/null
+++ b/soak/ledger.h
@@ -0,0 +1,122 @@
+#ifndef SOAK_LEDGER_H_
+#define SOAK_LEDGER_H_
+
+// What callers and replicas saw during a soak, and which promises of the
+// gateway it breaks. Free of I/O.
+//
+//   Ledger ledger(bounds);
+//   ledger.OnSent(request);
+//   ledger.OnArrival("attempt-1", "desk-1", now, /*runs=*/true);
+//   ledger.OnAnswer("attempt-1", answer);
+//   for (const std::string& line : ledger.Violations()) ...
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+
+namespace cranberryhill::soak {
+
+/// A request as its caller sent it.
+struct SentRequest {
+  std::string id;
+  std::string service;
+  std::string expected_body;
+  bool may_repeat = false;  ///< It may run more than once.
+  int max_replicas = 1;
+  absl::Time at;
+  /// Sent after all faults had ended and the recovery time had passed.
+  bool after_recovery = false;
+};
+
+/// How a request ended for its caller.
+struct Answer {
+  int status = 0;         ///< 0: no head was received.
+  bool complete = false;  ///< The whole answer was received.
+  std::string body;
+  /// Status that the replica signed; 0 when the answer bears no signature.
+  int signed_status = 0;
+  /// Neither the gateway nor a replica or link was disturbed from a while
+  /// before the request to its end; planned work is no disturbance.
+  bool undisturbed = false;
+  absl::Duration took;
+};
+
+struct LedgerBounds {
+  double retry_ratio = 0.2;
+  double retry_slack = 0;
+  absl::Duration retry_window = absl::Seconds(10);
+  /// Orders of two holders must be this far apart.
+  absl::Duration lease_time = absl::Seconds(3);
+  /// Share of the requests after recovery that must be served.
+  double served_share = 0.99;
+  /// Requests that may reach more replicas than their route allows: replicas
+  /// that ended meanwhile do not count, and this cannot be told from outside.
+  int over_attempts = 3;
+};
+
+/// Not thread-safe.
+class Ledger {
+ public:
+  explicit Ledger(LedgerBounds bounds) : bounds(bounds) {}
+
+  void OnSent(SentRequest request);
+
+  /// @param runs The replica begins to work on the request.
+  void OnArrival(std::string_view id,
+                 std::string_view replica,
+                 absl::Time now,
+                 bool runs);
+
+  void OnAnswer(std::string_view id, Answer answer);
+
+  /// An engine got an order.
+  void OnOrder(std::string_view replica,
+               std::string_view holder,
+               uint64_t fencing_token,
+               absl::Time now);
+
+  /// Records a broken promise that was seen elsewhere.
+  void OnViolation(std::string text) { this->seen.push_back(std::move(text)); }
+
+  /// @return One line for each broken promise. To be called when nothing runs
+  ///     any more.
+  std::vector<std::string> Violations() const;
+
+  /// @return One line with counts.
+  std::string Summary() const;
+
+ private:
+  struct Arrival {
+    std::string replica;
+    absl::Time at;
+    bool runs = false;
+  };
+  struct Request {
+    SentRequest sent;
+    std::vector<Arrival> arrivals;
+    std::vector<Answer> answers;
+  };
+  struct Order {
+    std::string holder;
+    uint64_t fencing_token = 0;
+    absl::Time at;
+  };
+
+  void CheckRequest(const Request& request,
+                    std::vector<std::string>& out) const;
+  void CheckRetries(std::vector<std::string>& out) const;
+  void CheckOrders(std::vector<std::string>& out) const;
+  void CheckRecovery(std::vector<std::string>& out) const;
+
+  const LedgerBounds bounds;
+  std::map<std::string, Request, std::less<>> requests;
+  std::map<std::string, std::vector<Order>, std::less<>> orders;
+  std::vector<std::string> seen;
+};
+
+}  // namespace cranberryhill::soak
+
+#endif  // SOAK_LEDGER_H_
--- /dev/null
+++ b/soak/ledger_test.cc
@@ -0,0 +1,127 @@
+#include "soak/ledger.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cranberryhill::soak {
+namespace {
+
+struct Fixture {
+  void Send(const std::string& id,
+            bool may_repeat = false,
+            bool after_recovery = false) {
+    this->ledger.OnSent(
+        {id, "desk", "whole", may_repeat, 1, this->now, after_recovery});
+  }
+
+  void Arrive(const std::string& id, bool runs = true) {
+    this->ledger.OnArrival(id, "desk-1", this->now, runs);
+  }
+
+  void End(const std::string& id, int status, const std::string& body) {
+    this->ledger.OnAnswer(id, {status, true, body, status, false, {}});
+  }
+
+  /// @return True when just one promise is broken, of this kind.
+  bool BrokenIs(std::string_view kind) {
+    auto all = this->ledger.Violations();
+    return all.size() == 1 && all[0].starts_with(kind);
+  }
+
+  absl::Time now = absl::UnixEpoch();
+  Ledger ledger{LedgerBounds{}};
+};
+
+// Each case guards against a check of the soak that no longer finds its fault.
+
+BOOST_FIXTURE_TEST_CASE(sound_requests_break_nothing, Fixture) {
+  this->Send("a", false, true);
+  this->Arrive("a");
+  this->End("a", 200, "whole");
+  this->Send("b");
+  this->Arrive("b", false);
+  this->ledger.OnAnswer("b", {503, true, "", 0, true, {}});
+  BOOST_TEST(this->ledger.Violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(second_run_is_found, Fixture) {
+  this->Send("a");
+  this->Arrive("a");
+  this->Arrive("a");
+  // The second arrival is over the retry budget as well.
+  auto all = this->ledger.Violations();
+  BOOST_TEST(all.size() == 2U);
+  BOOST_TEST(all[0].starts_with("twice"));
+  BOOST_TEST(all[1].starts_with("budget"));
+}
+
+BOOST_FIXTURE_TEST_CASE(refused_request_that_ran_is_found, Fixture) {
+  this->Send("a");
+  this->End("a", 503, "");
+  this->Arrive("a");
+  BOOST_TEST(this->BrokenIs("refused"));
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_of_another_request_is_found, Fixture) {
+  this->Send("a");
+  this->Arrive("a");
+  this->End("a", 200, "other");
+  BOOST_TEST(this->BrokenIs("mixed"));
+}
+
+BOOST_FIXTURE_TEST_CASE(part_with_a_gap_is_found, Fixture) {
+  this->Send("a");
+  this->Arrive("a");
+  this->ledger.OnAnswer("a", {200, false, "whle", 200, false, {}});
+  BOOST_TEST(this->BrokenIs("order"));
+}
+
+BOOST_FIXTURE_TEST_CASE(changed_status_is_found, Fixture) {
+  this->Send("a");
+  this->Arrive("a");
+  this->ledger.OnAnswer("a", {502, true, "", 500, false, {}});
+  BOOST_TEST(this->BrokenIs("mixed"));
+}
+
+BOOST_FIXTURE_TEST_CASE(unknown_request_is_found, Fixture) {
+  this->Arrive("a");
+  BOOST_TEST(this->BrokenIs("unasked"));
+}
+
+BOOST_FIXTURE_TEST_CASE(cut_in_planned_work_is_found, Fixture) {
+  this->Send("a");
+  this->Arrive("a");
+  this->ledger.OnAnswer("a", {0, false, "", 0, true, {}});
+  BOOST_TEST(this->BrokenIs("lost"));
+}
+
+BOOST_FIXTURE_TEST_CASE(missing_recovery_is_found, Fixture) {
+  this->Send("a", false, true);
+  this->End("a", 503, "");
+  BOOST_TEST(this->BrokenIs("recover"));
+}
+
+BOOST_FIXTURE_TEST_CASE(orders_of_two_holders_are_found, Fixture) {
+  this->ledger.OnOrder("lm-1", "entry-1", 2, this->now);
+  this->ledger.OnOrder("lm-1", "entry-2", 3, this->now + absl::Seconds(4));
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->ledger.OnOrder("lm-1", "entry-1", 4, this->now + absl::Seconds(6));
+  BOOST_TEST(this->BrokenIs("one"));
+  this->ledger.OnOrder("lm-1", "entry-1", 3, this->now + absl::Seconds(7));
+  BOOST_TEST(this->ledger.Violations().size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(extra_sends_are_counted_in_windows, Fixture) {
+  for (int i = 0; i < 100; ++i) {
+    std::string id = "r" + std::to_string(i);
+    this->Send(id, true);
+    this->Arrive(id, false);
+    if (i < 20)
+      this->Arrive(id);
+  }
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->Arrive("r50");
+  BOOST_TEST(this->BrokenIs("budget"));
+}
+
+}  // namespace
+}  // namespace cranberryhill::soak
--- /dev/null
+++ b/soak/schedule.h
@@ -0,0 +1,58 @@
+#ifndef SOAK_SCHEDULE_H_
+#define SOAK_SCHEDULE_H_
+
+// Faults of a soak, drawn from a seed.
+
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/random.h"
+
+namespace cranberryhill::soak {
+
+enum class FaultKind {
+  kKill,             ///< SIGKILL; starts again at the end.
+  kPause,            ///< SIGSTOP, then SIGCONT.
+  kTerminate,        ///< SIGTERM; starts again when it has ended.
+  kHangUp,           ///< SIGHUP.
+  kStoreLinkSilent,  ///< Between one gateway and the store, both ways.
+  kStoreLinkOneWay,
+  kStoreLinkReset,
+  kCallerLinkReset,  ///< Between callers and one gateway.
+  kCallerLinkDelayed,
+  kReplicaLinkSilent,  ///< Between all gateways and one replica.
+  kReplicaLinkOneWay,
+  kReplicaLinkReset,
+  kReplicaLinkDelayed,
+  kReplicaErrors,   ///< Answers with signed failures.
+  kReplicaRefuses,  ///< Says "not run".
+  kReplicaBreaks,   ///< Runs, and ends the connection instead of an answer.
+  kReplicaHangs,    ///< Runs, and answers nothing.
+  kReplicaDrains,   ///< Announces its leaving, then returns.
+  kStoreDown,
+  kStoreSilent,
+  kStoreLosesAnswers,  ///< Carries writes out and ends the connection.
+  kStoreForgets,       ///< Drops its history.
+  kRegistryLapses,     ///< Entries are gone while the store is down.
+  kConfigure,          ///< A new version moves routes.
+};
+inline constexpr size_t kFaultKinds = 24;
+
+std::string_view FaultName(FaultKind kind);
+
+struct Fault {
+  absl::Duration at;     ///< From the start of traffic.
+  absl::Duration lasts;  ///< Without meaning for faults of a moment.
+  FaultKind kind = FaultKind::kKill;
+  size_t target = 0;  ///< Taken modulo the number of targets.
+};
+
+/// @param length Faults begin and end within it; they overlap.
+/// @return In order of their start.
+std::vector<Fault> DrawFaults(Random& random, absl::Duration length);
+
+}  // namespace cranberryhill::soak
+
+#endif  // SOAK_SCHEDULE_H_
