--- a/cranberryhill/forward/placement.cc
+++ b/cranberryhill/forward/placement.cc
@@ -53,6 +53,15 @@
   return StableHash(replica.entry.id, key);
 }
 
+/// @return Time that work takes at a replica, in relation to the usual one, by
+///     its last report. It changes many times a second.
+double SlownessAt(const Replica& replica, absl::Time now) {
+  if (replica.load_at == absl::InfinitePast())
+    return 1;
+  double age_ms = absl::ToDoubleMilliseconds(now - replica.load_at);
+  return 1 + (replica.load.slowness - 1) * std::exp2(-age_ms / kLoadHalfLifeMs);
+}
+
 }  // namespace
 
 double OthersAt(const Replica& replica, absl::Time now) {
@@ -258,8 +267,9 @@
     double waiting = replica->outstanding + OthersAt(*replica, now);
     double slots = std::max(1, replica->entry.slots);
     // Below half of its slots a replica is as good as idle.
-    double queue_ms = kTypicalWorkMs * std::max(0.0, waiting / slots - 0.5);
-    double ms = kTypicalWorkMs + queue_ms + this->PenaltyMs(*replica, now);
+    double work_ms = kTypicalWorkMs * SlownessAt(*replica, now);
+    double queue_ms = work_ms * std::max(0.0, waiting / slots - 0.5);
+    double ms = work_ms + queue_ms + this->PenaltyMs(*replica, now);
     if (ms < best_ms) {
       best_ms = ms;
       best = {replica,           nullptr, absl::Milliseconds(ms),
--- a/cranberryhill/forward/placement_test.cc
+++ b/cranberryhill/forward/placement_test.cc
@@ -221,5 +221,26 @@
   BOOST_TEST(with_lanes >= without * 3 / 2);
 }
 
+// Guards against plain requests at a replica whose machine is slow just now.
+BOOST_AUTO_TEST_CASE(slowed_server_is_passed_over) {
+  Fleet fleet;
+  ReplicaSet servers(fleet.clock);
+  for (const char* id : {"x", "y"})
+    servers.Apply(MakeEntry(id));
+  auto choose = [&] {
+    return fleet.placement
+        .ChooseServer(servers.Members("service"), fleet.clock.Now(), {})
+        .target->entry.id;
+  };
+  servers.OnLoadReport(*servers.Find("x"), {0, 0, 6, 2.5});
+  BOOST_TEST(choose() == "y");
+  servers.OnLoadReport(*servers.Find("y"), {0, 0, 6, 4});
+  BOOST_TEST(choose() == "x");
+  // Old reports say nothing: the one with less work is taken.
+  fleet.clock.Advance(absl::Seconds(10));
+  servers.Find("x")->outstanding = 6;
+  BOOST_TEST(choose() == "y");
+}
+
 }  // namespace
 }  // namespace cranberryhill::forward
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -99,9 +99,7 @@
   StatusPage StatusPageOf() const;
   StatusPage MetricsPage();
 
-  boost::asio::io_context& io;
   const Clock& clock;
-  Random& random;
   EventLog& log;
   GatewaySettings settings;
   const WireFormat& wire;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -81,7 +81,8 @@
     if (!key.starts_with(kRowPrefix) ||
         key.substr(kRowPrefix.size()) == this->instance)
       continue;
-    auto peer = Capture([&row, &key] { return ParseEndpoint(row.value, key); });
+    auto peer = Capture(
+        [&row = row, &key = key] { return ParseEndpoint(row.value, key); });
     if (!peer.ok()) {
       this->log.Write(LogEvent("peer_row_unreadable")
                           .Add("key", key)
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -152,11 +152,12 @@
   server->id = std::string(id);
   server->service = std::string(service);
   server->stage = std::string(stage);
-  server->handler.work = [this, raw = server.get()](
-                             const http1::IncomingRequest& request,
-                             std::shared_ptr<http1::Responder> responder) {
-    this->Work(*raw, request, responder);
-  };
+  server->handler.work =
+      [this, raw = server.get()](
+          const http1::IncomingRequest& request,
+          const std::shared_ptr<http1::Responder>& responder) {
+        this->Work(*raw, request, responder);
+      };
   server->server = std::make_unique<http1::Server>(
       this->io, this->clock, server->handler, http1::ServerLimits{});
   if (!Listen(*server->server))
