--- a/cranberryhill/daemon/http1_port.h
+++ b/cranberryhill/daemon/http1_port.h
@@ -14,9 +14,9 @@
 #include <string_view>
 #include <utility>
 
+#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/base/executor.h"
 #include "cranberryhill/daemon/caller_front.h"
-#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/supervision/supervisor.h"
 
 namespace cranberryhill {
--- a/cranberryhill/daemon/service_gateway.cc
+++ b/cranberryhill/daemon/service_gateway.cc
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "cranberryhill/base/log.h"
 #include "cranberryhill/base/endpoint.h"
+#include "cranberryhill/base/log.h"
 
 namespace cranberryhill {
 namespace {
--- a/cranberryhill/daemon/settings.h
+++ b/cranberryhill/daemon/settings.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "absl/time/time.h"
-#include "cranberryhill/base/result.h"
 #include "cranberryhill/base/endpoint.h"
+#include "cranberryhill/base/result.h"
 
 namespace cranberryhill {
 
--- a/cranberryhill/environment/environment_document.cc
+++ b/cranberryhill/environment/environment_document.cc
@@ -7,9 +7,9 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/base/hash.h"
 #include "cranberryhill/base/json.h"
-#include "cranberryhill/base/endpoint.h"
 
 namespace cranberryhill {
 namespace {
--- a/cranberryhill/platform/http_platform.h
+++ b/cranberryhill/platform/http_platform.h
@@ -13,9 +13,9 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/base/executor.h"
 #include "cranberryhill/base/worker_pool.h"
-#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/platform/instance_list.h"
 #include "cranberryhill/table/object_store.h"
 #include "cranberryhill/table/table_service.h"
--- a/cranberryhill/platform/internal/http_caller.h
+++ b/cranberryhill/platform/internal/http_caller.h
@@ -12,9 +12,9 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/base/executor.h"
 #include "cranberryhill/base/worker_pool.h"
-#include "cranberryhill/base/endpoint.h"
 
 namespace cranberryhill {
 
