--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -436,6 +436,8 @@
                                              : absl::ZeroDuration())});
     case FaultKind::kConfigure:
       return begins ? this->Configure() : void();
+    case FaultKind::kRolesChange:
+      return begins ? this->ChangeRoles() : void();
     case FaultKind::kStoreDown:
     case FaultKind::kStoreSilent:
     case FaultKind::kStoreLosesAnswers:
@@ -447,6 +449,17 @@
   }
 }
 
+void Fleet::ChangeRoles() {
+  std::string_view role =
+      this->random.UniformInt(0, 1) == 0 ? "prefill" : "decode";
+  for (const auto& server : this->servers) {
+    if (server->stage.empty())
+      continue;
+    server->stage = std::string(role);
+    this->Publish(*server);
+  }
+}
+
 void Fleet::ApplyToProcess(Member& member, FaultKind kind, bool begins) {
   GatewayProcess& process = *member.process;
   bool has_handlers =
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -104,6 +104,7 @@
            const std::shared_ptr<http1::Responder>& responder);
   void After(absl::Duration wait, std::function<void()> action);
   void Apply(const Fault& fault, bool begins);
+  void ChangeRoles();
   void ApplyToProcess(Member& member, FaultKind kind, bool begins);
   void ApplyToReplica(Server& server, FaultKind kind, bool begins);
   void ApplyToStore(FaultKind kind, bool begins);
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -32,6 +32,7 @@
     "replica_breaks",
     "replica_hangs",
     "replica_drains",
+    "roles_change",
     "store_down",
     "store_silent",
     "store_loses_answers",
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -31,6 +31,7 @@
   kReplicaBreaks,   ///< Runs, and ends the connection instead of an answer.
   kReplicaHangs,    ///< Runs, and answers nothing.
   kReplicaDrains,   ///< Announces its leaving, then returns.
+  kRolesChange,     ///< Engines come back with other roles; orders are due.
   kStoreDown,
   kStoreSilent,
   kStoreLosesAnswers,  ///< Carries writes out and ends the connection.
@@ -38,7 +39,7 @@
   kRegistryLapses,     ///< Entries are gone while the store is down.
   kConfigure,          ///< A new version moves routes.
 };
-inline constexpr size_t kFaultKinds = 24;
+inline constexpr size_t kFaultKinds = 25;
 
 std::string_view FaultName(FaultKind kind);
 
