--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -59,7 +59,7 @@
   return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
 }
 
-/// @param run The status is part of the signature, so that callers can compare.
+/// @return A head whose signature is its status, so that callers can compare.
 http1::AnswerHead SignedHead(std::string_view id, int status) {
   http1::AnswerHead head;
   head.status = status;
