http1, gateway, platform: one piece where the same stood twice

The exchange with an engine repeated what the store's client does (one whole call with a time limit): the client serves both and is named CallClient. StoreCall and EncodedRequest were the same type, and head and body were joined by hand in five places. Case folding, trimming and splitting come from Abseil; its view conversion stood in three files. Rows of replicas are decoded and reported in one place, and an instance's share of what all have is computed in one. Placement computes rank and cached tokens of an engine once for a prompt instead of in each comparison and lane. Gone, as nothing called them: AnswerReader::HasHead, ClientConnection::connected and SetOnIdleClosed, PromptCache::Clear.

--- a/cranberryhill/caller/caller_request.cc
+++ b/cranberryhill/caller/caller_request.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
+#include "cranberryhill/base/absl_view.h"
 #include "cranberryhill/base/json.h"
 
 namespace cranberryhill {
@@ -21,10 +22,6 @@
 constexpr int64_t kBytesPerToken = 4;
 constexpr std::string_view kBearer = "bearer ";
 
-absl::string_view ToAbsl(std::string_view text) {
-  return {text.data(), text.size()};
-}
-
 std::string Quote(std::string_view value) {
   return value.size() <= kMaxQuotedValue
              ? std::string(value)
--- a/cranberryhill/calls/internal/http_exchange.cc
+++ b/cranberryhill/calls/internal/http_exchange.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
+#include "cranberryhill/base/absl_view.h"
 #include "cranberryhill/calls/internal/blocking_socket.h"
 
 namespace cranberryhill {
@@ -18,10 +19,6 @@
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
-absl::string_view ToAbsl(std::string_view text) {
-  return {text.data(), text.size()};
-}
-
 boost::leaf::error_id Malformed(std::string_view value, std::string_view rule) {
   return MakeError(ErrorCode::kInvalidArgument, "answer", value, rule);
 }
--- a/cranberryhill/forward/configuration.cc
+++ b/cranberryhill/forward/configuration.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
-#include "absl/strings/string_view.h"
+#include "cranberryhill/base/absl_view.h"
 
 namespace cranberryhill::forward {
 namespace {
@@ -18,7 +18,7 @@
   size_t colon = host.find(':');
   if (colon != std::string_view::npos)
     host = host.substr(0, colon);
-  return absl::AsciiStrToLower(absl::string_view(host.data(), host.size()));
+  return absl::AsciiStrToLower(ToAbsl(host));
 }
 
 }  // namespace
--- a/cranberryhill/forward/load_share.cc
+++ b/cranberryhill/forward/load_share.cc
@@ -88,7 +88,7 @@
 }
 
 void LoadShare::NoteSent(std::string_view replica, const PromptShape& shape) {
-  this->news.emplace_back(replica);
+  this->news.emplace(replica);
   if (shape.parts.size() < 2)
     return;
   CachedPrompt prompt{std::string(replica),
@@ -98,14 +98,8 @@
 
 LoadMessage LoadShare::Collect(const ReplicaSet& replicas,
                                std::vector<std::string> changing) {
-  LoadMessage message{this->instance,
-                      this->incarnation,
-                      this->next_sequence++,
-                      {},
-                      {},
-                      std::move(changing),
-                      {},
-                      {}};
+  LoadMessage message = this->NewMessage();
+  message.changing = std::move(changing);
   this->news.clear();
   for (const auto& replica : replicas.Listed()) {
     if (!replica->entry.role || replica->outstanding == 0)
@@ -118,19 +112,23 @@
 }
 
 LoadMessage LoadShare::CollectNews(const ReplicaSet& replicas) {
-  LoadMessage message;
-  message.instance = this->instance;
-  message.incarnation = this->incarnation;
+  LoadMessage message = this->NewMessage();
   message.partial = true;
   for (const std::string& id : std::exchange(this->news, {})) {
     auto replica = replicas.Find(id);
     if (replica != nullptr)
       message.work.push_back({id, replica->queued, replica->outstanding});
   }
-  if (!message.work.empty()) {
-    message.sequence = this->next_sequence++;
+  if (!message.work.empty())
     this->TakeRecords(message);
-  }
+  return message;
+}
+
+LoadMessage LoadShare::NewMessage() {
+  LoadMessage message;
+  message.instance = this->instance;
+  message.incarnation = this->incarnation;
+  message.sequence = this->next_sequence++;
   return message;
 }
 
--- a/cranberryhill/forward/load_share.h
+++ b/cranberryhill/forward/load_share.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/result.h"
@@ -110,6 +111,7 @@
   void ReplaceListed(Peer& peer,
                      std::span<const EngineWork> work,
                      ReplicaSet& replicas);
+  LoadMessage NewMessage();
   void TakeRecords(LoadMessage& message);
 
   const std::string instance;
@@ -117,7 +119,8 @@
   const Clock& clock;
   uint64_t next_sequence = 1;
   std::vector<Noted> noted;
-  std::vector<std::string> news;  // Engines with prompts sent since then.
+  // Engines that were sent prompts since the last message.
+  absl::flat_hash_set<std::string> news;
   absl::flat_hash_map<std::string, Peer> known;
 };
 
--- a/cranberryhill/forward/placement.cc
+++ b/cranberryhill/forward/placement.cc
@@ -127,18 +127,18 @@
     absl::Time now,
     std::span<const std::string> excluded) const {
   uint64_t key = shape.SharedKey();
-  std::vector<ReplicaPtr> readers;
-  std::vector<ReplicaPtr> runners;
+  std::vector<Candidate> readers;
+  std::vector<Candidate> runners;
   for (const ReplicaPtr& replica : candidates) {
     if (Contains(excluded, replica->entry.id))
       continue;
-    if (replica->entry.role == EngineRole::kPrefill)
-      readers.push_back(replica);
-    else
-      runners.push_back(replica);
+    bool reads_only = replica->entry.role == EngineRole::kPrefill;
+    (reads_only ? readers : runners)
+        .push_back(
+            {replica, Rank(*replica, key), replica->cache.CachedTokens(shape)});
   }
-  auto by_rank = [key](const ReplicaPtr& a, const ReplicaPtr& b) {
-    return Rank(*a, key) > Rank(*b, key);
+  auto by_rank = [](const Candidate& a, const Candidate& b) {
+    return a.rank > b.rank;
   };
   std::sort(readers.begin(), readers.end(), by_rank);
   std::sort(runners.begin(), runners.end(), by_rank);
@@ -173,40 +173,40 @@
     absl::Time now,
     std::span<const std::string> excluded) const {
   ReplicaPtr best;
+  double best_cost = std::numeric_limits<double>::infinity();
   for (const ReplicaPtr& replica : candidates) {
     if (replica->entry.role == EngineRole::kPrefill ||
         Contains(excluded, replica->entry.id))
       continue;
-    if (best == nullptr ||
-        this->RunCost(*replica, draw, now) < this->RunCost(*best, draw, now))
+    double cost = this->RunCost(*replica, draw, now);
+    if (cost < best_cost) {
+      best_cost = cost;
       best = replica;
+    }
   }
   return best;
 }
 
-PlacementChoice Placement::ChooseInLane(std::span<const ReplicaPtr> readers,
-                                        std::span<const ReplicaPtr> runners,
+PlacementChoice Placement::ChooseInLane(std::span<const Candidate> readers,
+                                        std::span<const Candidate> runners,
                                         const PromptShape& shape,
                                         ReadLane lane,
                                         absl::Time now) const {
   bool has_shared = shape.SharedKey() != 0;
-  auto unread = [&shape](const Replica& replica) {
-    return std::max(
-        1.0, 1.0 * shape.prompt_tokens - replica.cache.CachedTokens(shape));
+  auto unread = [&shape](const Candidate& candidate) {
+    return std::max(1.0, 1.0 * shape.prompt_tokens - candidate.cached_tokens);
   };
   // Shared tokens that somebody holds and `replica` would read again take time
   // from all other requests.
   uint32_t held_somewhere = 0;
   for (const auto& group : {readers, runners}) {
-    for (const ReplicaPtr& replica : group) {
-      held_somewhere =
-          std::max(held_somewhere, replica->cache.CachedTokens(shape));
-    }
+    for (const Candidate& candidate : group)
+      held_somewhere = std::max(held_somewhere, candidate.cached_tokens);
   }
-  auto extra_ms = [&](const Replica& replica, size_t rank) {
-    double again = held_somewhere - replica.cache.CachedTokens(shape);
-    return kRereadWeight * again * this->MsPerToken(replica, now) +
-           (has_shared && rank > 0 ? kHomeMs : 0);
+  auto extra_ms = [&](const Candidate& candidate, size_t place) {
+    double again = held_somewhere - candidate.cached_tokens;
+    return kRereadWeight * again * this->MsPerToken(*candidate.replica, now) +
+           (has_shared && place > 0 ? kHomeMs : 0);
   };
 
   PlacementChoice best;
@@ -215,40 +215,45 @@
   ReplicaPtr free_runner;
   double free_runner_cost = std::numeric_limits<double>::infinity();
   for (size_t i = 0; i < runners.size(); ++i) {
-    const Replica& replica = *runners[i];
+    const Replica& replica = *runners[i].replica;
     if (double run_cost = this->RunCost(replica, shape.OwnKey(), now);
         run_cost < free_runner_cost) {
       free_runner_cost = run_cost;
-      free_runner = runners[i];
+      free_runner = runners[i].replica;
     }
     double penalty_ms = this->PenaltyMs(replica, now);
-    double tokens = unread(replica);
+    double tokens = unread(runners[i]);
     double read_ms = this->ReadMs(replica, tokens, shape.prompt_tokens, now);
     double time_ms =
         this->WaitMs(replica, lane, now) + read_ms + this->speed.first_event_ms;
-    double cost = time_ms + penalty_ms + extra_ms(replica, i) +
+    double cost = time_ms + penalty_ms + extra_ms(runners[i], i) +
                   kSlowedStreamsWeight * read_ms;
     if (cost < best_cost) {
       best_cost = cost;
-      best = {runners[i], nullptr, absl::Milliseconds(time_ms),
-              lane,       tokens,  0};
+      best = {runners[i].replica,
+              nullptr,
+              absl::Milliseconds(time_ms),
+              lane,
+              tokens,
+              0};
     }
   }
   double transfer_ms =
       this->speed.transfer_setup_ms +
       shape.prompt_tokens / 1000.0 * this->speed.transfer_ms_per_k;
   for (size_t i = 0; i < readers.size() && free_runner != nullptr; ++i) {
-    const Replica& replica = *readers[i];
-    double tokens = unread(replica);
+    const Replica& replica = *readers[i].replica;
+    double tokens = unread(readers[i]);
     double time_ms = this->WaitMs(replica, lane, now) +
                      this->ReadMs(replica, tokens, shape.prompt_tokens, now) +
                      transfer_ms + this->speed.first_event_ms;
     double cost = time_ms + this->PenaltyMs(replica, now) +
-                  extra_ms(replica, i) + free_runner_cost;
+                  extra_ms(readers[i], i) + free_runner_cost;
     if (cost < best_cost) {
       best_cost = cost;
-      best = {free_runner, readers[i], absl::Milliseconds(time_ms),
-              lane,        0,          tokens};
+      best = {
+          free_runner, readers[i].replica, absl::Milliseconds(time_ms), lane, 0,
+          tokens};
     }
   }
   return best;
--- a/cranberryhill/forward/placement.h
+++ b/cranberryhill/forward/placement.h
@@ -96,13 +96,20 @@
  private:
   using ReplicaPtr = std::shared_ptr<Replica>;
 
+  /// An engine with what both lanes need of it for one prompt.
+  struct Candidate {
+    ReplicaPtr replica;
+    uint64_t rank = 0;           ///< By the hash of the prompt's shared part.
+    uint32_t cached_tokens = 0;  ///< Of the prompt.
+  };
+
   double ReadMs(const Replica& replica,
                 double tokens,
                 double prompt_tokens,
                 absl::Time now) const;
   double WaitMs(const Replica& replica, ReadLane lane, absl::Time now) const;
-  PlacementChoice ChooseInLane(std::span<const ReplicaPtr> readers,
-                               std::span<const ReplicaPtr> runners,
+  PlacementChoice ChooseInLane(std::span<const Candidate> readers,
+                               std::span<const Candidate> runners,
                                const PromptShape& shape,
                                ReadLane lane,
                                absl::Time now) const;
--- a/cranberryhill/forward/prompt_cache.cc
+++ b/cranberryhill/forward/prompt_cache.cc
@@ -31,11 +31,6 @@
   return cached;
 }
 
-void PromptCache::Clear() {
-  this->parts.clear();
-  this->held_tokens = 0;
-}
-
 void PromptCache::DropOldest() {
   auto oldest = std::min_element(this->parts.begin(), this->parts.end(),
                                  [](const auto& a, const auto& b) {
--- a/cranberryhill/forward/prompt_cache.h
+++ b/cranberryhill/forward/prompt_cache.h
@@ -34,9 +34,6 @@
   /// @return Tokens of the leading parts that are held without a gap.
   uint32_t CachedTokens(const PromptShape& shape) const;
 
-  /// Forgets everything, when the engine has restarted.
-  void Clear();
-
   void SetCapacity(int64_t tokens) { this->capacity_tokens = tokens; }
 
  private:
--- a/cranberryhill/gateway/store_client.cc
+++ b/cranberryhill/gateway/call_client.cc
@@ -1,27 +1,31 @@
-#include "cranberryhill/gateway/store_client.h"
+#include "cranberryhill/gateway/call_client.h"
 
 #include <utility>
 
 namespace cranberryhill::gateway {
 namespace {
 
-constexpr absl::Duration kConnectTimeout = absl::Seconds(1);
-/// A page holds at most 1 MB of rows; base64 and field names come on top.
+/// A page of the store holds at most 1 MB of rows; base64 and field names come
+/// on top.
 constexpr size_t kMaxBody = 8 << 20;
 
 }  // namespace
 
-StoreClient::StoreClient(boost::asio::io_context& io,
-                         boost::asio::ip::tcp::endpoint endpoint)
-    : io(io), endpoint(std::move(endpoint)), timer(io) {}
+CallClient::CallClient(boost::asio::io_context& io,
+                       boost::asio::ip::tcp::endpoint endpoint,
+                       absl::Duration connect_timeout)
+    : io(io),
+      endpoint(std::move(endpoint)),
+      connect_timeout(connect_timeout),
+      timer(io) {}
 
-StoreClient::~StoreClient() {
+CallClient::~CallClient() {
   this->Cancel();
 }
 
-void StoreClient::Call(const StoreCall& call,
-                       absl::Duration timeout,
-                       Callback done) {
+void CallClient::Call(const http1::OutgoingRequest& request,
+                      absl::Duration timeout,
+                      Callback done) {
   this->done = std::move(done);
   this->answer = {};
   if (this->connection == nullptr || !this->connection->Reusable())
@@ -34,28 +38,27 @@
     this->connection->Cancel();
     this->Finish({0, "", "no answer within the timeout"});
   });
-  this->connection->Send(
-      http1::SerializeRequest(call.head, call.body.size()) + call.body,
-      {kConnectTimeout, false}, *this);
+  this->connection->Send(http1::SerializeRequest(request.head, request.body),
+                         {this->connect_timeout, false}, *this);
 }
 
-void StoreClient::Cancel() {
+void CallClient::Cancel() {
   this->timer.cancel();
   this->done = nullptr;
   if (this->connection != nullptr)
     this->connection->Cancel();
 }
 
-void StoreClient::OnHead(http1::AnswerHead head) {
+void CallClient::OnHead(http1::AnswerHead head) {
   this->answer.status = head.status;
 }
 
-void StoreClient::OnBody(std::string_view data) {
+void CallClient::OnBody(std::string_view data) {
   if (this->answer.body.size() + data.size() <= kMaxBody)
     this->answer.body.append(data);
 }
 
-void StoreClient::OnEnd(http1::AnswerEnd end, std::string_view reason) {
+void CallClient::OnEnd(http1::AnswerEnd end, std::string_view reason) {
   this->timer.cancel();
   if (end != http1::AnswerEnd::kComplete)
     this->answer = {0, "", std::string(reason),
@@ -63,7 +66,7 @@
   this->Finish(std::move(this->answer));
 }
 
-void StoreClient::Finish(StoreAnswer answer) {
+void CallClient::Finish(CallAnswer answer) {
   Callback callback = std::exchange(this->done, nullptr);
   if (callback)
     callback(std::move(answer));
--- a/cranberryhill/gateway/store_client.h
+++ b/cranberryhill/gateway/call_client.h
@@ -1,7 +1,8 @@
-#ifndef CRANBERRYHILL_GATEWAY_STORE_CLIENT_H_
-#define CRANBERRYHILL_GATEWAY_STORE_CLIENT_H_
+#ifndef CRANBERRYHILL_GATEWAY_CALL_CLIENT_H_
+#define CRANBERRYHILL_GATEWAY_CALL_CLIENT_H_
 
-// Calls to the store, one at a time on a kept connection.
+// Calls to one server whose answers are taken whole, one at a time on a kept
+// connection.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,13 +13,12 @@
 #include <string_view>
 
 #include "absl/time/time.h"
-#include "cranberryhill/gateway/store_codec.h"
 #include "cranberryhill/http1/client.h"
 
 namespace cranberryhill::gateway {
 
 /// Result of a call. Status 0: no answer; a write may have taken effect.
-struct StoreAnswer {
+struct CallAnswer {
   int status = 0;
   std::string body;
   std::string reason;  ///< Why there is no answer.
@@ -26,18 +26,21 @@
 };
 
 /// Not thread-safe; at most one call in progress.
-class StoreClient : public http1::AnswerHandler {
+class CallClient : public http1::AnswerHandler {
  public:
-  using Callback = std::function<void(StoreAnswer)>;
+  using Callback = std::function<void(CallAnswer)>;
 
   /// @param io Must outlive this object.
-  StoreClient(boost::asio::io_context& io,
-              boost::asio::ip::tcp::endpoint endpoint);
-  ~StoreClient() override;
+  CallClient(boost::asio::io_context& io,
+             boost::asio::ip::tcp::endpoint endpoint,
+             absl::Duration connect_timeout = absl::Seconds(1));
+  ~CallClient() override;
 
   /// @param timeout Ends the call and its connection.
   /// @param done Called once, unless this object is destroyed before.
-  void Call(const StoreCall& call, absl::Duration timeout, Callback done);
+  void Call(const http1::OutgoingRequest& request,
+            absl::Duration timeout,
+            Callback done);
 
   /// Ends the call in progress without calling back.
   void Cancel();
@@ -48,16 +51,17 @@
   void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
 
  private:
-  void Finish(StoreAnswer answer);
+  void Finish(CallAnswer answer);
 
   boost::asio::io_context& io;
   const boost::asio::ip::tcp::endpoint endpoint;
+  const absl::Duration connect_timeout;
   boost::asio::steady_timer timer;
   std::shared_ptr<http1::ClientConnection> connection;
   Callback done;
-  StoreAnswer answer;
+  CallAnswer answer;
 };
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_STORE_CLIENT_H_
+#endif  // CRANBERRYHILL_GATEWAY_CALL_CLIENT_H_
--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/gateway/control_table.cc
@@ -14,6 +14,11 @@
 constexpr int kOk = 200;
 constexpr int kConflictStatus = 412;
 
+Error NotTrusted() {
+  return Error{ErrorCode::kUnavailable, "control table", "",
+               "may be older than the last write"};
+}
+
 }  // namespace
 
 ControlTable::ControlTable(boost::asio::io_context& io,
@@ -45,10 +50,8 @@
 }
 
 void ControlTable::Read(std::vector<std::string> keys, ReadCallback callback) {
-  if (!this->Trusted()) {
-    return callback(Error{ErrorCode::kUnavailable, "control table", "",
-                          "may be older than the last write"});
-  }
+  if (!this->Trusted())
+    return callback(NotTrusted());
   std::vector<Row> found;
   for (const std::string& key : keys) {
     auto row = this->known_rows.find(key);
@@ -62,10 +65,8 @@
                         std::string after,
                         size_t limit,
                         ReadCallback callback) {
-  if (!this->Trusted()) {
-    return callback(Error{ErrorCode::kUnavailable, "control table", "",
-                          "may be older than the last write"});
-  }
+  if (!this->Trusted())
+    return callback(NotTrusted());
   std::vector<Row> found;
   for (auto row = this->known_rows.lower_bound(prefix);
        row != this->known_rows.end() && found.size() < limit &&
@@ -86,17 +87,17 @@
   Row row{transaction.puts[0].key, 0, transaction.puts[0].value};
   this->writing = true;
   ++this->write_calls;
-  StoreCall call = this->codec.EncodeWrite(
+  http1::OutgoingRequest call = this->codec.EncodeWrite(
       StoreTable::kControl, row.key, row.value, transaction.checks[0].version);
   this->writer.Call(
       call, kWriteTimeout,
-      [this, row, callback = std::move(callback)](const StoreAnswer& answer) {
+      [this, row, callback = std::move(callback)](const CallAnswer& answer) {
         this->writing = false;
         callback(this->OnWritten(row, answer));
       });
 }
 
-CommitOutcome ControlTable::OnWritten(Row row, const StoreAnswer& answer) {
+CommitOutcome ControlTable::OnWritten(Row row, const CallAnswer& answer) {
   std::string reason = answer.reason;
   if (answer.status == kOk) {
     auto version =
--- a/cranberryhill/gateway/control_table.h
+++ b/cranberryhill/gateway/control_table.h
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-#include "cranberryhill/gateway/store_client.h"
+#include "cranberryhill/gateway/call_client.h"
 #include "cranberryhill/gateway/table_follower.h"
 #include "cranberryhill/table/table_service.h"
 
@@ -69,13 +69,13 @@
   bool Trusted() const;
   void Apply(const Row& row);
   void OnConflict(const std::string& key, std::string_view body);
-  CommitOutcome OnWritten(Row row, const StoreAnswer& answer);
+  CommitOutcome OnWritten(Row row, const CallAnswer& answer);
 
   const StoreCodec& codec;
   EventLog& log;
   const Clock& clock;
   TableFollower follower;
-  StoreClient writer;
+  CallClient writer;
   std::map<std::string, Row, std::less<>> known_rows;
   OnChange on_change;
   bool writing = false;
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -230,10 +230,8 @@
                              this->request.head.method == "HEAD"};
   this->ArmTimer();
   auto self = this->shared_from_this();
-  this->connection->Send(
-      http1::SerializeRequest(head, this->request.body.size()) +
-          this->request.body,
-      options, *this);
+  this->connection->Send(http1::SerializeRequest(head, this->request.body),
+                         options, *this);
 }
 
 /// Takes the send in progress off the replica's books.
@@ -530,10 +528,10 @@
 void Exchange::ReleaseHandle() {
   if (this->handle.empty())
     return;
-  http1::RequestHead head = this->context.wire.EncodeRelease(
+  http1::OutgoingRequest release = this->context.wire.EncodeRelease(
       this->handle_keeper->Address(), this->handle);
   SendAndForget(this->context.pool.Acquire(*this->handle_keeper),
-                http1::SerializeRequest(head, 0));
+                http1::SerializeRequest(release.head, release.body));
   this->handle.clear();
 }
 
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -222,18 +222,22 @@
     return this->OnChanges(table, rows);
   std::vector<forward::ReplicaEntry> entries;
   for (const StoreRow& row : rows) {
-    auto entry = Capture([&] { return this->codec.DecodeReplica(row); });
-    if (entry.ok()) {
-      entries.push_back(std::move(entry.value()));
-      continue;
-    }
-    this->log.Write(LogEvent("replica_entry_unreadable")
-                        .Add("replica", row.key)
-                        .Add("reason", entry.error().ToString()));
+    if (auto entry = this->ReadReplica(row))
+      entries.push_back(std::move(*entry));
   }
   this->replicas.Reset(entries);
 }
 
+std::optional<forward::ReplicaEntry> Gateway::ReadReplica(const StoreRow& row) {
+  auto entry = Capture([&] { return this->codec.DecodeReplica(row); });
+  if (entry.ok())
+    return std::move(entry.value());
+  this->log.Write(LogEvent("replica_entry_unreadable")
+                      .Add("replica", row.key)
+                      .Add("reason", entry.error().ToString()));
+  return std::nullopt;
+}
+
 void Gateway::OnChanges(StoreTable table, const std::vector<StoreRow>& rows) {
   for (const StoreRow& row : rows) {
     if (table == StoreTable::kReplicas)
@@ -310,15 +314,10 @@
                         .Add("row_version", row.version));
     return;
   }
-  auto entry = Capture([&] { return this->codec.DecodeReplica(row); });
-  if (!entry.ok()) {
-    this->replicas.Remove(row.key);
-    this->log.Write(LogEvent("replica_entry_unreadable")
-                        .Add("replica", row.key)
-                        .Add("reason", entry.error().ToString()));
-    return;
-  }
-  const forward::ReplicaEntry& now = entry.value();
+  auto entry = this->ReadReplica(row);
+  if (!entry)
+    return this->replicas.Remove(row.key);
+  const forward::ReplicaEntry& now = *entry;
   this->replicas.Apply(now);
   this->log.Write(
       LogEvent("replica_changed")
@@ -329,23 +328,31 @@
           .Add("row_version", row.version));
 }
 
+double Gateway::OwnShareOf(double shared) const {
+  auto instances = static_cast<double>(this->peers.peers() + 1);
+  return shared / (instances * kUnknownInstances);
+}
+
 forward::RetryBounds Gateway::OwnRetryBounds() const {
   forward::RetryBounds bounds = this->settings.retries;
-  auto instances = static_cast<double>(this->peers.peers() + 1);
-  bounds.own_slack = std::clamp(
-      this->settings.retry_slack / (instances * kUnknownInstances), 1.0,
-      std::max(1.0, this->settings.retry_slack / kLeastInstances));
+  bounds.own_slack =
+      std::clamp(this->OwnShareOf(this->settings.retry_slack), 1.0,
+                 std::max(1.0, this->settings.retry_slack / kLeastInstances));
   return bounds;
 }
 
+void Gateway::UpdateBudgets() {
+  for (auto& [service, budget] : this->budgets)
+    budget->SetBounds(this->OwnRetryBounds());
+}
+
 void Gateway::ShareConnections() {
   if (this->routes == nullptr)
     return;
-  auto instances = static_cast<double>(this->peers.peers() + 1);
   for (const auto& service : this->routes->configuration().services) {
     if (service.max_connections == 0)
       continue;
-    double share = service.max_connections / (instances * kUnknownInstances);
+    double share = this->OwnShareOf(service.max_connections);
     this->replicas.SetConnectionShare(
         service.name, static_cast<int>(std::max(kLeastConnections, share)));
   }
@@ -354,8 +361,7 @@
 void Gateway::OnPeersChanged() {
   this->peers.OnTableChanged();
   this->ShareConnections();
-  for (auto& [service, budget] : this->budgets)
-    budget->SetBounds(this->OwnRetryBounds());
+  this->UpdateBudgets();
 }
 
 forward::RetryWindow& Gateway::BudgetOf(std::string_view service) {
@@ -383,8 +389,7 @@
 void Gateway::Reload(const GatewaySettings& settings) {
   this->settings.retries = settings.retries;
   this->settings.retry_slack = settings.retry_slack;
-  for (auto& [service, budget] : this->budgets)
-    budget->SetBounds(this->OwnRetryBounds());
+  this->UpdateBudgets();
   this->log.Write(
       LogEvent("settings_reloaded").Add("retry_ratio", settings.retries.ratio));
 }
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -89,7 +90,10 @@
  private:
   void ApplyConfiguration(const StoreRow& row);
   void ApplyReplica(const StoreRow& row);
+  std::optional<forward::ReplicaEntry> ReadReplica(const StoreRow& row);
+  double OwnShareOf(double shared) const;
   forward::RetryBounds OwnRetryBounds() const;
+  void UpdateBudgets();
   void ShareConnections();
   void OnPeersChanged();
   forward::RetryWindow& BudgetOf(std::string_view service);
--- a/cranberryhill/gateway/order_desk.cc
+++ b/cranberryhill/gateway/order_desk.cc
@@ -1,10 +1,10 @@
 #include "cranberryhill/gateway/order_desk.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <utility>
 
+#include "cranberryhill/gateway/call_client.h"
 #include "cranberryhill/http1/socket_options.h"
 
 namespace cranberryhill::gateway {
@@ -49,8 +49,7 @@
 }  // namespace
 
 /// Asks an engine for its state, then gives it one order.
-class OrderDesk::Errand : public http1::AnswerHandler,
-                          public std::enable_shared_from_this<Errand> {
+class OrderDesk::Errand {
  public:
   Errand(OrderDesk& desk,
          const forward::Replica& engine,
@@ -60,61 +59,33 @@
         service(std::move(service)),
         change(std::move(change)),
         address(engine.Address()),
-        endpoint(http1::TcpEndpoint(engine.entry.endpoint)),
-        link(this->NewLink()),
-        timer(desk.io) {}
-
-  ~Errand() override { this->link->Cancel(); }
+        give_up_at(desk.clock.Now() + kErrandTime),
+        client(desk.io,
+               http1::TcpEndpoint(engine.entry.endpoint),
+               kConnectTimeout) {}
 
   void Start() {
-    this->timer.expires_after(absl::ToChronoMilliseconds(kErrandTime));
-    this->timer.async_wait(
-        [weak = this->weak_from_this()](boost::system::error_code error) {
-          auto self = weak.lock();
-          if (error || self == nullptr || self->ended)
-            return;
-          self->link->Cancel();
-          self->End(self->ordered, "no answer in time");
-        });
-    this->link->Send(http1::SerializeRequest(
-                         this->desk.wire.EncodeReportRequest(this->address), 0),
-                     {kConnectTimeout, false}, *this);
-  }
-
-  bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
-  void OnHead(http1::AnswerHead head) override { this->status = head.status; }
-  void OnBody(std::string_view data) override { this->body.append(data); }
-
-  void OnEnd(http1::AnswerEnd end, std::string_view reason) override {
-    bool complete = end == http1::AnswerEnd::kComplete;
-    if (!this->ordered)
-      this->OnReport(complete, reason);
-    else
-      this->OnAnswer(complete, reason);
+    this->Call(this->desk.wire.EncodeReportRequest(this->address),
+               [this](const CallAnswer& answer) { this->OnReport(answer); });
   }
 
  private:
-  std::shared_ptr<http1::ClientConnection> NewLink() {
-    return http1::ClientConnection::Create(this->desk.io, this->endpoint);
+  void Call(const http1::OutgoingRequest& request, CallClient::Callback done) {
+    this->client.Call(request, this->give_up_at - this->desk.clock.Now(),
+                      std::move(done));
   }
 
-  void OnReport(bool complete, std::string_view reason) {
+  void OnReport(const CallAnswer& answer) {
     auto report =
-        Capture([&] { return this->desk.wire.DecodeReport(this->body); });
-    bool usable =
-        complete && this->status == kOk && report.ok() && !report.value().busy;
+        Capture([&] { return this->desk.wire.DecodeReport(answer.body); });
+    bool usable = answer.status == kOk && report.ok() && !report.value().busy;
     // The lease is checked again right before the order leaves.
     auto grant = this->desk.lease->Grant();
     if (!usable || !grant || !this->desk.MayOrder())
-      return this->End(false, usable ? "lease_lost" : reason);
+      return this->End(answer, false, usable ? "lease_lost" : answer.reason);
     RoleOrder order{this->change.replica, this->change.role,
                     this->desk.instance, grant->fencing_number,
                     report.value().orders};
-    EncodedRequest request =
-        this->desk.wire.EncodeRoleOrder(this->address, order);
-    this->ordered = true;
-    this->body.clear();
-    this->status = 0;
     ++this->desk.order_count;
     this->desk.log.Write(
         LogEvent("order_sent")
@@ -123,47 +94,36 @@
             .Add("fencing_token", order.fencing_token)
             .Add("expected_orders", order.expected_orders)
             .Add("lease_left_ms", grant->valid_until - this->desk.clock.Now()));
-    if (!this->link->Reusable())
-      this->link = this->NewLink();
-    this->link->Send(
-        http1::SerializeRequest(request.head, request.body.size()) +
-            request.body,
-        {kConnectTimeout, false}, *this);
+    this->Call(this->desk.wire.EncodeRoleOrder(this->address, order),
+               [this](const CallAnswer& answer) { this->OnAnswer(answer); });
   }
 
-  void OnAnswer(bool complete, std::string_view reason) {
-    bool accepted =
-        complete && (this->status == kOk || this->status == kAccepted);
+  void OnAnswer(const CallAnswer& answer) {
+    bool accepted = answer.status == kOk || answer.status == kAccepted;
     // Without an answer the order may still be carried out, so the engine
     // counts as changing.
-    this->End(accepted || !complete, accepted ? "accepted" : reason);
+    this->End(answer, accepted || answer.status == 0,
+              accepted ? "accepted" : answer.reason);
   }
 
-  void End(bool may_hold, std::string_view reason) {
-    this->ended = true;
-    this->timer.cancel();
+  void End(const CallAnswer& answer, bool may_hold, std::string_view reason) {
     this->desk.log.Write(LogEvent("order_ended")
                              .Add("replica", this->change.replica)
                              .Add("role", EngineRoleName(this->change.role))
-                             .Add("status", this->status)
+                             .Add("status", answer.status)
                              .Add("may_hold", may_hold)
                              .Add("reason", reason));
     if (!may_hold)
       this->desk.balances.at(this->service).OnRefused(this->change.replica);
-    this->desk.OnErrandDone(this->shared_from_this());
+    this->desk.OnErrandDone(this);
   }
 
   OrderDesk& desk;
   const std::string service;
   const forward::RoleChange change;
   const std::string address;
-  const boost::asio::ip::tcp::endpoint endpoint;
-  std::shared_ptr<http1::ClientConnection> link;
-  boost::asio::steady_timer timer;
-  std::string body;
-  int status = 0;
-  bool ordered = false;
-  bool ended = false;
+  const absl::Time give_up_at;
+  CallClient client;
 };
 
 OrderDesk::OrderDesk(boost::asio::io_context& io,
@@ -291,16 +251,15 @@
   auto engine = this->replicas.Find(change.replica);
   if (engine == nullptr)
     return;
-  auto errand = std::make_shared<Errand>(*this, *engine, service, change);
-  this->errands.insert(errand);
-  errand->Start();
+  auto errand = std::make_unique<Errand>(*this, *engine, service, change);
+  Errand* started = errand.get();
+  this->errands[started] = std::move(errand);
+  started->Start();
 }
 
-void OrderDesk::OnErrandDone(std::shared_ptr<Errand> errand) {
+void OrderDesk::OnErrandDone(Errand* errand) {
   // The errand is still on the stack of this call.
-  boost::asio::post(this->io, [this, errand = std::move(errand)] {
-    this->errands.erase(errand);
-  });
+  boost::asio::post(this->io, [this, errand] { this->errands.erase(errand); });
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/order_desk.h
+++ b/cranberryhill/gateway/order_desk.h
@@ -7,7 +7,6 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -57,7 +56,7 @@
   void TickLease(bool needed, size_t rank);
   void StartErrand(const std::string& service,
                    const forward::RoleChange& change);
-  void OnErrandDone(std::shared_ptr<Errand> errand);
+  void OnErrandDone(Errand* errand);
 
   boost::asio::io_context& io;
   const std::string instance;
@@ -76,7 +75,7 @@
   absl::Time others_quiet_from = absl::InfinitePast();
   absl::Time seek_from = absl::InfiniteFuture();
   std::map<std::string, forward::RoleBalance> balances;
-  std::set<std::shared_ptr<Errand>> errands;
+  std::map<Errand*, std::unique_ptr<Errand>> errands;
   uint64_t order_count = 0;
 };
 
--- a/cranberryhill/gateway/store_codec.h
+++ b/cranberryhill/gateway/store_codec.h
@@ -38,32 +38,27 @@
   bool has_more = false;
 };
 
-/// A call with a body.
-struct StoreCall {
-  http1::RequestHead head;
-  std::string body;
-};
-
 class StoreCodec {
  public:
   virtual ~StoreCodec() = default;
 
   /// @param from First key of the page; empty for the first page.
-  virtual StoreCall EncodeRead(StoreTable table,
-                               std::string_view from) const = 0;
+  virtual http1::OutgoingRequest EncodeRead(StoreTable table,
+                                            std::string_view from) const = 0;
 
   /// @param after Version that is known already.
   /// @param wait How long the store may wait for a change.
-  virtual StoreCall EncodeWatch(StoreTable table,
-                                uint64_t after,
-                                absl::Duration wait) const = 0;
+  virtual http1::OutgoingRequest EncodeWatch(StoreTable table,
+                                             uint64_t after,
+                                             absl::Duration wait) const = 0;
 
   /// A write that takes effect only if the row has `expected_version`; 0
   /// stands for a row that does not exist.
-  virtual StoreCall EncodeWrite(StoreTable table,
-                                std::string_view key,
-                                std::string_view value,
-                                uint64_t expected_version) const = 0;
+  virtual http1::OutgoingRequest EncodeWrite(
+      StoreTable table,
+      std::string_view key,
+      std::string_view value,
+      uint64_t expected_version) const = 0;
 
   virtual Result<StorePage> DecodePage(std::string_view body) const = 0;
 
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -83,10 +83,10 @@
   ++this->call_count;
   this->client.Call(
       this->codec.EncodeRead(this->table, from), kReadTimeout,
-      [this](StoreAnswer answer) { this->OnPage(std::move(answer)); });
+      [this](CallAnswer answer) { this->OnPage(std::move(answer)); });
 }
 
-void TableFollower::OnPage(StoreAnswer answer) {
+void TableFollower::OnPage(CallAnswer answer) {
   if (answer.status != kOk)
     return this->OnFailed(answer);
   auto page = Capture([&] { return this->codec.DecodePage(answer.body); });
@@ -129,7 +129,7 @@
   this->watch_began = this->clock.Now();
   absl::Duration wait = PaceOf(this->table, this->close_watch).wait;
   this->client.Call(this->codec.EncodeWatch(this->table, this->version, wait),
-                    wait + kWatchSlack, [this](StoreAnswer answer) {
+                    wait + kWatchSlack, [this](CallAnswer answer) {
                       this->OnWatch(std::move(answer));
                     });
 }
@@ -148,7 +148,7 @@
   this->Watch();
 }
 
-void TableFollower::OnWatch(StoreAnswer answer) {
+void TableFollower::OnWatch(CallAnswer answer) {
   this->watching = false;
   if (answer.status == kGone) {
     this->log.Write(LogEvent("table_history_lost")
@@ -186,7 +186,7 @@
   this->observer.OnRegained(this->table, outage);
 }
 
-void TableFollower::OnFailed(const StoreAnswer& answer) {
+void TableFollower::OnFailed(const CallAnswer& answer) {
   if (++this->failures == 1) {
     this->log.Write(LogEvent("store_lost")
                         .Add("table", StoreTableName(this->table))
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -11,8 +11,8 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
+#include "cranberryhill/gateway/call_client.h"
 #include "cranberryhill/gateway/event_log.h"
-#include "cranberryhill/gateway/store_client.h"
 #include "cranberryhill/gateway/store_codec.h"
 
 namespace cranberryhill::gateway {
@@ -74,11 +74,11 @@
 
  private:
   void ReadPage(const std::string& from);
-  void OnPage(StoreAnswer answer);
+  void OnPage(CallAnswer answer);
   void Watch();
-  void OnWatch(StoreAnswer answer);
+  void OnWatch(CallAnswer answer);
   void OnAnswered();
-  void OnFailed(const StoreAnswer& answer);
+  void OnFailed(const CallAnswer& answer);
   void ContinueAfter(absl::Duration pause);
 
   const StoreTable table;
@@ -87,7 +87,7 @@
   EventLog& log;
   const Clock& clock;
   Random& random;
-  StoreClient client;
+  CallClient client;
   boost::asio::steady_timer pause_timer;
   std::vector<StoreRow> rows;
   uint64_t version = 0;
--- a/cranberryhill/gateway/wire_format.h
+++ b/cranberryhill/gateway/wire_format.h
@@ -62,12 +62,6 @@
   int64_t expected_orders = 0;  ///< The order is void after any other one.
 };
 
-/// A request with its body.
-struct EncodedRequest {
-  http1::RequestHead head;
-  std::string body;
-};
-
 class WireFormat {
  public:
   virtual ~WireFormat() = default;
@@ -94,14 +88,16 @@
                                   std::string_view handle) const = 0;
 
   /// @return A request that frees the cache kept under `handle`.
-  virtual http1::RequestHead EncodeRelease(std::string_view address,
-                                           std::string_view handle) const = 0;
+  virtual http1::OutgoingRequest EncodeRelease(
+      std::string_view address,
+      std::string_view handle) const = 0;
 
-  virtual http1::RequestHead EncodeReportRequest(
+  virtual http1::OutgoingRequest EncodeReportRequest(
       std::string_view address) const = 0;
   virtual Result<EngineReport> DecodeReport(std::string_view body) const = 0;
-  virtual EncodedRequest EncodeRoleOrder(std::string_view address,
-                                         const RoleOrder& order) const = 0;
+  virtual http1::OutgoingRequest EncodeRoleOrder(
+      std::string_view address,
+      const RoleOrder& order) const = 0;
 
   /// @return An answer of the gateway itself. `retry_after` is sent with
   ///     refusals of requests that have not run.
--- a/cranberryhill/http1/answer_reader.cc
+++ b/cranberryhill/http1/answer_reader.cc
@@ -140,8 +140,4 @@
          !this->parser->need_eof();
 }
 
-bool AnswerReader::HasHead() const {
-  return this->parser->head_complete && !this->parser->IsInterim();
-}
-
 }  // namespace cranberryhill::http1
--- a/cranberryhill/http1/answer_reader.h
+++ b/cranberryhill/http1/answer_reader.h
@@ -50,9 +50,6 @@
   /// @return True when the answer allows another one on this connection.
   bool KeepsAlive() const;
 
-  /// @return True once the head of the final answer is complete.
-  bool HasHead() const;
-
   /// @return The parser's reason after kFailed.
   const std::string& failure_reason() const { return this->reason; }  // NOLINT
 
--- a/cranberryhill/http1/client.cc
+++ b/cranberryhill/http1/client.cc
@@ -167,12 +167,8 @@
 }
 
 void ClientConnection::OnReadFailed(const error_code& error) {
-  if (this->state != State::kBusy) {
-    this->CloseSocket();
-    if (this->on_idle_closed)
-      this->on_idle_closed();
-    return;
-  }
+  if (this->state != State::kBusy)
+    return this->CloseSocket();
   // Only an orderly close can be the end of a body without a length.
   if (error == asio::error::eof) {
     this->reader->FeedEnd();
@@ -186,13 +182,9 @@
 }
 
 void ClientConnection::OnBytes(std::string_view data) {
-  if (this->state != State::kBusy) {
-    // Bytes nobody asked for: a late extra answer.
-    this->CloseSocket();
-    if (this->on_idle_closed)
-      this->on_idle_closed();
-    return;
-  }
+  // Bytes nobody asked for: a late extra answer.
+  if (this->state != State::kBusy)
+    return this->CloseSocket();
   this->incoming.append(data);
   while (this->state == State::kBusy && this->handler != nullptr) {
     size_t used = this->reader->Feed(this->incoming);
--- a/cranberryhill/http1/client.h
+++ b/cranberryhill/http1/client.h
@@ -11,7 +11,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -63,14 +62,6 @@
   /// @return True when the connection is open, idle and clean.
   bool Reusable() const;
 
-  /// @return True once a connection was established.
-  bool connected() const { return this->state != State::kNew; }  // NOLINT
-
-  /// Called when an idle connection ends.
-  void SetOnIdleClosed(std::function<void()> callback) {
-    this->on_idle_closed = std::move(callback);
-  }
-
   /// @return How long the server keeps the connection open without requests,
   ///     by its last answer.
   absl::Duration idle_limit() const { return this->idle_time; }  // NOLINT
@@ -104,7 +95,6 @@
   AnswerHandler* handler = nullptr;
   std::unique_ptr<Sink> sink;
   std::unique_ptr<AnswerReader> reader;
-  std::function<void()> on_idle_closed;
   absl::Duration idle_time;
   int foreign_answers = 0;
   bool reading = false;
--- a/cranberryhill/http1/connection_test.cc
+++ b/cranberryhill/http1/connection_test.cc
@@ -86,7 +86,7 @@
     head.method = "GET";
     head.target = std::string(path);
     head.headers.Add("Host", "h");
-    return SerializeRequest(head, 0);
+    return SerializeRequest(head, "");
   }
 
   boost::asio::io_context io{1};
--- a/cranberryhill/http1/message.cc
+++ b/cranberryhill/http1/message.cc
@@ -5,6 +5,11 @@
 #include <algorithm>
 #include <iterator>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+#include "cranberryhill/base/absl_view.h"
+
 namespace cranberryhill::http1 {
 namespace {
 
@@ -22,28 +27,13 @@
     "Expect",
 };
 
-char LowerCase(char c) {
-  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
-std::string_view Trim(std::string_view text) {
-  size_t begin = text.find_first_not_of(" \t");
-  if (begin == std::string_view::npos)
-    return {};
-  return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
-}
-
 std::vector<std::string> ListedNames(const HeaderList& headers) {
   std::vector<std::string> names;
   for (const HeaderField& field : headers) {
     if (!EqualsIgnoreCase(field.name, "Connection"))
       continue;
-    std::string_view rest = field.value;
-    while (!rest.empty()) {
-      size_t comma = std::min(rest.find(','), rest.size());
-      names.emplace_back(Trim(rest.substr(0, comma)));
-      rest.remove_prefix(std::min(comma + 1, rest.size()));
-    }
+    for (absl::string_view name : absl::StrSplit(field.value, ','))
+      names.emplace_back(absl::StripAsciiWhitespace(name));
   }
   return names;
 }
@@ -57,9 +47,7 @@
 }  // namespace
 
 bool EqualsIgnoreCase(std::string_view left, std::string_view right) {
-  return std::equal(
-      left.begin(), left.end(), right.begin(), right.end(),
-      [](char a, char b) { return LowerCase(a) == LowerCase(b); });
+  return absl::EqualsIgnoreCase(ToAbsl(left), ToAbsl(right));
 }
 
 void HeaderList::Add(std::string_view name, std::string_view value) {
@@ -105,17 +93,17 @@
   });
 }
 
-std::string SerializeRequest(const RequestHead& head, uint64_t body_bytes) {
+std::string SerializeRequest(const RequestHead& head, std::string_view body) {
   std::string out;
-  out.reserve(1024);
+  out.reserve(1024 + body.size());
   out.append(head.method).append(" ").append(head.target);
   out.append(" HTTP/1.1\r\n");
   AppendFields(head.headers, out);
   bool bodiless = head.method == "GET" || head.method == "HEAD" ||
                   head.method == "DELETE" || head.method == "OPTIONS";
-  if (body_bytes > 0 || !bodiless)
-    out.append(fmt::format("Content-Length: {}\r\n", body_bytes));
-  out.append("\r\n");
+  if (!body.empty() || !bodiless)
+    out.append(fmt::format("Content-Length: {}\r\n", body.size()));
+  out.append("\r\n").append(body);
   return out;
 }
 
--- a/cranberryhill/http1/message.h
+++ b/cranberryhill/http1/message.h
@@ -60,6 +60,12 @@
   HeaderList headers;
 };
 
+/// A request with its body.
+struct OutgoingRequest {
+  RequestHead head;
+  std::string body;
+};
+
 struct AnswerHead {
   int status = 200;
   std::string reason;
@@ -78,9 +84,8 @@
   uint64_t bytes = 0;  ///< Used by kLength only.
 };
 
-/// @return The head of a request whose body has `body_bytes` bytes. The list
-///     must hold no framing fields.
-std::string SerializeRequest(const RequestHead& head, uint64_t body_bytes);
+/// @return The whole request. The list must hold no framing fields.
+std::string SerializeRequest(const RequestHead& head, std::string_view body);
 
 /// @param close Adds "Connection: close".
 /// @return The head of an answer, up to the empty line. The list must hold no
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -121,8 +121,7 @@
   std::string body = "body of " + id;
   call->link = this->Acquire(gateway);
   this->calls.push_back(call);
-  call->link->Send(http1::SerializeRequest(head, body.size()) + body, {},
-                   *call);
+  call->link->Send(http1::SerializeRequest(head, body), {}, *call);
 }
 
 void Callers::OnEnd(Call& call, http1::AnswerEnd end) {
