soak, standins: share rows, signed heads and link faults

Behaviour stays as it is. The row of a replica was written out in the soak and in the fixture of the gateway's tests, as was the head of its answers; each link of the soak spelled its faults out anew; one bound stood in two files.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -17,8 +17,6 @@
 /// Time that a caller gives a request, and how much longer it waits.
 constexpr absl::Duration kTimeLeft = absl::Seconds(4);
 constexpr absl::Duration kPatience = absl::Seconds(6);
-/// From the end of a disturbance until its effects may be gone.
-constexpr absl::Duration kCalm = absl::Seconds(4);
 
 struct Kind {
   std::string_view route;
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -27,11 +27,9 @@
 constexpr absl::Duration kOrderTime = absl::Milliseconds(300);
 /// Entries that lapsed with the store are back this long after it.
 constexpr absl::Duration kEntriesBack = absl::Milliseconds(1500);
-constexpr absl::Duration kLinkDelay = absl::Milliseconds(120);
+constexpr std::chrono::milliseconds kLinkDelay(120);
 /// A replica that announced its leaving gets nothing new after this time.
 constexpr absl::Duration kDrainTime = absl::Seconds(3);
-/// An instance counts as calm when nothing was disturbed for this long.
-constexpr absl::Duration kCalm = absl::Seconds(4);
 /// Time to stop after SIGTERM, and what more is granted for a busy machine.
 constexpr int kShutdownSeconds = 4;
 constexpr absl::Duration kLongestStop = absl::Seconds(12);
@@ -60,12 +58,28 @@
 }
 
 /// @return A head whose signature is its status, so that callers can compare.
-http1::AnswerHead SignedHead(std::string_view id, int status) {
-  http1::AnswerHead head;
-  head.status = status;
-  head.headers.Add(platform::kAttemptId, id);
-  head.headers.Add(platform::kSignature, fmt::format("{}", status));
-  return head;
+http1::AnswerHead StatusSignedHead(std::string_view id, int status) {
+  return platform::SignedHead(id, status, std::to_string(status));
+}
+
+enum class LinkFault {
+  kSilent,  ///< Nothing passes.
+  kOneWay,  ///< Nothing comes back.
+  kReset,   ///< All connections are reset at its beginning.
+  kDelayed,
+};
+
+void ApplyToLink(LinkProxy& link, LinkFault fault, bool begins) {
+  if (fault == LinkFault::kReset)
+    return begins ? link.Reset() : void();
+  LinkState state;
+  if (begins) {
+    state.holds_to_target = fault == LinkFault::kSilent;
+    state.holds_from_target = fault != LinkFault::kDelayed;
+    if (fault == LinkFault::kDelayed)
+      state.delay = kLinkDelay;
+  }
+  link.SetState(state);
 }
 
 }  // namespace
@@ -87,14 +101,11 @@
   enum class Mode { kOk, kErrors, kRefuses, kBreaks, kHangs };
 
   std::string id;
-  std::string service;
-  std::string stage;
-  std::string state = "ready";
+  platform::ReplicaRow row;
   FakeReplica handler;
   std::unique_ptr<http1::Server> server;
   std::unique_ptr<LinkProxy> link;
   Mode mode = Mode::kOk;
-  int sequence = 1;  // Of its entry.
   int orders = 0;
   absl::Time draining_since = absl::InfiniteFuture();
   std::vector<std::shared_ptr<http1::Responder>> unanswered;
@@ -150,8 +161,9 @@
                       std::string_view stage) {
   auto server = std::make_unique<Server>();
   server->id = std::string(id);
-  server->service = std::string(service);
-  server->stage = std::string(stage);
+  server->row.service = std::string(service);
+  server->row.stage = std::string(stage);
+  server->row.slots = stage.empty() ? 6 : 24;
   server->handler.work =
       [this, raw = server.get()](
           const http1::IncomingRequest& request,
@@ -163,6 +175,8 @@
   if (!Listen(*server->server))
     return false;
   server->link = std::make_unique<LinkProxy>(this->io, server->server->port());
+  server->row.address =
+      fmt::format("{}:{}", SoakAddress().to_string(), server->link->port());
   this->Publish(*server);
   this->servers.push_back(std::move(server));
   return true;
@@ -247,20 +261,9 @@
 }
 
 void Fleet::Publish(Server& server) {
-  json row = {{"service", server.service},
-              {"address", fmt::format("{}:{}", SoakAddress().to_string(),
-                                      server.link->port())},
-              {"zone", StableHash(server.id) % 2 == 0 ? "a" : "b"},
-              {"version", "v1"},
-              {"slots", server.stage.empty() ? 6 : 24},
-              {"state", server.state},
-              {"sequence", server.sequence++}};
-  if (!server.stage.empty()) {
-    row["stage"] = server.stage;
-    row["models"] = {
-        {{"name", "m"}, {"version", 1}, {"adapters", json::array()}}};
-  }
-  this->store.Set("servers", server.id, row.dump());
+  server.row.zone = StableHash(server.id) % 2 == 0 ? "a" : "b";
+  this->store.Set("servers", server.id, server.row.Text());
+  ++server.row.sequence;
 }
 
 void Fleet::After(absl::Duration wait, std::function<void()> action) {
@@ -277,8 +280,9 @@
   const http1::HeaderList& headers = request.head.headers;
   const std::string& target = request.head.target;
   if (target == platform::kReportPath) {
-    json report = {
-        {"stage", server.stage}, {"busy", false}, {"sequence", server.orders}};
+    json report = {{"stage", server.row.stage},
+                   {"busy", false},
+                   {"sequence", server.orders}};
     return responder->SendWhole({200, "", {}}, report.dump());
   }
   if (target == platform::kOrderPath)
@@ -292,7 +296,7 @@
   if (refuses || !reads_only)
     this->ledger.OnArrival(id, server.id, this->clock.Now(), !refuses);
   if (refuses) {
-    http1::AnswerHead head = SignedHead(id, 503);
+    http1::AnswerHead head = StatusSignedHead(id, 503);
     head.headers.Add(platform::kNotRun, "1");
     return responder->SendWhole(std::move(head), "");
   }
@@ -304,7 +308,7 @@
         absl::FormatDuration(now - server.draining_since)));
   }
   if (server.mode == Server::Mode::kErrors)
-    return responder->SendWhole(SignedHead(id, 500), "failed");
+    return responder->SendWhole(StatusSignedHead(id, 500), "failed");
   if (server.mode == Server::Mode::kBreaks)
     return responder->Abort();
   if (server.mode == Server::Mode::kHangs)
@@ -319,7 +323,7 @@
   int first = 1;
   if (auto last = headers.Find(platform::kLastEventId))
     first = std::stoi(std::string(*last)) + 1;
-  this->Run(server, id, first, server.service == kEngines, responder);
+  this->Run(server, id, first, server.row.service == kEngines, responder);
 }
 
 void Fleet::TakeOrder(Server& server,
@@ -335,7 +339,7 @@
   responder.SendWhole({202, "", {}}, "");
   this->After(kOrderTime,
               [this, &server, stage = order["stage"].get<std::string>()] {
-                server.stage = stage;
+                server.row.stage = stage;
                 this->Publish(server);
               });
 }
@@ -344,7 +348,7 @@
   json handle = {{"transfer-handle", fmt::format("cache-{}", id)},
                  {"tokens", 5000},
                  {"version", 1}};
-  responder.SendWhole(SignedHead(id, 200), handle.dump());
+  responder.SendWhole(StatusSignedHead(id, 200), handle.dump());
 }
 
 void Fleet::Run(Server& server,
@@ -356,10 +360,10 @@
     auto work = absl::Milliseconds(
         this->random.UniformInt(kShortestWorkMs, kLongestWorkMs));
     return this->After(work, [responder, id = std::string(id)] {
-      responder->SendWhole(SignedHead(id, 200), ExpectedBody(id, false));
+      responder->SendWhole(StatusSignedHead(id, 200), ExpectedBody(id, false));
     });
   }
-  http1::AnswerHead head = SignedHead(id, 200);
+  http1::AnswerHead head = StatusSignedHead(id, 200);
   head.headers.Add("Content-Type", "text/event-stream");
   responder->BeginStream(std::move(head));
   int last = EventCount(id);
@@ -422,18 +426,15 @@
     case FaultKind::kHangUp:
       return this->ApplyToProcess(member, fault.kind, begins);
     case FaultKind::kStoreLinkSilent:
-      return member.store->SetState({begins, begins, {}});
+      return ApplyToLink(*member.store, LinkFault::kSilent, begins);
     case FaultKind::kStoreLinkOneWay:
-      return member.store->SetState({false, begins, {}});
+      return ApplyToLink(*member.store, LinkFault::kOneWay, begins);
     case FaultKind::kStoreLinkReset:
-      return begins ? member.store->Reset() : void();
+      return ApplyToLink(*member.store, LinkFault::kReset, begins);
     case FaultKind::kCallerLinkReset:
-      return begins ? member.callers->Reset() : void();
+      return ApplyToLink(*member.callers, LinkFault::kReset, begins);
     case FaultKind::kCallerLinkDelayed:
-      return member.callers->SetState(
-          {false, false,
-           absl::ToChronoMilliseconds(begins ? kLinkDelay
-                                             : absl::ZeroDuration())});
+      return ApplyToLink(*member.callers, LinkFault::kDelayed, begins);
     case FaultKind::kConfigure:
       return begins ? this->Configure() : void();
     case FaultKind::kRolesChange:
@@ -453,9 +454,9 @@
   std::string_view role =
       this->random.UniformInt(0, 1) == 0 ? "prefill" : "decode";
   for (const auto& server : this->servers) {
-    if (server->stage.empty())
+    if (server->row.stage.empty())
       continue;
-    server->stage = std::string(role);
+    server->row.stage = std::string(role);
     this->Publish(*server);
   }
 }
@@ -484,16 +485,13 @@
   };
   switch (kind) {
     case FaultKind::kReplicaLinkSilent:
-      return server.link->SetState({begins, begins, {}});
+      return ApplyToLink(*server.link, LinkFault::kSilent, begins);
     case FaultKind::kReplicaLinkOneWay:
-      return server.link->SetState({false, begins, {}});
+      return ApplyToLink(*server.link, LinkFault::kOneWay, begins);
     case FaultKind::kReplicaLinkReset:
-      return begins ? server.link->Reset() : void();
+      return ApplyToLink(*server.link, LinkFault::kReset, begins);
     case FaultKind::kReplicaLinkDelayed:
-      return server.link->SetState(
-          {false, false,
-           absl::ToChronoMilliseconds(begins ? kLinkDelay
-                                             : absl::ZeroDuration())});
+      return ApplyToLink(*server.link, LinkFault::kDelayed, begins);
     case FaultKind::kReplicaErrors:
       return set_mode(Server::Mode::kErrors);
     case FaultKind::kReplicaRefuses:
@@ -508,7 +506,7 @@
       }
       return;
     default:
-      server.state = begins ? "draining" : "ready";
+      server.row.state = begins ? "draining" : "ready";
       server.draining_since =
           begins ? this->clock.Now() : absl::InfiniteFuture();
       this->Publish(server);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -20,6 +20,7 @@
 #include "soak/schedule.h"
 #include "standins/gateway_platform/fake_replica.h"
 #include "standins/gateway_platform/fake_store.h"
+#include "standins/gateway_platform/replica_row.h"
 
 namespace cranberryhill::soak {
 
@@ -35,6 +36,9 @@
 inline constexpr std::string_view kShop = "shop";
 inline constexpr std::string_view kEngines = "lm";
 
+/// An instance counts as calm when nothing was disturbed for this long.
+inline constexpr absl::Duration kCalm = absl::Seconds(4);
+
 /// @return The whole answer to a request: its body or its events.
 std::string ExpectedBody(std::string_view id, bool stream);
 
--- a/standins/gateway_platform/fake_replica.cc
+++ b/standins/gateway_platform/fake_replica.cc
@@ -5,14 +5,8 @@
 namespace cranberryhill::platform {
 namespace {
 
-http1::AnswerHead SignedHead(const http1::IncomingRequest& request,
-                             int status) {
-  http1::AnswerHead head;
-  head.status = status;
-  head.headers.Add(kAttemptId,
-                   request.head.headers.Find(kAttemptId).value_or(""));
-  head.headers.Add(kSignature, "seal");
-  return head;
+std::string_view IdOf(const http1::IncomingRequest& request) {
+  return request.head.headers.Find(kAttemptId).value_or("");
 }
 
 struct LeftCounter : http1::ActiveRequest {
@@ -23,6 +17,16 @@
 
 }  // namespace
 
+http1::AnswerHead SignedHead(std::string_view id,
+                             int status,
+                             std::string_view signature) {
+  http1::AnswerHead head;
+  head.status = status;
+  head.headers.Add(kAttemptId, id);
+  head.headers.Add(kSignature, signature);
+  return head;
+}
+
 std::shared_ptr<http1::ActiveRequest> FakeReplica::OnRequest(
     http1::IncomingRequest request,
     std::shared_ptr<http1::Responder> responder) {
@@ -35,19 +39,19 @@
                   http1::Responder& responder,
                   int status,
                   std::string_view body) {
-  responder.SendWhole(SignedHead(request, status), body);
+  responder.SendWhole(SignedHead(IdOf(request), status), body);
 }
 
 void AnswerNotRun(const http1::IncomingRequest& request,
                   http1::Responder& responder) {
-  http1::AnswerHead head = SignedHead(request, 503);
+  http1::AnswerHead head = SignedHead(IdOf(request), 503);
   head.headers.Add(kNotRun, "1");
   responder.SendWhole(std::move(head), "");
 }
 
 void BeginEvents(const http1::IncomingRequest& request,
                  http1::Responder& responder) {
-  http1::AnswerHead head = SignedHead(request, 200);
+  http1::AnswerHead head = SignedHead(IdOf(request), 200);
   head.headers.Add("Content-Type", "text/event-stream");
   responder.BeginStream(std::move(head));
 }
--- a/standins/gateway_platform/fake_replica.h
+++ b/standins/gateway_platform/fake_replica.h
@@ -30,6 +30,11 @@
   std::unique_ptr<http1::Server> server;
 };
 
+/// @return The head of a replica's answer to the request with this id.
+http1::AnswerHead SignedHead(std::string_view id,
+                             int status,
+                             std::string_view signature = "seal");
+
 /// Answers as a replica does: signed, with the echo of the request's id.
 void AnswerSigned(const http1::IncomingRequest& request,
                   http1::Responder& responder,
--- /dev/null
+++ b/standins/gateway_platform/replica_row.cc
@@ -0,0 +1,21 @@
+#include "standins/gateway_platform/replica_row.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cranberryhill::platform {
+
+std::string ReplicaRow::Text() const {
+  using nlohmann::json;
+  json row = {{"service", this->service},  {"address", this->address},
+              {"zone", this->zone},        {"version", "v1"},
+              {"slots", this->slots},      {"state", this->state},
+              {"sequence", this->sequence}};
+  if (!this->stage.empty()) {
+    row["stage"] = this->stage;
+    row["models"] = {
+        {{"name", "m"}, {"version", 1}, {"adapters", json::array()}}};
+  }
+  return row.dump();
+}
+
+}  // namespace cranberryhill::platform
