Learn the speed of engines instead of assuming one vendor's figures

Cause: expected first bytes, lanes and refusals used constants of one vendor's engines. Change: forward::EngineSpeedModels learns, per service, the time of a prefill at each role and the time to the first event, from answers and divided by the slowness that the engine reports; instances share what they learned every 3 s, weighted by observations. LinearFit moves to its own header and serves both paths. A histogram shows actual minus expected. The log reason 'the answer is too large to be kept' is restored.

--- a/cranberryhill/cost/engine_speed.cc
+++ b/cranberryhill/cost/engine_speed.cc
@@ -6,11 +6,6 @@
 namespace cranberryhill {
 namespace {
 
-// At each new observation of a LinearFit the weight of the earlier ones is
-// multiplied by this, so about the last 300 observations determine the line.
-constexpr double kFitDecay = 0.997;
-// Weight of each of the two prior observations of a LinearFit.
-constexpr double kPriorWeight = 10;
 // Number of streams at which the second prior observation of a line is placed.
 constexpr double kTypicalStreams = 80;
 // Observations that differ from the expected value by more than this factor are
@@ -48,43 +43,6 @@
 
 }  // namespace
 
-LinearFit::LinearFit(double intercept, double slope, double typical_x)
-    : intercept(intercept), slope(slope) {
-  this->Add(1, this->At(1), kPriorWeight);
-  this->Add(typical_x, this->At(typical_x), kPriorWeight);
-}
-
-void LinearFit::Add(double x, double y, double weight) {
-  this->sum_w += weight;
-  this->sum_x += weight * x;
-  this->sum_y += weight * y;
-  this->sum_xx += weight * x * x;
-  this->sum_xy += weight * x * y;
-}
-
-void LinearFit::Solve() {
-  double spread = this->sum_w * this->sum_xx - this->sum_x * this->sum_x;
-  // If all x are nearly equal the slope is undefined, and the previous one is
-  // kept.
-  if (spread > 0.5 * this->sum_w * this->sum_w) {
-    double covariance = this->sum_w * this->sum_xy - this->sum_x * this->sum_y;
-    this->slope = std::max(0.0, covariance / spread);
-  }
-  double mean_intercept =
-      (this->sum_y - this->slope * this->sum_x) / this->sum_w;
-  this->intercept = std::max(mean_intercept, 1e-6);
-}
-
-void LinearFit::Observe(double x, double y) {
-  double expected = this->At(x);
-  y = std::clamp(y, expected / kMaxDeviation, expected * kMaxDeviation);
-  for (double* sum :
-       {&this->sum_w, &this->sum_x, &this->sum_y, &this->sum_xx, &this->sum_xy})
-    *sum *= kFitDecay;
-  this->Add(x, y, 1);
-  this->Solve();
-}
-
 PrefillTimeTable::PrefillTimeTable(double seconds_per_token) {
   this->range_sums.fill({kPriorTokens, kPriorTokens * seconds_per_token});
   this->seconds_per_token.fill(seconds_per_token);
@@ -119,8 +77,8 @@
 SpeedModel::SpeedModel(SpeedPrior prior)
     : prefill_times(1 / prior.prefill_tokens_per_s),
       fast_seconds_per_token(1 / prior.prefill_tokens_per_s),
-      mean_gap(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams),
-      high_gap(prior.gap_base_s, prior.gap_per_stream_s, kTypicalStreams) {}
+      mean_gap({prior.gap_base_s, prior.gap_per_stream_s}, kTypicalStreams),
+      high_gap({prior.gap_base_s, prior.gap_per_stream_s}, kTypicalStreams) {}
 
 void SpeedModel::ObserveFirstToken(double tokens,
                                    double streams,
--- a/cranberryhill/cost/engine_speed.h
+++ b/cranberryhill/cost/engine_speed.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 
 #include "absl/time/time.h"
+#include "cranberryhill/cost/linear_fit.h"
 
 namespace cranberryhill {
 
@@ -23,33 +24,6 @@
   double gap_per_stream_s = 0.0003;  ///< Added to the gap by each stream.
 };
 
-/// Linear regression over exponentially weighted observations. It starts as the
-/// line given to the constructor. Not thread-safe.
-class LinearFit {
- public:
-  /// @param typical_x The line starts with two prior observations: at 1
-  ///     and at this x.
-  LinearFit(double intercept, double slope, double typical_x);
-
-  void Observe(double x, double y);
-
-  /// @return The value of the line at `x`. The slope is never negative.
-  double At(double x) const { return this->intercept + this->slope * x; }
-
- private:
-  void Add(double x, double y, double weight);
-  void Solve();
-
-  // Weighted sums over the observations; w is the weight.
-  double sum_w = 0;
-  double sum_x = 0;
-  double sum_y = 0;
-  double sum_xx = 0;
-  double sum_xy = 0;
-  double intercept;
-  double slope;
-};
-
 /// Seconds per prefill token for ranges of the number of streams. Each value is
 /// the ratio of summed seconds to summed tokens: a mean of rates would depend
 /// mostly on the few prefills that happened to be fast. Not thread-safe.
--- a/cranberryhill/forward/peer_load_simulation_test.cc
+++ b/cranberryhill/forward/peer_load_simulation_test.cc
@@ -122,7 +122,8 @@
   const bool sends_partial_messages;
   ManualClock clock;
   SeededRandom random{11};
-  Placement placement{"a", EngineSpeed{}};
+  EngineSpeedModels speeds{clock};
+  Placement placement{"a", this->speeds};
   std::vector<std::unique_ptr<Instance>> instances;
   std::map<std::pair<absl::Time, uint64_t>, Event> events;
   std::map<std::string, absl::Time> free_at;
--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -18,7 +18,13 @@
 constexpr absl::Duration kPeerTimeout = absl::Seconds(1);
 
 /// First element of every message; incremented when the format changes.
-constexpr int kFormatVersion = 5;
+constexpr int kFormatVersion = 6;
+
+/// @return `value` with the precision of a float, which is encoded in half the
+///     bytes of a double.
+double Rounded(double value) {
+  return static_cast<float>(value);
+}
 
 }  // namespace
 
@@ -38,12 +44,21 @@
   json crashes = json::array();
   for (const CrashEntry& entry : message.crashes)
     crashes.push_back({entry.fingerprint, entry.crashes});
+  json engine_speeds = json::array();
+  for (const EngineSpeedSummary& entry : message.engine_speeds) {
+    engine_speeds.push_back({entry.service, Rounded(entry.observations),
+                             Rounded(entry.prefill.intercept),
+                             Rounded(entry.prefill.slope),
+                             Rounded(entry.decode_engine_prefill_ratio),
+                             Rounded(entry.first_event.intercept),
+                             Rounded(entry.first_event.slope)});
+  }
   std::string bytes;
   json::to_msgpack(
       json::array({kFormatVersion, message.instance, message.incarnation,
                    message.sequence, engine_loads, cached_prefixes,
                    message.engines_changing_role, crashes,
-                   message.table_versions, message.partial}),
+                   message.table_versions, message.partial, engine_speeds}),
       bytes);
   return bytes;
 }
@@ -83,6 +98,14 @@
     }
     message.table_versions = fields.at(8).get<std::vector<uint64_t>>();
     message.partial = fields.at(9).get<bool>();
+    for (const json& entry : fields.at(10)) {
+      message.engine_speeds.push_back(
+          {entry.at(0).get<std::string>(),
+           entry.at(1).get<double>(),
+           {entry.at(2).get<double>(), entry.at(3).get<double>()},
+           entry.at(4).get<double>(),
+           {entry.at(5).get<double>(), entry.at(6).get<double>()}});
+    }
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
--- a/cranberryhill/forward/peer_load_sync.h
+++ b/cranberryhill/forward/peer_load_sync.h
@@ -22,6 +22,7 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/result.h"
+#include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/prompt.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/request/crash_quarantine.h"
@@ -58,6 +59,9 @@
   /// The message lists only engines that were sent a prompt since the last
   /// message.
   bool partial = false;
+  /// What the instance has learned about the speed of engines; sent at longer
+  /// intervals than the loads.
+  std::vector<EngineSpeedSummary> engine_speeds = {};
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
--- a/cranberryhill/forward/placement.cc
+++ b/cranberryhill/forward/placement.cc
@@ -30,6 +30,8 @@
 /// the prompts in the replica's queue, about six at peak load, wait for it as
 /// well.
 constexpr double kRepeatedPrefillWeight = 6;
+/// Time from the end of a prefill at an engine that decodes to the first event.
+constexpr double kFirstEventAfterPrefillMs = 8;
 /// Number of streams that a prefill at a decode engine slows down. The cost of
 /// such a prefill is increased by its duration once for each of them; it takes
 /// nearly three times as long as at a prefill engine.
@@ -57,9 +59,14 @@
   return StableHash(replica.entry.id, key);
 }
 
-/// @return The estimated time that work takes at a replica, as a multiple of
-///     the usual time, from its last load report. The value changes many times
-///     a second, so older reports count less.
+/// @return Tokens of all instances that are prefilled before a new prompt.
+double TokensAhead(const Replica& replica, PrefillLane lane) {
+  return replica.queued.TokensAhead(lane) +
+         replica.peer_queued.TokensAhead(lane);
+}
+
+}  // namespace
+
 double EstimatedSlowness(const Replica& replica, absl::Time now) {
   if (replica.load_received_at == absl::InfinitePast())
     return 1;
@@ -67,8 +74,6 @@
   return 1 + (replica.load.slowness - 1) * std::exp2(-age_ms / kLoadHalfLifeMs);
 }
 
-}  // namespace
-
 double EstimatedOtherRequests(const Replica& replica, absl::Time now) {
   if (replica.load_received_at == absl::InfinitePast())
     return 0;
@@ -87,31 +92,15 @@
   return replica.outstanding + others;
 }
 
-double Placement::DecodeStepMs(const Replica& replica, absl::Time now) const {
-  return this->speed.base_step_ms + this->speed.step_ms_per_request *
-                                        this->OutstandingRequests(replica, now);
-}
-
-double Placement::PrefillMsPerToken(const Replica& replica,
-                                    absl::Time now) const {
-  if (replica.entry.role == EngineRole::kPrefill) {
-    return 1 / this->speed.prefill_tokens_per_ms +
-           this->speed.base_step_ms / this->speed.prefill_chunk_tokens;
-  }
-  return 1 / (this->speed.prefill_tokens_per_ms *
-              this->speed.decode_prefill_speed_ratio) +
-         this->DecodeStepMs(replica, now) /
-             this->speed.decode_prefill_chunk_tokens;
-}
-
-double Placement::PrefillMs(const Replica& replica,
-                            double tokens,
-                            double prompt_tokens,
+Line Placement::PrefillLine(const EngineSpeed& speed,
+                            const Replica& replica,
                             absl::Time now) const {
-  double pairs = tokens * (prompt_tokens - tokens / 2);
-  return this->speed.prompt_overhead_ms +
-         tokens * this->PrefillMsPerToken(replica, now) +
-         pairs / 1e6 * this->speed.attention_ms_per_million_pairs;
+  Line line =
+      replica.entry.role == EngineRole::kPrefill
+          ? speed.prefill
+          : speed.AtDecodeEngine(this->OutstandingRequests(replica, now));
+  double slowness = EstimatedSlowness(replica, now);
+  return {line.intercept * slowness, line.slope * slowness};
 }
 
 double Placement::PenaltyMs(const Replica& replica, absl::Time now) const {
@@ -123,20 +112,16 @@
   return penalty;
 }
 
-double Placement::QueueWaitMs(const Replica& replica,
-                              PrefillLane lane,
-                              absl::Time now) const {
-  return (replica.queued.TokensAhead(lane) +
-          replica.peer_queued.TokensAhead(lane)) *
-         this->PrefillMsPerToken(replica, now);
-}
-
 PlacementChoice Placement::ChooseEngine(
     std::span<const ReplicaPtr> candidates,
     const PromptDescription& prompt,
     const LatencyLimits& limits,
     absl::Time now,
     std::span<const std::string> excluded) const {
+  if (candidates.empty())
+    return {};
+  const EngineSpeed& speed =
+      this->speeds.SpeedOf(candidates.front()->entry.service);
   uint64_t key = prompt.SharedPrefixId();
   std::vector<Candidate> prefill_engines;
   std::vector<Candidate> decode_engines;
@@ -153,24 +138,26 @@
   };
   std::sort(prefill_engines.begin(), prefill_engines.end(), by_rank);
   std::sort(decode_engines.begin(), decode_engines.end(), by_rank);
-  PlacementChoice choice = this->ChooseInLane(
-      prefill_engines, decode_engines, prompt, PrefillLane::kOnTime, now);
+  PlacementChoice choice =
+      this->ChooseInLane(speed, prefill_engines, decode_engines, prompt,
+                         PrefillLane::kOnTime, now);
   if (choice.replica == nullptr)
     return choice;
   const Replica& prefill_engine = choice.prefill_engine != nullptr
                                       ? *choice.prefill_engine
                                       : *choice.replica;
-  bool on_time =
-      choice.expected_first_byte <= limits.target_latency &&
-      absl::Milliseconds(this->QueueWaitMs(prefill_engine, PrefillLane::kOnTime,
-                                           now)) <= limits.max_queue_wait;
+  double queue_wait_ms = this->PrefillLine(speed, prefill_engine, now).slope *
+                         TokensAhead(prefill_engine, PrefillLane::kOnTime);
+  bool on_time = choice.expected_first_byte <= limits.target_latency &&
+                 absl::Milliseconds(queue_wait_ms) <= limits.max_queue_wait;
   if (on_time)
     return choice;
-  return this->ChooseInLane(prefill_engines, decode_engines, prompt,
+  return this->ChooseInLane(speed, prefill_engines, decode_engines, prompt,
                             PrefillLane::kDeferred, now);
 }
 
-double Placement::DecodeCost(const Replica& replica,
+double Placement::DecodeCost(const EngineSpeed& speed,
+                             const Replica& replica,
                              uint64_t random_value,
                              absl::Time now) const {
   double spread = kDecodeEngineSpreadMs *
@@ -179,8 +166,8 @@
   double occupancy =
       this->OutstandingRequests(replica, now) / replica.entry.slots;
   return this->PenaltyMs(replica, now) + spread +
-         kComparedSteps *
-             (this->DecodeStepMs(replica, now) - this->speed.base_step_ms) +
+         kComparedSteps * speed.step_ms_per_request *
+             this->OutstandingRequests(replica, now) +
          kStreamDurationMs * std::max(0.0, occupancy - kSafeOccupancy);
 }
 
@@ -191,11 +178,15 @@
     std::span<const std::string> excluded) const {
   ReplicaPtr best;
   double best_cost = std::numeric_limits<double>::infinity();
+  if (candidates.empty())
+    return nullptr;
+  const EngineSpeed& speed =
+      this->speeds.SpeedOf(candidates.front()->entry.service);
   for (const ReplicaPtr& replica : candidates) {
     if (replica->entry.role == EngineRole::kPrefill ||
         Contains(excluded, replica->entry.id))
       continue;
-    double cost = this->DecodeCost(*replica, random_value, now);
+    double cost = this->DecodeCost(speed, *replica, random_value, now);
     if (cost < best_cost) {
       best_cost = cost;
       best = replica;
@@ -205,6 +196,7 @@
 }
 
 PlacementChoice Placement::ChooseInLane(
+    const EngineSpeed& speed,
     std::span<const Candidate> prefill_engines,
     std::span<const Candidate> decode_engines,
     const PromptDescription& prompt,
@@ -222,10 +214,10 @@
     for (const Candidate& candidate : group)
       max_cached_tokens = std::max(max_cached_tokens, candidate.cached_tokens);
   }
-  auto extra_cost_ms = [&](const Candidate& candidate, size_t position) {
+  auto extra_cost_ms = [&](const Candidate& candidate, size_t position,
+                           double ms_per_token) {
     double repeated_tokens = max_cached_tokens - candidate.cached_tokens;
-    return kRepeatedPrefillWeight * repeated_tokens *
-               this->PrefillMsPerToken(*candidate.replica, now) +
+    return kRepeatedPrefillWeight * repeated_tokens * ms_per_token +
            (has_shared_prefix && position > 0 ? kNotFirstRankedPenaltyMs : 0);
   };
 
@@ -237,18 +229,21 @@
   double least_loaded_cost = std::numeric_limits<double>::infinity();
   for (size_t i = 0; i < decode_engines.size(); ++i) {
     const Replica& replica = *decode_engines[i].replica;
-    if (double decode_cost = this->DecodeCost(replica, prompt.OwnPartId(), now);
+    if (double decode_cost =
+            this->DecodeCost(speed, replica, prompt.OwnPartId(), now);
         decode_cost < least_loaded_cost) {
       least_loaded_cost = decode_cost;
       least_loaded = decode_engines[i].replica;
     }
     double penalty_ms = this->PenaltyMs(replica, now);
     double tokens = tokens_to_prefill(decode_engines[i]);
-    double prefill_ms =
-        this->PrefillMs(replica, tokens, prompt.prompt_tokens, now);
-    double time_ms = this->QueueWaitMs(replica, lane, now) + prefill_ms +
-                     this->speed.first_event_ms;
-    double cost = time_ms + penalty_ms + extra_cost_ms(decode_engines[i], i) +
+    Line line = this->PrefillLine(speed, replica, now);
+    double prefill_ms = line.At(
+        PrefillWork{tokens, 1.0 * prompt.prompt_tokens, 0}.EffectiveTokens());
+    double time_ms = TokensAhead(replica, lane) * line.slope + prefill_ms +
+                     kFirstEventAfterPrefillMs;
+    double cost = time_ms + penalty_ms +
+                  extra_cost_ms(decode_engines[i], i, line.slope) +
                   kSlowedStreams * prefill_ms;
     if (cost < best_cost) {
       best_cost = cost;
@@ -260,19 +255,18 @@
               0};
     }
   }
-  double transfer_ms = this->speed.transfer_setup_ms +
-                       prompt.prompt_tokens / 1000.0 *
-                           this->speed.transfer_ms_per_thousand_tokens;
+  double first_event_ms = speed.first_event.At(prompt.prompt_tokens / 1000.0);
   for (size_t i = 0; i < prefill_engines.size() && least_loaded != nullptr;
        ++i) {
     const Replica& replica = *prefill_engines[i].replica;
     double tokens = tokens_to_prefill(prefill_engines[i]);
-    double time_ms =
-        this->QueueWaitMs(replica, lane, now) +
-        this->PrefillMs(replica, tokens, prompt.prompt_tokens, now) +
-        transfer_ms + this->speed.first_event_ms;
+    Line line = this->PrefillLine(speed, replica, now);
+    PrefillWork work{tokens, 1.0 * prompt.prompt_tokens,
+                     TokensAhead(replica, lane)};
+    double time_ms = line.At(work.EffectiveTokens()) + first_event_ms;
     double cost = time_ms + this->PenaltyMs(replica, now) +
-                  extra_cost_ms(prefill_engines[i], i) + least_loaded_cost;
+                  extra_cost_ms(prefill_engines[i], i, line.slope) +
+                  least_loaded_cost;
     if (cost < best_cost) {
       best_cost = cost;
       best = {least_loaded,
--- a/cranberryhill/forward/placement.h
+++ b/cranberryhill/forward/placement.h
@@ -8,7 +8,7 @@
 // most of the fleet's capacity, and for services without model engines whose
 // replicas have few slots.
 //
-//   Placement placement("addis-a", EngineSpeed{});
+//   Placement placement("addis-a", engine_speed_models);
 //   PlacementChoice choice =
 //       placement.ChooseEngine(replicas, prompt, limits, now, {});
 
@@ -19,36 +19,12 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/prompt.h"
 #include "cranberryhill/forward/replica_set.h"
 
 namespace cranberryhill::forward {
 
-/// Speed of a model engine. The defaults are the figures of the engines'
-/// datasheets.
-struct EngineSpeed {
-  double prefill_tokens_per_ms = 157;  ///< Prefill speed of a prefill engine.
-  /// Tokens that a prefill engine processes in one step.
-  double prefill_chunk_tokens = 1024;
-  /// A decode engine prefills at this fraction of a prefill engine's speed, in
-  /// chunks of a quarter of the size, between two decode steps.
-  double decode_prefill_speed_ratio = 0.5;
-  double decode_prefill_chunk_tokens = 256;
-  double base_step_ms = 3.55;  ///< Duration of a step without requests.
-  double step_ms_per_request = 0.0462;
-  /// Time that each prompt takes in addition to the time of its tokens.
-  double prompt_overhead_ms = 26;
-  /// Time for attention to the preceding tokens, per million pairs of tokens.
-  double attention_ms_per_million_pairs = 0.109;
-  /// Time from the end of the prefill, or of the transfer of the KV cache, to
-  /// the first event.
-  double first_event_ms = 8;
-  /// Fixed time of a transfer of cached tokens, and its time per thousand
-  /// tokens.
-  double transfer_setup_ms = 6;
-  double transfer_ms_per_thousand_tokens = 0.4;
-};
-
 /// Conditions for the on-time lane, as times from now. A request that is not
 /// expected to meet both is put into the deferred lane.
 struct LatencyLimits {
@@ -78,8 +54,9 @@
 /// Has no state except its settings.
 class Placement {
  public:
-  Placement(std::string availability_zone, EngineSpeed speed)
-      : zone(std::move(availability_zone)), speed(speed) {}
+  /// @param speeds Must outlive this object.
+  Placement(std::string availability_zone, const EngineSpeedSource& speeds)
+      : zone(std::move(availability_zone)), speeds(speeds) {}
 
   /// @param candidates Usable replicas of a model service.
   /// @param excluded Ids of replicas that the request must not be sent to.
@@ -120,34 +97,37 @@
     uint32_t cached_tokens = 0;
   };
 
-  double PrefillMs(const Replica& replica,
-                   double tokens,
-                   double prompt_tokens,
+  /// @return Expected milliseconds of a prefill at the replica for a number of
+  ///     effective tokens.
+  Line PrefillLine(const EngineSpeed& speed,
+                   const Replica& replica,
                    absl::Time now) const;
-  double QueueWaitMs(const Replica& replica,
-                     PrefillLane lane,
-                     absl::Time now) const;
-  PlacementChoice ChooseInLane(std::span<const Candidate> prefill_engines,
+  PlacementChoice ChooseInLane(const EngineSpeed& speed,
+                               std::span<const Candidate> prefill_engines,
                                std::span<const Candidate> decode_engines,
                                const PromptDescription& prompt,
                                PrefillLane lane,
                                absl::Time now) const;
   double PenaltyMs(const Replica& replica, absl::Time now) const;
-  double DecodeCost(const Replica& replica,
+  double DecodeCost(const EngineSpeed& speed,
+                    const Replica& replica,
                     uint64_t random_value,
                     absl::Time now) const;
   double OutstandingRequests(const Replica& replica, absl::Time now) const;
-  double DecodeStepMs(const Replica& replica, absl::Time now) const;
-  double PrefillMsPerToken(const Replica& replica, absl::Time now) const;
 
   std::string zone;
-  EngineSpeed speed;
+  const EngineSpeedSource& speeds;
 };
 
 /// @return The estimated number of requests that other instances have at a
 ///     replica, from its last load report; older reports count less.
 double EstimatedOtherRequests(const Replica& replica, absl::Time now);
 
+/// @return The estimated time that work takes at a replica, as a multiple of
+///     the usual time, from its last load report. The value changes many times
+///     a second, so older reports count less.
+double EstimatedSlowness(const Replica& replica, absl::Time now);
+
 }  // namespace cranberryhill::forward
 
 #endif  // CRANBERRYHILL_FORWARD_PLACEMENT_H_
--- a/cranberryhill/forward/placement_test.cc
+++ b/cranberryhill/forward/placement_test.cc
@@ -33,7 +33,8 @@
 
   ManualClock clock;
   ReplicaSet replicas{clock};
-  Placement placement{"a", EngineSpeed{}};
+  EngineSpeedModels speeds{clock};
+  Placement placement{"a", this->speeds};
 };
 
 // Guards against two instances that have the same shared prefix prefilled at
@@ -125,7 +126,8 @@
   ReplicaSet replicas(clock);
   for (const char* id : {"x", "y", "z"})
     replicas.Apply(MakeEntry(id));
-  Placement placement("a", {});
+  EngineSpeedModels speeds(clock);
+  Placement placement("a", speeds);
   replicas.Find("y")->avoid_until = clock.Now() + absl::Seconds(1);
   std::vector<std::string> excluded{"x"};
   auto usable = replicas.Usable("service");
@@ -144,7 +146,8 @@
   ReplicaSet replicas(clock);
   replicas.Apply(MakeEntry("near", "a"));
   replicas.Apply(MakeEntry("far", "b"));
-  Placement placement("a", {});
+  EngineSpeedModels speeds(clock);
+  Placement placement("a", speeds);
   auto usable = replicas.Usable("service");
   replicas.Find("near")->outstanding = 2;
   BOOST_TEST(
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -120,6 +120,7 @@
   forward::PlacementChoice choice = this->ChooseReplica();
   if (choice.replica == nullptr)
     return this->Refuse("no_replica", kDefaultRetryAfter);
+  this->chosen_at = this->Now();
   this->expected_first_byte = choice.expected_first_byte;
   this->first_byte_timeout = this->FirstByteTimeout(choice.expected_first_byte);
   // Callers of streams give up before their deadline if no event arrives.
@@ -217,6 +218,11 @@
                     double prefill_tokens,
                     const ForwardFields& fields) {
   this->replica = std::move(replica);
+  this->prefill_work = {prefill_tokens,
+                        1.0 * this->caller_request.prompt.prompt_tokens,
+                        this->replica->queued.TokensAhead(this->lane) +
+                            this->replica->peer_queued.TokensAhead(this->lane)};
+  this->uses_cache_source = !fields.cache_source.empty();
   ++this->replica->outstanding;
   this->queued_tokens = this->is_engine_service ? prefill_tokens : 0;
   this->replica->queued.Add(this->lane, this->queued_tokens);
@@ -319,6 +325,7 @@
   this->queued_tokens = 0;
   if (!this->stream_started) {
     this->stream_started = true;
+    this->LearnFromFirstEvent();
     this->context.log.Write(
         this->MakeLogEvent("first_event")
             .Add("replica", this->replica->entry.id)
@@ -333,6 +340,32 @@
   this->responder->SendPart(events);
 }
 
+/// @return Time since the send, without the part that the slowness reported by
+///     the replica explains.
+absl::Duration Exchange::TookAtUsualSpeed(
+    const forward::Replica& replica) const {
+  absl::Time now = this->Now();
+  return (now - this->sent_at) / forward::EstimatedSlowness(replica, now);
+}
+
+void Exchange::LearnFromFirstEvent() {
+  if (!this->is_engine_service)
+    return;
+  this->context.metrics.ObserveFirstByteError(this->Now() - this->chosen_at -
+                                              this->expected_first_byte);
+  // Prompts of the deferred lane wait for prompts that arrive after them.
+  if (this->lane != forward::PrefillLane::kOnTime)
+    return;
+  absl::Duration took = this->TookAtUsualSpeed(*this->replica);
+  if (this->uses_cache_source) {
+    this->context.engine_speeds.ObserveFirstEvent(
+        this->service, this->caller_request.prompt.prompt_tokens, took);
+  } else if (this->replica->entry.role != EngineRole::kPrefill) {
+    this->context.engine_speeds.ObserveDecodeEnginePrefill(
+        this->service, this->prefill_work, this->replica->outstanding, took);
+  }
+}
+
 void Exchange::OnEnd(http1::AnswerEnd end, std::string_view reason) {
   auto self = this->shared_from_this();
   if (this->phase == Phase::kPrefilling)
@@ -355,6 +388,11 @@
         Capture([&] { return this->context.wire.DecodeCacheHandle(body); });
     if (decoded.ok()) {
       this->context.replicas.OnSuccess(*prefill_engine);
+      if (this->lane == forward::PrefillLane::kOnTime) {
+        this->context.engine_speeds.ObservePrefill(
+            this->service, this->prefill_work,
+            this->TookAtUsualSpeed(*prefill_engine));
+      }
       this->context.log.Write(
           this->MakeLogEvent("prompt_read")
               .Add("replica", prefill_engine->entry.id)
@@ -438,7 +476,7 @@
 void Exchange::OnRunEnd(http1::AnswerEnd end, std::string_view reason) {
   if (this->answer_too_large)
     return this->OnSendFailed(forward::AttemptOutcome::kBroken,
-                              "the answer exceeds the size limit");
+                              "the answer is too large to be kept");
   bool complete = end == http1::AnswerEnd::kComplete;
   if (complete && this->relaying_events &&
       this->event_splitter.incomplete_event().empty() && this->stream_started) {
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -19,6 +19,7 @@
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/attempt_policy.h"
 #include "cranberryhill/forward/configuration.h"
+#include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/event_splitter.h"
 #include "cranberryhill/forward/peer_load_sync.h"
 #include "cranberryhill/forward/placement.h"
@@ -45,6 +46,7 @@
   CrashQuarantine& crash_quarantine;
   forward::ReplicaCrashQuarantine& replica_crash_quarantine;
   const forward::Placement& placement;
+  forward::EngineSpeedModels& engine_speeds;
   ConnectionPool& connection_pool;
   GatewayMetrics& metrics;
   EventLog& log;
@@ -100,6 +102,8 @@
   bool RunOnOtherReplicaOrWithoutCache(
       const std::shared_ptr<forward::Replica>& refused);
   void RelayEvents(std::string_view data);
+  void LearnFromFirstEvent();
+  absl::Duration TookAtUsualSpeed(const forward::Replica& replica) const;
   void ReleaseCache();
 
   bool HasAlternativeReplica();
@@ -139,6 +143,9 @@
   std::shared_ptr<forward::Replica> replica;  // Receives the send in progress.
   std::shared_ptr<http1::ClientConnection> connection;
   double queued_tokens = 0;  // Added to the replica's queue by this send.
+  forward::PrefillWork prefill_work;  // Of this send, when it was sent.
+  bool uses_cache_source = false;     // The send refers to a transferred cache.
+  absl::Time chosen_at;               // When the replica was chosen.
   forward::PrefillLane lane = forward::PrefillLane::kOnTime;
   absl::Time sent_at;
   absl::Time last_progress_at;
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/base/result.h"
 #include "cranberryhill/forward/configuration.h"
+#include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/peer_load_sync.h"
 #include "cranberryhill/forward/placement.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
@@ -113,6 +114,7 @@
   forward::PeerLoadSync peer_load_sync;
   CrashQuarantine crash_quarantine;
   forward::ReplicaCrashQuarantine replica_crash_quarantine;
+  forward::EngineSpeedModels engine_speeds;
   forward::Placement placement;
   ConnectionPool connection_pool;
   GatewayMetrics metrics;
--- a/cranberryhill/gateway/metrics.cc
+++ b/cranberryhill/gateway/metrics.cc
@@ -8,14 +8,20 @@
 const prometheus::Histogram::BucketBoundaries kLatencyBucketsSeconds{
     0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 3, 5, 8};
 
-prometheus::Histogram& AddHistogram(prometheus::Registry& registry,
-                                    const std::string& name,
-                                    const std::string& help) {
+const prometheus::Histogram::BucketBoundaries kErrorBucketsSeconds{
+    -1, -0.4, -0.2, -0.1, -0.05, -0.02, 0, 0.02, 0.05, 0.1, 0.2, 0.4, 1, 2};
+
+prometheus::Histogram& AddHistogram(
+    prometheus::Registry& registry,
+    const std::string& name,
+    const std::string& help,
+    const prometheus::Histogram::BucketBoundaries& buckets =
+        kLatencyBucketsSeconds) {
   return prometheus::BuildHistogram()
       .Name(name)
       .Help(help)
       .Register(registry)
-      .Add({}, kLatencyBucketsSeconds);
+      .Add({}, buckets);
 }
 
 prometheus::Counter& GetOrAddCounter(
@@ -49,7 +55,12 @@
                               "From the request to the first byte answered")),
       whole_answer(AddHistogram(this->registry,
                                 "cranberryhill_whole_answer_seconds",
-                                "From the request to the end of its answer")) {}
+                                "From the request to the end of its answer")),
+      first_byte_error(
+          AddHistogram(this->registry,
+                       "cranberryhill_first_byte_error_seconds",
+                       "Actual minus expected time to the first event",
+                       kErrorBucketsSeconds)) {}
 
 void GatewayMetrics::CountOutcome(std::string_view outcome) {
   GetOrAddCounter(this->outcomes, this->outcome_counters, "outcome", outcome)
@@ -70,6 +81,10 @@
   this->whole_answer.Observe(absl::ToDoubleSeconds(latency));
 }
 
+void GatewayMetrics::ObserveFirstByteError(absl::Duration error) {
+  this->first_byte_error.Observe(absl::ToDoubleSeconds(error));
+}
+
 void GatewayMetrics::SetGauge(std::string_view name, double value) {
   this->gauges.Add({{"name", std::string(name)}}).Set(value);
 }
--- a/cranberryhill/gateway/metrics.h
+++ b/cranberryhill/gateway/metrics.h
@@ -30,6 +30,8 @@
 
   void ObserveFirstByte(absl::Duration latency);
   void ObserveWholeAnswer(absl::Duration latency);
+  /// @param error Actual minus expected time to the first event.
+  void ObserveFirstByteError(absl::Duration error);
 
   void SetGauge(std::string_view name, double value);
 
@@ -43,6 +45,7 @@
   prometheus::Family<prometheus::Gauge>& gauges;
   prometheus::Histogram& first_byte;
   prometheus::Histogram& whole_answer;
+  prometheus::Histogram& first_byte_error;
   // A family takes a lock to look up labels; these maps cache the results.
   absl::flat_hash_map<std::string, prometheus::Counter*> outcome_counters;
   absl::flat_hash_map<std::string, prometheus::Counter*> decision_counters;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -33,6 +33,9 @@
 /// Interval between messages while there is no work to report; they show that
 /// the instance is alive and which table versions it has received.
 constexpr absl::Duration kIdleUpdateInterval = absl::Milliseconds(400);
+/// Interval between messages with the learned speed of engines. It changes
+/// slowly, but an instance that has just started should know it within seconds.
+constexpr absl::Duration kEngineSpeedInterval = absl::Seconds(3);
 
 }  // namespace
 
@@ -44,6 +47,7 @@
                    CrashQuarantine& crash_quarantine,
                    forward::ReplicaSet& replicas,
                    const OrderDispatcher& order_dispatcher,
+                   forward::EngineSpeedModels& engine_speeds,
                    PeerLinkDelegate& delegate,
                    EventLog& log,
                    const Clock& clock)
@@ -54,6 +58,7 @@
       crash_quarantine(crash_quarantine),
       replicas(replicas),
       order_dispatcher(order_dispatcher),
+      engine_speeds(engine_speeds),
       delegate(delegate),
       log(log),
       clock(clock),
@@ -139,6 +144,8 @@
           this->peer_load_sync.Merge(message.value(), this->replicas)) {
         this->crash_quarantine.Merge(message.value().crashes,
                                      this->clock.Now());
+        this->engine_speeds.MergePeer(message.value().instance,
+                                      message.value().engine_speeds);
         this->delegate.OnPeerTableVersions(message.value().table_versions);
       }
       if (!message.ok())
@@ -200,6 +207,10 @@
       now - this->full_update_sent_at < kIdleUpdateInterval)
     return;
   this->full_update_sent_at = now;
+  if (now - this->engine_speeds_sent_at >= kEngineSpeedInterval) {
+    this->engine_speeds_sent_at = now;
+    message.engine_speeds = this->engine_speeds.OwnSummaries();
+  }
   this->Send(message);
 }
 
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cranberryhill/base/result.h"
+#include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/peer_load_sync.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/gateway/control_table.h"
@@ -51,6 +52,7 @@
            CrashQuarantine& crash_quarantine,
            forward::ReplicaSet& replicas,
            const OrderDispatcher& order_dispatcher,
+           forward::EngineSpeedModels& engine_speeds,
            PeerLinkDelegate& delegate,
            EventLog& log,
            const Clock& clock);
@@ -82,6 +84,7 @@
   CrashQuarantine& crash_quarantine;
   forward::ReplicaSet& replicas;
   const OrderDispatcher& order_dispatcher;
+  forward::EngineSpeedModels& engine_speeds;
   PeerLinkDelegate& delegate;
   EventLog& log;
   const Clock& clock;
@@ -91,6 +94,7 @@
   std::array<char, 16384> receive_buffer{};
   int idle_updates = 0;
   absl::Time full_update_sent_at = absl::InfinitePast();
+  absl::Time engine_speeds_sent_at = absl::InfinitePast();
   boost::asio::steady_timer partial_update_timer;
   absl::Time partial_update_sent_at = absl::InfinitePast();
   bool partial_update_scheduled = false;
