Find out whether a silent replica is reachable, and end what waits there

Cause: after a loss of power an engine's connections stay open and silent. Change: a request that waits 250 ms longer than expected at a replica from which nothing has been heard opens a probe connection. A replica that neither accepts nor refuses it gets nothing new, its idle connections are closed, and what waits there moves on or gets its final answer at once. Peers report unreachable replicas; a report only causes a probe of one's own. Unreachable replicas are probed again with backoff. SendAndForget, which frees a cache, had no time limit: a release at a silent engine kept its connection for good.

--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -58,7 +58,8 @@
       json::array({kFormatVersion, message.instance, message.incarnation,
                    message.sequence, engine_loads, cached_prefixes,
                    message.engines_changing_role, crashes,
-                   message.table_versions, message.partial, engine_speeds}),
+                   message.table_versions, message.partial, engine_speeds,
+                   message.unreachable_replicas}),
       bytes);
   return bytes;
 }
@@ -106,6 +107,8 @@
            entry.at(4).get<double>(),
            {entry.at(5).get<double>(), entry.at(6).get<double>()}});
     }
+    message.unreachable_replicas =
+        fields.at(11).get<std::vector<std::string>>();
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
--- a/cranberryhill/forward/peer_load_sync.h
+++ b/cranberryhill/forward/peer_load_sync.h
@@ -62,6 +62,8 @@
   /// What the instance has learned about the speed of engines; sent at longer
   /// intervals than the loads.
   std::vector<EngineSpeedSummary> engine_speeds = {};
+  /// Replicas that the instance cannot reach.
+  std::vector<std::string> unreachable_replicas = {};
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
--- /dev/null
+++ b/cranberryhill/forward/reachability.h
@@ -0,0 +1,71 @@
+#ifndef CRANBERRYHILL_FORWARD_REACHABILITY_H_
+#define CRANBERRYHILL_FORWARD_REACHABILITY_H_
+
+// Detects replicas that have gone silent, such as those that lost power: their
+// connections stay open, and what was sent on them is never answered. A request
+// that waits longer than expected at a replica from which nothing has been
+// heard meanwhile makes this instance open a probe connection; a replica that
+// neither accepts nor refuses it is unreachable. A replica that is only slow
+// accepts it at once, so it is never taken for unreachable. Designed for the
+// loss of several engines of a role at the same time, when everything sent to
+// them is lost.
+//
+//   Reachability reachability(clock);
+//   if (reachability.ShouldProbe(replica, waiting_since))
+//     reachability.OnProbeStarted(replica), ...connect...
+//   reachability.OnProbeEnded(replica, answered);
+
+#include <span>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/forward/replica_set.h"
+
+namespace cranberryhill::forward {
+
+/// A request that waits this much longer than expected gives reason to doubt
+/// its replica. Packets that were lost are resent within this time.
+inline constexpr absl::Duration kSilenceTolerance = absl::Milliseconds(250);
+
+/// Not thread-safe.
+class Reachability {
+ public:
+  /// @param clock Must outlive this object.
+  explicit Reachability(const Clock& clock) : clock(clock) {}
+
+  /// Records that the replica sent something on any connection.
+  void OnHeard(Replica& replica);
+
+  /// @param waiting_since When the request was sent, or its last progress.
+  /// @return True when a request that has waited too long is a reason to probe
+  ///     the replica now: nothing was heard from it since, and it was not
+  ///     probed a moment ago.
+  bool ShouldProbe(const Replica& replica, absl::Time waiting_since) const;
+
+  /// @return True when the time has come to probe an unreachable replica again.
+  bool ShouldProbeAgain(const Replica& replica) const;
+
+  void OnProbeStarted(Replica& replica);
+
+  /// @param answered Whether the replica accepted or refused the connection. A
+  ///     replica that has as many connections as it allows refuses more.
+  void OnProbeEnded(Replica& replica, bool answered);
+
+  /// @return The ids of those of `replicas` that are unreachable, for peers.
+  std::vector<std::string> Unreachable(
+      std::span<const std::shared_ptr<Replica>> replicas) const;
+
+  /// @return True when a peer's report that the replica is unreachable is a
+  ///     reason to probe it: this instance has requests there, and they have
+  ///     heard nothing for a while.
+  bool ShouldProbeForPeer(const Replica& replica) const;
+
+ private:
+  const Clock& clock;
+};
+
+}  // namespace cranberryhill::forward
+
+#endif  // CRANBERRYHILL_FORWARD_REACHABILITY_H_
--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -133,13 +133,13 @@
   std::erase_if(members, [](const auto& replica) {
     return replica->outstanding >= replica->connection_share;
   });
-  std::vector<std::shared_ptr<Replica>> not_changing_role;
+  std::vector<std::shared_ptr<Replica>> available;
   for (const auto& replica : members) {
-    if (replica->role_changing_until <= now)
-      not_changing_role.push_back(replica);
+    if (replica->role_changing_until <= now && !replica->unreachable)
+      available.push_back(replica);
   }
-  if (!not_changing_role.empty())
-    return not_changing_role;
+  if (!available.empty())
+    return available;
   if (any_registered)
     return members;
   absl::Duration usable_time =
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -97,6 +97,14 @@
   /// Until this time an order is assumed to be changing the replica's role. The
   /// replica rejects all new requests meanwhile.
   absl::Time role_changing_until = absl::InfinitePast();
+  /// When the replica last sent something on any connection.
+  absl::Time heard_at = absl::InfinitePast();
+  /// The replica does not accept connections: it has lost power, or the network
+  /// between it and this instance is down. See Reachability.
+  bool unreachable = false;
+  bool probing = false;  ///< A probe connection is being opened.
+  absl::Time probed_at = absl::InfinitePast();
+  int failed_probes = 0;  ///< In a row.
   /// Connections that this instance may open to the replica.
   int connection_share = kUnlimitedConnections;
   PrefixCacheEstimate prefix_cache{0};
@@ -141,9 +149,9 @@
 
   /// @return The replicas of a service that may receive new requests. Replicas
   ///     to which this instance has used up its connections are left out.
-  ///     Replicas whose role is changing are returned only when there is no
-  ///     other. Replicas that the registry has just removed are returned only
-  ///     when it lists no other.
+  ///     Unreachable replicas and those whose role is changing are returned
+  ///     only when there is no other. Replicas that the registry has just
+  ///     removed are returned only when it lists no other.
   std::vector<std::shared_ptr<Replica>> Usable(std::string_view service);
 
   /// @return The replica with this id if it is registered, or null.
--- /dev/null
+++ b/cranberryhill/gateway/connect_probe.cc
@@ -0,0 +1,52 @@
+#include "cranberryhill/gateway/connect_probe.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <utility>
+
+namespace cranberryhill::gateway {
+namespace {
+
+using boost::system::error_code;
+
+/// Kept alive by its pending operations.
+struct Probe {
+  explicit Probe(boost::asio::io_context& io) : socket(io), timer(io) {}
+
+  void Finish(bool answered) {
+    error_code ignored;
+    this->socket.close(ignored);
+    this->timer.cancel();
+    if (auto callback = std::exchange(this->done, nullptr))
+      callback(answered);
+  }
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
+  std::function<void(bool)> done;
+};
+
+}  // namespace
+
+void ProbeConnection(boost::asio::io_context& io,
+                     const boost::asio::ip::tcp::endpoint& endpoint,
+                     absl::Duration timeout,
+                     std::function<void(bool answered)> done) {
+  auto probe = std::make_shared<Probe>(io);
+  probe->done = std::move(done);
+  probe->timer.expires_after(absl::ToChronoMilliseconds(timeout));
+  probe->timer.async_wait([probe](error_code error) {
+    if (!error)
+      probe->Finish(false);
+  });
+  probe->socket.async_connect(endpoint, [probe](error_code error) {
+    bool answered = !error || error == boost::asio::error::connection_refused ||
+                    error == boost::asio::error::connection_reset;
+    // Any other error, such as an unreachable network, says no more than
+    // silence.
+    probe->Finish(answered);
+  });
+}
+
+}  // namespace cranberryhill::gateway
--- /dev/null
+++ b/cranberryhill/gateway/connect_probe.h
@@ -0,0 +1,25 @@
+#ifndef CRANBERRYHILL_GATEWAY_CONNECT_PROBE_H_
+#define CRANBERRYHILL_GATEWAY_CONNECT_PROBE_H_
+
+// Finds out whether a host answers, by opening a connection and closing it at
+// once.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+
+#include "absl/time/time.h"
+
+namespace cranberryhill::gateway {
+
+/// @param io Must outlive the probe.
+/// @param done Called once: with true if the host accepted or refused the
+///     connection, with false if it did neither within `timeout`.
+void ProbeConnection(boost::asio::io_context& io,
+                     const boost::asio::ip::tcp::endpoint& endpoint,
+                     absl::Duration timeout,
+                     std::function<void(bool answered)> done);
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_CONNECT_PROBE_H_
--- a/cranberryhill/gateway/connection_pool.cc
+++ b/cranberryhill/gateway/connection_pool.cc
@@ -65,6 +65,15 @@
   pooled.push_back({std::move(connection), this->clock.Now()});
 }
 
+void ConnectionPool::CloseIdle(const forward::Replica& replica) {
+  auto found = this->idle_connections.find(PoolKey(replica));
+  if (found == this->idle_connections.end())
+    return;
+  for (const IdleConnection& entry : found->second)
+    entry.connection->Cancel();
+  this->idle_connections.erase(found);
+}
+
 void ConnectionPool::CloseStale() {
   for (auto& [key, pooled] : this->idle_connections) {
     for (const IdleConnection& entry : pooled) {
--- a/cranberryhill/gateway/connection_pool.h
+++ b/cranberryhill/gateway/connection_pool.h
@@ -34,6 +34,9 @@
   void Release(const forward::Replica& replica,
                std::shared_ptr<http1::ClientConnection> connection);
 
+  /// Closes the idle connections to a replica.
+  void CloseIdle(const forward::Replica& replica);
+
   /// Closes idle connections that the replica is about to close.
   void CloseStale();
 
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -52,6 +52,9 @@
 /// event.
 constexpr double kMaxQueueWaitShare = 0.8;
 
+/// Interval between checks whether a silent replica is unreachable.
+constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(100);
+
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
@@ -234,6 +237,7 @@
   this->relaying_events = false;
   this->sent_at = this->Now();
   this->last_progress_at = this->sent_at;
+  this->silence_checked_at = absl::InfinitePast();
   this->connection = this->context.connection_pool.Acquire(*this->replica);
   this->context.log.Write(
       this->MakeLogEvent("request_sent")
@@ -294,6 +298,7 @@
   this->answer_head = std::move(head);
   this->has_head = true;
   this->last_progress_at = this->Now();
+  this->context.reachability.OnHeard(*this->replica);
   if (this->answer_info.load) {
     this->context.replicas.OnLoadReport(*this->replica,
                                         *this->answer_info.load);
@@ -308,6 +313,7 @@
 void Exchange::OnBody(std::string_view data) {
   auto self = this->shared_from_this();
   this->last_progress_at = this->Now();
+  this->context.reachability.OnHeard(*this->replica);
   if (this->relaying_events)
     return this->RelayEvents(data);
   if (this->answer_body.size() + data.size() > kMaxAnswerBytes)
@@ -606,7 +612,8 @@
     return;
   http1::OutgoingRequest release = this->context.wire.EncodeCacheRelease(
       this->cache_owner->Address(), this->cache_handle);
-  SendAndForget(this->context.connection_pool.Acquire(*this->cache_owner),
+  SendAndForget(this->context.io,
+                this->context.connection_pool.Acquire(*this->cache_owner),
                 http1::SerializeRequest(release.head, release.body));
   this->cache_handle.clear();
 }
@@ -628,8 +635,47 @@
   return std::min(next, this->last_progress_at + limit);
 }
 
+/// @return When to check whether the replica has gone silent.
+absl::Time Exchange::NextSilenceCheck() const {
+  absl::Duration expected = this->has_head || this->stream_started
+                                ? absl::ZeroDuration()
+                                : this->expected_first_byte;
+  return std::max(
+      this->last_progress_at + expected + forward::kSilenceTolerance,
+      this->silence_checked_at + kSilenceCheckInterval);
+}
+
+absl::Time Exchange::NextCheck() const {
+  return std::min(this->NextTimeoutCheck(), this->NextSilenceCheck());
+}
+
+/// Probes the replica if it has been silent for longer than expected.
+/// @return True if it is unreachable and the send has been ended.
+bool Exchange::GiveUpOnUnreachableReplica() {
+  absl::Time now = this->Now();
+  if (now < this->NextSilenceCheck())
+    return false;
+  this->silence_checked_at = now;
+  if (!this->replica->unreachable) {
+    if (this->context.reachability.ShouldProbe(*this->replica,
+                                               this->last_progress_at))
+      this->context.probe(this->replica);
+    return false;
+  }
+  this->connection->Cancel();
+  constexpr std::string_view kReason = "replica unreachable";
+  if (this->phase == Phase::kPrefilling) {
+    this->has_head = false;
+    this->answer_info = {};
+    this->OnPrefillEnd(http1::AnswerEnd::kBroken, kReason);
+  } else {
+    this->OnSendFailed(forward::AttemptOutcome::kTimedOut, kReason);
+  }
+  return true;
+}
+
 void Exchange::ArmTimer() {
-  absl::Time next = this->NextTimeoutCheck();
+  absl::Time next = this->NextCheck();
   if (next >= this->timer_expires_at)
     return;
   this->timer_expires_at = next;
@@ -669,6 +715,9 @@
     return;
   auto self = this->shared_from_this();
   absl::Time now = this->Now();
+  if (this->connection != nullptr && now < this->deadline &&
+      this->GiveUpOnUnreachableReplica())
+    return;
   if (now < this->NextTimeoutCheck())
     return this->ArmTimer();
   bool deadline_passed = now >= this->deadline;
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -23,6 +23,7 @@
 #include "cranberryhill/forward/event_splitter.h"
 #include "cranberryhill/forward/peer_load_sync.h"
 #include "cranberryhill/forward/placement.h"
+#include "cranberryhill/forward/reachability.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
@@ -47,6 +48,7 @@
   forward::ReplicaCrashQuarantine& replica_crash_quarantine;
   const forward::Placement& placement;
   forward::EngineSpeedModels& engine_speeds;
+  forward::Reachability& reachability;
   ConnectionPool& connection_pool;
   GatewayMetrics& metrics;
   EventLog& log;
@@ -55,6 +57,8 @@
       retry_budget;
   /// Called after a prompt has been sent to an engine for prefill.
   std::function<void()> notify_peers;
+  /// Opens a probe connection to a replica that has gone silent.
+  std::function<void(const std::shared_ptr<forward::Replica>&)> probe;
 };
 
 class Exchange : public http1::ActiveRequest,
@@ -110,6 +114,9 @@
   void ArmTimer();
   void OnTimer();
   absl::Time NextTimeoutCheck() const;
+  absl::Time NextSilenceCheck() const;
+  absl::Time NextCheck() const;
+  bool GiveUpOnUnreachableReplica();
   forward::PlacementChoice ChooseReplica();
   void RecordPossibleCrash(const forward::Replica& failed,
                            forward::AttemptOutcome outcome);
@@ -149,6 +156,7 @@
   forward::PrefillLane lane = forward::PrefillLane::kOnTime;
   absl::Time sent_at;
   absl::Time last_progress_at;
+  absl::Time silence_checked_at = absl::InfinitePast();
   absl::Duration expected_first_byte;  // Estimated when the replica was chosen.
   absl::Duration first_byte_timeout;   // Longest wait for the first byte.
   int prefill_attempts = 0;
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cranberryhill/gateway/connect_probe.h"
 #include "cranberryhill/http1/socket_options.h"
 
 namespace cranberryhill::gateway {
@@ -42,6 +43,9 @@
 /// of them may be disconnected from the store.
 constexpr size_t kFrequentPollers = 3;
 
+/// A replica in the same region accepts a connection within a few milliseconds.
+constexpr absl::Duration kProbeTimeout = absl::Milliseconds(250);
+
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -56,7 +60,8 @@
                  const WireFormat& wire,
                  const StoreCodec& codec,
                  std::string_view readiness_path)
-    : clock(clock),
+    : io(io),
+      clock(clock),
       log(log),
       settings(std::move(settings)),
       wire(wire),
@@ -69,6 +74,7 @@
       replica_crash_quarantine(this->crash_quarantine, clock),
       engine_speeds(clock),
       placement(this->settings.availability_zone, this->engine_speeds),
+      reachability(clock),
       connection_pool(io, clock),
       exchange_context{
           io,
@@ -80,6 +86,7 @@
           this->replica_crash_quarantine,
           this->placement,
           this->engine_speeds,
+          this->reachability,
           this->connection_pool,
           this->metrics,
           log,
@@ -87,7 +94,10 @@
           [this](std::string_view service) -> forward::WindowedRetryBudget& {
             return this->RetryBudgetFor(service);
           },
-          [this] { this->peer_link.SendPartialUpdateSoon(); }},
+          [this] { this->peer_link.SendPartialUpdateSoon(); },
+          [this](const std::shared_ptr<forward::Replica>& replica) {
+            this->Probe(replica);
+          }},
       configuration_follower(StoreTable::kConfiguration,
                              io,
                              http1::TcpEndpoint(this->settings.store_address),
@@ -383,6 +393,50 @@
   this->UpdateRetryBudgets();
 }
 
+void Gateway::Probe(const std::shared_ptr<forward::Replica>& replica) {
+  this->reachability.OnProbeStarted(*replica);
+  ProbeConnection(
+      this->io, http1::TcpEndpoint(replica->entry.endpoint), kProbeTimeout,
+      [this, replica](bool answered) {
+        bool was_unreachable = replica->unreachable;
+        this->reachability.OnProbeEnded(*replica, answered);
+        if (replica->unreachable == was_unreachable)
+          return;
+        this->log.Write(
+            LogEvent(replica->unreachable ? "replica_unreachable"
+                                          : "replica_reachable")
+                .Add("replica", replica->entry.id)
+                .Add("outstanding", replica->outstanding)
+                .Add("silent_ms", this->clock.Now() - replica->heard_at));
+        if (!replica->unreachable)
+          return;
+        // Connections that were open before may stay silent for good, even
+        // when the replica can be reached again.
+        this->connection_pool.CloseIdle(*replica);
+        this->replicas.OnUnreachable(*replica);
+      });
+}
+
+/// Probes unreachable replicas again, so that they are used when they are back.
+void Gateway::ProbeUnreachable() {
+  for (const auto& replica : this->replicas.Registered()) {
+    if (this->reachability.ShouldProbeAgain(*replica))
+      this->Probe(replica);
+  }
+}
+
+std::vector<std::string> Gateway::UnreachableReplicas() const {
+  return this->reachability.Unreachable(this->replicas.Registered());
+}
+
+void Gateway::OnPeerUnreachable(std::span<const std::string> ids) {
+  for (const std::string& id : ids) {
+    auto replica = this->replicas.Find(id);
+    if (replica != nullptr && this->reachability.ShouldProbeForPeer(*replica))
+      this->Probe(replica);
+  }
+}
+
 forward::WindowedRetryBudget& Gateway::RetryBudgetFor(
     std::string_view service) {
   auto& retry_budget = this->retry_budgets[std::string(service)];
@@ -399,6 +453,7 @@
     if (error)
       return;
     this->connection_pool.CloseStale();
+    this->ProbeUnreachable();
     if (this->ready())
       this->order_dispatcher.Tick(*this->routes, this->peer_load_sync.Rank());
     this->CheckShutdown();
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -27,6 +27,7 @@
 #include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/peer_load_sync.h"
 #include "cranberryhill/forward/placement.h"
+#include "cranberryhill/forward/reachability.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
@@ -87,6 +88,8 @@
   std::vector<uint64_t> KnownTableVersions() const override;
   void OnPeerTableVersions(std::span<const uint64_t> versions) override;
   void OnRankUpdated(size_t rank) override;
+  std::vector<std::string> UnreachableReplicas() const override;
+  void OnPeerUnreachable(std::span<const std::string> ids) override;
 
  private:
   void ApplyConfiguration(const StoreRow& row);
@@ -97,6 +100,8 @@
   void UpdateRetryBudgets();
   void UpdateConnectionShares();
   void OnControlTableChanged();
+  void Probe(const std::shared_ptr<forward::Replica>& replica);
+  void ProbeUnreachable();
   forward::WindowedRetryBudget& RetryBudgetFor(std::string_view service);
   void ScheduleMaintenance();
   void CheckShutdown();
@@ -104,6 +109,7 @@
   StatusPage MakeStatusPage() const;
   StatusPage MakeMetricsPage();
 
+  boost::asio::io_context& io;
   const Clock& clock;
   EventLog& log;
   GatewaySettings settings;
@@ -116,6 +122,7 @@
   forward::ReplicaCrashQuarantine replica_crash_quarantine;
   forward::EngineSpeedModels engine_speeds;
   forward::Placement placement;
+  forward::Reachability reachability;
   ConnectionPool connection_pool;
   GatewayMetrics metrics;
   ExchangeContext exchange_context;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -147,6 +147,7 @@
         this->engine_speeds.MergePeer(message.value().instance,
                                       message.value().engine_speeds);
         this->delegate.OnPeerTableVersions(message.value().table_versions);
+        this->delegate.OnPeerUnreachable(message.value().unreachable_replicas);
       }
       if (!message.ok())
         this->log.Write(LogEvent("peer_message_unreadable")
@@ -197,6 +198,7 @@
   message.crashes =
       this->crash_quarantine.Entries(kMaxCrashEntries, this->clock.Now());
   message.table_versions = this->delegate.KnownTableVersions();
+  message.unreachable_replicas = this->delegate.UnreachableReplicas();
   bool idle = message.engine_loads.empty() && message.cached_prefixes.empty() &&
               message.engines_changing_role.empty();
   this->idle_updates = idle ? this->idle_updates + 1 : 0;
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -38,6 +38,12 @@
   /// Called with the rank of this instance among the live peers, before each
   /// full update.
   virtual void OnRankUpdated(size_t rank) = 0;
+
+  /// @return The replicas that this instance cannot reach.
+  virtual std::vector<std::string> UnreachableReplicas() const = 0;
+
+  /// Called with the replicas that a peer cannot reach.
+  virtual void OnPeerUnreachable(std::span<const std::string> ids) = 0;
 };
 
 /// Not thread-safe.
--- a/cranberryhill/gateway/send_and_forget.cc
+++ b/cranberryhill/gateway/send_and_forget.cc
@@ -1,19 +1,32 @@
 #include "cranberryhill/gateway/send_and_forget.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <utility>
 
 namespace cranberryhill::gateway {
 namespace {
 
+/// A replica that is unreachable or sends bytes without end must not keep the
+/// connection for good.
+constexpr std::chrono::seconds kTimeLimit(2);
+
 /// Ignores an answer and keeps itself alive until the answer has ended.
 class AnswerDiscarder : public http1::AnswerHandler {
  public:
-  static void Start(std::shared_ptr<http1::ClientConnection> connection,
-                    std::string request) {
-    auto handler = std::make_shared<AnswerDiscarder>();
-    handler->self = handler;
-    handler->connection = std::move(connection);
-    handler->connection->Send(std::move(request), {}, *handler);
+  AnswerDiscarder(boost::asio::io_context& io,
+                  std::shared_ptr<http1::ClientConnection> connection)
+      : timer(io), connection(std::move(connection)) {}
+
+  void Start(const std::shared_ptr<AnswerDiscarder>& self,
+             std::string request) {
+    this->self = self;
+    this->timer.expires_after(kTimeLimit);
+    this->timer.async_wait([self](boost::system::error_code error) {
+      if (!error)
+        self->OnEnd(http1::AnswerEnd::kBroken, "time limit");
+    });
+    this->connection->Send(std::move(request), {}, *this);
   }
 
   bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
@@ -21,19 +34,23 @@
   void OnBody(std::string_view) override {}
   void OnEnd(http1::AnswerEnd, std::string_view) override {
     auto last_reference = std::move(this->self);
+    this->timer.cancel();
     this->connection->Cancel();
   }
 
  private:
+  boost::asio::steady_timer timer;
   std::shared_ptr<AnswerDiscarder> self;
   std::shared_ptr<http1::ClientConnection> connection;
 };
 
 }  // namespace
 
-void SendAndForget(std::shared_ptr<http1::ClientConnection> connection,
+void SendAndForget(boost::asio::io_context& io,
+                   std::shared_ptr<http1::ClientConnection> connection,
                    std::string request) {
-  AnswerDiscarder::Start(std::move(connection), std::move(request));
+  auto discarder = std::make_shared<AnswerDiscarder>(io, std::move(connection));
+  discarder->Start(discarder, std::move(request));
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/send_and_forget.h
+++ b/cranberryhill/gateway/send_and_forget.h
@@ -3,6 +3,7 @@
 
 // Sends a request and ignores its answer.
 
+#include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
 
@@ -10,9 +11,12 @@
 
 namespace cranberryhill::gateway {
 
-/// Sends `request` and closes the connection after the answer or a failure.
+/// Sends `request` and closes the connection after the answer, a failure or a
+/// time limit.
+/// @param io Must outlive the call.
 /// @param connection Must have no request in progress; kept alive until closed.
-void SendAndForget(std::shared_ptr<http1::ClientConnection> connection,
+void SendAndForget(boost::asio::io_context& io,
+                   std::shared_ptr<http1::ClientConnection> connection,
                    std::string request);
 
 }  // namespace cranberryhill::gateway
