Pass rows of the store on between instances

Cause: every instance long-polled every table for itself, so each change woke all of them. Change: three instances poll and pass rows on; the others call the store only when they notice that they lack rows, or when no peer has reported contact with the store for 3 s. A message lists all changes of a range of versions, so that a receiver knows when it lacks some. Instances whose calls fail are ranked apart, so that others take over polling. Candidates for the lease come in groups of three. Peers time out after three intervals between messages; with 195 instances the interval was longer than the fixed timeout.

--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -13,13 +13,23 @@
 constexpr int kSendsPerPrefix = 2;
 /// Limit on the prefixes of one message; it keeps a datagram below 8 KB.
 constexpr size_t kMaxPrefixesPerMessage = 48;
-/// A peer that sent nothing for this long is removed. This is ten times the
-/// usual interval between messages.
-constexpr absl::Duration kPeerTimeout = absl::Seconds(1);
+/// A peer that sent nothing for this long, and for this many intervals between
+/// messages, is removed. Between two messages of a live peer, one may get lost.
+constexpr absl::Duration kMinPeerTimeout = absl::Seconds(1);
+constexpr int kPeerTimeoutIntervals = 3;
 
 /// First element of every message; incremented when the format changes.
 constexpr int kFormatVersion = 6;
 
+/// @return Milliseconds, or -1 for an infinite duration.
+int64_t EncodedAge(absl::Duration age) {
+  return age == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(age);
+}
+
+absl::Duration DecodedAge(int64_t ms) {
+  return ms < 0 ? absl::InfiniteDuration() : absl::Milliseconds(ms);
+}
+
 /// @return `value` with the precision of a float, which is encoded in half the
 ///     bytes of a double.
 double Rounded(double value) {
@@ -59,7 +69,8 @@
                    message.sequence, engine_loads, cached_prefixes,
                    message.engines_changing_role, crashes,
                    message.table_versions, message.partial, engine_speeds,
-                   message.unreachable_replicas}),
+                   message.unreachable_replicas,
+                   EncodedAge(message.store_answer_age), message.store_lost}),
       bytes);
   return bytes;
 }
@@ -109,6 +120,8 @@
     }
     message.unreachable_replicas =
         fields.at(11).get<std::vector<std::string>>();
+    message.store_answer_age = DecodedAge(fields.at(12).get<int64_t>());
+    message.store_lost = fields.at(13).get<bool>();
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
@@ -186,6 +199,8 @@
   peer.incarnation = message.incarnation;
   peer.sequence = message.sequence;
   peer.last_seen_at = this->clock.Now();
+  if (!message.partial)
+    peer.store_lost = message.store_lost;
   if (message.partial)
     this->ReplaceListedLoads(peer, message.engine_loads, replicas);
   else
@@ -240,25 +255,39 @@
   }
 }
 
-void PeerLoadSync::RemoveSilentPeers(ReplicaSet& replicas) {
+void PeerLoadSync::RemoveSilentPeers(ReplicaSet& replicas,
+                                     absl::Duration interval) {
   absl::Time now = this->clock.Now();
+  absl::Duration timeout =
+      std::max(kMinPeerTimeout, interval * kPeerTimeoutIntervals);
   absl::erase_if(this->peers_by_instance, [&](auto& item) {
-    if (now - item.second.last_seen_at < kPeerTimeout)
+    if (now - item.second.last_seen_at < timeout)
       return false;
     this->ReplaceLoads(item.second, {}, replicas);
     return true;
   });
 }
 
-size_t PeerLoadSync::Rank() const {
+size_t PeerLoadSync::RankAmong(
+    const std::function<bool(const Peer&)>& counts) const {
   auto sort_key = [](std::string_view name) {
     return std::pair(StableHash(name), name);
   };
   return static_cast<size_t>(
       std::count_if(this->peers_by_instance.begin(),
                     this->peers_by_instance.end(), [&](const auto& item) {
-                      return sort_key(item.first) < sort_key(this->instance);
+                      return counts(item.second) &&
+                             sort_key(item.first) < sort_key(this->instance);
                     }));
 }
 
+size_t PeerLoadSync::Rank() const {
+  return this->RankAmong([](const Peer&) { return true; });
+}
+
+size_t PeerLoadSync::RankByStore(bool store_lost) const {
+  return this->RankAmong(
+      [store_lost](const Peer& peer) { return peer.store_lost == store_lost; });
+}
+
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/peer_load_sync.h
+++ b/cranberryhill/forward/peer_load_sync.h
@@ -12,6 +12,7 @@
 //   sync.Merge(message, replicas);
 
 #include <cstdint>
+#include <functional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -53,8 +54,7 @@
   /// Engines whose role is being changed.
   std::vector<std::string> engines_changing_role;
   std::vector<CrashEntry> crashes;  ///< Requests that crashed replicas.
-  /// Version of the newest row that the instance has seen, for each table it
-  /// follows.
+  /// Versions up to which the instance knows the tables that it follows.
   std::vector<uint64_t> table_versions;
   /// The message lists only engines that were sent a prompt since the last
   /// message.
@@ -64,6 +64,11 @@
   std::vector<EngineSpeedSummary> engine_speeds = {};
   /// Replicas that the instance cannot reach.
   std::vector<std::string> unreachable_replicas = {};
+  /// Time since the instance's last answer of the store, or infinite when that
+  /// was long ago.
+  absl::Duration store_answer_age = absl::InfiniteDuration();
+  /// True when the instance's calls to the store have been failing.
+  bool store_lost = false;
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
@@ -98,14 +103,20 @@
   /// @return False if the message was ignored.
   bool Merge(const LoadMessage& message, ReplicaSet& replicas);
 
-  /// Removes peers that have sent nothing for a second, together with their
-  /// load: their requests have ended, or their state is unknown.
-  void RemoveSilentPeers(ReplicaSet& replicas);
+  /// Removes peers that have sent nothing for several intervals between
+  /// messages, together with their load: their requests have ended, or their
+  /// state is unknown.
+  /// @param interval Longest interval between two messages of a peer.
+  void RemoveSilentPeers(ReplicaSet& replicas, absl::Duration interval = {});
 
   /// @return The number of live peers that come before this instance in an
   ///     order that is the same on all instances.
   size_t Rank() const;
 
+  /// @param store_lost Whether this instance's calls to the store fail.
+  /// @return The same among the peers for which that is equal.
+  size_t RankByStore(bool store_lost) const;
+
   size_t peers() const { return this->peers_by_instance.size(); }  // NOLINT
 
  private:
@@ -113,6 +124,7 @@
     uint64_t incarnation = 0;
     uint64_t sequence = 0;
     absl::Time last_seen_at;
+    bool store_lost = false;
     std::vector<EngineLoadEntry> engine_loads;
   };
 
@@ -121,6 +133,7 @@
     int sends_left = 0;
   };
 
+  size_t RankAmong(const std::function<bool(const Peer&)>& counts) const;
   void AddLoad(const EngineLoadEntry& entry, int sign, ReplicaSet& replicas);
   void ReplaceLoads(Peer& peer,
                     std::vector<EngineLoadEntry> engine_loads,
--- a/cranberryhill/gateway/control_table.h
+++ b/cranberryhill/gateway/control_table.h
@@ -66,6 +66,8 @@
   void OnSnapshot(StoreTable table, const std::vector<StoreRow>& rows) override;
   void OnChanges(StoreTable table, const std::vector<StoreRow>& rows) override;
   void OnStoreRecovered(StoreTable, absl::Duration) override {}
+  void OnPolled(StoreTable, uint64_t, const std::vector<StoreRow>&) override {}
+  void OnStoreCall(StoreTable, bool) override {}
 
  private:
   bool HasCurrentRows() const;
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -38,10 +38,10 @@
 /// waiting request would block all others.
 constexpr double kMinConnections = 2;
 
-/// Number of live instances that poll the store frequently; the others learn
-/// from these that they have missed changes. It is more than one because each
-/// of them may be disconnected from the store.
-constexpr size_t kFrequentPollers = 3;
+/// Number of versions per table in a message to peers.
+constexpr size_t kProgressFields = 4;
+/// An answer of the store that is older than this says nothing to peers.
+constexpr absl::Duration kMaxReportedAge = absl::Seconds(3);
 
 /// A replica in the same region accepts a connection within a few milliseconds.
 constexpr absl::Duration kProbeTimeout = absl::Milliseconds(250);
@@ -98,6 +98,7 @@
           [this](const std::shared_ptr<forward::Replica>& replica) {
             this->Probe(replica);
           }},
+      store_contact(clock),
       configuration_follower(StoreTable::kConfiguration,
                              io,
                              http1::TcpEndpoint(this->settings.store_address),
@@ -278,22 +279,71 @@
     this->replicas.OnRegistryReconnected();
 }
 
-std::vector<uint64_t> Gateway::KnownTableVersions() const {
-  return {this->configuration_follower.newest_version(),
-          this->replica_follower.newest_version()};
+void Gateway::OnPolled(StoreTable table,
+                       uint64_t after,
+                       const std::vector<StoreRow>& rows) {
+  size_t rank = this->StoreRank();
+  if (this->store_contact.IsPoller(rank))
+    this->peer_link.SendRows(table, after, rows, rank);
 }
 
-void Gateway::OnPeerTableVersions(std::span<const uint64_t> versions) {
-  if (versions.size() != 2)
+void Gateway::OnStoreCall(StoreTable /*table*/, bool answered) {
+  this->store_contact.OnOwnCall(answered);
+}
+
+/// @return The rank of this instance among those that are in contact with the
+///     store, or among those that are not.
+size_t Gateway::StoreRank() const {
+  return this->peer_load_sync.RankByStore(this->store_contact.lost());
+}
+
+TableFollower& Gateway::FollowerOf(StoreTable table) {
+  return table == StoreTable::kConfiguration ? this->configuration_follower
+                                             : this->replica_follower;
+}
+
+void Gateway::OnPeersUpdated() {
+  size_t rank = this->StoreRank();
+  bool polls = this->store_contact.MustPoll(rank);
+  bool poller = this->store_contact.IsPoller(rank);
+  this->configuration_follower.SetPolling(polls, poller);
+  this->replica_follower.SetPolling(polls, poller);
+}
+
+void Gateway::DescribeStoreContact(forward::LoadMessage& message) const {
+  for (const TableFollower* follower :
+       {&this->configuration_follower, &this->replica_follower}) {
+    TableProgress progress = follower->Progress();
+    message.table_versions.insert(message.table_versions.end(),
+                                  {progress.newest_row, progress.complete_after,
+                                   progress.seen, progress.history_lost});
+  }
+  message.store_lost = this->store_contact.lost();
+  absl::Duration age = std::max(this->configuration_follower.TimeSinceAnswer(),
+                                this->replica_follower.TimeSinceAnswer());
+  if (age <= kMaxReportedAge)
+    message.store_answer_age = age;
+}
+
+void Gateway::OnPeerStoreContact(const forward::LoadMessage& message) {
+  if (message.store_answer_age != absl::InfiniteDuration() &&
+      this->store_contact.OnPeerContact(message.store_answer_age))
+    this->replicas.OnRegistryReconnected();
+  const std::vector<uint64_t>& versions = message.table_versions;
+  if (versions.size() != 2 * kProgressFields)
     return;
-  this->configuration_follower.OnPeerVersion(versions[0]);
-  this->replica_follower.OnPeerVersion(versions[1]);
+  size_t first = 0;
+  for (TableFollower* follower :
+       {&this->configuration_follower, &this->replica_follower}) {
+    follower->OnPeerProgress({versions[first], versions[first + 1],
+                              versions[first + 2], versions[first + 3]});
+    first += kProgressFields;
+  }
 }
 
-void Gateway::OnRankUpdated(size_t rank) {
-  bool frequent = rank < kFrequentPollers;
-  this->configuration_follower.SetFrequentPolling(frequent);
-  this->replica_follower.SetFrequentPolling(frequent);
+void Gateway::OnPeerRows(const RowMessage& message) {
+  this->FollowerOf(message.table)
+      .OnPeerRows(message.after, message.up_to, message.rows);
 }
 
 void Gateway::ApplyConfiguration(const StoreRow& row) {
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -40,6 +40,7 @@
 #include "cranberryhill/gateway/peer_link.h"
 #include "cranberryhill/gateway/settings.h"
 #include "cranberryhill/gateway/status_pages.h"
+#include "cranberryhill/gateway/store_contact.h"
 #include "cranberryhill/gateway/table_follower.h"
 #include "cranberryhill/http1/server.h"
 #include "cranberryhill/request/crash_quarantine.h"
@@ -85,9 +86,15 @@
   void OnChanges(StoreTable table, const std::vector<StoreRow>& rows) override;
   void OnStoreRecovered(StoreTable table, absl::Duration outage) override;
 
-  std::vector<uint64_t> KnownTableVersions() const override;
-  void OnPeerTableVersions(std::span<const uint64_t> versions) override;
-  void OnRankUpdated(size_t rank) override;
+  void OnPolled(StoreTable table,
+                uint64_t after,
+                const std::vector<StoreRow>& rows) override;
+  void OnStoreCall(StoreTable table, bool answered) override;
+
+  void OnPeersUpdated() override;
+  void DescribeStoreContact(forward::LoadMessage& message) const override;
+  void OnPeerStoreContact(const forward::LoadMessage& message) override;
+  void OnPeerRows(const RowMessage& message) override;
   std::vector<std::string> UnreachableReplicas() const override;
   void OnPeerUnreachable(std::span<const std::string> ids) override;
 
@@ -102,6 +109,8 @@
   void OnControlTableChanged();
   void Probe(const std::shared_ptr<forward::Replica>& replica);
   void ProbeUnreachable();
+  size_t StoreRank() const;
+  TableFollower& FollowerOf(StoreTable table);
   forward::WindowedRetryBudget& RetryBudgetFor(std::string_view service);
   void ScheduleMaintenance();
   void CheckShutdown();
@@ -130,6 +139,7 @@
   absl::flat_hash_map<std::string,
                       std::unique_ptr<forward::WindowedRetryBudget>>
       retry_budgets;
+  StoreContact store_contact;
   TableFollower configuration_follower;
   TableFollower replica_follower;
   ControlTable control_table;
--- a/cranberryhill/gateway/order_dispatcher.cc
+++ b/cranberryhill/gateway/order_dispatcher.cc
@@ -1,5 +1,6 @@
 #include "cranberryhill/gateway/order_dispatcher.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <optional>
 #include <utility>
@@ -22,12 +23,13 @@
 /// for a random part of this time, so that one of them writes first and the
 /// others see its row.
 constexpr absl::Duration kAcquireJitter = absl::Seconds(1);
-/// Number of instances, the first by rank, that try to acquire the lease
-/// without kLateCandidateDelay. The others wait that long, so that they try
-/// only if the first ones cannot reach the store: every failed attempt costs a
-/// call.
-constexpr size_t kFirstCandidates = 3;
-constexpr absl::Duration kLateCandidateDelay = absl::Seconds(5);
+/// Instances try to acquire the lease in groups of this size, in order of their
+/// ranks. Each group waits this much longer than the one before, so that it
+/// tries only if the earlier ones cannot reach the store: every failed attempt
+/// costs a call.
+constexpr size_t kCandidatesPerGroup = 3;
+constexpr absl::Duration kCandidateGroupDelay = absl::Seconds(5);
+constexpr size_t kMaxCandidateGroup = 5;
 constexpr absl::Duration kPollInterval = absl::Milliseconds(500);
 /// An order is sent only if the lease is valid for at least this long. An order
 /// arrives within this time or not at all: connecting times out after 300 ms
@@ -220,9 +222,10 @@
   if (!needed) {
     this->acquire_from = absl::InfiniteFuture();
   } else if (this->acquire_from == absl::InfiniteFuture()) {
-    this->acquire_from =
-        now + kAcquireJitter * this->random.UniformDouble() +
-        (rank < kFirstCandidates ? absl::ZeroDuration() : kLateCandidateDelay);
+    this->acquire_from = now + kAcquireJitter * this->random.UniformDouble() +
+                         kCandidateGroupDelay * static_cast<double>(std::min(
+                                                    rank / kCandidatesPerGroup,
+                                                    kMaxCandidateGroup));
   }
   bool unused = now - this->needed_at > kReleaseAfterIdle;
   if (this->holds_lease && unused)
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <utility>
 
+#include "cranberryhill/base/hash.h"
+
 namespace cranberryhill::gateway {
 namespace {
 
@@ -27,6 +29,11 @@
 constexpr absl::Duration kMinPartialUpdateInterval = absl::Milliseconds(10);
 constexpr absl::Duration kMinPartialUpdateIntervalPerPeer =
     absl::Microseconds(600);
+/// Instances that start at the same time spread the writes of their rows over
+/// this time, because a partition of the store takes 200 writes a second.
+constexpr absl::Duration kMaxRowWriteDelay = absl::Seconds(2);
+/// Interval between writes of the own row until it appears in the table.
+constexpr absl::Duration kRowWriteInterval = absl::Seconds(2);
 /// Maximum number of crash entries in one message; quarantined requests come
 /// first.
 constexpr size_t kMaxCrashEntries = 16;
@@ -107,6 +114,14 @@
 void PeerLink::WriteOwnRow() {
   if (!this->table.loaded())
     return;
+  absl::Time now = this->clock.Now();
+  if (this->row_write_due_at == absl::InfinitePast()) {
+    this->row_write_due_at =
+        now + kMaxRowWriteDelay *
+                  static_cast<double>(StableHash(this->instance) % 1000) / 1000;
+  }
+  if (now < this->row_write_due_at)
+    return;
   std::string key = std::string(kRowPrefix) + this->instance;
   std::string text = EndpointText(this->address);
   auto known = this->table.rows().find(key);
@@ -116,7 +131,7 @@
       return;
     version = known->second.version;
   }
-  // Repeated before each full update until the row appears in the table.
+  this->row_write_due_at = now + kRowWriteInterval;
   this->table.Commit({{{key, version}}, {{key, text}}, {}},
                      [](const CommitOutcome&) {});
 }
@@ -137,27 +152,39 @@
       if (std::find(this->peer_endpoints.begin(), this->peer_endpoints.end(),
                     sender) == this->peer_endpoints.end())
         this->peer_endpoints.push_back(sender);
-      auto message = Capture([&] {
-        return forward::DecodeLoadMessage({this->receive_buffer.data(), bytes});
-      });
-      if (message.ok() &&
-          this->peer_load_sync.Merge(message.value(), this->replicas)) {
-        this->crash_quarantine.Merge(message.value().crashes,
-                                     this->clock.Now());
-        this->engine_speeds.MergePeer(message.value().instance,
-                                      message.value().engine_speeds);
-        this->delegate.OnPeerTableVersions(message.value().table_versions);
-        this->delegate.OnPeerUnreachable(message.value().unreachable_replicas);
-      }
-      if (!message.ok())
-        this->log.Write(LogEvent("peer_message_unreadable")
-                            .Add("from", sender.address().to_string())
-                            .Add("reason", message.error().ToString()));
+      this->OnDatagram({this->receive_buffer.data(), bytes},
+                       sender.address().to_string());
     }
     this->Receive();
   });
 }
 
+void PeerLink::OnDatagram(std::string_view bytes, const std::string& sender) {
+  auto log_unreadable = [&](const Error& error) {
+    this->log.Write(LogEvent("peer_message_unreadable")
+                        .Add("from", sender)
+                        .Add("reason", error.ToString()));
+  };
+  if (IsRowMessage(bytes)) {
+    auto rows = Capture([&] { return DecodeRowMessage(bytes); });
+    if (!rows.ok())
+      return log_unreadable(rows.error());
+    this->delegate.OnPeerRows(rows.value());
+    return this->ForwardRows(std::move(rows.value()));
+  }
+  auto decoded = Capture([&] { return forward::DecodeLoadMessage(bytes); });
+  if (!decoded.ok())
+    return log_unreadable(decoded.error());
+  const forward::LoadMessage& message = decoded.value();
+  if (!this->peer_load_sync.Merge(message, this->replicas))
+    return;
+  this->crash_quarantine.Merge(message.crashes, this->clock.Now());
+  this->engine_speeds.MergePeer(message.instance, message.engine_speeds);
+  if (!message.partial)
+    this->delegate.OnPeerStoreContact(message);
+  this->delegate.OnPeerUnreachable(message.unreachable_replicas);
+}
+
 void PeerLink::SendPartialUpdateSoon() {
   if (std::exchange(this->partial_update_scheduled, true))
     return;
@@ -176,11 +203,14 @@
   });
 }
 
+std::chrono::milliseconds PeerLink::FullUpdateInterval() const {
+  return std::max(kFullUpdateInterval,
+                  kFullUpdateIntervalPerPeer *
+                      static_cast<int>(this->peer_endpoints.size()));
+}
+
 void PeerLink::ScheduleFullUpdate() {
-  auto interval = std::max(kFullUpdateInterval,
-                           kFullUpdateIntervalPerPeer *
-                               static_cast<int>(this->peer_endpoints.size()));
-  this->full_update_timer.expires_after(interval);
+  this->full_update_timer.expires_after(this->FullUpdateInterval());
   this->full_update_timer.async_wait([this](error_code error) {
     if (error)
       return;
@@ -191,13 +221,14 @@
 }
 
 void PeerLink::SendFullUpdate() {
-  this->peer_load_sync.RemoveSilentPeers(this->replicas);
-  this->delegate.OnRankUpdated(this->peer_load_sync.Rank());
+  this->peer_load_sync.RemoveSilentPeers(
+      this->replicas, absl::FromChrono(this->FullUpdateInterval()));
+  this->delegate.OnPeersUpdated();
   forward::LoadMessage message = this->peer_load_sync.BuildFullMessage(
       this->replicas, this->order_dispatcher.ChangingEngines());
   message.crashes =
       this->crash_quarantine.Entries(kMaxCrashEntries, this->clock.Now());
-  message.table_versions = this->delegate.KnownTableVersions();
+  this->delegate.DescribeStoreContact(message);
   message.unreachable_replicas = this->delegate.UnreachableReplicas();
   bool idle = message.engine_loads.empty() && message.cached_prefixes.empty() &&
               message.engines_changing_role.empty();
@@ -225,13 +256,55 @@
   this->Send(message);
 }
 
-void PeerLink::Send(const forward::LoadMessage& message) {
-  std::string bytes = forward::EncodeLoadMessage(message);
+void PeerLink::SendRows(StoreTable table,
+                        uint64_t after,
+                        const std::vector<StoreRow>& rows,
+                        size_t rank) {
+  std::vector<Endpoint> peers;
+  for (const udp::endpoint& peer : this->peer_endpoints)
+    peers.push_back({peer.address().to_string(), peer.port()});
+  std::vector<RowRecipient> recipients =
+      ChooseRecipients(std::move(peers), rank);
+  for (RowMessage& message : SplitIntoMessages(table, after, rows)) {
+    for (const RowRecipient& recipient : recipients) {
+      message.forward_to = recipient.forward_to;
+      this->SendTo(
+          EncodeRowMessage(message),
+          {asio::ip::make_address(recipient.peer.ip), recipient.peer.port});
+    }
+  }
+}
+
+/// Sends a message on to the peers that it names.
+void PeerLink::ForwardRows(RowMessage message) {
+  std::vector<Endpoint> recipients = std::exchange(message.forward_to, {});
+  if (recipients.empty())
+    return;
+  std::string bytes = EncodeRowMessage(message);
   for (const udp::endpoint& peer : this->peer_endpoints) {
-    // A lost datagram is not resent; the next one replaces it.
-    error_code ignored;
-    this->socket.send_to(asio::buffer(bytes), peer, 0, ignored);
+    // Only known peers get messages, so that a malformed one cannot direct
+    // traffic elsewhere.
+    Endpoint endpoint{peer.address().to_string(), peer.port()};
+    if (std::find(recipients.begin(), recipients.end(), endpoint) !=
+        recipients.end())
+      this->SendTo(bytes, peer);
   }
 }
 
+void PeerLink::Send(const forward::LoadMessage& message) {
+  this->SendToPeers(forward::EncodeLoadMessage(message));
+}
+
+void PeerLink::SendToPeers(std::string_view bytes) {
+  for (const udp::endpoint& peer : this->peer_endpoints)
+    this->SendTo(bytes, peer);
+}
+
+void PeerLink::SendTo(std::string_view bytes, const udp::endpoint& peer) {
+  // A lost datagram is not resent; the next one replaces it.
+  error_code ignored;
+  this->socket.send_to(asio::buffer(bytes.data(), bytes.size()), peer, 0,
+                       ignored);
+}
+
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <span>
 #include <string>
 #include <vector>
@@ -19,6 +20,7 @@
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/order_dispatcher.h"
+#include "cranberryhill/gateway/row_message.h"
 #include "cranberryhill/gateway/settings.h"
 #include "cranberryhill/request/crash_quarantine.h"
 
@@ -29,15 +31,17 @@
  public:
   virtual ~PeerLinkDelegate() = default;
 
-  /// @return The version of the newest row received, for each followed table.
-  virtual std::vector<uint64_t> KnownTableVersions() const = 0;
+  /// Called before each full update, when peers may have come or gone.
+  virtual void OnPeersUpdated() = 0;
 
-  /// Called with the table versions that a peer has reported.
-  virtual void OnPeerTableVersions(std::span<const uint64_t> versions) = 0;
+  /// Fills in what the instance knows about its contact with the store.
+  virtual void DescribeStoreContact(forward::LoadMessage& message) const = 0;
 
-  /// Called with the rank of this instance among the live peers, before each
-  /// full update.
-  virtual void OnRankUpdated(size_t rank) = 0;
+  /// Called with a full message of a peer.
+  virtual void OnPeerStoreContact(const forward::LoadMessage& message) = 0;
+
+  /// Called with rows that a peer has received from the store.
+  virtual void OnPeerRows(const RowMessage& message) = 0;
 
   /// @return The replicas that this instance cannot reach.
   virtual std::vector<std::string> UnreachableReplicas() const = 0;
@@ -73,6 +77,14 @@
   /// engines, immediately or as soon as the minimum interval has passed.
   void SendPartialUpdateSoon();
 
+  /// Sends rows that this instance has received from the store to the peers.
+  /// @param rank Distinguishes this instance from others that send the same
+  ///     rows.
+  void SendRows(StoreTable table,
+                uint64_t after,
+                const std::vector<StoreRow>& rows,
+                size_t rank);
+
   size_t peer_count() const { return this->peer_endpoints.size(); }  // NOLINT
 
  private:
@@ -81,6 +93,12 @@
   void SendFullUpdate();
   void SendPartialUpdate();
   void Send(const forward::LoadMessage& message);
+  void SendToPeers(std::string_view bytes);
+  void SendTo(std::string_view bytes,
+              const boost::asio::ip::udp::endpoint& peer);
+  void ForwardRows(RowMessage message);
+  void OnDatagram(std::string_view bytes, const std::string& sender);
+  std::chrono::milliseconds FullUpdateInterval() const;
   void WriteOwnRow();
 
   const std::string instance;
@@ -103,6 +121,7 @@
   absl::Time engine_speeds_sent_at = absl::InfinitePast();
   boost::asio::steady_timer partial_update_timer;
   absl::Time partial_update_sent_at = absl::InfinitePast();
+  absl::Time row_write_due_at = absl::InfinitePast();
   bool partial_update_scheduled = false;
 };
 
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -1,6 +1,7 @@
 #include "cranberryhill/gateway/table_follower.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <utility>
 
@@ -15,22 +16,26 @@
   absl::Duration pause;
 };
 
-/// Pause with frequent polling. It must be much shorter than 2 s: a change must
-/// be in force within 2 s of its acknowledgement, and a leaving replica must
-/// get no request 2 s after its notice. Bursts of changes come every 330 ms.
-constexpr absl::Duration kFrequentPollPause = absl::Milliseconds(300);
-/// Used with infrequent polling; these instances learn from peers that poll
-/// frequently that they have missed changes.
-constexpr PollingPolicy kInfrequentPolling{absl::Seconds(25), absl::Seconds(1)};
+/// A change must be in force within 2 s of its acknowledgement, and a leaving
+/// replica must get no request 2 s after its notice, so the pause is much
+/// shorter than 2 s. Bursts of changes come every 330 ms. The long poll is
+/// short because a store that stops answering keeps its connections open and,
+/// after it recovers, does not answer the old requests. A change must be in
+/// force at most 5 s after the recovery (3 s for the store to count as stable,
+/// 2 s for the change).
+constexpr PollingPolicy kPolling{absl::Milliseconds(1200),
+                                 absl::Milliseconds(300)};
 /// Used for the control table. Instances write their address once and receive
-/// each other's datagrams, so no change in this table is urgent.
+/// each other's datagrams, and a write with an outdated version is answered
+/// with the current row, so no change in this table is urgent.
 constexpr PollingPolicy kControlTablePolling{absl::Seconds(25),
-                                             absl::Seconds(4)};
-/// Duration of a long poll with frequent polling. It is short because a store
-/// that stops answering keeps its connections open and, after it recovers, does
-/// not answer the old requests. A change must be in force at most 5 s after the
-/// recovery (3 s for the store to count as stable, 2 s for the change).
-constexpr absl::Duration kFrequentPollWait = absl::Milliseconds(1200);
+                                             absl::Seconds(12)};
+/// Pause after the first read of the control table. All instances start at
+/// about the same time and have written their addresses after this time.
+constexpr absl::Duration kFirstControlTablePause = absl::Milliseconds(2200);
+/// Changes that a peer has received arrive here within this time, unless they
+/// got lost.
+constexpr std::chrono::milliseconds kPeerRowsDelay(150);
 /// A long poll that started less than this ago is not restarted, because it may
 /// still return the change that a peer has reported.
 constexpr absl::Duration kPeerVersionDelay = absl::Milliseconds(250);
@@ -41,16 +46,13 @@
 /// takes 60 times its usual 4 ms or more.
 constexpr absl::Duration kReadTimeout = absl::Milliseconds(1500);
 constexpr absl::Duration kFirstRetryPause = absl::Milliseconds(100);
-/// Longest pause between retries, with frequent polling and otherwise. Retries
+/// Longest pause between retries of a poller and of another instance. Retries
 /// are limited because refused calls have a cost as well.
-constexpr absl::Duration kMaxFrequentRetryPause = absl::Milliseconds(300);
-constexpr absl::Duration kMaxRetryPause = absl::Seconds(1);
+constexpr absl::Duration kMaxPollerRetryPause = absl::Milliseconds(300);
+constexpr absl::Duration kMaxRetryPause = absl::Seconds(3);
 
-PollingPolicy PollingPolicyFor(StoreTable table, bool frequent) {
-  if (table == StoreTable::kControl)
-    return kControlTablePolling;
-  return frequent ? PollingPolicy{kFrequentPollWait, kFrequentPollPause}
-                  : kInfrequentPolling;
+PollingPolicy PollingPolicyFor(StoreTable table) {
+  return table == StoreTable::kControl ? kControlTablePolling : kPolling;
 }
 
 constexpr int kOk = 200;
@@ -111,15 +113,33 @@
   }
   this->OnAnswered();
   this->needs_snapshot = false;
-  this->has_read_snapshot = true;
+  bool first = !std::exchange(this->has_read_snapshot, true);
+  // The changes of a table that was empty at the start of the system are
+  // followed from its first row, so that peers which read it a moment earlier
+  // can use them as well.
+  if (this->rows.empty() && !std::exchange(this->followed_from_first_row, true))
+    this->version = 0;
+  this->snapshot_version = this->version;
+  if (std::exchange(this->history_lost, false))
+    this->lost_version = this->version;
   this->log.Write(LogEvent("table_read")
                       .Add("table", StoreTableName(this->table))
                       .Add("rows", static_cast<int64_t>(this->rows.size()))
                       .Add("version", this->version));
   this->observer.OnSnapshot(this->table, std::exchange(this->rows, {}));
+  bool first_control = first && this->table == StoreTable::kControl;
   this->pausing = true;
-  this->ContinueAfter(
-      PollingPolicyFor(this->table, this->frequent_polling).pause);
+  this->ContinueAfter(first_control ? kFirstControlTablePause
+                                    : PollingPolicyFor(this->table).pause);
+}
+
+void TableFollower::SetPolling(bool polls, bool poller) {
+  this->polls = polls;
+  this->is_poller = poller;
+  if (polls && this->idle) {
+    this->pause_timer.cancel();
+    this->Watch();
+  }
 }
 
 void TableFollower::EndPause() {
@@ -131,31 +151,85 @@
 
 void TableFollower::Watch() {
   this->pausing = false;
+  this->idle = false;
   ++this->call_count;
   this->watching = true;
   this->watch_started_at = this->clock.Now();
-  absl::Duration wait =
-      PollingPolicyFor(this->table, this->frequent_polling).wait;
+  absl::Duration wait = PollingPolicyFor(this->table).wait;
   this->store_client.Call(
       this->codec.EncodeWatch(this->table, this->version, wait),
       wait + kWatchTimeoutMargin,
       [this](HttpResult answer) { this->OnWatchAnswer(std::move(answer)); });
 }
 
-void TableFollower::OnPeerVersion(uint64_t newest_peer_version) {
-  absl::Time now = this->clock.Now();
-  if (newest_peer_version <= this->max_row_version || !this->watching ||
-      now - this->watch_started_at < kPeerVersionDelay)
+TableProgress TableFollower::Progress() const {
+  return {this->max_row_version,
+          std::max(this->max_row_version, this->snapshot_version),
+          this->version, this->lost_version};
+}
+
+void TableFollower::OnPeerProgress(const TableProgress& progress) {
+  if (progress.history_lost > this->version)
+    return this->OnPeerSnapshot(progress.history_lost);
+  // The peer has seen no change between what is known here and `seen`.
+  if (!this->needs_snapshot && progress.complete_after <= this->version)
+    this->version = std::max(this->version, progress.seen);
+  this->OnPeerRow(progress.newest_row);
+}
+
+void TableFollower::OnPeerRow(uint64_t newest_row) {
+  this->peer_version = std::max(this->peer_version, newest_row);
+  if (!this->IsBehindPeers())
+    return;
+  if (std::exchange(this->idle, false)) {
+    this->pausing = true;
+    this->ContinueAfter(absl::FromChrono(kPeerRowsDelay));
+    return;
+  }
+  if (!this->watching ||
+      this->clock.Now() - this->watch_started_at < kPeerVersionDelay)
     return;
   this->log.Write(LogEvent("table_behind_peers")
                       .Add("table", StoreTableName(this->table))
-                      .Add("own_version", this->max_row_version)
-                      .Add("peer_version", newest_peer_version)
+                      .Add("own_version", this->version)
+                      .Add("peer_version", newest_row)
                       .Add("age_ms", this->TimeSinceAnswer()));
   this->store_client.Cancel();
   this->Watch();
 }
 
+void TableFollower::OnPeerRows(uint64_t after,
+                               uint64_t up_to,
+                               const std::vector<StoreRow>& rows) {
+  bool complete = !this->needs_snapshot && this->version >= after;
+  if (complete && this->version < up_to) {
+    std::vector<StoreRow> newer;
+    for (const StoreRow& row : rows) {
+      if (row.version > this->version)
+        newer.push_back(row);
+    }
+    this->version = up_to;
+    this->max_row_version = std::max(this->max_row_version, up_to);
+    this->observer.OnChanges(this->table, newer);
+  }
+  this->OnPeerRow(up_to);
+}
+
+void TableFollower::OnPeerSnapshot(uint64_t snapshot_version) {
+  if (this->needs_snapshot)
+    return;
+  this->log.Write(LogEvent("table_snapshot_by_peer")
+                      .Add("table", StoreTableName(this->table))
+                      .Add("version", this->version)
+                      .Add("peer_version", snapshot_version));
+  this->store_client.Cancel();
+  this->watching = false;
+  this->idle = false;
+  this->needs_snapshot = true;
+  // Adds jitter so that instances do not all read at the same moment.
+  this->ContinueAfter(absl::Milliseconds(200) * this->random.UniformDouble());
+}
+
 void TableFollower::OnWatchAnswer(HttpResult answer) {
   this->watching = false;
   if (answer.status == kHistoryGone) {
@@ -163,6 +237,9 @@
                         .Add("table", StoreTableName(this->table))
                         .Add("version", this->version));
     this->needs_snapshot = true;
+    // An instance that relies on its peers may ask for changes that are older
+    // than the history. Peers that have followed the table lack nothing then.
+    this->history_lost = this->is_poller;
     return this->ReadSnapshotPage("");
   }
   if (answer.status != kOk)
@@ -171,22 +248,24 @@
   if (!page.ok())
     return this->OnFailed({0, "", page.error().ToString()});
   this->OnAnswered();
+  uint64_t complete_after = this->Progress().complete_after;
   this->version = std::max(this->version, page.value().version);
   for (const StoreRow& row : page.value().rows) {
     this->version = std::max(this->version, row.version);
     this->max_row_version = std::max(this->max_row_version, row.version);
   }
   if (page.value().rows.empty())
-    return this->Watch();
+    return this->Continue();
   this->observer.OnChanges(this->table, page.value().rows);
+  this->observer.OnPolled(this->table, complete_after, page.value().rows);
   this->pausing = true;
-  this->ContinueAfter(
-      PollingPolicyFor(this->table, this->frequent_polling).pause);
+  this->ContinueAfter(PollingPolicyFor(this->table).pause);
 }
 
 void TableFollower::OnAnswered() {
   absl::Duration outage = this->TimeSinceAnswer();
   this->answered_at = this->clock.Now();
+  this->observer.OnStoreCall(this->table, true);
   if (std::exchange(this->consecutive_failures, 0) == 0)
     return;
   this->log.Write(LogEvent("store_regained")
@@ -196,6 +275,7 @@
 }
 
 void TableFollower::OnFailed(const HttpResult& answer) {
+  this->observer.OnStoreCall(this->table, false);
   if (++this->consecutive_failures == 1) {
     this->log.Write(LogEvent("store_lost")
                         .Add("table", StoreTableName(this->table))
@@ -205,10 +285,10 @@
   }
   double backoff_factor =
       std::pow(2, std::min(this->consecutive_failures - 1, 4));
+  bool retries_soon = this->table != StoreTable::kControl &&
+                      (this->is_poller || !this->has_read_snapshot);
   absl::Duration max_pause =
-      this->frequent_polling && this->table != StoreTable::kControl
-          ? kMaxFrequentRetryPause
-          : kMaxRetryPause;
+      retries_soon ? kMaxPollerRetryPause : kMaxRetryPause;
   absl::Duration pause = std::min(max_pause, kFirstRetryPause * backoff_factor);
   // Adds jitter so that instances do not retry in lockstep.
   this->ContinueAfter(pause * (0.5 + this->random.UniformDouble()));
@@ -219,11 +299,18 @@
   this->pause_timer.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
-    if (this->needs_snapshot)
-      this->ReadSnapshotPage("");
-    else
-      this->Watch();
+    this->Continue();
   });
 }
 
+/// Makes the next call that is due, or waits for changes from peers.
+void TableFollower::Continue() {
+  this->pausing = false;
+  if (this->needs_snapshot)
+    return this->ReadSnapshotPage("");
+  if (this->polls || this->IsBehindPeers())
+    return this->Watch();
+  this->idle = true;
+}
+
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -2,7 +2,8 @@
 #define CRANBERRYHILL_GATEWAY_TABLE_FOLLOWER_H_
 
 // Follows one table of the store: reads a snapshot, then long-polls for
-// changes, and reads another snapshot when changes may have been missed.
+// changes, or applies the changes that peers pass on, and reads another
+// snapshot when changes may have been missed.
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -17,6 +18,19 @@
 
 namespace cranberryhill::gateway {
 
+/// Versions up to which an instance knows a table.
+struct TableProgress {
+  /// The newest row received.
+  uint64_t newest_row = 0;
+  /// All changes after this version have been received, up to `seen`. Removals
+  /// before it may not have been seen, because a snapshot does not show them.
+  uint64_t complete_after = 0;
+  uint64_t seen = 0;
+  /// Version of the last snapshot that was read because the store had discarded
+  /// changes that this instance was waiting for; 0 if there was none.
+  uint64_t history_lost = 0;
+};
+
 /// Receives the contents of a table and its changes.
 class TableObserver {
  public:
@@ -31,6 +45,16 @@
   virtual void OnChanges(StoreTable table,
                          const std::vector<StoreRow>& rows) = 0;
 
+  /// Called after OnChanges() with changes that this instance has polled from
+  /// the store.
+  /// @param after All changes from this version to the last row are in `rows`.
+  virtual void OnPolled(StoreTable table,
+                        uint64_t after,
+                        const std::vector<StoreRow>& rows) = 0;
+
+  /// Called after each call to the store.
+  virtual void OnStoreCall(StoreTable table, bool answered) = 0;
+
   /// Called when the store answers again after `outage` without an answer.
   virtual void OnStoreRecovered(StoreTable table, absl::Duration outage) = 0;
 };
@@ -51,20 +75,30 @@
   void Start() { this->ReadSnapshotPage(""); }
   void Stop();
 
-  /// Frequent polling detects sooner that the store has stopped answering, at
-  /// the cost of more calls.
-  void SetFrequentPolling(bool frequent) { this->frequent_polling = frequent; }
+  /// Sets whether this instance polls the store for changes, or relies on its
+  /// peers for them.
+  /// @param poller True for an instance whose peers rely on it; it retries
+  ///     sooner when the store does not answer.
+  void SetPolling(bool polls, bool poller);
+
+  /// Applies changes that a peer has received, unless earlier ones are missing
+  /// here.
+  /// @param after All changes from this version to `up_to` are in `rows`.
+  /// @param up_to Version of the last of `rows`.
+  void OnPeerRows(uint64_t after,
+                  uint64_t up_to,
+                  const std::vector<StoreRow>& rows);
 
-  /// Reports that a peer has received a row of this version. If that is newer
-  /// than any row received here, the long poll is restarted.
-  void OnPeerVersion(uint64_t newest_peer_version);
+  /// Takes over what a peer knows about the table. Missing rows that do not
+  /// arrive from peers soon are read from the store.
+  void OnPeerProgress(const TableProgress& progress);
 
   /// Starts the next long poll without waiting for the pause to end, because
   /// the table is known to have changed.
   void EndPause();
 
-  /// @return The version of the newest row received.
-  uint64_t newest_version() const { return this->max_row_version; }  // NOLINT
+  /// @return What this instance knows about the table, for its peers.
+  TableProgress Progress() const;
 
   /// @return True once the whole table has been read.
   bool has_snapshot() const { return this->has_read_snapshot; }  // NOLINT
@@ -85,6 +119,10 @@
   void OnAnswered();
   void OnFailed(const HttpResult& answer);
   void ContinueAfter(absl::Duration pause);
+  void Continue();
+  void OnPeerRow(uint64_t newest_row);
+  void OnPeerSnapshot(uint64_t snapshot_version);
+  bool IsBehindPeers() const { return this->peer_version > this->version; }
 
   const StoreTable table;
   const StoreCodec& codec;
@@ -97,10 +135,17 @@
   std::vector<StoreRow> rows;
   uint64_t version = 0;
   uint64_t max_row_version = 0;
+  uint64_t snapshot_version = 0;
   absl::Time watch_started_at;
   bool watching = false;
   bool pausing = false;
-  bool frequent_polling = true;
+  bool idle = false;  // Relies on peers; no call is in progress.
+  bool polls = true;
+  bool is_poller = true;
+  uint64_t peer_version = 0;  // Newest row that any peer has received.
+  uint64_t lost_version = 0;
+  bool history_lost = false;
+  bool followed_from_first_row = false;
   bool needs_snapshot = true;
   bool has_read_snapshot = false;
   int consecutive_failures = 0;
