--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -102,30 +102,21 @@
   // The long poll starts from the version of the first page, which is the
   // oldest, so that it returns all changes made while the pages were read.
   if (this->rows.empty())
-    this->version = page.value().version;
-  for (StoreRow& row : page.value().rows) {
-    this->max_row_version = std::max(this->max_row_version, row.version);
+    this->snapshot_version = page.value().version;
+  for (StoreRow& row : page.value().rows)
     this->rows.push_back(std::move(row));
-  }
   if (page.value().has_more && !this->rows.empty()) {
     // The next page starts after the last key of this one.
     return this->ReadSnapshotPage(this->rows.back().key + '\x01');
   }
   this->OnAnswered();
-  this->needs_snapshot = false;
   bool first = !std::exchange(this->has_read_snapshot, true);
-  // The changes of a table that was empty at the start of the system are
-  // followed from its first row, so that peers which read it a moment earlier
-  // can use them as well.
-  if (this->rows.empty() && !std::exchange(this->followed_from_first_row, true))
-    this->version = 0;
-  this->snapshot_version = this->version;
-  if (std::exchange(this->history_lost, false))
-    this->lost_version = this->version;
+  this->versions.OnSnapshot(this->snapshot_version, this->rows,
+                            std::exchange(this->history_lost, false));
   this->log.Write(LogEvent("table_read")
                       .Add("table", StoreTableName(this->table))
                       .Add("rows", static_cast<int64_t>(this->rows.size()))
-                      .Add("version", this->version));
+                      .Add("version", this->snapshot_version));
   this->observer.OnSnapshot(this->table, std::exchange(this->rows, {}));
   bool first_control = first && this->table == StoreTable::kControl;
   this->pausing = true;
@@ -157,29 +148,29 @@
   this->watch_started_at = this->clock.Now();
   absl::Duration wait = PollingPolicyFor(this->table).wait;
   this->store_client.Call(
-      this->codec.EncodeWatch(this->table, this->version, wait),
+      this->codec.EncodeWatch(this->table, this->versions.seen(), wait),
       wait + kWatchTimeoutMargin,
       [this](HttpResult answer) { this->OnWatchAnswer(std::move(answer)); });
 }
 
-TableProgress TableFollower::Progress() const {
-  return {this->max_row_version,
-          std::max(this->max_row_version, this->snapshot_version),
-          this->version, this->lost_version};
+void TableFollower::OnPeerProgress(const TableProgress& progress) {
+  if (this->versions.OnPeerProgress(progress))
+    return this->OnSnapshotNeededByPeer(progress.history_lost);
+  this->OnBehindPeers();
 }
 
-void TableFollower::OnPeerProgress(const TableProgress& progress) {
-  if (progress.history_lost > this->version)
-    return this->OnPeerSnapshot(progress.history_lost);
-  // The peer has seen no change between what is known here and `seen`.
-  if (!this->needs_snapshot && progress.complete_after <= this->version)
-    this->version = std::max(this->version, progress.seen);
-  this->OnPeerRow(progress.newest_row);
+void TableFollower::OnPeerRows(uint64_t after,
+                               uint64_t up_to,
+                               const std::vector<StoreRow>& rows) {
+  std::vector<StoreRow> newer = this->versions.OnPeerRows(after, up_to, rows);
+  if (!newer.empty())
+    this->observer.OnChanges(this->table, newer);
+  this->OnBehindPeers();
 }
 
-void TableFollower::OnPeerRow(uint64_t newest_row) {
-  this->peer_version = std::max(this->peer_version, newest_row);
-  if (!this->IsBehindPeers())
+/// Polls the store if rows are missing here that peers have received.
+void TableFollower::OnBehindPeers() {
+  if (!this->versions.IsBehindPeers())
     return;
   if (std::exchange(this->idle, false)) {
     this->pausing = true;
@@ -191,41 +182,22 @@
     return;
   this->log.Write(LogEvent("table_behind_peers")
                       .Add("table", StoreTableName(this->table))
-                      .Add("own_version", this->version)
-                      .Add("peer_version", newest_row)
+                      .Add("own_version", this->versions.seen())
+                      .Add("peer_version", this->versions.peer_row())
                       .Add("age_ms", this->TimeSinceAnswer()));
   this->store_client.Cancel();
   this->Watch();
 }
 
-void TableFollower::OnPeerRows(uint64_t after,
-                               uint64_t up_to,
-                               const std::vector<StoreRow>& rows) {
-  bool complete = !this->needs_snapshot && this->version >= after;
-  if (complete && this->version < up_to) {
-    std::vector<StoreRow> newer;
-    for (const StoreRow& row : rows) {
-      if (row.version > this->version)
-        newer.push_back(row);
-    }
-    this->version = up_to;
-    this->max_row_version = std::max(this->max_row_version, up_to);
-    this->observer.OnChanges(this->table, newer);
-  }
-  this->OnPeerRow(up_to);
-}
-
-void TableFollower::OnPeerSnapshot(uint64_t snapshot_version) {
-  if (this->needs_snapshot)
-    return;
+void TableFollower::OnSnapshotNeededByPeer(uint64_t snapshot_version) {
   this->log.Write(LogEvent("table_snapshot_by_peer")
                       .Add("table", StoreTableName(this->table))
-                      .Add("version", this->version)
+                      .Add("version", this->versions.seen())
                       .Add("peer_version", snapshot_version));
   this->store_client.Cancel();
   this->watching = false;
   this->idle = false;
-  this->needs_snapshot = true;
+  this->versions.OnSnapshotNeeded();
   // Adds jitter so that instances do not all read at the same moment.
   this->ContinueAfter(absl::Milliseconds(200) * this->random.UniformDouble());
 }
@@ -235,8 +207,8 @@
   if (answer.status == kHistoryGone) {
     this->log.Write(LogEvent("table_history_lost")
                         .Add("table", StoreTableName(this->table))
-                        .Add("version", this->version));
-    this->needs_snapshot = true;
+                        .Add("version", this->versions.seen()));
+    this->versions.OnSnapshotNeeded();
     // An instance that relies on its peers may ask for changes that are older
     // than the history. Peers that have followed the table lack nothing then.
     this->history_lost = this->is_poller;
@@ -249,15 +221,12 @@
     return this->OnFailed({0, "", page.error().ToString()});
   this->OnAnswered();
   uint64_t complete_after = this->Progress().complete_after;
-  this->version = std::max(this->version, page.value().version);
-  for (const StoreRow& row : page.value().rows) {
-    this->version = std::max(this->version, row.version);
-    this->max_row_version = std::max(this->max_row_version, row.version);
-  }
-  if (page.value().rows.empty())
+  std::vector<StoreRow> newer =
+      this->versions.OnPolled(page.value().version, page.value().rows);
+  if (newer.empty())
     return this->Continue();
-  this->observer.OnChanges(this->table, page.value().rows);
-  this->observer.OnPolled(this->table, complete_after, page.value().rows);
+  this->observer.OnChanges(this->table, newer);
+  this->observer.OnPolled(this->table, complete_after, newer);
   this->pausing = true;
   this->ContinueAfter(PollingPolicyFor(this->table).pause);
 }
@@ -306,9 +275,9 @@
 /// Makes the next call that is due, or waits for changes from peers.
 void TableFollower::Continue() {
   this->pausing = false;
-  if (this->needs_snapshot)
+  if (this->versions.needs_snapshot())
     return this->ReadSnapshotPage("");
-  if (this->polls || this->IsBehindPeers())
+  if (this->polls || this->versions.IsBehindPeers())
     return this->Watch();
   this->idle = true;
 }
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -15,22 +15,10 @@
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/serial_http_client.h"
 #include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/gateway/table_versions.h"
 
 namespace cranberryhill::gateway {
 
-/// Versions up to which an instance knows a table.
-struct TableProgress {
-  /// The newest row received.
-  uint64_t newest_row = 0;
-  /// All changes after this version have been received, up to `seen`. Removals
-  /// before it may not have been seen, because a snapshot does not show them.
-  uint64_t complete_after = 0;
-  uint64_t seen = 0;
-  /// Version of the last snapshot that was read because the store had discarded
-  /// changes that this instance was waiting for; 0 if there was none.
-  uint64_t history_lost = 0;
-};
-
 /// Receives the contents of a table and its changes.
 class TableObserver {
  public:
@@ -98,7 +86,7 @@
   void EndPause();
 
   /// @return What this instance knows about the table, for its peers.
-  TableProgress Progress() const;
+  const TableProgress& Progress() const { return this->versions.progress(); }
 
   /// @return True once the whole table has been read.
   bool has_snapshot() const { return this->has_read_snapshot; }  // NOLINT
@@ -120,9 +108,8 @@
   void OnFailed(const HttpResult& answer);
   void ContinueAfter(absl::Duration pause);
   void Continue();
-  void OnPeerRow(uint64_t newest_row);
-  void OnPeerSnapshot(uint64_t snapshot_version);
-  bool IsBehindPeers() const { return this->peer_version > this->version; }
+  void OnBehindPeers();
+  void OnSnapshotNeededByPeer(uint64_t snapshot_version);
 
   const StoreTable table;
   const StoreCodec& codec;
@@ -132,21 +119,16 @@
   Random& random;
   SerialHttpClient store_client;
   boost::asio::steady_timer pause_timer;
-  std::vector<StoreRow> rows;
-  uint64_t version = 0;
-  uint64_t max_row_version = 0;
-  uint64_t snapshot_version = 0;
+  std::vector<StoreRow> rows;     // Of the snapshot that is being read.
+  uint64_t snapshot_version = 0;  // Of its first page.
+  TableVersions versions;
   absl::Time watch_started_at;
   bool watching = false;
   bool pausing = false;
   bool idle = false;  // Relies on peers; no call is in progress.
   bool polls = true;
   bool is_poller = true;
-  uint64_t peer_version = 0;  // Newest row that any peer has received.
-  uint64_t lost_version = 0;
   bool history_lost = false;
-  bool followed_from_first_row = false;
-  bool needs_snapshot = true;
   bool has_read_snapshot = false;
   int consecutive_failures = 0;
   uint64_t call_count = 0;
