Bound what a server in trouble can send without end

Cause: the parser limits the head of an answer, but not the head of a chunk, a trailer or the number of interim answers; an event that never ends and a body of up to 8 MB were kept until the deadline; a store answer that was too large succeeded without the part left out; a stream that sends a byte now and then counted as progress. Change: parts without an end fail at 64 KB, after 16 interim answers, at 256 KB for an event and 1 MB for a whole answer, and the connection is closed at once. Only whole events count as progress. A store answer that is too large fails.

--- a/cranberryhill/forward/event_splitter.cc
+++ b/cranberryhill/forward/event_splitter.cc
@@ -23,6 +23,9 @@
 }  // namespace
 
 std::string EventSplitter::Feed(std::string_view data) {
+  // An event that is too large fails its stream, so the rest of it is not kept.
+  if (this->too_large())
+    return "";
   this->buffer.append(data);
   size_t complete_bytes = 0;
   while (true) {
--- a/cranberryhill/forward/event_splitter.h
+++ b/cranberryhill/forward/event_splitter.h
@@ -15,6 +15,9 @@
 
 namespace cranberryhill::forward {
 
+/// Largest event of a stream. Events hold a few tokens.
+inline constexpr size_t kMaxEventBytes = 256 << 10;
+
 class EventSplitter {
  public:
   /// @return All events that `data` completes, byte for byte.
@@ -31,6 +34,11 @@
   /// @return The number of complete events so far.
   size_t event_count() const { return this->complete_events; }  // NOLINT
 
+  /// @return True when the incomplete event is larger than any event may be.
+  bool too_large() const {  // NOLINT
+    return this->buffer.size() > kMaxEventBytes;
+  }
+
   /// Discards the incomplete event before the stream resumes at another
   /// replica.
   void DropIncompleteEvent() { this->buffer.clear(); }
--- a/cranberryhill/forward/event_splitter_test.cc
+++ b/cranberryhill/forward/event_splitter_test.cc
@@ -8,6 +8,21 @@
 namespace cranberryhill::forward {
 namespace {
 
+// Guards against memory that grows for as long as a replica sends an event that
+// never ends.
+BOOST_AUTO_TEST_CASE(event_without_end_is_noticed) {
+  EventSplitter splitter;
+  splitter.Feed("id: 1\ndata: x\n\n");
+  BOOST_TEST(!splitter.too_large());
+  std::string data(4096, 'x');
+  for (int i = 0; i < 1000 && !splitter.too_large(); ++i)
+    splitter.Feed(data);
+  BOOST_TEST(splitter.too_large());
+  BOOST_TEST(splitter.incomplete_event().size() < (1U << 20));
+  splitter.DropIncompleteEvent();
+  BOOST_TEST(!splitter.too_large());
+}
+
 // Guards against events that are truncated, lost or duplicated when the bytes
 // of a stream arrive in different chunks than they were sent in.
 RC_BOOST_PROP(any_chunking_gives_the_same_events, ()) {
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -15,7 +15,7 @@
 /// Maximum size of an answer that is relayed as a whole; a larger one counts as
 /// broken. According to the platform's documentation answers have a few
 /// kilobytes.
-constexpr size_t kMaxAnswerBytes = 8 << 20;
+constexpr size_t kMaxAnswerBytes = 1 << 20;
 /// Part of the caller's deadline that is reserved for sending the answer to the
 /// caller.
 constexpr absl::Duration kDeadlineMargin = absl::Milliseconds(20);
@@ -233,7 +233,6 @@
   this->answer_info = {};
   this->answer_body.clear();
   this->has_head = false;
-  this->answer_too_large = false;
   this->relaying_events = false;
   this->sent_at = this->Now();
   this->last_progress_at = this->sent_at;
@@ -312,20 +311,24 @@
 
 void Exchange::OnBody(std::string_view data) {
   auto self = this->shared_from_this();
-  this->last_progress_at = this->Now();
   this->context.reachability.OnHeard(*this->replica);
   if (this->relaying_events)
     return this->RelayEvents(data);
+  this->last_progress_at = this->Now();
   if (this->answer_body.size() + data.size() > kMaxAnswerBytes)
-    this->answer_too_large = true;
-  if (!this->answer_too_large)
-    this->answer_body.append(data);
+    return this->OnAnswerTooLarge();
+  this->answer_body.append(data);
 }
 
 void Exchange::RelayEvents(std::string_view data) {
   std::string events = this->event_splitter.Feed(data);
+  if (this->event_splitter.too_large())
+    return this->OnAnswerTooLarge();
+  // Only whole events count as progress: a replica that sends a byte now and
+  // then has stalled.
   if (events.empty())
     return;
+  this->last_progress_at = this->Now();
   // The prefill is complete when the first event arrives.
   this->replica->queued.Add(this->lane, -this->queued_tokens);
   this->queued_tokens = 0;
@@ -346,6 +349,16 @@
   this->responder->SendPart(events);
 }
 
+/// Ends a send whose answer may never end.
+void Exchange::OnAnswerTooLarge() {
+  // Not changed without need: operators search the logs for this reason.
+  constexpr std::string_view kReason = "the answer is too large to be kept";
+  this->connection->Cancel();
+  if (this->phase == Phase::kPrefilling)
+    return this->OnPrefillEnd(http1::AnswerEnd::kBroken, kReason);
+  this->OnSendFailed(forward::AttemptOutcome::kBroken, kReason);
+}
+
 /// @return Time since the send, without the part that the slowness reported by
 ///     the replica explains.
 absl::Duration Exchange::TookAtUsualSpeed(
@@ -480,9 +493,6 @@
 }
 
 void Exchange::OnRunEnd(http1::AnswerEnd end, std::string_view reason) {
-  if (this->answer_too_large)
-    return this->OnSendFailed(forward::AttemptOutcome::kBroken,
-                              "the answer is too large to be kept");
   bool complete = end == http1::AnswerEnd::kComplete;
   if (complete && this->relaying_events &&
       this->event_splitter.incomplete_event().empty() && this->stream_started) {
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -106,6 +106,7 @@
   bool RunOnOtherReplicaOrWithoutCache(
       const std::shared_ptr<forward::Replica>& refused);
   void RelayEvents(std::string_view data);
+  void OnAnswerTooLarge();
   void LearnFromFirstEvent();
   absl::Duration TookAtUsualSpeed(const forward::Replica& replica) const;
   void ReleaseCache();
@@ -168,8 +169,7 @@
   ReplicaAnswerInfo answer_info;
   std::string answer_body;
   bool has_head = false;
-  bool answer_too_large = false;  // The answer exceeds kMaxAnswerBytes.
-  bool relaying_events = false;   // Events are passed on to the caller.
+  bool relaying_events = false;  // Events are passed on to the caller.
   bool stream_started = false;
   forward::EventSplitter event_splitter;
   boost::asio::steady_timer timer;
--- a/cranberryhill/gateway/serial_http_client.cc
+++ b/cranberryhill/gateway/serial_http_client.cc
@@ -5,9 +5,8 @@
 namespace cranberryhill::gateway {
 namespace {
 
-/// Maximum size of an answer's body. A chunk that would exceed it is discarded
-/// without an error, so a larger body is incomplete. A page of the store has at
-/// most 1 MB of rows before base64 encoding and field names.
+/// Maximum size of an answer's body; a call with a larger one fails. A page of
+/// the store has at most 1 MB of rows before base64 encoding and field names.
 constexpr size_t kMaxBodyBytes = 8 << 20;
 
 }  // namespace
@@ -55,8 +54,13 @@
 }
 
 void SerialHttpClient::OnBody(std::string_view data) {
-  if (this->answer.body.size() + data.size() <= kMaxBodyBytes)
+  if (this->answer.body.size() + data.size() <= kMaxBodyBytes) {
     this->answer.body.append(data);
+    return;
+  }
+  this->timer.cancel();
+  this->connection->Cancel();
+  this->Finish({0, "", "the answer is too large"});
 }
 
 void SerialHttpClient::OnEnd(http1::AnswerEnd end, std::string_view reason) {
--- a/cranberryhill/http1/answer_reader.cc
+++ b/cranberryhill/http1/answer_reader.cc
@@ -14,6 +14,12 @@
 using boost::system::error_code;
 using BeastView = boost::beast::string_view;
 
+/// Limit on the bytes of a part of an answer that is not complete: the head,
+/// the head of a chunk or the trailer. Body bytes are passed on as they arrive.
+constexpr size_t kMaxIncompleteBytes = 64 << 10;
+/// Limit on the interim answers before one answer.
+constexpr int kMaxInterimAnswers = 16;
+
 std::string_view View(BeastView text) {
   return {text.data(), text.size()};
 }
@@ -102,14 +108,20 @@
     size_t taken = this->parser->put(
         boost::asio::const_buffer(rest.data(), rest.size()), error);
     used += taken;
-    if (error == http::error::need_more)
+    if (error == http::error::need_more) {
+      if (input.size() - used > kMaxIncompleteBytes)
+        this->Fail("a part of the answer has no end");
       break;
+    }
     if (error) {
-      this->progress = State::kFailed;
-      this->reason = error.message();
+      this->Fail(error.message());
       break;
     }
     if (this->parser->head_complete && this->parser->IsInterim()) {
+      if (++this->interim_answers > kMaxInterimAnswers) {
+        this->Fail("too many interim answers");
+        break;
+      }
       this->NewParser();
       continue;
     }
@@ -121,6 +133,11 @@
   return used;
 }
 
+void AnswerReader::Fail(std::string_view why) {
+  this->progress = State::kFailed;
+  this->reason = std::string(why);
+}
+
 void AnswerReader::FeedEnd() {
   if (this->progress != State::kOpen)
     return;
@@ -131,8 +148,7 @@
     this->progress = State::kDone;
     return;
   }
-  this->progress = State::kFailed;
-  this->reason = "the connection ended inside the answer";
+  this->Fail("the connection ended inside the answer");
 }
 
 bool AnswerReader::KeepsAlive() const {
--- a/cranberryhill/http1/answer_reader.h
+++ b/cranberryhill/http1/answer_reader.h
@@ -56,12 +56,14 @@
  private:
   class Parser;
 
+  void Fail(std::string_view why);
   void NewParser();
 
   AnswerSink& sink;
   const bool answers_head_request;
   std::unique_ptr<Parser> parser;
   State progress = State::kOpen;
+  int interim_answers = 0;
   std::string reason;
 };
 
--- a/cranberryhill/http1/answer_reader_test.cc
+++ b/cranberryhill/http1/answer_reader_test.cc
@@ -4,6 +4,8 @@
 #include <rapidcheck/boost_test.h>
 
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <optional>
 
 namespace cranberryhill::http1 {
 namespace {
@@ -52,6 +54,54 @@
     "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
 constexpr std::string_view kNoLength = "HTTP/1.1 200 OK\r\n\r\nhello";
 
+/// Feeds `begin` and then `unit` again and again.
+/// @return The largest number of bytes that the reader left unused, or nothing
+///     if it had not failed after four megabytes.
+std::optional<size_t> FeedWithoutEnd(std::string_view begin,
+                                     std::string_view unit) {
+  constexpr size_t kTotalBytes = 4 << 20;
+  Collected collected;
+  AnswerReader reader(collected, false);
+  std::string pending(begin);
+  size_t most_unused = 0;
+  for (size_t fed = 0; fed < kTotalBytes; fed += unit.size()) {
+    pending.append(unit);
+    pending.erase(0, reader.Feed(pending));
+    most_unused = std::max(most_unused, pending.size());
+    if (reader.state() == State::kFailed)
+      return most_unused;
+  }
+  return std::nullopt;
+}
+
+// Guards against memory that grows until the end of a request because a replica
+// in trouble sends bytes without end where no body can be.
+BOOST_AUTO_TEST_CASE(bytes_without_end_fail_early) {
+  constexpr size_t kMostUnused = 128 << 10;
+  constexpr std::string_view kChunkedHead =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string run(1000, 'a');
+  struct {
+    std::string_view name;
+    std::string begin;
+    std::string unit;
+  } cases[] = {
+      {"status line", "HTTP/1.1 200 ", run},
+      {"header", "HTTP/1.1 200 OK\r\nX-A: ", run},
+      {"headers", "HTTP/1.1 200 OK\r\n", "X-A: " + run + "\r\n"},
+      {"interim answers", "", "HTTP/1.1 102 Wait\r\n\r\n"},
+      {"chunk size", std::string(kChunkedHead), std::string(1000, '0')},
+      {"chunk extension", std::string(kChunkedHead) + "5;a=", run},
+      {"trailer", std::string(kChunkedHead) + "0\r\nX-A: ", run},
+      {"trailers", std::string(kChunkedHead) + "0\r\n", "X-A: " + run + "\r\n"},
+  };
+  for (const auto& test_case : cases) {
+    auto unused = FeedWithoutEnd(test_case.begin, test_case.unit);
+    BOOST_TEST_INFO(test_case.name);
+    BOOST_TEST(unused.value_or(SIZE_MAX) < kMostUnused);
+  }
+}
+
 // Guards against an answer that is read differently in other pieces, and
 // against bytes after its end being taken for a part of it.
 RC_BOOST_PROP(any_chunking_gives_the_same_answer, ()) {
--- a/cranberryhill/http1/request_reader.cc
+++ b/cranberryhill/http1/request_reader.cc
@@ -1,5 +1,6 @@
 #include "cranberryhill/http1/request_reader.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -15,6 +16,10 @@
 
 namespace {
 
+/// Limit on the bytes of the head of a chunk or of a trailer, if it is larger
+/// than that of the header.
+constexpr size_t kMinIncompleteBytes = 16 << 10;
+
 int StatusOf(const boost::system::error_code& error) {
   if (error == http::error::header_limit)
     return 431;
@@ -26,7 +31,9 @@
 }  // namespace
 
 RequestReader::RequestReader(RequestLimits limits)
-    : parser(std::make_unique<Parser>()) {
+    : parser(std::make_unique<Parser>()),
+      max_incomplete_bytes(
+          std::max<size_t>(limits.header_bytes, kMinIncompleteBytes)) {
   this->parser->beast.header_limit(limits.header_bytes);
   this->parser->beast.body_limit(limits.body_bytes);
   this->parser->beast.eager(false);
@@ -45,8 +52,12 @@
     size_t taken =
         beast.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
     used += taken;
-    if (error == http::error::need_more)
+    if (error == http::error::need_more) {
+      // The parser limits the header only.
+      if (input.size() - used > this->max_incomplete_bytes)
+        this->Fail(400, "a part of the body has no end");
       break;
+    }
     if (error) {
       this->Fail(StatusOf(error), error.message());
       break;
--- a/cranberryhill/http1/request_reader.h
+++ b/cranberryhill/http1/request_reader.h
@@ -58,6 +58,7 @@
   void OnHeaderDone();
 
   std::unique_ptr<Parser> parser;
+  size_t max_incomplete_bytes;
   State progress = State::kHeader;
   int failure = 0;
   std::string reason;
--- a/cranberryhill/http1/request_reader_test.cc
+++ b/cranberryhill/http1/request_reader_test.cc
@@ -92,6 +92,27 @@
                        limits) == 0);
 }
 
+// Guards against memory that grows while a caller sends the head of a chunk or
+// a trailer that never ends, and against refusing a large chunk.
+BOOST_AUTO_TEST_CASE(body_without_end_is_refused) {
+  constexpr std::string_view kHead =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  RequestLimits limits{2000, 1 << 20};
+  for (std::string_view begin : {"5;a=", "0\r\nX: "}) {
+    RequestReader reader(limits);
+    std::string bytes =
+        std::string(kHead) + std::string(begin) + std::string(1 << 20, 'a');
+    FeedInPieces(reader, bytes, 4096);
+    BOOST_TEST((reader.state() == State::kFailed));
+    BOOST_TEST(reader.failure_status() == 400);
+  }
+  RequestReader reader(limits);
+  std::string chunk(100'000, 'b');
+  FeedInPieces(
+      reader, std::string(kHead) + "186a0\r\n" + chunk + "\r\n0\r\n\r\n", 4096);
+  BOOST_TEST((reader.state() == State::kDone));
+}
+
 // Guards against fields of one connection that reach the next one.
 BOOST_AUTO_TEST_CASE(connection_fields_are_removed) {
   HeaderList headers;
