--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -569,7 +569,7 @@
   page["configuration_version"] =
       this->routes == nullptr ? -1 : this->routes->configuration().version;
   page["registry_age_ms"] =
-      absl::ToInt64Milliseconds(this->replica_follower.TimeSinceAnswer());
+      absl::ToInt64Milliseconds(this->store_contact.Age());
   page["active_requests"] = this->caller_server.ActiveRequests();
   absl::Time now = this->clock.Now();
   for (const auto& replica : this->replicas.Registered()) {
@@ -582,9 +582,23 @@
                       : "none"},
          {"leaving", replica->entry.leaving},
          {"avoided", now < replica->avoid_until},
+         {"unreachable", replica->unreachable},
          {"failure_rate", replica->failure_rate},
          {"outstanding", replica->outstanding}});
   }
+  for (const std::string& service : this->engine_speeds.Services()) {
+    const forward::EngineSpeed& speed = this->engine_speeds.SpeedOf(service);
+    page["engine_speeds"][service] = {
+        {"prefill_ms", speed.prefill.intercept},
+        {"prefill_ms_per_1000_tokens", speed.prefill.slope * 1000},
+        {"decode_engine_prefill_ratio", speed.decode_engine_prefill_ratio},
+        {"first_event_ms", speed.first_event.intercept},
+        {"first_event_ms_per_1000_tokens", speed.first_event.slope}};
+  }
+  page["store"] = {
+      {"contact_age_ms", absl::ToInt64Milliseconds(this->store_contact.Age())},
+      {"own_calls_fail", this->store_contact.lost()},
+      {"polls", this->store_contact.MustPoll(this->StoreRank())}};
   return {200, "application/json", page.dump()};
 }
 
@@ -596,9 +610,8 @@
       this->routes == nullptr
           ? -1
           : static_cast<double>(this->routes->configuration().version));
-  this->metrics.SetGauge(
-      "registry_age_seconds",
-      absl::ToDoubleSeconds(this->replica_follower.TimeSinceAnswer()));
+  this->metrics.SetGauge("registry_age_seconds",
+                         absl::ToDoubleSeconds(this->store_contact.Age()));
   this->metrics.SetGauge(
       "store_calls",
       static_cast<double>(this->replica_follower.store_calls() +
@@ -608,6 +621,19 @@
       "orders", static_cast<double>(this->order_dispatcher.orders_sent()));
   this->metrics.SetGauge("peers",
                          static_cast<double>(this->peer_load_sync.peers()));
+  for (const std::string& service : this->engine_speeds.Services()) {
+    const forward::EngineSpeed& speed = this->engine_speeds.SpeedOf(service);
+    this->metrics.SetEngineSpeed(service, "prefill_ms",
+                                 speed.prefill.intercept);
+    this->metrics.SetEngineSpeed(service, "prefill_ms_per_1000_tokens",
+                                 speed.prefill.slope * 1000);
+    this->metrics.SetEngineSpeed(service, "first_event_ms",
+                                 speed.first_event.intercept);
+  }
+  this->metrics.SetGauge("store_contact_age_seconds",
+                         absl::ToDoubleSeconds(this->store_contact.Age()));
+  this->metrics.SetGauge(
+      "store_poller", this->store_contact.IsPoller(this->StoreRank()) ? 1 : 0);
   this->metrics.SetGauge("replica_connections_opened",
                          static_cast<double>(this->connection_pool.opened()));
   return {200, "text/plain; version=0.0.4", this->metrics.Render()};
--- a/cranberryhill/gateway/metrics.cc
+++ b/cranberryhill/gateway/metrics.cc
@@ -50,6 +50,10 @@
                  .Name("cranberryhill_state")
                  .Help("What the process believes")
                  .Register(this->registry)),
+      engine_speeds(prometheus::BuildGauge()
+                        .Name("cranberryhill_engine_speed")
+                        .Help("Learned figures of the engines of a service")
+                        .Register(this->registry)),
       first_byte(AddHistogram(this->registry,
                               "cranberryhill_first_byte_seconds",
                               "From the request to the first byte answered")),
@@ -89,6 +93,14 @@
   this->gauges.Add({{"name", std::string(name)}}).Set(value);
 }
 
+void GatewayMetrics::SetEngineSpeed(std::string_view service,
+                                    std::string_view figure,
+                                    double value) {
+  this->engine_speeds
+      .Add({{"service", std::string(service)}, {"figure", std::string(figure)}})
+      .Set(value);
+}
+
 std::string GatewayMetrics::Render() const {
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
--- a/cranberryhill/gateway/metrics.h
+++ b/cranberryhill/gateway/metrics.h
@@ -35,6 +35,11 @@
 
   void SetGauge(std::string_view name, double value);
 
+  /// Sets a learned figure of the engines of a service.
+  void SetEngineSpeed(std::string_view service,
+                      std::string_view figure,
+                      double value);
+
   /// @return All metrics in the Prometheus text format.
   std::string Render() const;
 
@@ -43,6 +48,7 @@
   prometheus::Family<prometheus::Counter>& outcomes;
   prometheus::Family<prometheus::Counter>& decisions;
   prometheus::Family<prometheus::Gauge>& gauges;
+  prometheus::Family<prometheus::Gauge>& engine_speeds;
   prometheus::Histogram& first_byte;
   prometheus::Histogram& whole_answer;
   prometheus::Histogram& first_byte_error;
