Retry slowly where hundreds of instances may retry at the same time

Change: instances that are not pollers retry every 3 s from the first failure. Silence is checked after the connect timeout at the earliest.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -351,7 +351,7 @@
 
 /// Ends a send whose answer may never end.
 void Exchange::OnAnswerTooLarge() {
-  // Not changed without need: operators search the logs for this reason.
+  // Operators search the logs for this reason.
   constexpr std::string_view kReason = "the answer is too large to be kept";
   this->connection->Cancel();
   if (this->phase == Phase::kPrefilling)
@@ -650,9 +650,12 @@
   absl::Duration expected = this->has_head || this->stream_started
                                 ? absl::ZeroDuration()
                                 : this->expected_first_byte;
+  // Until then a connection may still be opened; if that fails, the request has
+  // certainly not run.
+  absl::Time connected_at = this->sent_at + kConnectTimeout * 1.1;
   return std::max(
-      this->last_progress_at + expected + forward::kSilenceTolerance,
-      this->silence_checked_at + kSilenceCheckInterval);
+      {this->last_progress_at + expected + forward::kSilenceTolerance,
+       this->silence_checked_at + kSilenceCheckInterval, connected_at});
 }
 
 absl::Time Exchange::NextCheck() const {
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -46,10 +46,11 @@
 /// takes 60 times its usual 4 ms or more.
 constexpr absl::Duration kReadTimeout = absl::Milliseconds(1500);
 constexpr absl::Duration kFirstRetryPause = absl::Milliseconds(100);
-/// Longest pause between retries of a poller and of another instance. Retries
-/// are limited because refused calls have a cost as well.
+/// Longest pause between retries of a poller. Retries are limited because
+/// refused calls have a cost as well.
 constexpr absl::Duration kMaxPollerRetryPause = absl::Milliseconds(300);
-constexpr absl::Duration kMaxRetryPause = absl::Seconds(3);
+/// Pause between retries of another instance.
+constexpr absl::Duration kRetryPause = absl::Seconds(3);
 
 PollingPolicy PollingPolicyFor(StoreTable table) {
   return table == StoreTable::kControl ? kControlTablePolling : kPolling;
@@ -252,13 +253,16 @@
                         .Add("reason", answer.reason)
                         .Add("age_ms", this->TimeSinceAnswer()));
   }
+  // Hundreds of instances that rely on their peers may come here at the same
+  // time, so they retry slowly from the beginning.
+  bool retries_soon = !this->has_read_snapshot ||
+                      (this->is_poller && this->table != StoreTable::kControl);
   double backoff_factor =
       std::pow(2, std::min(this->consecutive_failures - 1, 4));
-  bool retries_soon = this->table != StoreTable::kControl &&
-                      (this->is_poller || !this->has_read_snapshot);
-  absl::Duration max_pause =
-      retries_soon ? kMaxPollerRetryPause : kMaxRetryPause;
-  absl::Duration pause = std::min(max_pause, kFirstRetryPause * backoff_factor);
+  absl::Duration pause =
+      retries_soon
+          ? std::min(kMaxPollerRetryPause, kFirstRetryPause * backoff_factor)
+          : kRetryPause;
   // Adds jitter so that instances do not retry in lockstep.
   this->ContinueAfter(pause * (0.5 + this->random.UniformDouble()));
 }
