--- a/cranberryhill/forward/engine_speed_test.cc
+++ b/cranberryhill/forward/engine_speed_test.cc
@@ -42,6 +42,7 @@
   ///     ascending order.
   std::vector<double> Serve(const EngineSheet& sheet, int prompts) {
     std::vector<double> errors;
+    errors.reserve(static_cast<size_t>(prompts));
     for (int i = 0; i < prompts; ++i)
       errors.push_back(this->ServeOne(sheet));
     std::sort(errors.begin(), errors.end());
--- a/cranberryhill/gateway/serial_http_client_test.cc
+++ b/cranberryhill/gateway/serial_http_client_test.cc
@@ -32,8 +32,8 @@
     });
   }
 
-  tcp::endpoint endpoint() const { return this->acceptor.local_endpoint(); }
-  bool closed() const { return this->is_closed; }
+  tcp::endpoint Address() const { return this->acceptor.local_endpoint(); }
+  bool IsClosed() const { return this->is_closed; }
 
  private:
   void OnAccepted() {
@@ -90,14 +90,14 @@
 BOOST_AUTO_TEST_CASE(answer_without_end_fails_and_closes_the_connection) {
   asio::io_context io;
   EndlessServer server(io, false);
-  SerialHttpClient client(io, server.endpoint());
+  SerialHttpClient client(io, server.Address());
   std::optional<HttpResult> result;
   client.Call(MakeRequest(), absl::Minutes(1),
               [&result](HttpResult answer) { result = std::move(answer); });
   RunUntil(io, [&] { return result.has_value(); });
   BOOST_TEST(result->status == 0);
   BOOST_TEST(result->body.empty());
-  RunUntil(io, [&server] { return server.closed(); });
+  RunUntil(io, [&server] { return server.IsClosed(); });
 }
 
 // Guards against connections that are kept for good because a replica never
@@ -107,9 +107,9 @@
     asio::io_context io;
     EndlessServer server(io, silent);
     http1::OutgoingRequest request = MakeRequest();
-    SendAndForget(io, http1::ClientConnection::Create(io, server.endpoint()),
+    SendAndForget(io, http1::ClientConnection::Create(io, server.Address()),
                   http1::SerializeRequest(request.head, request.body));
-    RunUntil(io, [&server] { return server.closed(); });
+    RunUntil(io, [&server] { return server.IsClosed(); });
   }
 }
 
--- a/cranberryhill/gateway/table_versions_test.cc
+++ b/cranberryhill/gateway/table_versions_test.cc
@@ -49,6 +49,7 @@
         newest[row.key] = row;
     }
     std::vector<StoreRow> rows;
+    rows.reserve(newest.size());
     for (const auto& [key, row] : newest)
       rows.push_back(row);
     std::sort(rows.begin(), rows.end(), [](const auto& a, const auto& b) {
