Let catch-up calls finish, and retry soon for rows that are missing

Its replay shows table_behind_peers every 450 ms for 6 s: each message of a peer ended the call that fetched the missing rows and began another, so that none could finish while the store was slow to answer; then a failed call waited 1.5 to 4.5 s, since instances that are not pollers retry slowly.

--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -37,8 +37,10 @@
 /// got lost.
 constexpr std::chrono::milliseconds kPeerRowsDelay(150);
 /// A long poll that started less than this ago is not restarted, because it may
-/// still return the change that a peer has reported.
-constexpr absl::Duration kPeerVersionDelay = absl::Milliseconds(250);
+/// still return the change that a peer has reported. A slow store takes 60
+/// times its usual 4 ms, and a lost packet is resent after some hundred
+/// milliseconds.
+constexpr absl::Duration kPeerVersionDelay = absl::Milliseconds(800);
 /// Added to the duration of a long poll to obtain its timeout; allows for a
 /// slow store.
 constexpr absl::Duration kWatchTimeoutMargin = absl::Milliseconds(600);
@@ -254,9 +256,12 @@
                         .Add("age_ms", this->TimeSinceAnswer()));
   }
   // Hundreds of instances that rely on their peers may come here at the same
-  // time, so they retry slowly from the beginning.
-  bool retries_soon = !this->has_read_snapshot ||
-                      (this->is_poller && this->table != StoreTable::kControl);
+  // time, so they retry slowly from the beginning, unless they know that they
+  // lack rows: these must be in force soon.
+  bool lacks_rows =
+      this->versions.needs_snapshot() || this->versions.IsBehindPeers();
+  bool retries_soon =
+      lacks_rows || (this->is_poller && this->table != StoreTable::kControl);
   double backoff_factor =
       std::pow(2, std::min(this->consecutive_failures - 1, 4));
   absl::Duration pause =
