gateway: show what a call that is cut short had received, and time behind peers

Cause: the log of an instance that lacks rows did not tell whether the call that it cancels had received nothing, a part of its answer, or was never answered. Change: table_behind_peers has the age of the call, the bytes received and how long peers have had the row; gauges show the time behind peers for each table.

--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -611,6 +611,12 @@
       this->routes == nullptr
           ? -1
           : static_cast<double>(this->routes->configuration().version));
+  this->metrics.SetGauge(
+      "configuration_behind_peers_seconds",
+      absl::ToDoubleSeconds(this->configuration_follower.TimeBehindPeers()));
+  this->metrics.SetGauge(
+      "replicas_behind_peers_seconds",
+      absl::ToDoubleSeconds(this->replica_follower.TimeBehindPeers()));
   this->metrics.SetGauge("registry_age_seconds",
                          absl::ToDoubleSeconds(this->store_contact.Age()));
   this->metrics.SetGauge(
--- a/cranberryhill/gateway/serial_http_client.h
+++ b/cranberryhill/gateway/serial_http_client.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -48,6 +49,13 @@
   /// Cancels the call in progress; its callback is not called.
   void Cancel();
 
+  /// @return Bytes of the answer to the call in progress received so far,
+  /// without
+  ///     its head.
+  size_t received_bytes() const {  // NOLINT
+    return this->answer.body.size();
+  }
+
   bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
   void OnHead(http1::AnswerHead head) override;
   void OnBody(std::string_view data) override;
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -116,6 +116,7 @@
   bool first = !std::exchange(this->has_read_snapshot, true);
   this->versions.OnSnapshot(this->snapshot_version, this->rows,
                             std::exchange(this->history_lost, false));
+  this->UpdateBehindSince();
   this->log.Write(LogEvent("table_read")
                       .Add("table", StoreTableName(this->table))
                       .Add("rows", static_cast<int64_t>(this->rows.size()))
@@ -173,6 +174,7 @@
 
 /// Polls the store if rows are missing here that peers have received.
 void TableFollower::OnBehindPeers() {
+  this->UpdateBehindSince();
   if (!this->versions.IsBehindPeers())
     return;
   if (std::exchange(this->idle, false)) {
@@ -183,15 +185,32 @@
   if (!this->watching ||
       this->clock.Now() - this->watch_started_at < kPeerVersionDelay)
     return;
-  this->log.Write(LogEvent("table_behind_peers")
-                      .Add("table", StoreTableName(this->table))
-                      .Add("own_version", this->versions.seen())
-                      .Add("peer_version", this->versions.peer_row())
-                      .Add("age_ms", this->TimeSinceAnswer()));
+  this->log.Write(
+      LogEvent("table_behind_peers")
+          .Add("table", StoreTableName(this->table))
+          .Add("own_version", this->versions.seen())
+          .Add("peer_version", this->versions.peer_row())
+          .Add("age_ms", this->TimeSinceAnswer())
+          .Add("behind_ms", this->TimeBehindPeers())
+          .Add("call_age_ms", this->clock.Now() - this->watch_started_at)
+          .Add("received_bytes",
+               uint64_t{this->store_client.received_bytes()}));
   this->store_client.Cancel();
   this->Watch();
 }
 
+void TableFollower::UpdateBehindSince() {
+  this->behind_since = this->versions.IsBehindPeers()
+                           ? std::min(this->behind_since, this->clock.Now())
+                           : absl::InfiniteFuture();
+}
+
+absl::Duration TableFollower::TimeBehindPeers() const {
+  if (!this->versions.IsBehindPeers())
+    return absl::ZeroDuration();
+  return std::max(absl::ZeroDuration(), this->clock.Now() - this->behind_since);
+}
+
 void TableFollower::OnSnapshotNeededByPeer(uint64_t snapshot_version) {
   this->log.Write(LogEvent("table_snapshot_by_peer")
                       .Add("table", StoreTableName(this->table))
@@ -226,6 +245,7 @@
   uint64_t complete_after = this->Progress().complete_after;
   std::vector<StoreRow> newer =
       this->versions.OnPolled(page.value().version, page.value().rows);
+  this->UpdateBehindSince();
   if (newer.empty())
     return this->Continue();
   this->observer.OnChanges(this->table, newer);
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -96,6 +96,9 @@
     return this->clock.Now() - this->answered_at;
   }
 
+  /// @return How long peers have been known to have rows that are missing here.
+  absl::Duration TimeBehindPeers() const;
+
   /// @return Number of calls made to the store.
   uint64_t store_calls() const { return this->call_count; }  // NOLINT
 
@@ -109,6 +112,7 @@
   void ContinueAfter(absl::Duration pause);
   void Continue();
   void OnBehindPeers();
+  void UpdateBehindSince();
   void OnSnapshotNeededByPeer(uint64_t snapshot_version);
 
   const StoreTable table;
@@ -132,6 +136,7 @@
   bool has_read_snapshot = false;
   int consecutive_failures = 0;
   uint64_t call_count = 0;
+  absl::Time behind_since = absl::InfiniteFuture();
   absl::Time answered_at;
 };
 
