--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -193,8 +193,7 @@
           .Add("age_ms", this->TimeSinceAnswer())
           .Add("behind_ms", this->TimeBehindPeers())
           .Add("call_age_ms", this->clock.Now() - this->watch_started_at)
-          .Add("received_bytes",
-               uint64_t{this->store_client.received_bytes()}));
+          .Add("received_bytes", uint64_t{this->received_bytes()}));
   this->store_client.Cancel();
   this->Watch();
 }
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -6,6 +6,7 @@
 // snapshot when changes may have been missed.
 
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -99,6 +100,11 @@
   /// @return How long peers have been known to have rows that are missing here.
   absl::Duration TimeBehindPeers() const;
 
+  /// @return Bytes of the answer to the call in progress received so far.
+  size_t received_bytes() const {  // NOLINT
+    return this->store_client.received_bytes();
+  }
+
   /// @return Number of calls made to the store.
   uint64_t store_calls() const { return this->call_count; }  // NOLINT
 
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "absl/strings/escaping.h"
 #include "platform/names.h"
@@ -44,6 +45,25 @@
   this->watches.clear();
 }
 
+void FakeStore::HoldPagesAfter(std::optional<size_t> bytes) {
+  this->page_limit = bytes;
+  if (bytes)
+    return;
+  for (HeldPage& page : std::exchange(this->held_pages, {})) {
+    page.responder->SendPart(page.rest);
+    page.responder->EndStream();
+  }
+}
+
+void FakeStore::SendPage(const std::shared_ptr<http1::Responder>& responder,
+                         const std::string& page) {
+  if (!this->page_limit || page.size() <= *this->page_limit)
+    return responder->SendWhole({200, "", {}}, page);
+  responder->BeginStream({200, "", {}});
+  responder->SendPart(std::string_view(page).substr(0, *this->page_limit));
+  this->held_pages.push_back({responder, page.substr(*this->page_limit)});
+}
+
 std::string FakeStore::Page(std::string_view table,
                             uint64_t after,
                             bool removed) const {
@@ -78,7 +98,7 @@
   } else if (this->is_down) {
     responder->SendWhole({503, "", {}}, "");
   } else if (target.starts_with(kRowsGetPath)) {
-    responder->SendWhole({200, "", {}}, this->Page(table, 0, false));
+    this->SendPage(responder, this->Page(table, 0, false));
   } else if (target.starts_with(kRowsFeedPath)) {
     uint64_t after = std::stoull(Parameter(target, "after"));
     if (after + 1 < this->history_from)
@@ -122,8 +142,7 @@
     watch.until = std::min(watch.until, now + watch.wait);
     if (now < watch.until)
       return false;
-    watch.responder->SendWhole({200, "", {}},
-                               this->Page(watch.table, watch.after, true));
+    this->SendPage(watch.responder, this->Page(watch.table, watch.after, true));
     return true;
   });
 }
@@ -136,7 +155,7 @@
     if (json::parse(page)["rows"].empty())
       this->watches.push_back(std::move(watch));
     else
-      watch.responder->SendWhole({200, "", {}}, page);
+      this->SendPage(watch.responder, page);
   }
 }
 
--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -4,6 +4,7 @@
 // The store of the users' platform, as far as the gateway uses it: rows, pages
 // and watches, with outages on request.
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -33,6 +34,13 @@
   /// meanwhile are never answered.
   void SetSilent(bool silent);
 
+  /// Holds back what lies beyond the first `bytes` of each page while set, as a
+  /// slow link does; sends the rest when cleared.
+  void HoldPagesAfter(std::optional<size_t> bytes);
+
+  /// @return Number of pages of which a part is held back.
+  size_t PagesHeld() const { return this->held_pages.size(); }
+
   /// Carries writes out and ends the connection instead of answering.
   void SetLosesAnswers(bool loses) { this->loses_answers = loses; }
 
@@ -64,6 +72,13 @@
     absl::Time until = absl::InfiniteFuture();  // Set by EndOldWatches().
   };
 
+  struct HeldPage {
+    std::shared_ptr<http1::Responder> responder;
+    std::string rest;
+  };
+
+  void SendPage(const std::shared_ptr<http1::Responder>& responder,
+                const std::string& page);
   std::string Page(std::string_view table, uint64_t after, bool removed) const;
   void Write(const std::string& body, http1::Responder& responder);
   void AnswerWatches();
@@ -71,6 +86,8 @@
   std::map<std::pair<std::string, std::string>, Row> rows;
   std::vector<Watch> watches;
   std::vector<std::shared_ptr<http1::Responder>> unanswered;
+  std::vector<HeldPage> held_pages;
+  std::optional<size_t> page_limit;
   uint64_t version = 0;
   uint64_t history_from = 0;
   bool is_down = false;
