gateway: let calls for missing rows end by their own time limit

Cause: an instance that lacks a row which a peer has calls the store, and every message of a peer restarted that call once it was 0.8 s old. The answer held a configuration of 1 MB, which takes 0.83 s on a link of 10 Mbit/s, so no call ended, and the full links delayed everything else. Change: a call that was begun because rows are missing, or whose answer has begun, is not restarted by peers. Only a poll that began before may have been forgotten by the store, and is restarted once, as the next call is one for missing rows.

--- a/cranberryhill/gateway/serial_http_client.h
+++ b/cranberryhill/gateway/serial_http_client.h
@@ -49,9 +49,12 @@
   /// Cancels the call in progress; its callback is not called.
   void Cancel();
 
-  /// @return Bytes of the answer to the call in progress received so far,
-  /// without
-  ///     its head.
+  /// @return True while the answer to the call in progress is being received.
+  bool IsReceiving() const {
+    return this->done != nullptr && this->answer.status != 0;
+  }
+
+  /// @return Bytes of the body of the answer in progress received so far.
   size_t received_bytes() const {  // NOLINT
     return this->answer.body.size();
   }
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -39,7 +39,7 @@
 /// A long poll that started less than this ago is not restarted, because it may
 /// still return the change that a peer has reported. A slow store takes 60
 /// times its usual 4 ms, and a lost packet is resent after some hundred
-/// milliseconds.
+/// milliseconds. An older one may have been forgotten by the store.
 constexpr absl::Duration kPeerVersionDelay = absl::Milliseconds(800);
 /// Added to the duration of a long poll to obtain its timeout; allows for a
 /// slow store.
@@ -150,6 +150,7 @@
   ++this->call_count;
   this->watching = true;
   this->watch_started_at = this->clock.Now();
+  this->fetches_missing_rows = this->versions.IsBehindPeers();
   absl::Duration wait = PollingPolicyFor(this->table).wait;
   this->store_client.Call(
       this->codec.EncodeWatch(this->table, this->versions.seen(), wait),
@@ -182,7 +183,10 @@
     this->ContinueAfter(absl::FromChrono(kPeerRowsDelay));
     return;
   }
-  if (!this->watching ||
+  // A call for the missing rows, or one whose answer has begun, ends by its own
+  // time limit only: restarted calls may never end on a slow link.
+  if (!this->watching || this->fetches_missing_rows ||
+      this->store_client.IsReceiving() ||
       this->clock.Now() - this->watch_started_at < kPeerVersionDelay)
     return;
   this->log.Write(
@@ -192,8 +196,7 @@
           .Add("peer_version", this->versions.peer_row())
           .Add("age_ms", this->TimeSinceAnswer())
           .Add("behind_ms", this->TimeBehindPeers())
-          .Add("call_age_ms", this->clock.Now() - this->watch_started_at)
-          .Add("received_bytes", uint64_t{this->received_bytes()}));
+          .Add("call_age_ms", this->clock.Now() - this->watch_started_at));
   this->store_client.Cancel();
   this->Watch();
 }
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -134,6 +134,7 @@
   TableVersions versions;
   absl::Time watch_started_at;
   bool watching = false;
+  bool fetches_missing_rows = false;  // The long poll in progress.
   bool pausing = false;
   bool idle = false;  // Relies on peers; no call is in progress.
   bool polls = true;
