gateway: limit the rate of an answer of the store instead of its duration

A configuration of twice the size of the one in the incident does not arrive over a link of 10 Mbit/s in that time, and each repeat begins anew: the same class of fault as the restarts by peers, work that is cut off after a fixed time and started again. Change: the answer must begin in that time; afterwards at least 16 KB must arrive in each second, so that an answer that stalls or trickles still ends. Measured: answer_that_is_arriving_outlasts_the_timeout and three cases of answer_deadline_test fail with the old limit put back, and pass.

--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/gateway/control_table.cc
@@ -39,7 +39,7 @@
                log,
                clock,
                random),
-      write_client(io, store) {}
+      write_client(io, store, clock) {}
 
 bool ControlTable::HasCurrentRows() const {
   return this->loaded() && this->clock.Now() >= this->stale_until;
--- a/cranberryhill/gateway/order_dispatcher.cc
+++ b/cranberryhill/gateway/order_dispatcher.cc
@@ -69,6 +69,7 @@
         deadline(dispatcher.clock.Now() + kCommandTimeout),
         client(dispatcher.io,
                http1::TcpEndpoint(engine.entry.endpoint),
+               dispatcher.clock,
                kConnectTimeout) {}
 
   void Start() {
--- a/cranberryhill/gateway/serial_http_client.cc
+++ b/cranberryhill/gateway/serial_http_client.cc
@@ -13,9 +13,11 @@
 
 SerialHttpClient::SerialHttpClient(boost::asio::io_context& io,
                                    boost::asio::ip::tcp::endpoint endpoint,
+                                   const Clock& clock,
                                    absl::Duration connect_timeout)
     : io(io),
       endpoint(std::move(endpoint)),
+      clock(clock),
       connect_timeout(connect_timeout),
       timer(io) {}
 
@@ -31,15 +33,28 @@
   if (this->connection == nullptr || !this->connection->Reusable())
     this->connection =
         http1::ClientConnection::Create(this->io, this->endpoint);
-  this->timer.expires_after(absl::ToChronoMilliseconds(timeout));
+  this->deadline = AnswerDeadline(this->clock.Now(), timeout);
+  this->AwaitDeadline();
+  this->connection->Send(http1::SerializeRequest(request.head, request.body),
+                         {this->connect_timeout, false}, *this);
+}
+
+void SerialHttpClient::AwaitDeadline() {
+  absl::Duration wait = this->deadline.expires_at() - this->clock.Now();
+  this->timer.expires_after(absl::ToChronoMicroseconds(wait));
   this->timer.async_wait([this](boost::system::error_code error) {
     if (error || !this->done)
       return;
+    // The deadline moves while the answer is being received.
+    if (this->clock.Now() < this->deadline.expires_at())
+      return this->AwaitDeadline();
     this->connection->Cancel();
-    this->Finish({0, "", "no answer within the timeout"});
+    this->Finish({0, "",
+                  this->IsReceiving()
+                      ? "the answer stopped after " +
+                            std::to_string(this->received_bytes()) + " bytes"
+                      : "no answer within the timeout"});
   });
-  this->connection->Send(http1::SerializeRequest(request.head, request.body),
-                         {this->connect_timeout, false}, *this);
 }
 
 void SerialHttpClient::Cancel() {
@@ -51,11 +66,13 @@
 
 void SerialHttpClient::OnHead(http1::AnswerHead head) {
   this->answer.status = head.status;
+  this->deadline.OnBegin(this->clock.Now());
 }
 
 void SerialHttpClient::OnBody(std::string_view data) {
   if (this->answer.body.size() + data.size() <= kMaxBodyBytes) {
     this->answer.body.append(data);
+    this->deadline.OnBytes(data.size(), this->clock.Now());
     return;
   }
   this->timer.cancel();
--- a/cranberryhill/gateway/serial_http_client.h
+++ b/cranberryhill/gateway/serial_http_client.h
@@ -14,6 +14,8 @@
 #include <string_view>
 
 #include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/gateway/answer_deadline.h"
 #include "cranberryhill/http1/client.h"
 
 namespace cranberryhill::gateway {
@@ -32,14 +34,16 @@
  public:
   using Callback = std::function<void(HttpResult)>;
 
-  /// @param io Must outlive this object.
+  /// @param io, clock Must outlive this object.
   SerialHttpClient(boost::asio::io_context& io,
                    boost::asio::ip::tcp::endpoint endpoint,
+                   const Clock& clock,
                    absl::Duration connect_timeout = absl::Seconds(1));
   ~SerialHttpClient() override;
 
-  /// @param timeout After this time the call fails and its connection is
-  ///     closed.
+  /// Sends a request. If its answer does not begin in time, or then arrives too
+  /// slowly, the call fails and its connection is closed.
+  /// @param timeout Longest time until the answer begins.
   /// @param done Called once, unless the call is cancelled or this object is
   ///     destroyed first.
   void Call(const http1::OutgoingRequest& request,
@@ -65,12 +69,15 @@
   void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
 
  private:
+  void AwaitDeadline();
   void Finish(HttpResult answer);
 
   boost::asio::io_context& io;
   const boost::asio::ip::tcp::endpoint endpoint;
+  const Clock& clock;
   const absl::Duration connect_timeout;
   boost::asio::steady_timer timer;
+  AnswerDeadline deadline;
   std::shared_ptr<http1::ClientConnection> connection;
   Callback done;
   HttpResult answer;
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -41,11 +41,11 @@
 /// times its usual 4 ms, and a lost packet is resent after some hundred
 /// milliseconds. An older one may have been forgotten by the store.
 constexpr absl::Duration kPeerVersionDelay = absl::Milliseconds(800);
-/// Added to the duration of a long poll to obtain its timeout; allows for a
-/// slow store.
+/// Added to the duration of a long poll to obtain the time in which its answer
+/// must begin; allows for a slow store.
 constexpr absl::Duration kWatchTimeoutMargin = absl::Milliseconds(600);
-/// Timeout for reading one page of a snapshot. Allows for a slow store, which
-/// takes 60 times its usual 4 ms or more.
+/// Time in which a page of a snapshot must begin. Allows for a slow store,
+/// which takes 60 times its usual 4 ms or more.
 constexpr absl::Duration kReadTimeout = absl::Milliseconds(1500);
 constexpr absl::Duration kFirstRetryPause = absl::Milliseconds(100);
 /// Longest pause between retries of a poller. Retries are limited because
@@ -78,7 +78,7 @@
       log(log),
       clock(clock),
       random(random),
-      store_client(io, std::move(store)),
+      store_client(io, std::move(store), clock),
       pause_timer(io),
       answered_at(clock.Now()) {}
 
