--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -1,5 +1,7 @@
 #include "cranberryhill/gateway/exchange.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -68,6 +70,17 @@
          status == kTooManyRequests || status == kUnavailable;
 }
 
+/// @return The ids of the parts that the prompt shares with others, for logs.
+std::string SharedPartsText(const forward::PromptDescription& prompt) {
+  std::string text;
+  for (size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    if (i > 0)
+      text += ',';
+    text += fmt::format("{:x}", prompt.parts[i].id);
+  }
+  return text;
+}
+
 }  // namespace
 
 Exchange::Exchange(ExchangeContext& context,
@@ -553,9 +566,11 @@
                            : forward::AnswerProgress::kNotStarted,
       budget_left);
   this->context.metrics.CountDecision(NextStepName(step));
+  LogEvent event = this->MakeLogEvent("send_ended");
+  if (outcome == forward::AttemptOutcome::kBroken)
+    event.Add("shared_parts", SharedPartsText(this->caller_request.prompt));
   this->context.log.Write(
-      this->MakeLogEvent("send_ended")
-          .Add("replica", failed->entry.id)
+      event.Add("replica", failed->entry.id)
           .Add("outcome", AttemptOutcomeName(outcome))
           .Add("status", this->has_head ? this->answer_head.status : 0)
           .Add("reason", reason)
--- a/standins/gateway_platform/fake_replica.cc
+++ b/standins/gateway_platform/fake_replica.cc
@@ -35,6 +35,11 @@
   return std::make_shared<LeftCounter>(this->callers_left);
 }
 
+void FakeReplica::Crash() {
+  this->server->StopAccepting();
+  this->server->CloseAll();
+}
+
 void AnswerSigned(const http1::IncomingRequest& request,
                   http1::Responder& responder,
                   int status,
--- a/standins/gateway_platform/fake_replica.h
+++ b/standins/gateway_platform/fake_replica.h
@@ -24,6 +24,9 @@
       std::shared_ptr<http1::Responder> responder) override;
   void OnMalformed(int, std::string_view) override {}
 
+  /// Ends all connections and refuses new ones, as the end of the process does.
+  void Crash();
+
   Work work;
   std::vector<http1::IncomingRequest> requests;
   int callers_left = 0;
