gateway: quarantine parts of prompts that crash engines

Cause: what instances remember of a crash is a hash of host, target and body. Requests that share a part of their prompt differ in all three, so none was ever recognised. Evidence: of 37 noticed crashes one led to a refused request; in the kept logs the answers that had begun without a whole event were one or two per crash, always of one route. Change: PromptPartQuarantine counts the crashes of engines that had begun to answer a prompt with a part, and refuses prompts with it after three, unless an answer to such a prompt was completed lately. Each crash counts against one quarantined part only. Instances share crashes, quarantined parts and the parts that proved sound. A broken answer makes an instance probe the engine, so that a crash is noticed without other requests; what is learned while a prompt is being read is used before its run.

--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -19,7 +19,7 @@
 constexpr int kPeerTimeoutIntervals = 3;
 
 /// First element of every message; incremented when the format changes.
-constexpr int kFormatVersion = 6;
+constexpr int kFormatVersion = 7;
 
 /// @return Milliseconds, or -1 for an infinite duration.
 int64_t EncodedAge(absl::Duration age) {
@@ -36,6 +36,35 @@
   return static_cast<float>(value);
 }
 
+nlohmann::json EncodePromptParts(const PromptPartReport& report) {
+  using nlohmann::json;
+  json crashes = json::array();
+  for (const PartCrash& entry : report.crashes)
+    crashes.push_back({entry.part, entry.crash, entry.position});
+  json quarantined = json::array();
+  for (const QuarantinedPart& entry : report.quarantined)
+    quarantined.push_back({entry.part, EncodedAge(entry.remaining)});
+  return json::array(
+      {std::move(crashes), std::move(quarantined), report.sound});
+}
+
+/// @throws nlohmann::json::exception when a field has the wrong type.
+PromptPartReport DecodePromptParts(const nlohmann::json& fields) {
+  using nlohmann::json;
+  PromptPartReport report;
+  for (const json& entry : fields.at(0)) {
+    report.crashes.push_back({entry.at(0).get<uint64_t>(),
+                              entry.at(1).get<uint64_t>(),
+                              entry.at(2).get<uint32_t>()});
+  }
+  for (const json& entry : fields.at(1)) {
+    report.quarantined.push_back(
+        {entry.at(0).get<uint64_t>(), DecodedAge(entry.at(1).get<int64_t>())});
+  }
+  report.sound = fields.at(2).get<std::vector<uint64_t>>();
+  return report;
+}
+
 }  // namespace
 
 std::string EncodeLoadMessage(const LoadMessage& message) {
@@ -70,7 +99,8 @@
                    message.engines_changing_role, crashes,
                    message.table_versions, message.partial, engine_speeds,
                    message.unreachable_replicas,
-                   EncodedAge(message.store_answer_age), message.store_lost}),
+                   EncodedAge(message.store_answer_age), message.store_lost,
+                   EncodePromptParts(message.prompt_parts)}),
       bytes);
   return bytes;
 }
@@ -122,6 +152,7 @@
         fields.at(11).get<std::vector<std::string>>();
     message.store_answer_age = DecodedAge(fields.at(12).get<int64_t>());
     message.store_lost = fields.at(13).get<bool>();
+    message.prompt_parts = DecodePromptParts(fields.at(14));
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
--- a/cranberryhill/forward/peer_load_sync.h
+++ b/cranberryhill/forward/peer_load_sync.h
@@ -25,6 +25,7 @@
 #include "cranberryhill/base/result.h"
 #include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/prompt.h"
+#include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/request/crash_quarantine.h"
 
@@ -69,6 +70,8 @@
   absl::Duration store_answer_age = absl::InfiniteDuration();
   /// True when the instance's calls to the store have been failing.
   bool store_lost = false;
+  /// Parts of prompts that crash engines.
+  PromptPartReport prompt_parts = {};
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
--- /dev/null
+++ b/cranberryhill/forward/prompt_part_quarantine.cc
@@ -0,0 +1,246 @@
+#include "cranberryhill/forward/prompt_part_quarantine.h"
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+
+#include "cranberryhill/base/hash.h"
+
+namespace cranberryhill::forward {
+namespace {
+
+/// A part is answered again after this time, as engines may have been repaired.
+constexpr absl::Duration kQuarantineTime = absl::Minutes(10);
+/// Crashes that lie further back are forgotten.
+constexpr absl::Duration kCrashRetention = absl::Minutes(10);
+/// A part that was answered this recently is not the cause of a crash. A change
+/// of the engines' software can make a sound part crash them, so the time is
+/// shorter than the retention of crashes.
+constexpr absl::Duration kSoundTime = absl::Minutes(1);
+/// Bounds on what is kept.
+constexpr size_t kMaxSuspicions = 1024;
+constexpr size_t kMaxSoundParts = 8192;
+constexpr size_t kMaxQuarantined = 256;
+constexpr size_t kMaxExplainedCrashes = 1024;
+constexpr size_t kMaxDisputedParts = 256;
+/// Peers are told for this long that a part is sound. Several messages may get
+/// lost, and they suspect it again with each crash.
+constexpr absl::Duration kDisputeTime = absl::Seconds(10);
+/// Bounds on what one message to peers contains; it stays below 2 KB.
+constexpr size_t kMaxReportedCrashes = 32;
+constexpr size_t kMaxReportedParts = 32;
+
+/// @return The parts that other prompts may share.
+std::span<const PromptPart> SharedParts(const PromptDescription& prompt) {
+  std::span<const PromptPart> parts(prompt.parts);
+  return parts.empty() ? parts : parts.first(parts.size() - 1);
+}
+
+/// Removes the entry with the smallest key if the map is full.
+template <typename Map, typename Key>
+void MakeRoom(Map& map, size_t limit, const Key& key) {
+  if (map.size() < limit)
+    return;
+  map.erase(std::min_element(
+      map.begin(), map.end(),
+      [&key](const auto& a, const auto& b) { return key(a) < key(b); }));
+}
+
+}  // namespace
+
+uint64_t CrashId(std::string_view replica, int64_t started_ms) {
+  return StableHash(std::to_string(started_ms), StableHash(replica));
+}
+
+void PromptPartQuarantine::OnAnswered(const PromptDescription& prompt) {
+  for (const PromptPart& part : SharedParts(prompt)) {
+    if (this->suspicions.contains(part.id) ||
+        this->quarantined.contains(part.id))
+      this->Dispute(part.id);
+    this->SetSound(part.id, true);
+  }
+}
+
+void PromptPartQuarantine::Dispute(uint64_t part) {
+  MakeRoom(this->disputed_parts, kMaxDisputedParts,
+           [](const auto& item) { return item.second; });
+  this->disputed_parts[part] = this->clock.Now() + kDisputeTime;
+}
+
+void PromptPartQuarantine::SetSound(uint64_t part, bool own) {
+  if (!this->sound_parts.contains(part)) {
+    MakeRoom(this->sound_parts, kMaxSoundParts,
+             [](const auto& item) { return item.second.until; });
+  }
+  SoundPart& sound = this->sound_parts[part];
+  absl::Time now = this->clock.Now();
+  // The word of a peer does not replace an own observation, which is passed on.
+  sound.own = own || (sound.own && now < sound.until);
+  sound.until = now + kSoundTime;
+  this->suspicions.erase(part);
+  this->quarantined.erase(part);
+}
+
+bool PromptPartQuarantine::IsSound(uint64_t part) const {
+  auto found = this->sound_parts.find(part);
+  return found != this->sound_parts.end() &&
+         this->clock.Now() < found->second.until;
+}
+
+std::vector<uint64_t> PromptPartQuarantine::OnCrash(
+    uint64_t crash,
+    std::span<const PromptDescription> suspects) {
+  for (const PromptDescription& prompt : suspects) {
+    std::span<const PromptPart> parts = SharedParts(prompt);
+    for (size_t i = 0; i < parts.size(); ++i)
+      this->AddCrash({parts[i].id, crash, static_cast<uint32_t>(i)});
+  }
+  return this->QuarantineSuspects();
+}
+
+void PromptPartQuarantine::AddCrash(const PartCrash& entry) {
+  absl::Time now = this->clock.Now();
+  if (this->quarantined.contains(entry.part)) {
+    MakeRoom(this->explained_crashes, kMaxExplainedCrashes,
+             [](const auto& item) { return item.second; });
+    this->explained_crashes[entry.crash] = now + kCrashRetention;
+    for (auto& [part, suspicion] : this->suspicions)
+      suspicion.crashes.erase(entry.crash);
+    return;
+  }
+  if (this->IsSound(entry.part)) {
+    if (this->sound_parts[entry.part].own)
+      this->Dispute(entry.part);
+    return;
+  }
+  if (this->explained_crashes.contains(entry.crash))
+    return;
+  if (!this->suspicions.contains(entry.part)) {
+    MakeRoom(this->suspicions, kMaxSuspicions,
+             [](const auto& item) { return item.second.last_crash_at; });
+  }
+  Suspicion& suspicion = this->suspicions[entry.part];
+  suspicion.position = std::max(suspicion.position, entry.position);
+  // Parts that most prompts share would otherwise collect more crashes than the
+  // part that causes them. A repeated report does not make a crash newer.
+  if (suspicion.crashes.size() < kCrashesToQuarantine &&
+      suspicion.crashes.emplace(entry.crash, now).second)
+    suspicion.last_crash_at = now;
+}
+
+/// Quarantines the parts with enough crashes, those with most crashes first;
+/// the crashes of one part then no longer count against the others.
+std::vector<uint64_t> PromptPartQuarantine::QuarantineSuspects() {
+  this->RemoveExpired();
+  std::vector<uint64_t> parts;
+  while (true) {
+    auto rank = [](const auto& item) {
+      // Of the parts of one prompt, the first ones are shared by the most
+      // prompts. Without an answer to any of these, the later part is the more
+      // likely cause, and its quarantine affects fewer prompts.
+      return std::tuple(item.second.crashes.size(), item.second.position,
+                        item.first);
+    };
+    auto worst = std::max_element(
+        this->suspicions.begin(), this->suspicions.end(),
+        [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    if (worst == this->suspicions.end() ||
+        worst->second.crashes.size() < kCrashesToQuarantine)
+      return parts;
+    parts.push_back(worst->first);
+    this->Quarantine(worst->first, kQuarantineTime);
+  }
+}
+
+void PromptPartQuarantine::Quarantine(uint64_t part, absl::Duration duration) {
+  if (!this->quarantined.contains(part)) {
+    MakeRoom(this->quarantined, kMaxQuarantined,
+             [](const auto& item) { return item.second; });
+  }
+  absl::Time& until = this->quarantined[part];
+  until = std::max(until, this->clock.Now() + duration);
+  this->ExplainCrashes(part);
+}
+
+void PromptPartQuarantine::ExplainCrashes(uint64_t part) {
+  auto found = this->suspicions.find(part);
+  if (found == this->suspicions.end())
+    return;
+  Suspicion explained = std::move(found->second);
+  this->suspicions.erase(found);
+  for (const auto& [crash, at] : explained.crashes)
+    this->AddCrash({part, crash, explained.position});
+}
+
+bool PromptPartQuarantine::IsQuarantined(
+    const PromptDescription& prompt) const {
+  if (this->quarantined.empty())
+    return false;
+  std::span<const PromptPart> parts = SharedParts(prompt);
+  return std::any_of(parts.begin(), parts.end(), [this](const auto& part) {
+    auto found = this->quarantined.find(part.id);
+    return found != this->quarantined.end() &&
+           this->clock.Now() < found->second;
+  });
+}
+
+PromptPartReport PromptPartQuarantine::Report() const {
+  PromptPartReport report;
+  absl::Time now = this->clock.Now();
+  for (const auto& [part, until] : this->quarantined) {
+    if (now < until && report.quarantined.size() < kMaxReportedParts)
+      report.quarantined.push_back({part, until - now});
+  }
+  for (const auto& [part, until] : this->disputed_parts) {
+    if (now < until && report.sound.size() < kMaxReportedParts)
+      report.sound.push_back(part);
+  }
+  std::vector<std::pair<absl::Time, PartCrash>> crashes;
+  for (const auto& [part, suspicion] : this->suspicions) {
+    for (const auto& [crash, at] : suspicion.crashes)
+      crashes.push_back({at, {part, crash, suspicion.position}});
+  }
+  std::sort(crashes.begin(), crashes.end(), [](const auto& a, const auto& b) {
+    return std::tuple(a.first, a.second.part, a.second.crash) >
+           std::tuple(b.first, b.second.part, b.second.crash);
+  });
+  for (const auto& [at, entry] : crashes) {
+    if (report.crashes.size() < kMaxReportedCrashes)
+      report.crashes.push_back(entry);
+  }
+  return report;
+}
+
+std::vector<uint64_t> PromptPartQuarantine::Merge(
+    const PromptPartReport& report) {
+  for (uint64_t part : report.sound)
+    this->SetSound(part, false);
+  for (const QuarantinedPart& entry : report.quarantined) {
+    if (!this->IsSound(entry.part))
+      this->Quarantine(entry.part, std::min(entry.remaining, kQuarantineTime));
+    else if (this->sound_parts[entry.part].own)
+      this->Dispute(entry.part);
+  }
+  for (const PartCrash& entry : report.crashes)
+    this->AddCrash(entry);
+  return this->QuarantineSuspects();
+}
+
+void PromptPartQuarantine::RemoveExpired() {
+  absl::Time now = this->clock.Now();
+  absl::erase_if(this->quarantined,
+                 [now](const auto& item) { return item.second <= now; });
+  absl::erase_if(this->explained_crashes,
+                 [now](const auto& item) { return item.second <= now; });
+  absl::erase_if(this->disputed_parts,
+                 [now](const auto& item) { return item.second <= now; });
+  for (auto& [part, suspicion] : this->suspicions) {
+    absl::erase_if(suspicion.crashes, [now](const auto& item) {
+      return now - item.second > kCrashRetention;
+    });
+  }
+  absl::erase_if(this->suspicions,
+                 [](const auto& item) { return item.second.crashes.empty(); });
+}
+
+}  // namespace cranberryhill::forward
--- /dev/null
+++ b/cranberryhill/forward/prompt_part_quarantine.h
@@ -0,0 +1,125 @@
+#ifndef CRANBERRYHILL_FORWARD_PROMPT_PART_QUARANTINE_H_
+#define CRANBERRYHILL_FORWARD_PROMPT_PART_QUARANTINE_H_
+
+// Finds parts of prompts that crash engines. Prompts with such a part may
+// differ in everything else, so that no single request is seen twice. Instances
+// share what they observe: each crash is seen by all that have requests at the
+// engine, but only one of them sent the request that caused it.
+//
+//   PromptPartQuarantine quarantine(clock);
+//   quarantine.OnCrash(CrashId("i-7f3a", started_ms), suspects);
+//   quarantine.OnAnswered(prompt);  // Its parts are sound.
+//   if (quarantine.IsQuarantined(prompt)) ...refuse...
+//
+// A part is quarantined after kCrashesToQuarantine crashes of engines that had
+// begun to answer a prompt with it, unless an answer to a prompt with it was
+// completed recently. A crash counts against one quarantined part only, so that
+// parts that were at the same engines by chance stay usable.
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/forward/prompt.h"
+
+namespace cranberryhill::forward {
+
+/// Number of engines that one part may crash before it is quarantined.
+inline constexpr size_t kCrashesToQuarantine = 3;
+
+/// @return The id of the crash of this process; the same on all instances.
+uint64_t CrashId(std::string_view replica, int64_t started_ms);
+
+/// An engine crashed when it had begun to answer a prompt with this part.
+struct PartCrash {
+  uint64_t part = 0;
+  uint64_t crash = 0;
+  /// Position of the part in the prompt, from 0. Later parts occur in fewer
+  /// prompts than those before them.
+  uint32_t position = 0;
+};
+
+struct QuarantinedPart {
+  uint64_t part = 0;
+  absl::Duration remaining;
+};
+
+/// What an instance tells its peers.
+struct PromptPartReport {
+  std::vector<PartCrash> crashes;
+  std::vector<QuarantinedPart> quarantined;
+  /// Parts of crashes to which this instance itself has seen a whole answer.
+  std::vector<uint64_t> sound;
+};
+
+/// Not thread-safe.
+class PromptPartQuarantine {
+ public:
+  /// @param clock Must outlive this object.
+  explicit PromptPartQuarantine(const Clock& clock) : clock(clock) {}
+
+  /// Records that an answer to the prompt was completed.
+  void OnAnswered(const PromptDescription& prompt);
+
+  /// Records the crash of an engine.
+  /// @param crash See CrashId().
+  /// @param suspects Prompts to which the engine had begun an answer, without
+  ///     having sent a whole event.
+  /// @return The parts that are quarantined because of this crash.
+  std::vector<uint64_t> OnCrash(uint64_t crash,
+                                std::span<const PromptDescription> suspects);
+
+  /// @return True if answering the prompt is expected to crash engines.
+  bool IsQuarantined(const PromptDescription& prompt) const;
+
+  /// @return What to tell peers; bounded in size, the newest crashes first.
+  PromptPartReport Report() const;
+
+  /// Merges a report of a peer. Reports may be lost, repeated or reordered.
+  /// @return The parts that are quarantined because of it.
+  std::vector<uint64_t> Merge(const PromptPartReport& report);
+
+  size_t quarantined_count() const {
+    return this->quarantined.size();
+  }  // NOLINT
+
+ private:
+  struct Suspicion {
+    absl::flat_hash_map<uint64_t, absl::Time> crashes;  // Time by crash id.
+    uint32_t position = 0;
+    absl::Time last_crash_at;
+  };
+  struct SoundPart {
+    absl::Time until;
+    bool own = false;  // This instance has seen the answer itself.
+  };
+
+  void AddCrash(const PartCrash& entry);
+  void Dispute(uint64_t part);
+  void SetSound(uint64_t part, bool own);
+  bool IsSound(uint64_t part) const;
+  std::vector<uint64_t> QuarantineSuspects();
+  void Quarantine(uint64_t part, absl::Duration duration);
+  void ExplainCrashes(uint64_t part);
+  void RemoveExpired();
+
+  const Clock& clock;
+  absl::flat_hash_map<uint64_t, Suspicion> suspicions;  // By part.
+  absl::flat_hash_map<uint64_t, absl::Time>
+      quarantined;  // Until when, by part.
+  absl::flat_hash_map<uint64_t, SoundPart> sound_parts;
+  // Parts that peers suspect, or that were suspect here, to which this instance
+  // has seen an answer; until when peers are told.
+  absl::flat_hash_map<uint64_t, absl::Time> disputed_parts;
+  // Crashes that a quarantined part has caused, until when they are kept.
+  absl::flat_hash_map<uint64_t, absl::Time> explained_crashes;
+};
+
+}  // namespace cranberryhill::forward
+
+#endif  // CRANBERRYHILL_FORWARD_PROMPT_PART_QUARANTINE_H_
--- a/cranberryhill/forward/reachability.cc
+++ b/cranberryhill/forward/reachability.cc
@@ -32,6 +32,10 @@
          now - replica.probed_at >= kProbeInterval;
 }
 
+bool Reachability::ShouldProbeAfterBrokenAnswer(const Replica& replica) const {
+  return this->clock.Now() - replica.probed_at >= kProbeInterval;
+}
+
 bool Reachability::ShouldProbeForPeer(const Replica& replica) const {
   absl::Time now = this->clock.Now();
   return !replica.unreachable && replica.outstanding > 0 &&
--- a/cranberryhill/forward/reachability.h
+++ b/cranberryhill/forward/reachability.h
@@ -44,6 +44,10 @@
   ///     probed a moment ago.
   bool ShouldProbe(const Replica& replica, absl::Time waiting_since) const;
 
+  /// @return True when the replica broke off an answer and no probe shows yet
+  ///     whether it still accepts connections.
+  bool ShouldProbeAfterBrokenAnswer(const Replica& replica) const;
+
   /// @return True when the time has come to probe an unreachable replica again.
   bool ShouldProbeAgain(const Replica& replica) const;
 
--- a/cranberryhill/forward/replica_crash_quarantine.cc
+++ b/cranberryhill/forward/replica_crash_quarantine.cc
@@ -15,8 +15,7 @@
 }  // namespace
 
 void ReplicaCrashQuarantine::OnBrokenAnswer(std::string_view replica,
-                                            uint64_t fingerprint,
-                                            absl::Time started) {
+                                            BrokenSend send) {
   absl::Time now = this->clock.Now();
   std::vector<BrokenAnswer>& answers =
       this->broken_answers[std::string(replica)];
@@ -24,22 +23,32 @@
     return now - entry.broken_at > kCrashConfirmationTime;
   });
   if (answers.size() < kMaxBrokenAnswers)
-    answers.push_back({{fingerprint, started, false}, now});
+    answers.push_back({std::move(send), now});
 }
 
-size_t ReplicaCrashQuarantine::OnUnreachable(std::string_view replica) {
+CrashFindings ReplicaCrashQuarantine::OnUnreachable(std::string_view replica) {
+  CrashFindings findings;
   auto found = this->broken_answers.find(std::string(replica));
   if (found == this->broken_answers.end())
-    return 0;
+    return findings;
   std::vector<BrokenAnswer> answers = std::move(found->second);
   this->broken_answers.erase(found);
   absl::Time now = this->clock.Now();
   std::vector<CrashedStream> streams;
   for (const BrokenAnswer& entry : answers) {
-    if (now - entry.broken_at <= kCrashConfirmationTime)
-      streams.push_back(entry.stream);
+    if (now - entry.broken_at > kCrashConfirmationTime)
+      continue;
+    const BrokenSend& send = entry.send;
+    streams.push_back({send.fingerprint, send.started, false});
+    if (!send.begun_prompt)
+      continue;
+    std::vector<uint64_t> parts = this->part_quarantine.OnCrash(
+        CrashId(replica, send.replica_started_ms), {&*send.begun_prompt, 1});
+    findings.quarantined_parts.insert(findings.quarantined_parts.end(),
+                                      parts.begin(), parts.end());
   }
-  return this->quarantine.OnEngineCrashed(streams, now);
+  findings.suspects = this->quarantine.OnEngineCrashed(streams, now);
+  return findings;
 }
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/replica_crash_quarantine_test.cc
+++ b/cranberryhill/forward/replica_crash_quarantine_test.cc
@@ -12,16 +12,17 @@
 
   ManualClock clock;
   CrashQuarantine quarantine{CrashQuarantinePolicy{}};
-  ReplicaCrashQuarantine crashes{quarantine, clock};
+  PromptPartQuarantine part_quarantine{clock};
+  ReplicaCrashQuarantine crashes{quarantine, part_quarantine, clock};
 };
 
 // Guards against a request that crashes one replica after another.
 BOOST_FIXTURE_TEST_CASE(second_confirmed_crash_quarantines_the_request,
                         Fixture) {
   for (const char* replica : {"a", "b"}) {
-    this->crashes.OnBrokenAnswer(replica, 7, this->clock.Now());
+    this->crashes.OnBrokenAnswer(replica, {7, this->clock.Now(), 1, {}});
     this->clock.Advance(absl::Milliseconds(300));
-    BOOST_TEST(this->crashes.OnUnreachable(replica) == 1U);
+    BOOST_TEST(this->crashes.OnUnreachable(replica).suspects == 1U);
   }
   BOOST_TEST((this->StatusOf(7) == CrashStatus::kQuarantined));
 }
@@ -30,11 +31,11 @@
 // of replicas that did not crash.
 BOOST_FIXTURE_TEST_CASE(broken_answers_alone_do_not_quarantine, Fixture) {
   for (int i = 0; i < 5; ++i)
-    this->crashes.OnBrokenAnswer("a", 7, this->clock.Now());
+    this->crashes.OnBrokenAnswer("a", {7, this->clock.Now(), 1, {}});
   BOOST_TEST((this->StatusOf(7) == CrashStatus::kClean));
   this->clock.Advance(absl::Seconds(3));
-  BOOST_TEST(this->crashes.OnUnreachable("a") == 0U);
-  BOOST_TEST(this->crashes.OnUnreachable("b") == 0U);
+  BOOST_TEST(this->crashes.OnUnreachable("a").suspects == 0U);
+  BOOST_TEST(this->crashes.OnUnreachable("b").suspects == 0U);
   BOOST_TEST((this->StatusOf(7) == CrashStatus::kClean));
 }
 
--- a/cranberryhill/gateway/connect_probe.cc
+++ b/cranberryhill/gateway/connect_probe.cc
@@ -14,17 +14,17 @@
 struct Probe {
   explicit Probe(boost::asio::io_context& io) : socket(io), timer(io) {}
 
-  void Finish(bool answered) {
+  void Finish(ProbeResult result) {
     error_code ignored;
     this->socket.close(ignored);
     this->timer.cancel();
     if (auto callback = std::exchange(this->done, nullptr))
-      callback(answered);
+      callback(result);
   }
 
   boost::asio::ip::tcp::socket socket;
   boost::asio::steady_timer timer;
-  std::function<void(bool)> done;
+  std::function<void(ProbeResult)> done;
 };
 
 }  // namespace
@@ -32,20 +32,22 @@
 void ProbeConnection(boost::asio::io_context& io,
                      const boost::asio::ip::tcp::endpoint& endpoint,
                      absl::Duration timeout,
-                     std::function<void(bool answered)> done) {
+                     std::function<void(ProbeResult)> done) {
   auto probe = std::make_shared<Probe>(io);
   probe->done = std::move(done);
   probe->timer.expires_after(absl::ToChronoMilliseconds(timeout));
   probe->timer.async_wait([probe](error_code error) {
     if (!error)
-      probe->Finish(false);
+      probe->Finish(ProbeResult::kSilent);
   });
   probe->socket.async_connect(endpoint, [probe](error_code error) {
-    bool answered = !error || error == boost::asio::error::connection_refused ||
-                    error == boost::asio::error::connection_reset;
+    if (!error)
+      return probe->Finish(ProbeResult::kAccepted);
+    bool refused = error == boost::asio::error::connection_refused ||
+                   error == boost::asio::error::connection_reset;
     // Any other error, such as an unreachable network, says no more than
     // silence.
-    probe->Finish(answered);
+    probe->Finish(refused ? ProbeResult::kRefused : ProbeResult::kSilent);
   });
 }
 
--- a/cranberryhill/gateway/connect_probe.h
+++ b/cranberryhill/gateway/connect_probe.h
@@ -12,13 +12,18 @@
 
 namespace cranberryhill::gateway {
 
+enum class ProbeResult {
+  kAccepted,
+  kRefused,  ///< The host answers, but nothing listens at the address.
+  kSilent,   ///< Neither within the timeout.
+};
+
 /// @param io Must outlive the probe.
-/// @param done Called once: with true if the host accepted or refused the
-///     connection, with false if it did neither within `timeout`.
+/// @param done Called once.
 void ProbeConnection(boost::asio::io_context& io,
                      const boost::asio::ip::tcp::endpoint& endpoint,
                      absl::Duration timeout,
-                     std::function<void(bool answered)> done);
+                     std::function<void(ProbeResult)> done);
 
 }  // namespace cranberryhill::gateway
 
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -123,13 +123,27 @@
 
 void Exchange::Start() {
   this->context.retry_budget(this->service).OnRequest();
-  if (this->context.crash_quarantine.StatusOf(this->fingerprint, this->Now()) ==
-      CrashStatus::kQuarantined)
-    return this->Refuse("crashes_replicas", kRetryAfterCrashes);
   this->SendToNextReplica();
 }
 
+/// Refuses a request that is known to crash the replicas that run it, which may
+/// have been learned since its last send.
+bool Exchange::RefuseIfItCrashesReplicas() {
+  bool crashes =
+      this->context.crash_quarantine.StatusOf(this->fingerprint, this->Now()) ==
+      CrashStatus::kQuarantined;
+  bool part_crashes = this->context.prompt_part_quarantine.IsQuarantined(
+      this->caller_request.prompt);
+  if (!crashes && !part_crashes)
+    return false;
+  this->Refuse(crashes ? "crashes_replicas" : "prompt_part_crashes_replicas",
+               kRetryAfterCrashes);
+  return true;
+}
+
 void Exchange::SendToNextReplica() {
+  if (this->RefuseIfItCrashesReplicas())
+    return;
   absl::Duration left = this->TimeLeft();
   if (left < kMinTimeForSend)
     return this->Refuse("no_time_left", kDefaultRetryAfter);
@@ -246,6 +260,7 @@
   this->answer_info = {};
   this->answer_body.clear();
   this->has_head = false;
+  this->send_has_event = false;
   this->relaying_events = false;
   this->sent_at = this->Now();
   this->last_progress_at = this->sent_at;
@@ -341,6 +356,7 @@
   // then has stalled.
   if (events.empty())
     return;
+  this->send_has_event = true;
   this->last_progress_at = this->Now();
   // The prefill is complete when the first event arrives.
   this->replica->queued.Add(this->lane, -this->queued_tokens);
@@ -433,6 +449,8 @@
                                                              this->Now())));
       this->cache_handle = decoded.value();
       this->cache_owner = prefill_engine;
+      if (this->RefuseIfItCrashesReplicas())
+        return this->ReleaseCache();
       // The decode engine is chosen only now because an engine chosen before
       // the prefill may no longer be available.
       std::shared_ptr<forward::Replica> decode_engine =
@@ -449,7 +467,7 @@
                                          this->cache_handle));
     }
   }
-  this->RecordPossibleCrash(*prefill_engine, this->Classify(end));
+  this->RecordPossibleCrash(prefill_engine, this->Classify(end));
   if (not_run)
     this->context.replicas.OnRejected(*prefill_engine);
   else if (end == http1::AnswerEnd::kNotConnected)
@@ -477,16 +495,25 @@
   this->SendToNextReplica();
 }
 
-void Exchange::RecordPossibleCrash(const forward::Replica& failed,
-                                   forward::AttemptOutcome outcome) {
-  const std::string& id = failed.entry.id;
-  if (outcome == forward::AttemptOutcome::kBroken) {
-    this->context.replica_crash_quarantine.OnBrokenAnswer(id, this->fingerprint,
-                                                          this->sent_at);
-  } else if (outcome == forward::AttemptOutcome::kNotSent &&
-             this->context.replica_crash_quarantine.OnUnreachable(id) > 0) {
-    this->context.log.Write(LogEvent("replica_crashed").Add("replica", id));
-  }
+void Exchange::RecordPossibleCrash(
+    const std::shared_ptr<forward::Replica>& failed,
+    forward::AttemptOutcome outcome) {
+  if (outcome == forward::AttemptOutcome::kNotSent)
+    return this->context.on_refused_connection(*failed);
+  if (outcome != forward::AttemptOutcome::kBroken)
+    return;
+  bool had_begun =
+      this->phase == Phase::kRunning && this->has_head && !this->send_has_event;
+  forward::BrokenSend send{this->fingerprint, this->sent_at,
+                           failed->entry.started_ms, std::nullopt};
+  if (had_begun)
+    send.begun_prompt = this->caller_request.prompt;
+  this->context.replica_crash_quarantine.OnBrokenAnswer(failed->entry.id,
+                                                        std::move(send));
+  // Other requests may not be sent there in time to notice a crash.
+  if (had_begun &&
+      this->context.reachability.ShouldProbeAfterBrokenAnswer(*failed))
+    this->context.probe(failed);
 }
 
 forward::AttemptOutcome Exchange::Classify(http1::AnswerEnd end) const {
@@ -510,6 +537,8 @@
   if (complete && this->relaying_events &&
       this->event_splitter.incomplete_event().empty() && this->stream_started) {
     this->context.replicas.OnSuccess(*this->replica);
+    this->context.prompt_part_quarantine.OnAnswered(
+        this->caller_request.prompt);
     this->cache_handle.clear();
     this->responder->EndStream();
     return this->Finish("answered", "", this->answer_head.status);
@@ -542,7 +571,7 @@
     this->context.replicas.OnFailure(*failed);
   if (this->connection != nullptr && !this->connection->Reusable())
     this->connection->Cancel();
-  this->RecordPossibleCrash(*failed, outcome);
+  this->RecordPossibleCrash(failed, outcome);
   this->EndSend();
   this->event_splitter.DropIncompleteEvent();
 
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -23,6 +23,7 @@
 #include "cranberryhill/forward/event_splitter.h"
 #include "cranberryhill/forward/peer_load_sync.h"
 #include "cranberryhill/forward/placement.h"
+#include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/reachability.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
 #include "cranberryhill/forward/replica_set.h"
@@ -45,6 +46,7 @@
   forward::ReplicaSet& replicas;
   forward::PeerLoadSync& peer_load_sync;
   CrashQuarantine& crash_quarantine;
+  forward::PromptPartQuarantine& prompt_part_quarantine;
   forward::ReplicaCrashQuarantine& replica_crash_quarantine;
   const forward::Placement& placement;
   forward::EngineSpeedModels& engine_speeds;
@@ -57,8 +59,11 @@
       retry_budget;
   /// Called after a prompt has been sent to an engine for prefill.
   std::function<void()> notify_peers;
-  /// Opens a probe connection to a replica that has gone silent.
+  /// Opens a probe connection to a replica that has gone silent or may have
+  /// crashed.
   std::function<void(const std::shared_ptr<forward::Replica>&)> probe;
+  /// Called when a replica refuses connections, which may confirm a crash.
+  std::function<void(const forward::Replica&)> on_refused_connection;
 };
 
 class Exchange : public http1::ActiveRequest,
@@ -119,7 +124,8 @@
   absl::Time NextCheck() const;
   bool GiveUpOnUnreachableReplica();
   forward::PlacementChoice ChooseReplica();
-  void RecordPossibleCrash(const forward::Replica& failed,
+  bool RefuseIfItCrashesReplicas();
+  void RecordPossibleCrash(const std::shared_ptr<forward::Replica>& failed,
                            forward::AttemptOutcome outcome);
   int Priority() const;
   absl::Duration FirstByteTimeout(absl::Duration expected) const;
@@ -171,6 +177,7 @@
   bool has_head = false;
   bool relaying_events = false;  // Events are passed on to the caller.
   bool stream_started = false;
+  bool send_has_event = false;  // A whole event of this send has arrived.
   forward::EventSplitter event_splitter;
   boost::asio::steady_timer timer;
   absl::Time timer_expires_at = absl::InfiniteFuture();
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -1,11 +1,12 @@
 #include "cranberryhill/gateway/gateway.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "cranberryhill/gateway/connect_probe.h"
 #include "cranberryhill/http1/socket_options.h"
 
 namespace cranberryhill::gateway {
@@ -71,7 +72,10 @@
                      random.UniformInt(1, UINT64_MAX),
                      clock),
       crash_quarantine(CrashQuarantinePolicy{}),
-      replica_crash_quarantine(this->crash_quarantine, clock),
+      prompt_part_quarantine(clock),
+      replica_crash_quarantine(this->crash_quarantine,
+                               this->prompt_part_quarantine,
+                               clock),
       engine_speeds(clock),
       placement(this->settings.availability_zone, this->engine_speeds),
       reachability(clock),
@@ -83,6 +87,7 @@
           this->replicas,
           this->peer_load_sync,
           this->crash_quarantine,
+          this->prompt_part_quarantine,
           this->replica_crash_quarantine,
           this->placement,
           this->engine_speeds,
@@ -97,6 +102,9 @@
           [this] { this->peer_link.SendPartialUpdateSoon(); },
           [this](const std::shared_ptr<forward::Replica>& replica) {
             this->Probe(replica);
+          },
+          [this](const forward::Replica& replica) {
+            this->OnRefusedConnection(replica);
           }},
       store_contact(clock),
       configuration_follower(StoreTable::kConfiguration,
@@ -136,6 +144,7 @@
                 this->control_table,
                 this->peer_load_sync,
                 this->crash_quarantine,
+                this->prompt_part_quarantine,
                 this->replicas,
                 this->order_dispatcher,
                 this->engine_speeds,
@@ -446,26 +455,48 @@
 
 void Gateway::Probe(const std::shared_ptr<forward::Replica>& replica) {
   this->reachability.OnProbeStarted(*replica);
-  ProbeConnection(
-      this->io, http1::TcpEndpoint(replica->entry.endpoint), kProbeTimeout,
-      [this, replica](bool answered) {
-        bool was_unreachable = replica->unreachable;
-        this->reachability.OnProbeEnded(*replica, answered);
-        if (replica->unreachable == was_unreachable)
-          return;
-        this->log.Write(
-            LogEvent(replica->unreachable ? "replica_unreachable"
-                                          : "replica_reachable")
-                .Add("replica", replica->entry.id)
-                .Add("outstanding", replica->outstanding)
-                .Add("silent_ms", this->clock.Now() - replica->heard_at));
-        if (!replica->unreachable)
-          return;
-        // Connections that were open before may stay silent for good, even
-        // when the replica can be reached again.
-        this->connection_pool.CloseIdle(*replica);
-        this->replicas.OnUnreachable(*replica);
-      });
+  ProbeConnection(this->io, http1::TcpEndpoint(replica->entry.endpoint),
+                  kProbeTimeout, [this, replica](ProbeResult result) {
+                    this->OnProbeEnded(replica, result);
+                  });
+}
+
+void Gateway::OnProbeEnded(const std::shared_ptr<forward::Replica>& replica,
+                           ProbeResult result) {
+  bool was_unreachable = replica->unreachable;
+  this->reachability.OnProbeEnded(*replica, result != ProbeResult::kSilent);
+  if (result == ProbeResult::kRefused)
+    this->OnRefusedConnection(*replica);
+  if (replica->unreachable == was_unreachable)
+    return;
+  this->log.Write(LogEvent(replica->unreachable ? "replica_unreachable"
+                                                : "replica_reachable")
+                      .Add("replica", replica->entry.id)
+                      .Add("outstanding", replica->outstanding)
+                      .Add("silent_ms", this->clock.Now() - replica->heard_at));
+  if (!replica->unreachable)
+    return;
+  // Connections that were open before may stay silent for good, even
+  // when the replica can be reached again.
+  this->connection_pool.CloseIdle(*replica);
+  this->replicas.OnUnreachable(*replica);
+}
+
+void Gateway::OnRefusedConnection(const forward::Replica& replica) {
+  forward::CrashFindings findings =
+      this->replica_crash_quarantine.OnUnreachable(replica.entry.id);
+  if (findings.suspects > 0) {
+    this->log.Write(
+        LogEvent("replica_crashed")
+            .Add("replica", replica.entry.id)
+            .Add("suspects", static_cast<int64_t>(findings.suspects)));
+  }
+  for (uint64_t part : findings.quarantined_parts) {
+    this->log.Write(LogEvent("prompt_part_quarantined")
+                        .Add("part", fmt::format("{:x}", part))
+                        .Add("reason", "crashed_replicas")
+                        .Add("replica", replica.entry.id));
+  }
 }
 
 /// Probes unreachable replicas again, so that they are used when they are back.
@@ -617,6 +648,9 @@
   this->metrics.SetGauge(
       "replicas_behind_peers_seconds",
       absl::ToDoubleSeconds(this->replica_follower.TimeBehindPeers()));
+  this->metrics.SetGauge(
+      "quarantined_prompt_parts",
+      static_cast<double>(this->prompt_part_quarantine.quarantined_count()));
   this->metrics.SetGauge("registry_age_seconds",
                          absl::ToDoubleSeconds(this->store_contact.Age()));
   this->metrics.SetGauge(
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -27,10 +27,12 @@
 #include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/peer_load_sync.h"
 #include "cranberryhill/forward/placement.h"
+#include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/reachability.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
+#include "cranberryhill/gateway/connect_probe.h"
 #include "cranberryhill/gateway/connection_pool.h"
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/event_log.h"
@@ -108,6 +110,9 @@
   void UpdateConnectionShares();
   void OnControlTableChanged();
   void Probe(const std::shared_ptr<forward::Replica>& replica);
+  void OnProbeEnded(const std::shared_ptr<forward::Replica>& replica,
+                    ProbeResult result);
+  void OnRefusedConnection(const forward::Replica& replica);
   void ProbeUnreachable();
   size_t StoreRank() const;
   TableFollower& FollowerOf(StoreTable table);
@@ -128,6 +133,7 @@
   forward::ReplicaSet replicas;
   forward::PeerLoadSync peer_load_sync;
   CrashQuarantine crash_quarantine;
+  forward::PromptPartQuarantine prompt_part_quarantine;
   forward::ReplicaCrashQuarantine replica_crash_quarantine;
   forward::EngineSpeedModels engine_speeds;
   forward::Placement placement;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -1,5 +1,7 @@
 #include "cranberryhill/gateway/peer_link.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <chrono>
@@ -52,6 +54,7 @@
                    ControlTable& table,
                    forward::PeerLoadSync& peer_load_sync,
                    CrashQuarantine& crash_quarantine,
+                   forward::PromptPartQuarantine& prompt_part_quarantine,
                    forward::ReplicaSet& replicas,
                    const OrderDispatcher& order_dispatcher,
                    forward::EngineSpeedModels& engine_speeds,
@@ -63,6 +66,7 @@
       table(table),
       peer_load_sync(peer_load_sync),
       crash_quarantine(crash_quarantine),
+      prompt_part_quarantine(prompt_part_quarantine),
       replicas(replicas),
       order_dispatcher(order_dispatcher),
       engine_speeds(engine_speeds),
@@ -180,11 +184,23 @@
     return;
   this->crash_quarantine.Merge(message.crashes, this->clock.Now());
   this->engine_speeds.MergePeer(message.instance, message.engine_speeds);
-  if (!message.partial)
+  if (!message.partial) {
+    this->MergePromptParts(message);
     this->delegate.OnPeerStoreContact(message);
+  }
   this->delegate.OnPeerUnreachable(message.unreachable_replicas);
 }
 
+void PeerLink::MergePromptParts(const forward::LoadMessage& message) {
+  for (uint64_t part :
+       this->prompt_part_quarantine.Merge(message.prompt_parts)) {
+    this->log.Write(LogEvent("prompt_part_quarantined")
+                        .Add("part", fmt::format("{:x}", part))
+                        .Add("reason", "crashes_seen_by_peers")
+                        .Add("from", message.instance));
+  }
+}
+
 void PeerLink::SendPartialUpdateSoon() {
   if (std::exchange(this->partial_update_scheduled, true))
     return;
@@ -228,6 +244,7 @@
       this->replicas, this->order_dispatcher.ChangingEngines());
   message.crashes =
       this->crash_quarantine.Entries(kMaxCrashEntries, this->clock.Now());
+  message.prompt_parts = this->prompt_part_quarantine.Report();
   this->delegate.DescribeStoreContact(message);
   message.unreachable_replicas = this->delegate.UnreachableReplicas();
   bool idle = message.engine_loads.empty() && message.cached_prefixes.empty() &&
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -16,6 +16,7 @@
 #include "cranberryhill/base/result.h"
 #include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/peer_load_sync.h"
+#include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/event_log.h"
@@ -60,6 +61,7 @@
            ControlTable& table,
            forward::PeerLoadSync& peer_load_sync,
            CrashQuarantine& crash_quarantine,
+           forward::PromptPartQuarantine& prompt_part_quarantine,
            forward::ReplicaSet& replicas,
            const OrderDispatcher& order_dispatcher,
            forward::EngineSpeedModels& engine_speeds,
@@ -100,12 +102,14 @@
   void OnDatagram(std::string_view bytes, const std::string& sender);
   std::chrono::milliseconds FullUpdateInterval() const;
   void WriteOwnRow();
+  void MergePromptParts(const forward::LoadMessage& message);
 
   const std::string instance;
   const Endpoint address;
   ControlTable& table;
   forward::PeerLoadSync& peer_load_sync;
   CrashQuarantine& crash_quarantine;
+  forward::PromptPartQuarantine& prompt_part_quarantine;
   forward::ReplicaSet& replicas;
   const OrderDispatcher& order_dispatcher;
   forward::EngineSpeedModels& engine_speeds;
