--- a/cranberryhill/gateway/control_table.h
+++ b/cranberryhill/gateway/control_table.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cranberryhill/gateway/delay_timer.h"
 #include "cranberryhill/gateway/serial_http_client.h"
 #include "cranberryhill/gateway/table_follower.h"
 #include "cranberryhill/table/table_service.h"
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cranberryhill/gateway/delay_timer.h"
+#include "cranberryhill/gateway/serial_http_client.h"
 #include "cranberryhill/http1/socket_options.h"
 
 namespace cranberryhill::gateway {
@@ -108,16 +110,16 @@
           }},
       store_contact(clock),
       configuration_follower(StoreTable::kConfiguration,
-                             io,
-                             http1::TcpEndpoint(this->settings.store_address),
+                             this->MakeStoreClient(),
+                             std::make_unique<AsioDelayTimer>(io),
                              codec,
                              *this,
                              log,
                              clock,
                              random),
       replica_follower(StoreTable::kReplicas,
-                       io,
-                       http1::TcpEndpoint(this->settings.store_address),
+                       this->MakeStoreClient(),
+                       std::make_unique<AsioDelayTimer>(io),
                        codec,
                        *this,
                        log,
@@ -197,6 +199,11 @@
   return {};
 }
 
+std::unique_ptr<HttpCaller> Gateway::MakeStoreClient() const {
+  return std::make_unique<SerialHttpClient>(
+      this->io, http1::TcpEndpoint(this->settings.store_address), this->clock);
+}
+
 bool Gateway::ready() const {
   return this->routes != nullptr && this->replica_follower.has_snapshot() &&
          this->shutdown_started_at == absl::InfiniteFuture();
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -37,6 +37,7 @@
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/exchange.h"
+#include "cranberryhill/gateway/http_caller.h"
 #include "cranberryhill/gateway/metrics.h"
 #include "cranberryhill/gateway/order_dispatcher.h"
 #include "cranberryhill/gateway/peer_link.h"
@@ -101,6 +102,7 @@
   void OnPeerUnreachable(std::span<const std::string> ids) override;
 
  private:
+  std::unique_ptr<HttpCaller> MakeStoreClient() const;
   void ApplyConfiguration(const StoreRow& row);
   void ApplyReplica(const StoreRow& row);
   std::optional<forward::ReplicaEntry> DecodeReplicaRow(const StoreRow& row);
--- a/cranberryhill/gateway/serial_http_client.cc
+++ b/cranberryhill/gateway/serial_http_client.cc
@@ -22,7 +22,7 @@
       timer(io) {}
 
 SerialHttpClient::~SerialHttpClient() {
-  this->Cancel();
+  this->SerialHttpClient::Cancel();
 }
 
 void SerialHttpClient::Call(const http1::OutgoingRequest& request,
--- a/cranberryhill/gateway/serial_http_client.h
+++ b/cranberryhill/gateway/serial_http_client.h
@@ -16,24 +16,14 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/gateway/answer_deadline.h"
+#include "cranberryhill/gateway/http_caller.h"
 #include "cranberryhill/http1/client.h"
 
 namespace cranberryhill::gateway {
 
-/// Result of a call. Status 0 means that there was no answer; a write may
-/// nevertheless have taken effect.
-struct HttpResult {
-  int status = 0;
-  std::string body;
-  std::string reason;  ///< Why there is no answer.
-  bool sent = true;    ///< False when no connection could be made.
-};
-
 /// Not thread-safe. At most one call may be in progress.
-class SerialHttpClient : public http1::AnswerHandler {
+class SerialHttpClient : public HttpCaller, public http1::AnswerHandler {
  public:
-  using Callback = std::function<void(HttpResult)>;
-
   /// @param io, clock Must outlive this object.
   SerialHttpClient(boost::asio::io_context& io,
                    boost::asio::ip::tcp::endpoint endpoint,
@@ -41,25 +31,14 @@
                    absl::Duration connect_timeout = absl::Seconds(1));
   ~SerialHttpClient() override;
 
-  /// Sends a request. If its answer does not begin in time, or then arrives too
-  /// slowly, the call fails and its connection is closed.
-  /// @param timeout Longest time until the answer begins.
-  /// @param done Called once, unless the call is cancelled or this object is
-  ///     destroyed first.
   void Call(const http1::OutgoingRequest& request,
             absl::Duration timeout,
-            Callback done);
-
-  /// Cancels the call in progress; its callback is not called.
-  void Cancel();
-
-  /// @return True while the answer to the call in progress is being received.
-  bool IsReceiving() const {
+            Callback done) override;
+  void Cancel() override;
+  bool IsReceiving() const override {
     return this->done != nullptr && this->answer.status != 0;
   }
-
-  /// @return Bytes of the body of the answer in progress received so far.
-  size_t received_bytes() const {  // NOLINT
+  size_t received_bytes() const override {  // NOLINT
     return this->answer.body.size();
   }
 
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -1,7 +1,6 @@
 #include "cranberryhill/gateway/table_follower.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 #include <utility>
 
@@ -35,7 +34,7 @@
 constexpr absl::Duration kFirstControlTablePause = absl::Milliseconds(2200);
 /// Changes that a peer has received arrive here within this time, unless they
 /// got lost.
-constexpr std::chrono::milliseconds kPeerRowsDelay(150);
+constexpr absl::Duration kPeerRowsDelay = absl::Milliseconds(150);
 /// A long poll that started less than this ago is not restarted, because it may
 /// still return the change that a peer has reported. A slow store takes 60
 /// times its usual 4 ms, and a lost packet is resent after some hundred
@@ -65,8 +64,8 @@
 }  // namespace
 
 TableFollower::TableFollower(StoreTable table,
-                             boost::asio::io_context& io,
-                             boost::asio::ip::tcp::endpoint store,
+                             std::unique_ptr<HttpCaller> store,
+                             std::unique_ptr<DelayTimer> pause_timer,
                              const StoreCodec& codec,
                              TableObserver& observer,
                              EventLog& log,
@@ -78,20 +77,20 @@
       log(log),
       clock(clock),
       random(random),
-      store_client(io, std::move(store), clock),
-      pause_timer(io),
+      store(std::move(store)),
+      pause_timer(std::move(pause_timer)),
       answered_at(clock.Now()) {}
 
 void TableFollower::Stop() {
-  this->store_client.Cancel();
-  this->pause_timer.cancel();
+  this->store->Cancel();
+  this->pause_timer->Cancel();
 }
 
 void TableFollower::ReadSnapshotPage(const std::string& from) {
   if (from.empty())
     this->rows.clear();
   ++this->call_count;
-  this->store_client.Call(
+  this->store->Call(
       this->codec.EncodeRead(this->table, from), kReadTimeout,
       [this](HttpResult answer) { this->OnSnapshotPage(std::move(answer)); });
 }
@@ -132,7 +131,7 @@
   this->polls = polls;
   this->is_poller = poller;
   if (polls && this->idle) {
-    this->pause_timer.cancel();
+    this->pause_timer->Cancel();
     this->Watch();
   }
 }
@@ -140,7 +139,7 @@
 void TableFollower::EndPause() {
   if (!this->pausing)
     return;
-  this->pause_timer.cancel();
+  this->pause_timer->Cancel();
   this->Watch();
 }
 
@@ -152,7 +151,7 @@
   this->watch_started_at = this->clock.Now();
   this->fetches_missing_rows = this->versions.IsBehindPeers();
   absl::Duration wait = PollingPolicyFor(this->table).wait;
-  this->store_client.Call(
+  this->store->Call(
       this->codec.EncodeWatch(this->table, this->versions.seen(), wait),
       wait + kWatchTimeoutMargin,
       [this](HttpResult answer) { this->OnWatchAnswer(std::move(answer)); });
@@ -180,13 +179,13 @@
     return;
   if (std::exchange(this->idle, false)) {
     this->pausing = true;
-    this->ContinueAfter(absl::FromChrono(kPeerRowsDelay));
+    this->ContinueAfter(kPeerRowsDelay);
     return;
   }
   // A call for the missing rows, or one whose answer has begun, ends by its own
   // time limit only: restarted calls may never end on a slow link.
   if (!this->watching || this->fetches_missing_rows ||
-      this->store_client.IsReceiving() ||
+      this->store->IsReceiving() ||
       this->clock.Now() - this->watch_started_at < kPeerVersionDelay)
     return;
   this->log.Write(
@@ -197,7 +196,7 @@
           .Add("age_ms", this->TimeSinceAnswer())
           .Add("behind_ms", this->TimeBehindPeers())
           .Add("call_age_ms", this->clock.Now() - this->watch_started_at));
-  this->store_client.Cancel();
+  this->store->Cancel();
   this->Watch();
 }
 
@@ -218,7 +217,7 @@
                       .Add("table", StoreTableName(this->table))
                       .Add("version", this->versions.seen())
                       .Add("peer_version", snapshot_version));
-  this->store_client.Cancel();
+  this->store->Cancel();
   this->watching = false;
   this->idle = false;
   this->versions.OnSnapshotNeeded();
@@ -295,12 +294,7 @@
 }
 
 void TableFollower::ContinueAfter(absl::Duration pause) {
-  this->pause_timer.expires_after(absl::ToChronoMilliseconds(pause));
-  this->pause_timer.async_wait([this](boost::system::error_code error) {
-    if (error)
-      return;
-    this->Continue();
-  });
+  this->pause_timer->Start(pause, [this] { this->Continue(); });
 }
 
 /// Makes the next call that is due, or waits for changes from peers.
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -5,16 +5,18 @@
 // changes, or applies the changes that peers pass on, and reads another
 // snapshot when changes may have been missed.
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <string>
 #include <vector>
 
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
+#include "cranberryhill/gateway/delay_timer.h"
 #include "cranberryhill/gateway/event_log.h"
-#include "cranberryhill/gateway/serial_http_client.h"
+#include "cranberryhill/gateway/http_caller.h"
 #include "cranberryhill/gateway/store_codec.h"
 #include "cranberryhill/gateway/table_versions.h"
 
@@ -51,10 +53,12 @@
 /// Not thread-safe.
 class TableFollower {
  public:
+  /// @param store Makes calls to the store.
+  /// @param pause_timer Used for the pauses between calls.
   /// @param codec, observer, log, clock, random Must outlive this object.
   TableFollower(StoreTable table,
-                boost::asio::io_context& io,
-                boost::asio::ip::tcp::endpoint store,
+                std::unique_ptr<HttpCaller> store,
+                std::unique_ptr<DelayTimer> pause_timer,
                 const StoreCodec& codec,
                 TableObserver& observer,
                 EventLog& log,
@@ -102,7 +106,7 @@
 
   /// @return Bytes of the answer to the call in progress received so far.
   size_t received_bytes() const {  // NOLINT
-    return this->store_client.received_bytes();
+    return this->store->received_bytes();
   }
 
   /// @return Number of calls made to the store.
@@ -127,8 +131,8 @@
   EventLog& log;
   const Clock& clock;
   Random& random;
-  SerialHttpClient store_client;
-  boost::asio::steady_timer pause_timer;
+  const std::unique_ptr<HttpCaller> store;
+  const std::unique_ptr<DelayTimer> pause_timer;
   std::vector<StoreRow> rows;     // Of the snapshot that is being read.
   uint64_t snapshot_version = 0;  // Of its first page.
   TableVersions versions;
