gateway: announce rows that are too large to be passed on

Cause: an instance that relies on its peers learned of a large row with their next periodic message, up to 1.2 s later at 195 instances, and then waited 150 ms for the row itself, although it does not fit into a datagram. Change: pollers send a message without rows, over the same two hops as rows; instances that lack the row read it from the store at once.

--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -282,7 +282,12 @@
     peers.push_back({peer.address().to_string(), peer.port()});
   std::vector<RowRecipient> recipients =
       ChooseRecipients(std::move(peers), rank);
-  for (RowMessage& message : SplitIntoMessages(table, after, rows)) {
+  std::vector<RowMessage> messages = SplitIntoMessages(table, after, rows);
+  bool has_all =
+      !messages.empty() && messages.back().up_to == rows.back().version;
+  if (!rows.empty() && !has_all)
+    messages.push_back(AnnouncementOf(table, rows.back().version));
+  for (RowMessage& message : messages) {
     for (const RowRecipient& recipient : recipients) {
       message.forward_to = recipient.forward_to;
       this->SendTo(
--- a/cranberryhill/gateway/row_message.cc
+++ b/cranberryhill/gateway/row_message.cc
@@ -96,6 +96,10 @@
   return messages;
 }
 
+RowMessage AnnouncementOf(StoreTable table, uint64_t version) {
+  return {table, version, version, {}, {}};
+}
+
 std::string EncodeRowMessage(const RowMessage& message) {
   using nlohmann::json;
   json rows = json::array();
--- a/cranberryhill/gateway/row_message.h
+++ b/cranberryhill/gateway/row_message.h
@@ -51,11 +51,16 @@
 /// @param after Version of the table's newest row before `rows`.
 /// @param rows In ascending order of their versions.
 /// @return Messages in order. Ends before the first row that is too large for a
-///     datagram; receivers read it from the store.
+///     datagram; receivers read it from the store, see AnnouncementOf().
 std::vector<RowMessage> SplitIntoMessages(StoreTable table,
                                           uint64_t after,
                                           const std::vector<StoreRow>& rows);
 
+/// @return A message without rows, which tells that the sender has the changes
+///     up to a version. Receivers that lack some read them from the store at
+///     once.
+RowMessage AnnouncementOf(StoreTable table, uint64_t version);
+
 std::string EncodeRowMessage(const RowMessage& message);
 
 /// @return True if the bytes may encode a RowMessage, and not a load message.
--- a/cranberryhill/gateway/row_message_test.cc
+++ b/cranberryhill/gateway/row_message_test.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <string>
 
+#include "cranberryhill/gateway/table_versions.h"
+
 namespace cranberryhill::gateway {
 namespace {
 
@@ -44,6 +46,21 @@
   BOOST_TEST(messages[0].up_to == 1U);
 }
 
+// Guards against an announcement that receivers take for changes without rows.
+BOOST_AUTO_TEST_CASE(announcement_is_no_progress) {
+  RowMessage sent = AnnouncementOf(StoreTable::kConfiguration, 7);
+  auto received =
+      Capture([&] { return DecodeRowMessage(EncodeRowMessage(sent)); });
+  BOOST_REQUIRE(received.ok());
+  TableVersions versions;
+  versions.OnSnapshot(3, {{"a", "v", 3, false}}, false);
+  const RowMessage& message = received.value();
+  BOOST_TEST(
+      versions.OnPeerRows(message.after, message.up_to, message.rows).empty());
+  BOOST_TEST(versions.seen() == 3U);
+  BOOST_TEST(versions.IsBehindPeers());
+}
+
 // Guards against peers that get no rows, and against one instance that has to
 // send hundreds of messages at once.
 BOOST_AUTO_TEST_CASE(every_peer_is_reached_with_few_messages_from_each) {
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -160,7 +160,7 @@
 void TableFollower::OnPeerProgress(const TableProgress& progress) {
   if (this->versions.OnPeerProgress(progress))
     return this->OnSnapshotNeededByPeer(progress.history_lost);
-  this->OnBehindPeers();
+  this->OnBehindPeers(kPeerRowsDelay);
 }
 
 void TableFollower::OnPeerRows(uint64_t after,
@@ -169,19 +169,24 @@
   std::vector<StoreRow> newer = this->versions.OnPeerRows(after, up_to, rows);
   if (!newer.empty())
     this->observer.OnChanges(this->table, newer);
-  this->OnBehindPeers();
+  this->OnBehindPeers(rows.empty() ? absl::ZeroDuration() : kPeerRowsDelay);
 }
 
 /// Polls the store if rows are missing here that peers have received.
-void TableFollower::OnBehindPeers() {
+/// @param wait_for_rows Time in which a peer may still pass the rows on.
+void TableFollower::OnBehindPeers(absl::Duration wait_for_rows) {
   this->UpdateBehindSince();
   if (!this->versions.IsBehindPeers())
     return;
-  if (std::exchange(this->idle, false)) {
+  bool may_call = std::exchange(this->idle, false);
+  if (may_call && wait_for_rows > absl::ZeroDuration()) {
     this->pausing = true;
-    this->ContinueAfter(kPeerRowsDelay);
-    return;
+    return this->ContinueAfter(wait_for_rows);
   }
+  if (may_call)
+    return this->Watch();
+  if (this->pausing && wait_for_rows == absl::ZeroDuration())
+    return this->EndPause();
   // A call for the missing rows, or one whose answer has begun, ends by its own
   // time limit only: restarted calls may never end on a slow link.
   if (!this->watching || this->fetches_missing_rows ||
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -76,7 +76,9 @@
 
   /// Applies changes that a peer has received, unless earlier ones are missing
   /// here.
-  /// @param after All changes from this version to `up_to` are in `rows`.
+  /// @param after All changes from this version to `up_to` are in `rows`. If
+  ///     there are none, the peer has rows that it cannot pass on, and rows
+  ///     that are missing here are read from the store at once.
   /// @param up_to Version of the last of `rows`.
   void OnPeerRows(uint64_t after,
                   uint64_t up_to,
@@ -121,7 +123,7 @@
   void OnFailed(const HttpResult& answer);
   void ContinueAfter(absl::Duration pause);
   void Continue();
-  void OnBehindPeers();
+  void OnBehindPeers(absl::Duration wait_for_rows);
   void UpdateBehindSince();
   void OnSnapshotNeededByPeer(uint64_t snapshot_version);
 
--- a/cranberryhill/gateway/table_follower_fleet_test.cc
+++ b/cranberryhill/gateway/table_follower_fleet_test.cc
@@ -287,7 +287,10 @@
     void OnPolled(StoreTable table,
                   uint64_t after,
                   const std::vector<StoreRow>& rows) override {
-      for (const RowMessage& message : SplitIntoMessages(table, after, rows)) {
+      std::vector<RowMessage> messages = SplitIntoMessages(table, after, rows);
+      if (messages.empty())
+        messages.push_back(AnnouncementOf(table, rows.back().version));
+      for (const RowMessage& message : messages) {
         this->fleet.SendToOthers(*this, [message](TableFollower& receiver) {
           receiver.OnPeerRows(message.after, message.up_to, message.rows);
         });
