forward: tell the crashes of one engine apart by their time

Cause: a crash was identified by the engine's id and the start time in its row. Rows without a start time, or that arrive late, make all crashes of an engine one. Change: a crash is the engine and the time at which it broke off its answers, which instances see within half a second of each other; ages are exchanged.

--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -40,7 +40,8 @@
   using nlohmann::json;
   json crashes = json::array();
   for (const PartCrash& entry : report.crashes)
-    crashes.push_back({entry.part, entry.crash, entry.position});
+    crashes.push_back(
+        {entry.part, entry.engine, EncodedAge(entry.age), entry.position});
   json quarantined = json::array();
   for (const QuarantinedPart& entry : report.quarantined)
     quarantined.push_back({entry.part, EncodedAge(entry.remaining)});
@@ -53,9 +54,9 @@
   using nlohmann::json;
   PromptPartReport report;
   for (const json& entry : fields.at(0)) {
-    report.crashes.push_back({entry.at(0).get<uint64_t>(),
-                              entry.at(1).get<uint64_t>(),
-                              entry.at(2).get<uint32_t>()});
+    report.crashes.push_back(
+        {entry.at(0).get<uint64_t>(), entry.at(1).get<uint64_t>(),
+         DecodedAge(entry.at(2).get<int64_t>()), entry.at(3).get<uint32_t>()});
   }
   for (const json& entry : fields.at(1)) {
     report.quarantined.push_back(
--- a/cranberryhill/forward/prompt_part_quarantine.cc
+++ b/cranberryhill/forward/prompt_part_quarantine.cc
@@ -1,11 +1,8 @@
 #include "cranberryhill/forward/prompt_part_quarantine.h"
 
 #include <algorithm>
-#include <string>
 #include <tuple>
 
-#include "cranberryhill/base/hash.h"
-
 namespace cranberryhill::forward {
 namespace {
 
@@ -17,6 +14,9 @@
 /// of the engines' software can make a sound part crash them, so the time is
 /// shorter than the retention of crashes.
 constexpr absl::Duration kSoundTime = absl::Minutes(1);
+/// Two instances see the same crash at most this far apart. An engine that
+/// crashes needs longer to be back.
+constexpr absl::Duration kCrashTimeTolerance = absl::Milliseconds(500);
 /// Bounds on what is kept.
 constexpr size_t kMaxSuspicions = 1024;
 constexpr size_t kMaxSoundParts = 8192;
@@ -48,8 +48,9 @@
 
 }  // namespace
 
-uint64_t CrashId(std::string_view replica, int64_t started_ms) {
-  return StableHash(std::to_string(started_ms), StableHash(replica));
+bool EngineCrash::IsSameAs(const EngineCrash& other) const {
+  return this->engine == other.engine &&
+         absl::AbsDuration(this->at - other.at) <= kCrashTimeTolerance;
 }
 
 void PromptPartQuarantine::OnAnswered(const PromptDescription& prompt) {
@@ -88,44 +89,52 @@
 }
 
 std::vector<uint64_t> PromptPartQuarantine::OnCrash(
-    uint64_t crash,
+    const EngineCrash& crash,
     std::span<const PromptDescription> suspects) {
   for (const PromptDescription& prompt : suspects) {
     std::span<const PromptPart> parts = SharedParts(prompt);
     for (size_t i = 0; i < parts.size(); ++i)
-      this->AddCrash({parts[i].id, crash, static_cast<uint32_t>(i)});
+      this->AddCrash(parts[i].id, crash, static_cast<uint32_t>(i));
   }
   return this->QuarantineSuspects();
 }
 
-void PromptPartQuarantine::AddCrash(const PartCrash& entry) {
-  absl::Time now = this->clock.Now();
-  if (this->quarantined.contains(entry.part)) {
-    MakeRoom(this->explained_crashes, kMaxExplainedCrashes,
-             [](const auto& item) { return item.second; });
-    this->explained_crashes[entry.crash] = now + kCrashRetention;
-    for (auto& [part, suspicion] : this->suspicions)
-      suspicion.crashes.erase(entry.crash);
+void PromptPartQuarantine::AddCrash(uint64_t part,
+                                    const EngineCrash& crash,
+                                    uint32_t position) {
+  auto is_same = [&crash](const EngineCrash& other) {
+    return crash.IsSameAs(other);
+  };
+  if (this->quarantined.contains(part)) {
+    this->explained_crashes.push_back(crash);
+    if (this->explained_crashes.size() > kMaxExplainedCrashes)
+      this->explained_crashes.pop_front();
+    for (auto& [other, suspicion] : this->suspicions)
+      std::erase_if(suspicion.crashes, is_same);
     return;
   }
-  if (this->IsSound(entry.part)) {
-    if (this->sound_parts[entry.part].own)
-      this->Dispute(entry.part);
+  if (this->IsSound(part)) {
+    if (this->sound_parts[part].own)
+      this->Dispute(part);
     return;
   }
-  if (this->explained_crashes.contains(entry.crash))
+  bool is_explained = std::any_of(this->explained_crashes.begin(),
+                                  this->explained_crashes.end(), is_same);
+  if (is_explained || this->clock.Now() - crash.at > kCrashRetention)
     return;
-  if (!this->suspicions.contains(entry.part)) {
+  if (!this->suspicions.contains(part)) {
     MakeRoom(this->suspicions, kMaxSuspicions,
              [](const auto& item) { return item.second.last_crash_at; });
   }
-  Suspicion& suspicion = this->suspicions[entry.part];
-  suspicion.position = std::max(suspicion.position, entry.position);
+  Suspicion& suspicion = this->suspicions[part];
+  suspicion.position = std::max(suspicion.position, position);
   // Parts that most prompts share would otherwise collect more crashes than the
-  // part that causes them. A repeated report does not make a crash newer.
-  if (suspicion.crashes.size() < kCrashesToQuarantine &&
-      suspicion.crashes.emplace(entry.crash, now).second)
-    suspicion.last_crash_at = now;
+  // part that causes them.
+  if (suspicion.crashes.size() >= kCrashesToQuarantine ||
+      std::any_of(suspicion.crashes.begin(), suspicion.crashes.end(), is_same))
+    return;
+  suspicion.crashes.push_back(crash);
+  suspicion.last_crash_at = std::max(suspicion.last_crash_at, crash.at);
 }
 
 /// Quarantines the parts with enough crashes, those with most crashes first;
@@ -168,8 +177,8 @@
     return;
   Suspicion explained = std::move(found->second);
   this->suspicions.erase(found);
-  for (const auto& [crash, at] : explained.crashes)
-    this->AddCrash({part, crash, explained.position});
+  for (const EngineCrash& crash : explained.crashes)
+    this->AddCrash(part, crash, explained.position);
 }
 
 bool PromptPartQuarantine::IsQuarantined(
@@ -195,19 +204,19 @@
     if (now < until && report.sound.size() < kMaxReportedParts)
       report.sound.push_back(part);
   }
-  std::vector<std::pair<absl::Time, PartCrash>> crashes;
   for (const auto& [part, suspicion] : this->suspicions) {
-    for (const auto& [crash, at] : suspicion.crashes)
-      crashes.push_back({at, {part, crash, suspicion.position}});
-  }
-  std::sort(crashes.begin(), crashes.end(), [](const auto& a, const auto& b) {
-    return std::tuple(a.first, a.second.part, a.second.crash) >
-           std::tuple(b.first, b.second.part, b.second.crash);
-  });
-  for (const auto& [at, entry] : crashes) {
-    if (report.crashes.size() < kMaxReportedCrashes)
-      report.crashes.push_back(entry);
+    for (const EngineCrash& crash : suspicion.crashes) {
+      report.crashes.push_back(
+          {part, crash.engine, now - crash.at, suspicion.position});
+    }
   }
+  std::sort(report.crashes.begin(), report.crashes.end(),
+            [](const PartCrash& a, const PartCrash& b) {
+              return std::tuple(a.age, a.part, a.engine) <
+                     std::tuple(b.age, b.part, b.engine);
+            });
+  if (report.crashes.size() > kMaxReportedCrashes)
+    report.crashes.resize(kMaxReportedCrashes);
   return report;
 }
 
@@ -221,8 +230,9 @@
     else if (this->sound_parts[entry.part].own)
       this->Dispute(entry.part);
   }
+  absl::Time now = this->clock.Now();
   for (const PartCrash& entry : report.crashes)
-    this->AddCrash(entry);
+    this->AddCrash(entry.part, {entry.engine, now - entry.age}, entry.position);
   return this->QuarantineSuspects();
 }
 
@@ -230,14 +240,14 @@
   absl::Time now = this->clock.Now();
   absl::erase_if(this->quarantined,
                  [now](const auto& item) { return item.second <= now; });
-  absl::erase_if(this->explained_crashes,
-                 [now](const auto& item) { return item.second <= now; });
+  auto is_old = [now](const EngineCrash& crash) {
+    return now - crash.at > kCrashRetention;
+  };
+  std::erase_if(this->explained_crashes, is_old);
   absl::erase_if(this->disputed_parts,
                  [now](const auto& item) { return item.second <= now; });
   for (auto& [part, suspicion] : this->suspicions) {
-    absl::erase_if(suspicion.crashes, [now](const auto& item) {
-      return now - item.second > kCrashRetention;
-    });
+    std::erase_if(suspicion.crashes, is_old);
   }
   absl::erase_if(this->suspicions,
                  [](const auto& item) { return item.second.crashes.empty(); });
--- a/cranberryhill/forward/prompt_part_quarantine.h
+++ b/cranberryhill/forward/prompt_part_quarantine.h
@@ -7,7 +7,7 @@
 // engine, but only one of them sent the request that caused it.
 //
 //   PromptPartQuarantine quarantine(clock);
-//   quarantine.OnCrash(CrashId("i-7f3a", started_ms), suspects);
+//   quarantine.OnCrash({StableHash("i-7f3a"), crashed_at}, suspects);
 //   quarantine.OnAnswered(prompt);  // Its parts are sound.
 //   if (quarantine.IsQuarantined(prompt)) ...refuse...
 //
@@ -18,8 +18,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <span>
-#include <string_view>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -32,13 +32,21 @@
 /// Number of engines that one part may crash before it is quarantined.
 inline constexpr size_t kCrashesToQuarantine = 3;
 
-/// @return The id of the crash of this process; the same on all instances.
-uint64_t CrashId(std::string_view replica, int64_t started_ms);
+/// The crash of an engine, as one instance has seen it. Instances see the same
+/// crash at about the same time, and an engine is not back at once, so that the
+/// crashes of one engine can be told apart.
+struct EngineCrash {
+  uint64_t engine = 0;  ///< Hash of its id; the same on all instances.
+  absl::Time at;        ///< When it broke off its answers.
+
+  bool IsSameAs(const EngineCrash& other) const;
+};
 
 /// An engine crashed when it had begun to answer a prompt with this part.
 struct PartCrash {
   uint64_t part = 0;
-  uint64_t crash = 0;
+  uint64_t engine = 0;
+  absl::Duration age;  ///< Time since the crash.
   /// Position of the part in the prompt, from 0. Later parts occur in fewer
   /// prompts than those before them.
   uint32_t position = 0;
@@ -67,11 +75,10 @@
   void OnAnswered(const PromptDescription& prompt);
 
   /// Records the crash of an engine.
-  /// @param crash See CrashId().
   /// @param suspects Prompts to which the engine had begun an answer, without
   ///     having sent a whole event.
   /// @return The parts that are quarantined because of this crash.
-  std::vector<uint64_t> OnCrash(uint64_t crash,
+  std::vector<uint64_t> OnCrash(const EngineCrash& crash,
                                 std::span<const PromptDescription> suspects);
 
   /// @return True if answering the prompt is expected to crash engines.
@@ -90,16 +97,16 @@
 
  private:
   struct Suspicion {
-    absl::flat_hash_map<uint64_t, absl::Time> crashes;  // Time by crash id.
+    std::vector<EngineCrash> crashes;
     uint32_t position = 0;
-    absl::Time last_crash_at;
+    absl::Time last_crash_at = absl::InfinitePast();
   };
   struct SoundPart {
     absl::Time until;
     bool own = false;  // This instance has seen the answer itself.
   };
 
-  void AddCrash(const PartCrash& entry);
+  void AddCrash(uint64_t part, const EngineCrash& crash, uint32_t position);
   void Dispute(uint64_t part);
   void SetSound(uint64_t part, bool own);
   bool IsSound(uint64_t part) const;
@@ -116,8 +123,9 @@
   // Parts that peers suspect, or that were suspect here, to which this instance
   // has seen an answer; until when peers are told.
   absl::flat_hash_map<uint64_t, absl::Time> disputed_parts;
-  // Crashes that a quarantined part has caused, until when they are kept.
-  absl::flat_hash_map<uint64_t, absl::Time> explained_crashes;
+  // Crashes that a quarantined part has caused, in the order of their
+  // discovery.
+  std::deque<EngineCrash> explained_crashes;
 };
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/prompt_part_quarantine_test.cc
+++ b/cranberryhill/forward/prompt_part_quarantine_test.cc
@@ -27,10 +27,12 @@
 }
 
 struct Fixture {
+  /// @param engine The engine that crashes now.
   void Crash(PromptPartQuarantine& quarantine,
-             uint64_t crash,
+             uint64_t engine,
              std::vector<uint64_t> shared_parts) {
-    quarantine.OnCrash(crash, std::vector{MakePrompt(shared_parts)});
+    quarantine.OnCrash({engine, this->clock.Now()},
+                       std::vector{MakePrompt(std::move(shared_parts))});
   }
   bool IsQuarantined(const PromptPartQuarantine& quarantine,
                      std::vector<uint64_t> shared_parts) {
@@ -64,6 +66,20 @@
   BOOST_TEST(!this->IsQuarantined(own, {kFirst, kOther}));
 }
 
+// Guards against counting the crashes of an engine that is back under its id as
+// one crash, and against counting one twice that two instances have seen.
+BOOST_FIXTURE_TEST_CASE(each_crash_of_one_engine_counts_once, Fixture) {
+  for (int crash = 0; crash < 3; ++crash) {
+    BOOST_TEST(!this->IsQuarantined(own, {kOther}));
+    this->Crash(peer, 1, {kOther});
+    this->clock.Advance(absl::Milliseconds(100));
+    this->Crash(own, 1, {kOther});
+    own.Merge(peer.Report());
+    this->clock.Advance(absl::Seconds(1));
+  }
+  BOOST_TEST(this->IsQuarantined(own, {kOther}));
+}
+
 // Guards against the own part of a request being taken for a shared one.
 BOOST_FIXTURE_TEST_CASE(own_part_is_never_suspected, Fixture) {
   for (uint64_t crash = 1; crash <= 9; ++crash)
@@ -273,7 +289,7 @@
       if (now - broken.begun_at >= kFirstEventTime)
         continue;
       this->Schedule(absl::Milliseconds(this->random.UniformInt(1, 50)),
-                     [this, crash = this->crashes, broken = broken] {
+                     [this, crash = EngineCrash{engine, now}, broken = broken] {
                        this->instances[broken.instance]->OnCrash(
                            crash, {&broken.prompt, 1});
                      });
--- a/cranberryhill/forward/replica_crash_quarantine.cc
+++ b/cranberryhill/forward/replica_crash_quarantine.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "cranberryhill/base/hash.h"
+
 namespace cranberryhill::forward {
 namespace {
 
@@ -43,7 +45,7 @@
     if (!send.begun_prompt)
       continue;
     std::vector<uint64_t> parts = this->part_quarantine.OnCrash(
-        CrashId(replica, send.replica_started_ms), {&*send.begun_prompt, 1});
+        {StableHash(replica), entry.broken_at}, {&*send.begun_prompt, 1});
     findings.quarantined_parts.insert(findings.quarantined_parts.end(),
                                       parts.begin(), parts.end());
   }
--- a/cranberryhill/forward/replica_crash_quarantine.h
+++ b/cranberryhill/forward/replica_crash_quarantine.h
@@ -30,8 +30,6 @@
 struct BrokenSend {
   uint64_t fingerprint = 0;  ///< Of the request.
   absl::Time started;
-  /// Start of the replica's process, which distinguishes its crashes.
-  int64_t replica_started_ms = 0;
   /// Set if the answer had begun, but no whole event had arrived.
   std::optional<PromptDescription> begun_prompt;
 };
--- a/cranberryhill/forward/replica_crash_quarantine_test.cc
+++ b/cranberryhill/forward/replica_crash_quarantine_test.cc
@@ -20,7 +20,7 @@
 BOOST_FIXTURE_TEST_CASE(second_confirmed_crash_quarantines_the_request,
                         Fixture) {
   for (const char* replica : {"a", "b"}) {
-    this->crashes.OnBrokenAnswer(replica, {7, this->clock.Now(), 1, {}});
+    this->crashes.OnBrokenAnswer(replica, {7, this->clock.Now(), {}});
     this->clock.Advance(absl::Milliseconds(300));
     BOOST_TEST(this->crashes.OnUnreachable(replica).suspects == 1U);
   }
@@ -31,7 +31,7 @@
 // of replicas that did not crash.
 BOOST_FIXTURE_TEST_CASE(broken_answers_alone_do_not_quarantine, Fixture) {
   for (int i = 0; i < 5; ++i)
-    this->crashes.OnBrokenAnswer("a", {7, this->clock.Now(), 1, {}});
+    this->crashes.OnBrokenAnswer("a", {7, this->clock.Now(), {}});
   BOOST_TEST((this->StatusOf(7) == CrashStatus::kClean));
   this->clock.Advance(absl::Seconds(3));
   BOOST_TEST(this->crashes.OnUnreachable("a").suspects == 0U);
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -504,8 +504,7 @@
     return;
   bool had_begun =
       this->phase == Phase::kRunning && this->has_head && !this->send_has_event;
-  forward::BrokenSend send{this->fingerprint, this->sent_at,
-                           failed->entry.started_ms, std::nullopt};
+  forward::BrokenSend send{this->fingerprint, this->sent_at, std::nullopt};
   if (had_begun)
     send.begun_prompt = this->caller_request.prompt;
   this->context.replica_crash_quarantine.OnBrokenAnswer(failed->entry.id,
