soak: play prompts with a part that crashes engines

Half of the seeds send, for most of the part with faults, prompts with such a part; an engine that begins to answer one sends a part of an event, resets its connections and refuses new ones for a second. The ledger checks the operators' bound: three requests later than 3 s after the fifth crash, from undisturbed gateways. The faults that earlier seeds drew are unchanged.

--- a/programs/gateway_soak.cc
+++ b/programs/gateway_soak.cc
@@ -102,6 +102,12 @@
     };
     for (const Fault& fault : DrawFaults(this->random, faults))
       add(fault);
+    // Drawn apart, so that the other faults of a seed stay the same.
+    SeededRandom part_random(absl::GetFlag(FLAGS_seed) + 1);
+    if (part_random.UniformInt(0, 1) == 0) {
+      add({faults / 8, faults * 0.8, FaultKind::kCrashingPart,
+           part_random.UniformInt(0, 1000)});
+    }
     // Half of the days end with the loss of all gateways.
     this->restart_all_at =
         this->random.UniformInt(0, 1) == 0 ? faults : absl::InfiniteDuration();
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -18,6 +18,10 @@
 constexpr absl::Duration kTimeLeft = absl::Seconds(4);
 constexpr absl::Duration kPatience = absl::Seconds(6);
 
+/// One in this many prompts has the part that crashes engines, while such
+/// prompts are sent.
+constexpr uint64_t kCrashingShare = 4;
+
 struct Kind {
   std::string_view route;
   std::string_view service;
@@ -97,9 +101,12 @@
   size_t gateway = this->random.UniformInt(0, this->fleet.gateways() - 1);
   std::string id = fmt::format("call-{}", ++this->next_id);
   absl::Time now = this->clock.Now();
+  bool crashes_engine = kind.stream && this->fleet.SendsCrashingPart() &&
+                        this->random.UniformInt(0, kCrashingShare - 1) == 0;
   this->ledger.OnSent({id, std::string(kind.service),
                        ExpectedBody(id, kind.stream), kind.may_repeat,
-                       kind.may_repeat ? 2 : 1, now, after_recovery});
+                       kind.may_repeat ? 2 : 1, now, after_recovery, gateway,
+                       crashes_engine});
   auto call = std::make_shared<Call>(*this, gateway, id, now);
   http1::RequestHead head;
   head.method = "POST";
@@ -112,9 +119,11 @@
     uint64_t shared = this->random.UniformInt(1, 20);
     head.headers.Add(platform::kModel, "m");
     head.headers.Add(platform::kTokenCounts, "5000,100");
-    head.headers.Add(
-        platform::kPromptParts,
-        fmt::format("{:x}:4000,{:x}:1000", shared, 0x1000000 + this->next_id));
+    std::string second =
+        crashes_engine ? std::string(kCrashingPart) + "," : std::string();
+    head.headers.Add(platform::kPromptParts,
+                     fmt::format("{:x}:4000,{}{:x}:1000", shared, second,
+                                 0x1000000 + this->next_id));
   }
   std::string body = "body of " + id;
   call->link = this->Acquire(gateway);
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -23,6 +23,10 @@
 constexpr int kShortestWorkMs = 3;
 constexpr int kLongestWorkMs = 40;
 constexpr absl::Duration kEventGap = absl::Milliseconds(15);
+/// An engine ends this long after it began the answer that crashes it, and is
+/// back after the second time.
+constexpr absl::Duration kCrashDelay = absl::Milliseconds(20);
+constexpr absl::Duration kCrashTime = absl::Seconds(1);
 /// Time in which an engine carries out an order.
 constexpr absl::Duration kOrderTime = absl::Milliseconds(300);
 /// Entries that lapsed with the store are back this long after it.
@@ -107,6 +111,7 @@
   std::unique_ptr<LinkProxy> link;
   Mode mode = Mode::kOk;
   int orders = 0;
+  bool crashing = false;  // It has crashed, or is about to.
   absl::Time draining_since = absl::InfiniteFuture();
   std::vector<std::shared_ptr<http1::Responder>> unanswered;
 };
@@ -293,6 +298,12 @@
   bool refuses = server.mode == Server::Mode::kRefuses ||
                  headers.Find(platform::kExpectedReplica) != server.id;
   bool reads_only = headers.Find(platform::kStage).has_value();
+  const SentRequest* sent = this->ledger.Find(id);
+  bool crashes = sent != nullptr && sent->crashes_engine;
+  if (crashes) {
+    this->ledger.OnCrashingArrival(this->clock.Now(),
+                                   this->IsCalm(*this->members[sent->gateway]));
+  }
   if (refuses || !reads_only)
     this->ledger.OnArrival(id, server.id, this->clock.Now(), !refuses);
   if (refuses) {
@@ -320,12 +331,43 @@
     this->ledger.OnViolation(fmt::format(
         "mixed: {} goes on from the cache {} of another request", id, *source));
   }
+  if (crashes)
+    return this->CrashEngine(server, id, *responder);
   int first = 1;
   if (auto last = headers.Find(platform::kLastEventId))
     first = std::stoi(std::string(*last)) + 1;
   this->Run(server, id, first, server.row.service == kEngines, responder);
 }
 
+bool Fleet::IsCalm(const Member& member) const {
+  absl::Time now = this->clock.Now();
+  return now - member.started_at > kCalm &&
+         member.disturbance.CalmSince(now - kCalm);
+}
+
+void Fleet::CrashEngine(Server& server,
+                        std::string_view id,
+                        http1::Responder& responder) {
+  http1::AnswerHead head = StatusSignedHead(id, 200);
+  head.headers.Add("Content-Type", "text/event-stream");
+  responder.BeginStream(std::move(head));
+  responder.SendPart("id: 1\nda");
+  if (std::exchange(server.crashing, true))
+    return;
+  ++this->shared.active;
+  this->After(kCrashDelay, [this, &server] {
+    this->ledger.OnEngineCrash(this->clock.Now());
+    server.link->SetListening(false);
+    server.link->Reset();
+  });
+  this->After(kCrashTime, [this, &server] {
+    server.crashing = false;
+    server.link->SetListening(true);
+    --this->shared.active;
+    this->shared.ended_at = this->clock.Now();
+  });
+}
+
 void Fleet::TakeOrder(Server& server,
                       const http1::IncomingRequest& request,
                       http1::Responder& responder) {
@@ -435,6 +477,9 @@
       return ApplyToLink(*member.callers, LinkFault::kReset, begins);
     case FaultKind::kCallerLinkDelayed:
       return ApplyToLink(*member.callers, LinkFault::kDelayed, begins);
+    case FaultKind::kCrashingPart:
+      this->crashing_parts += begins ? 1 : -1;
+      return;
     case FaultKind::kConfigure:
       return begins ? this->Configure() : void();
     case FaultKind::kRolesChange:
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -36,6 +36,9 @@
 inline constexpr std::string_view kShop = "shop";
 inline constexpr std::string_view kEngines = "lm";
 
+/// A part of prompts; an engine that begins to answer one with it crashes.
+inline constexpr std::string_view kCrashingPart = "dead:200";
+
 /// An instance counts as calm when nothing was disturbed for this long.
 inline constexpr absl::Duration kCalm = absl::Seconds(4);
 
@@ -72,6 +75,9 @@
   /// @return The port at which callers reach a gateway.
   uint16_t CallerPort(size_t gateway) const;
 
+  /// @return True while prompts with kCrashingPart are to be sent.
+  bool SendsCrashingPart() const { return this->crashing_parts > 0; }
+
   /// @return True when neither this gateway nor anything that all of them use
   ///     was disturbed since `from`.
   bool Undisturbed(size_t gateway, absl::Time from) const;
@@ -106,6 +112,10 @@
            int first_event,
            bool stream,
            const std::shared_ptr<http1::Responder>& responder);
+  void CrashEngine(Server& server,
+                   std::string_view id,
+                   http1::Responder& responder);
+  bool IsCalm(const Member& member) const;
   void After(absl::Duration wait, std::function<void()> action);
   void Apply(const Fault& fault, bool begins);
   void ChangeRoles();
@@ -126,6 +136,7 @@
   Disturbance shared;  // Of the store and of replicas.
   int version = 0;     // Of the configuration.
   int store_outages = 0;
+  int crashing_parts = 0;
 };
 
 }  // namespace cranberryhill::soak
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -51,6 +51,16 @@
   this->requests.find(id)->second.answers.push_back(std::move(answer));
 }
 
+const SentRequest* Ledger::Find(std::string_view id) const {
+  auto found = this->requests.find(id);
+  return found == this->requests.end() ? nullptr : &found->second.sent;
+}
+
+void Ledger::OnCrashingArrival(absl::Time now, bool gateway_calm) {
+  if (gateway_calm)
+    this->crashing_arrivals.push_back(now);
+}
+
 void Ledger::OnOrder(std::string_view replica,
                      std::string_view holder,
                      uint64_t fencing_token,
@@ -189,6 +199,23 @@
   }
 }
 
+void Ledger::CheckCrashingRequests(std::vector<std::string>& out) const {
+  size_t known_after = this->bounds.known_after_crashes;
+  if (this->crashes.size() < known_after)
+    return;
+  absl::Time known_at =
+      this->crashes[known_after - 1] + this->bounds.stable_window;
+  auto late = static_cast<size_t>(std::count_if(
+      this->crashing_arrivals.begin(), this->crashing_arrivals.end(),
+      [known_at](absl::Time at) { return at > known_at; }));
+  if (late > this->bounds.late_crashing_requests) {
+    out.push_back(fmt::format(
+        "budget: {} requests that crash engines reached engines too late; {} "
+        "engines crashed",
+        late, this->crashes.size()));
+  }
+}
+
 std::vector<std::string> Ledger::Violations() const {
   std::vector<std::string> out = this->seen;
   for (const auto& [id, request] : this->requests)
@@ -196,6 +223,7 @@
   this->CheckRetries(out);
   this->CheckOrders(out);
   this->CheckRecovery(out);
+  this->CheckCrashingRequests(out);
   return out;
 }
 
@@ -218,7 +246,8 @@
   size_t orders = 0;
   for (const auto& [replica, list] : this->orders)
     orders += list.size();
-  return line + fmt::format(" orders={}", orders);
+  return line +
+         fmt::format(" orders={} crashes={}", orders, this->crashes.size());
 }
 
 }  // namespace cranberryhill::soak
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -10,6 +10,7 @@
 //   ledger.OnAnswer("attempt-1", answer);
 //   for (const std::string& line : ledger.Violations()) ...
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -29,6 +30,9 @@
   absl::Time at;
   /// Sent after all faults had ended and the recovery time had passed.
   bool after_recovery = false;
+  size_t gateway = 0;  ///< Index of the gateway that got it.
+  /// An engine that begins to answer it crashes.
+  bool crashes_engine = false;
 };
 
 /// How a request ended for its caller.
@@ -55,6 +59,11 @@
   /// Requests that may reach more replicas than their route allows: replicas
   /// that ended meanwhile do not count, and this cannot be told from outside.
   int over_attempts = 3;
+  /// Requests that crash engines and reach an engine later than `stable_window`
+  /// after the crash with this number, from gateways without disturbance.
+  size_t known_after_crashes = 5;
+  absl::Duration stable_window = absl::Seconds(3);
+  size_t late_crashing_requests = 3;
 };
 
 /// Not thread-safe.
@@ -72,6 +81,16 @@
 
   void OnAnswer(std::string_view id, Answer answer);
 
+  /// @return The request, or null if nobody sent it.
+  const SentRequest* Find(std::string_view id) const;
+
+  /// A request that crashes engines reached one.
+  /// @param gateway_calm The gateway that sent it there was not disturbed
+  /// lately.
+  void OnCrashingArrival(absl::Time now, bool gateway_calm);
+
+  void OnEngineCrash(absl::Time now) { this->crashes.push_back(now); }
+
   /// An engine got an order.
   void OnOrder(std::string_view replica,
                std::string_view holder,
@@ -110,10 +129,13 @@
   void CheckRetries(std::vector<std::string>& out) const;
   void CheckOrders(std::vector<std::string>& out) const;
   void CheckRecovery(std::vector<std::string>& out) const;
+  void CheckCrashingRequests(std::vector<std::string>& out) const;
 
   const LedgerBounds bounds;
   std::map<std::string, Request, std::less<>> requests;
   std::map<std::string, std::vector<Order>, std::less<>> orders;
+  std::vector<absl::Time> crashes;
+  std::vector<absl::Time> crashing_arrivals;  // From calm gateways.
   std::vector<std::string> seen;
 };
 
--- a/soak/ledger_test.cc
+++ b/soak/ledger_test.cc
@@ -123,5 +123,19 @@
   BOOST_TEST(this->BrokenIs("budget"));
 }
 
+BOOST_FIXTURE_TEST_CASE(late_requests_that_crash_engines_are_found, Fixture) {
+  for (int i = 0; i < 5; ++i)
+    this->ledger.OnEngineCrash(this->now);
+  for (int i = 0; i < 9; ++i) {
+    this->ledger.OnCrashingArrival(this->now + absl::Seconds(2), true);
+    this->ledger.OnCrashingArrival(this->now + absl::Seconds(4), false);
+  }
+  for (int i = 0; i < 3; ++i)
+    this->ledger.OnCrashingArrival(this->now + absl::Seconds(4), true);
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->ledger.OnCrashingArrival(this->now + absl::Seconds(4), true);
+  BOOST_TEST(this->BrokenIs("budget"));
+}
+
 }  // namespace
 }  // namespace cranberryhill::soak
--- a/soak/link_proxy.cc
+++ b/soak/link_proxy.cc
@@ -118,7 +118,10 @@
 };
 
 LinkProxy::LinkProxy(asio::io_context& io, uint16_t target_port)
-    : io(io), target(Loopback(target_port)), acceptor(io, Loopback(0)) {
+    : io(io),
+      target(Loopback(target_port)),
+      acceptor(io, Loopback(0)),
+      address(this->acceptor.local_endpoint()) {
   this->Accept();
 }
 
@@ -127,7 +130,7 @@
 }
 
 uint16_t LinkProxy::port() const {
-  return this->acceptor.local_endpoint().port();
+  return this->address.port();
 }
 
 void LinkProxy::Accept() {
@@ -143,6 +146,17 @@
   });
 }
 
+void LinkProxy::SetListening(bool listens) {
+  if (listens == this->acceptor.is_open())
+    return;
+  if (!listens) {
+    this->acceptor.close();
+    return;
+  }
+  this->acceptor = tcp::acceptor(this->io, this->address);
+  this->Accept();
+}
+
 void LinkProxy::Reset() {
   for (const auto& weak : this->sessions) {
     if (auto session = weak.lock())
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -36,6 +36,10 @@
   /// Resets all connections.
   void Reset();
 
+  /// Refuses new connections while false, as an address at which nothing
+  /// listens.
+  void SetListening(bool listens);
+
  private:
   class Session;
 
@@ -44,6 +48,7 @@
   boost::asio::io_context& io;
   const boost::asio::ip::tcp::endpoint target;
   boost::asio::ip::tcp::acceptor acceptor;
+  const boost::asio::ip::tcp::endpoint address;
   LinkState state;
   std::vector<std::weak_ptr<Session>> sessions;
 };
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -39,6 +39,7 @@
     "store_forgets",
     "registry_lapses",
     "configure",
+    "crashing_part",
 };
 
 }  // namespace
@@ -61,7 +62,7 @@
     Fault fault = repeats ? faults.back() : Fault{};
     if (!repeats) {
       fault.kind =
-          static_cast<FaultKind>(random.UniformInt(0, kFaultKinds - 1));
+          static_cast<FaultKind>(random.UniformInt(0, kDrawnFaultKinds - 1));
       fault.target = random.UniformInt(0, 1000);
     }
     fault.at = at;
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -38,8 +38,12 @@
   kStoreForgets,       ///< Drops its history.
   kRegistryLapses,     ///< Entries are gone while the store is down.
   kConfigure,          ///< A new version moves routes.
+  kCrashingPart,       ///< Engines crash when they answer certain prompts.
 };
-inline constexpr size_t kFaultKinds = 25;
+inline constexpr size_t kFaultKinds = 26;
+/// The kinds that DrawFaults() draws come first, so that later ones do not
+/// change what a seed means.
+inline constexpr size_t kDrawnFaultKinds = 25;
 
 std::string_view FaultName(FaultKind kind);
 
