forward: date the crashes that peers report by their clocks

Cause: the time of a reported crash was its age before the receipt of the message. An instance that was paused reads all messages that came meanwhile at once; one crash then has as many times as there are messages, counts three times, and a part that was at the engine by chance is refused everywhere. Found by reading the change; no run has shown it. Change: reports carry the sender's clock, and PeerClocks converts it by the offset of the fastest message. An instance passes on only crashes that it has seen itself.

--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -45,8 +45,8 @@
   json quarantined = json::array();
   for (const QuarantinedPart& entry : report.quarantined)
     quarantined.push_back({entry.part, EncodedAge(entry.remaining)});
-  return json::array(
-      {std::move(crashes), std::move(quarantined), report.sound});
+  return json::array({std::move(crashes), std::move(quarantined), report.sound,
+                      absl::ToUnixMillis(report.sent_at)});
 }
 
 /// @throws nlohmann::json::exception when a field has the wrong type.
@@ -63,6 +63,7 @@
         {entry.at(0).get<uint64_t>(), DecodedAge(entry.at(1).get<int64_t>())});
   }
   report.sound = fields.at(2).get<std::vector<uint64_t>>();
+  report.sent_at = absl::FromUnixMillis(fields.at(3).get<int64_t>());
   return report;
 }
 
--- a/cranberryhill/forward/prompt_part_quarantine.cc
+++ b/cranberryhill/forward/prompt_part_quarantine.cc
@@ -94,16 +94,17 @@
   for (const PromptDescription& prompt : suspects) {
     std::span<const PromptPart> parts = SharedParts(prompt);
     for (size_t i = 0; i < parts.size(); ++i)
-      this->AddCrash(parts[i].id, crash, static_cast<uint32_t>(i));
+      this->AddCrash(parts[i].id, {crash, true}, static_cast<uint32_t>(i));
   }
   return this->QuarantineSuspects();
 }
 
 void PromptPartQuarantine::AddCrash(uint64_t part,
-                                    const EngineCrash& crash,
+                                    const SuspectCrash& added,
                                     uint32_t position) {
-  auto is_same = [&crash](const EngineCrash& other) {
-    return crash.IsSameAs(other);
+  const EngineCrash& crash = added.crash;
+  auto is_same = [&crash](const SuspectCrash& other) {
+    return crash.IsSameAs(other.crash);
   };
   if (this->quarantined.contains(part)) {
     this->explained_crashes.push_back(crash);
@@ -118,8 +119,9 @@
       this->Dispute(part);
     return;
   }
-  bool is_explained = std::any_of(this->explained_crashes.begin(),
-                                  this->explained_crashes.end(), is_same);
+  bool is_explained = std::any_of(
+      this->explained_crashes.begin(), this->explained_crashes.end(),
+      [&crash](const EngineCrash& other) { return crash.IsSameAs(other); });
   if (is_explained || this->clock.Now() - crash.at > kCrashRetention)
     return;
   if (!this->suspicions.contains(part)) {
@@ -128,12 +130,17 @@
   }
   Suspicion& suspicion = this->suspicions[part];
   suspicion.position = std::max(suspicion.position, position);
+  auto known =
+      std::find_if(suspicion.crashes.begin(), suspicion.crashes.end(), is_same);
+  if (known != suspicion.crashes.end()) {
+    known->own = known->own || added.own;
+    return;
+  }
   // Parts that most prompts share would otherwise collect more crashes than the
   // part that causes them.
-  if (suspicion.crashes.size() >= kCrashesToQuarantine ||
-      std::any_of(suspicion.crashes.begin(), suspicion.crashes.end(), is_same))
+  if (suspicion.crashes.size() >= kCrashesToQuarantine)
     return;
-  suspicion.crashes.push_back(crash);
+  suspicion.crashes.push_back(added);
   suspicion.last_crash_at = std::max(suspicion.last_crash_at, crash.at);
 }
 
@@ -177,8 +184,8 @@
     return;
   Suspicion explained = std::move(found->second);
   this->suspicions.erase(found);
-  for (const EngineCrash& crash : explained.crashes)
-    this->AddCrash(part, crash, explained.position);
+  for (const SuspectCrash& entry : explained.crashes)
+    this->AddCrash(part, entry, explained.position);
 }
 
 bool PromptPartQuarantine::IsQuarantined(
@@ -196,6 +203,7 @@
 PromptPartReport PromptPartQuarantine::Report() const {
   PromptPartReport report;
   absl::Time now = this->clock.Now();
+  report.sent_at = now;
   for (const auto& [part, until] : this->quarantined) {
     if (now < until && report.quarantined.size() < kMaxReportedParts)
       report.quarantined.push_back({part, until - now});
@@ -205,9 +213,11 @@
       report.sound.push_back(part);
   }
   for (const auto& [part, suspicion] : this->suspicions) {
-    for (const EngineCrash& crash : suspicion.crashes) {
+    for (const SuspectCrash& entry : suspicion.crashes) {
+      if (!entry.own)
+        continue;
       report.crashes.push_back(
-          {part, crash.engine, now - crash.at, suspicion.position});
+          {part, entry.crash.engine, now - entry.crash.at, suspicion.position});
     }
   }
   std::sort(report.crashes.begin(), report.crashes.end(),
@@ -221,7 +231,9 @@
 }
 
 std::vector<uint64_t> PromptPartQuarantine::Merge(
-    const PromptPartReport& report) {
+    const PromptPartReport& report,
+    uint64_t sender) {
+  absl::Time sent_at = this->peer_clocks.OwnTime(sender, report.sent_at);
   for (uint64_t part : report.sound)
     this->SetSound(part, false);
   for (const QuarantinedPart& entry : report.quarantined) {
@@ -230,9 +242,10 @@
     else if (this->sound_parts[entry.part].own)
       this->Dispute(entry.part);
   }
-  absl::Time now = this->clock.Now();
-  for (const PartCrash& entry : report.crashes)
-    this->AddCrash(entry.part, {entry.engine, now - entry.age}, entry.position);
+  for (const PartCrash& entry : report.crashes) {
+    this->AddCrash(entry.part, {{entry.engine, sent_at - entry.age}, false},
+                   entry.position);
+  }
   return this->QuarantineSuspects();
 }
 
@@ -247,7 +260,9 @@
   absl::erase_if(this->disputed_parts,
                  [now](const auto& item) { return item.second <= now; });
   for (auto& [part, suspicion] : this->suspicions) {
-    std::erase_if(suspicion.crashes, is_old);
+    std::erase_if(suspicion.crashes, [&is_old](const SuspectCrash& entry) {
+      return is_old(entry.crash);
+    });
   }
   absl::erase_if(this->suspicions,
                  [](const auto& item) { return item.second.crashes.empty(); });
--- a/cranberryhill/forward/prompt_part_quarantine.h
+++ b/cranberryhill/forward/prompt_part_quarantine.h
@@ -25,6 +25,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
+#include "cranberryhill/forward/peer_clocks.h"
 #include "cranberryhill/forward/prompt.h"
 
 namespace cranberryhill::forward {
@@ -59,6 +60,9 @@
 
 /// What an instance tells its peers.
 struct PromptPartReport {
+  absl::Time sent_at;  ///< By the sender's clock.
+  /// Those that the sender has seen itself. What peers told it is not passed
+  /// on, so that no error of a clock adds up.
   std::vector<PartCrash> crashes;
   std::vector<QuarantinedPart> quarantined;
   /// Parts of crashes to which this instance itself has seen a whole answer.
@@ -69,7 +73,8 @@
 class PromptPartQuarantine {
  public:
   /// @param clock Must outlive this object.
-  explicit PromptPartQuarantine(const Clock& clock) : clock(clock) {}
+  explicit PromptPartQuarantine(const Clock& clock)
+      : clock(clock), peer_clocks(clock) {}
 
   /// Records that an answer to the prompt was completed.
   void OnAnswered(const PromptDescription& prompt);
@@ -88,16 +93,19 @@
   PromptPartReport Report() const;
 
   /// Merges a report of a peer. Reports may be lost, repeated or reordered.
+  /// @param sender The peer's process; a restarted one has another number.
   /// @return The parts that are quarantined because of it.
-  std::vector<uint64_t> Merge(const PromptPartReport& report);
+  std::vector<uint64_t> Merge(const PromptPartReport& report, uint64_t sender);
 
-  size_t quarantined_count() const {
-    return this->quarantined.size();
-  }  // NOLINT
+  size_t QuarantinedCount() const { return this->quarantined.size(); }
 
  private:
+  struct SuspectCrash {
+    EngineCrash crash;
+    bool own = false;  // This instance has seen it itself.
+  };
   struct Suspicion {
-    std::vector<EngineCrash> crashes;
+    std::vector<SuspectCrash> crashes;
     uint32_t position = 0;
     absl::Time last_crash_at = absl::InfinitePast();
   };
@@ -106,7 +114,7 @@
     bool own = false;  // This instance has seen the answer itself.
   };
 
-  void AddCrash(uint64_t part, const EngineCrash& crash, uint32_t position);
+  void AddCrash(uint64_t part, const SuspectCrash& added, uint32_t position);
   void Dispute(uint64_t part);
   void SetSound(uint64_t part, bool own);
   bool IsSound(uint64_t part) const;
@@ -116,9 +124,10 @@
   void RemoveExpired();
 
   const Clock& clock;
+  PeerClocks peer_clocks;
   absl::flat_hash_map<uint64_t, Suspicion> suspicions;  // By part.
-  absl::flat_hash_map<uint64_t, absl::Time>
-      quarantined;  // Until when, by part.
+  // Until when, by part.
+  absl::flat_hash_map<uint64_t, absl::Time> quarantined;
   absl::flat_hash_map<uint64_t, SoundPart> sound_parts;
   // Parts that peers suspect, or that were suspect here, to which this instance
   // has seen an answer; until when peers are told.
--- a/cranberryhill/forward/prompt_part_quarantine_test.cc
+++ b/cranberryhill/forward/prompt_part_quarantine_test.cc
@@ -16,6 +16,9 @@
 constexpr uint64_t kFirst = 1;
 constexpr uint64_t kCrashing = 2;
 constexpr uint64_t kOther = 3;
+/// Numbers of processes.
+constexpr uint64_t kOwn = 11;
+constexpr uint64_t kPeer = 12;
 
 /// @param shared_parts Ids of the parts before the prompt's own part.
 PromptDescription MakePrompt(std::vector<uint64_t> shared_parts) {
@@ -74,7 +77,7 @@
     this->Crash(peer, 1, {kOther});
     this->clock.Advance(absl::Milliseconds(100));
     this->Crash(own, 1, {kOther});
-    own.Merge(peer.Report());
+    own.Merge(peer.Report(), kPeer);
     this->clock.Advance(absl::Seconds(1));
   }
   BOOST_TEST(this->IsQuarantined(own, {kOther}));
@@ -106,10 +109,10 @@
 BOOST_FIXTURE_TEST_CASE(whole_answer_ends_the_quarantine_everywhere, Fixture) {
   for (uint64_t crash = 1; crash <= 3; ++crash)
     this->Crash(own, crash, {kOther});
-  peer.Merge(own.Report());
+  peer.Merge(own.Report(), kOwn);
   BOOST_TEST(this->IsQuarantined(peer, {kOther}));
   own.OnAnswered(MakePrompt({kOther}));
-  peer.Merge(own.Report());
+  peer.Merge(own.Report(), kOwn);
   BOOST_TEST(!this->IsQuarantined(own, {kOther}));
   BOOST_TEST(!this->IsQuarantined(peer, {kOther}));
 }
@@ -120,8 +123,8 @@
   own.OnAnswered(MakePrompt({kOther}));
   this->Crash(peer, 1, {kOther});
   this->Crash(peer, 2, {kOther});
-  own.Merge(peer.Report());
-  peer.Merge(own.Report());
+  own.Merge(peer.Report(), kPeer);
+  peer.Merge(own.Report(), kOwn);
   this->Crash(peer, 3, {kOther});
   BOOST_TEST(!this->IsQuarantined(peer, {kOther}));
 }
@@ -133,23 +136,38 @@
     this->Crash(own, crash, {kOther});
     this->Crash(peer, crash, {kOther});
     for (int repeat = 0; repeat < 3; ++repeat) {
-      own.Merge(peer.Report());
-      peer.Merge(own.Report());
+      own.Merge(peer.Report(), kPeer);
+      peer.Merge(own.Report(), kOwn);
     }
   }
   BOOST_TEST(!this->IsQuarantined(own, {kOther}));
   this->Crash(peer, 3, {kOther});
-  own.Merge(peer.Report());
+  own.Merge(peer.Report(), kPeer);
   BOOST_TEST(this->IsQuarantined(own, {kOther}));
 }
 
+// Guards against an instance that was paused, and takes the messages that it
+// reads late for reports of further crashes.
+BOOST_FIXTURE_TEST_CASE(messages_read_late_tell_of_no_further_crash, Fixture) {
+  own.Merge(peer.Report(), kPeer);
+  this->Crash(peer, 1, {kOther});
+  std::vector<PromptPartReport> unread;
+  for (int message = 0; message < 5; ++message) {
+    unread.push_back(peer.Report());
+    this->clock.Advance(absl::Seconds(1));
+  }
+  for (const PromptPartReport& report : unread)
+    own.Merge(report, kPeer);
+  BOOST_TEST(!this->IsQuarantined(own, {kOther}));
+}
+
 // Guards against instances that renew each other's quarantine for good.
 BOOST_FIXTURE_TEST_CASE(quarantine_ends_although_peers_repeat_it, Fixture) {
   for (uint64_t crash = 1; crash <= 3; ++crash)
     this->Crash(own, crash, {kOther});
   for (int minute = 0; minute < 11; ++minute) {
-    peer.Merge(own.Report());
-    own.Merge(peer.Report());
+    peer.Merge(own.Report(), kOwn);
+    own.Merge(peer.Report(), kPeer);
     this->clock.Advance(absl::Minutes(1));
   }
   BOOST_TEST(!this->IsQuarantined(own, {kOther}));
@@ -235,13 +253,14 @@
   }
 
   void SendReports() {
-    for (const auto& sender : this->instances) {
+    for (size_t i = 0; i < this->instances.size(); ++i) {
+      const auto& sender = this->instances[i];
       PromptPartReport report = sender->Report();
       for (const auto& receiver : this->instances) {
         if (receiver == sender || this->random.UniformInt(0, 9) == 0)
           continue;
         this->Schedule(absl::Milliseconds(this->random.UniformInt(1, 50)),
-                       [&receiver, report] { receiver->Merge(report); });
+                       [&receiver, report, i] { receiver->Merge(report, i); });
       }
     }
     if (this->clock.Now() < absl::UnixEpoch() + kSimulatedTime)
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -657,7 +657,7 @@
       absl::ToDoubleSeconds(this->replica_follower.TimeBehindPeers()));
   this->metrics.SetGauge(
       "quarantined_prompt_parts",
-      static_cast<double>(this->prompt_part_quarantine.quarantined_count()));
+      static_cast<double>(this->prompt_part_quarantine.QuarantinedCount()));
   this->metrics.SetGauge("registry_age_seconds",
                          absl::ToDoubleSeconds(this->store_contact.Age()));
   this->metrics.SetGauge(
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -192,8 +192,8 @@
 }
 
 void PeerLink::MergePromptParts(const forward::LoadMessage& message) {
-  for (uint64_t part :
-       this->prompt_part_quarantine.Merge(message.prompt_parts)) {
+  for (uint64_t part : this->prompt_part_quarantine.Merge(
+           message.prompt_parts, message.incarnation)) {
     this->log.Write(LogEvent("prompt_part_quarantined")
                         .Add("part", fmt::format("{:x}", part))
                         .Add("reason", "crashes_seen_by_peers")
