--- a/cranberryhill/forward/prompt_part_quarantine_test.cc
+++ b/cranberryhill/forward/prompt_part_quarantine_test.cc
@@ -21,7 +21,7 @@
 constexpr uint64_t kPeer = 12;
 
 /// @param shared_parts Ids of the parts before the prompt's own part.
-PromptDescription MakePrompt(std::vector<uint64_t> shared_parts) {
+PromptDescription MakePrompt(const std::vector<uint64_t>& shared_parts) {
   PromptDescription prompt;
   for (uint64_t id : shared_parts)
     prompt.parts.push_back({id, 100});
@@ -33,13 +33,13 @@
   /// @param engine The engine that crashes now.
   void Crash(PromptPartQuarantine& quarantine,
              uint64_t engine,
-             std::vector<uint64_t> shared_parts) {
+             const std::vector<uint64_t>& shared_parts) {
     quarantine.OnCrash({engine, this->clock.Now()},
-                       std::vector{MakePrompt(std::move(shared_parts))});
+                       std::vector{MakePrompt(shared_parts)});
   }
   bool IsQuarantined(const PromptPartQuarantine& quarantine,
-                     std::vector<uint64_t> shared_parts) {
-    return quarantine.IsQuarantined(MakePrompt(std::move(shared_parts)));
+                     const std::vector<uint64_t>& shared_parts) {
+    return quarantine.IsQuarantined(MakePrompt(shared_parts));
   }
 
   ManualClock clock;
--- a/standins/gateway_platform/closing_replica.cc
+++ b/standins/gateway_platform/closing_replica.cc
@@ -104,8 +104,7 @@
                                std::string_view content_type,
                                std::string_view body,
                                ConnectionEnd end)
-    : io(io),
-      acceptor(io, {asio::ip::make_address("127.0.0.1"), 0}),
+    : acceptor(io, {asio::ip::make_address("127.0.0.1"), 0}),
       content_type(content_type),
       body(body),
       end(end) {
--- a/standins/gateway_platform/closing_replica.h
+++ b/standins/gateway_platform/closing_replica.h
@@ -37,7 +37,6 @@
 
   void Accept();
 
-  boost::asio::io_context& io;
   boost::asio::ip::tcp::acceptor acceptor;
   const std::string content_type;
   const std::string body;
