gateway: log the limits that replicas name

Cause: no log line and no figure tells which requests per second a replica says it takes, so that the hypotheses of the incident cannot be told apart. Nothing is decided by it yet.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -330,6 +330,7 @@
     this->context.replicas.OnLoadReport(*this->replica,
                                         *this->answer_info.load);
   }
+  this->LearnLimit();
   bool success =
       this->answer_head.status >= 200 && this->answer_head.status < 300;
   this->relaying_events = this->phase == Phase::kRunning && success &&
@@ -337,6 +338,19 @@
                           this->answer_info.is_event_stream;
 }
 
+void Exchange::LearnLimit() {
+  std::optional<double> limit = this->answer_info.requests_per_s;
+  // Another process may have answered at the address of the replica.
+  if (this->answer_info.wrong_instance ||
+      !this->context.replica_limits.OnAnswer(this->replica->entry.id, limit))
+    return;
+  this->context.log.Write(
+      this->MakeLogEvent("replica_limit_changed")
+          .Add("replica", this->replica->entry.id)
+          .Add("requests_per_s", limit ? fmt::format("{}", *limit) : "none")
+          .Add("outstanding", this->replica->outstanding));
+}
+
 void Exchange::OnBody(std::string_view data) {
   auto self = this->shared_from_this();
   this->context.reachability.OnHeard(*this->replica);
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -26,6 +26,7 @@
 #include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/reachability.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
+#include "cranberryhill/forward/replica_limits.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
 #include "cranberryhill/gateway/connection_pool.h"
@@ -48,6 +49,7 @@
   CrashQuarantine& crash_quarantine;
   forward::PromptPartQuarantine& prompt_part_quarantine;
   forward::ReplicaCrashQuarantine& replica_crash_quarantine;
+  forward::ReplicaLimits& replica_limits;
   const forward::Placement& placement;
   forward::EngineSpeedModels& engine_speeds;
   forward::Reachability& reachability;
@@ -112,6 +114,7 @@
       const std::shared_ptr<forward::Replica>& refused);
   void RelayEvents(std::string_view data);
   void OnAnswerTooLarge();
+  void LearnLimit();
   void LearnFromFirstEvent();
   absl::Duration TookAtUsualSpeed(const forward::Replica& replica) const;
   void ReleaseCache();
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -78,6 +78,7 @@
       replica_crash_quarantine(this->crash_quarantine,
                                this->prompt_part_quarantine,
                                clock),
+      replica_limits(clock),
       engine_speeds(clock),
       placement(this->settings.availability_zone, this->engine_speeds),
       reachability(clock),
@@ -91,6 +92,7 @@
           this->crash_quarantine,
           this->prompt_part_quarantine,
           this->replica_crash_quarantine,
+          this->replica_limits,
           this->placement,
           this->engine_speeds,
           this->reachability,
@@ -623,6 +625,8 @@
          {"avoided", now < replica->avoid_until},
          {"unreachable", replica->unreachable},
          {"failure_rate", replica->failure_rate},
+         {"limited_to_per_s",
+          this->replica_limits.RateOf(replica->entry.id).value_or(-1)},
          {"outstanding", replica->outstanding}});
   }
   for (const std::string& service : this->engine_speeds.Services()) {
@@ -658,6 +662,8 @@
   this->metrics.SetGauge(
       "quarantined_prompt_parts",
       static_cast<double>(this->prompt_part_quarantine.QuarantinedCount()));
+  this->metrics.SetGauge("limited_replicas",
+                         static_cast<double>(this->replica_limits.size()));
   this->metrics.SetGauge("registry_age_seconds",
                          absl::ToDoubleSeconds(this->store_contact.Age()));
   this->metrics.SetGauge(
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -30,6 +30,7 @@
 #include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/reachability.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
+#include "cranberryhill/forward/replica_limits.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
 #include "cranberryhill/gateway/connect_probe.h"
@@ -137,6 +138,7 @@
   CrashQuarantine crash_quarantine;
   forward::PromptPartQuarantine prompt_part_quarantine;
   forward::ReplicaCrashQuarantine replica_crash_quarantine;
+  forward::ReplicaLimits replica_limits;
   forward::EngineSpeedModels engine_speeds;
   forward::Placement placement;
   forward::Reachability reachability;
--- a/cranberryhill/gateway/wire_format.h
+++ b/cranberryhill/gateway/wire_format.h
@@ -45,6 +45,9 @@
   bool wrong_instance = false;  ///< Reached another replica than intended.
   bool is_event_stream = false;
   std::optional<forward::ReplicaLoadReport> load;
+  /// Requests per second that the replica takes from all instances together;
+  /// unset while it takes any number.
+  std::optional<double> requests_per_s;
 };
 
 /// The role of an engine and its progress with orders, as reported by the
