gateway: share what limited replicas take among all instances

What callers saw: replicas in need that named 5.9 and 7.7 requests/s got 105 and 116 requests in 4 s, where 40 and 51 were allowed. Cause: no part of the gateway read the limit. Class: what a replica says about itself in an answer is read by nobody, or concerns the whole fleet and is known only to the instance that got the answer. Change: instances exchange the limits named to them (forward/replica_limits). Each limited replica has one live instance that issues permits for it, by hash; every send to the replica waits for one (gateway/send_permits): first sends, repeats and both stages. Orders and releases of caches cannot wait and are deducted. An instance that is denied chooses another replica, or refuses at once with the time at which a permit may be had.

--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -1,7 +1,9 @@
 #include "cranberryhill/forward/peer_load_sync.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "cranberryhill/base/hash.h"
@@ -17,9 +19,15 @@
 /// messages, is removed. Between two messages of a live peer, one may get lost.
 constexpr absl::Duration kMinPeerTimeout = absl::Seconds(1);
 constexpr int kPeerTimeoutIntervals = 3;
+/// A peer that sent nothing for this long counts as gone for good. Before, it
+/// may be on the other side of a network partition.
+constexpr absl::Duration kGoneAfter = absl::Minutes(1);
+
+/// Stands for the absence of a limit.
+constexpr double kNoLimit = -1;
 
 /// First element of every message; incremented when the format changes.
-constexpr int kFormatVersion = 7;
+constexpr int kFormatVersion = 8;
 
 /// @return Milliseconds, or -1 for an infinite duration.
 int64_t EncodedAge(absl::Duration age) {
@@ -67,6 +75,29 @@
   return report;
 }
 
+nlohmann::json EncodeLimits(const std::vector<ReplicaLimitReport>& limits) {
+  using nlohmann::json;
+  json encoded = json::array();
+  for (const ReplicaLimitReport& entry : limits) {
+    encoded.push_back({entry.replica, entry.requests_per_s.value_or(kNoLimit),
+                       EncodedAge(entry.age)});
+  }
+  return encoded;
+}
+
+/// @throws nlohmann::json::exception when a field has the wrong type.
+std::vector<ReplicaLimitReport> DecodeLimits(const nlohmann::json& fields) {
+  std::vector<ReplicaLimitReport> limits;
+  for (const nlohmann::json& entry : fields) {
+    auto rate = entry.at(1).get<double>();
+    bool is_limited = std::isfinite(rate) && rate >= 0;
+    limits.push_back({entry.at(0).get<std::string>(),
+                      is_limited ? std::optional(rate) : std::nullopt,
+                      DecodedAge(entry.at(2).get<int64_t>())});
+  }
+  return limits;
+}
+
 }  // namespace
 
 std::string EncodeLoadMessage(const LoadMessage& message) {
@@ -102,7 +133,8 @@
                    message.table_versions, message.partial, engine_speeds,
                    message.unreachable_replicas,
                    EncodedAge(message.store_answer_age), message.store_lost,
-                   EncodePromptParts(message.prompt_parts)}),
+                   EncodePromptParts(message.prompt_parts),
+                   EncodeLimits(message.replica_limits)}),
       bytes);
   return bytes;
 }
@@ -155,6 +187,7 @@
     message.store_answer_age = DecodedAge(fields.at(12).get<int64_t>());
     message.store_lost = fields.at(13).get<bool>();
     message.prompt_parts = DecodePromptParts(fields.at(14));
+    message.replica_limits = DecodeLimits(fields.at(15));
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
@@ -232,6 +265,7 @@
   peer.incarnation = message.incarnation;
   peer.sequence = message.sequence;
   peer.last_seen_at = this->clock.Now();
+  this->last_seen_by_instance[message.instance] = peer.last_seen_at;
   if (!message.partial)
     peer.store_lost = message.store_lost;
   if (message.partial)
@@ -299,6 +333,28 @@
     this->ReplaceLoads(item.second, {}, replicas);
     return true;
   });
+  absl::erase_if(this->last_seen_by_instance, [now](const auto& item) {
+    return now - item.second >= kGoneAfter;
+  });
+}
+
+std::string PeerLoadSync::OwnerOf(std::string_view key) const {
+  uint64_t seed = StableHash(key);
+  auto rank = [seed](std::string_view name) {
+    return std::pair(StableHash(name, seed), name);
+  };
+  std::string_view owner = this->instance;
+  for (const auto& [name, peer] : this->peers_by_instance) {
+    if (rank(name) > rank(owner))
+      owner = name;
+  }
+  return std::string(owner);
+}
+
+double PeerLoadSync::LiveShare() const {
+  auto live = static_cast<double>(this->peers_by_instance.size() + 1);
+  auto known = static_cast<double>(this->last_seen_by_instance.size() + 1);
+  return std::min(1.0, live / known);
 }
 
 size_t PeerLoadSync::RankAmong(
--- a/cranberryhill/forward/peer_load_sync.h
+++ b/cranberryhill/forward/peer_load_sync.h
@@ -26,6 +26,7 @@
 #include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/prompt.h"
 #include "cranberryhill/forward/prompt_part_quarantine.h"
+#include "cranberryhill/forward/replica_limits.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/request/crash_quarantine.h"
 
@@ -72,6 +73,8 @@
   bool store_lost = false;
   /// Parts of prompts that crash engines.
   PromptPartReport prompt_parts = {};
+  /// Limits that replicas have named to this instance.
+  std::vector<ReplicaLimitReport> replica_limits = {};
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
@@ -120,6 +123,14 @@
   /// @return The same among the peers for which that is equal.
   size_t RankByStore(bool store_lost) const;
 
+  /// @return The name of the live instance, possibly this one, that comes first
+  ///     in an order that depends on `key` and is the same on all instances.
+  std::string OwnerOf(std::string_view key) const;
+
+  /// @return The share of the instances, including this one, heard within the
+  ///     last minute that are live.
+  double LiveShare() const;
+
   size_t peers() const { return this->peers_by_instance.size(); }  // NOLINT
 
  private:
@@ -155,6 +166,8 @@
   // Engines that were sent prompts since the last message.
   absl::flat_hash_set<std::string> engines_sent_prompts;
   absl::flat_hash_map<std::string, Peer> peers_by_instance;
+  // Also of peers that are not live any more.
+  absl::flat_hash_map<std::string, absl::Time> last_seen_by_instance;
 };
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/peer_load_sync_test.cc
+++ b/cranberryhill/forward/peer_load_sync_test.cc
@@ -22,6 +22,20 @@
   return decoded.value();
 }
 
+// Guards against limits of replicas that get lost or change on the way.
+BOOST_AUTO_TEST_CASE(limits_of_replicas_reach_peers) {
+  LoadMessage message;
+  message.instance = "peer";
+  message.replica_limits = {{"x", 5.9, absl::Milliseconds(40)},
+                            {"y", std::nullopt, absl::ZeroDuration()}};
+  auto received = RoundTrip(message).replica_limits;
+  BOOST_REQUIRE(received.size() == 2U);
+  BOOST_TEST(received[0].replica == "x");
+  BOOST_TEST(received[0].requests_per_s.value() == 5.9);
+  BOOST_TEST((received[0].age == absl::Milliseconds(40)));
+  BOOST_TEST(!received[1].requests_per_s.has_value());
+}
+
 // Guards against a load that drifts from what the peers really have when
 // messages are lost, repeated or reordered: only the newest message of each
 // peer counts.
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -157,6 +157,11 @@
   /// @return The replica with this id if it is registered, or null.
   std::shared_ptr<Replica> Find(std::string_view id) const;
 
+  /// @return True if the replica is not registered and was not lately.
+  bool IsForgotten(std::string_view id) const {
+    return !this->by_id.contains(std::string(id));
+  }
+
   /// Records the outcome of an attempt.
   void OnSuccess(Replica& replica);
   void OnFailure(Replica& replica);
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -37,6 +37,9 @@
 /// Maximum number of prefills of one request on separate prefill engines; the
 /// second one follows a failure.
 constexpr int kMaxPrefillAttempts = 2;
+/// A request that was denied this many permits is sent to replicas without a
+/// limit only, so that it does not wait for one reply after the other.
+constexpr int kMaxDeniedPermits = 3;
 /// Retry-After of refusals for which no better time is known. Replicas that
 /// crash or are replaced are back after a second or more.
 constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
@@ -148,8 +151,12 @@
   if (left < kMinTimeForSend)
     return this->Refuse("no_time_left", kDefaultRetryAfter);
   forward::PlacementChoice choice = this->ChooseReplica();
-  if (choice.replica == nullptr)
-    return this->Refuse("no_replica", kDefaultRetryAfter);
+  if (choice.replica == nullptr) {
+    absl::Duration wait = this->TimeToOpenReplica();
+    return this->Refuse(
+        wait > absl::ZeroDuration() ? "replicas_limited" : "no_replica",
+        std::max(kDefaultRetryAfter, wait));
+  }
   this->chosen_at = this->Now();
   this->expected_first_byte = choice.expected_first_byte;
   this->first_byte_timeout = this->FirstByteTimeout(choice.expected_first_byte);
@@ -166,20 +173,82 @@
         std::max(kDefaultRetryAfter, choice.expected_first_byte - useful_time));
   }
   this->lane = choice.lane;
+  this->SendTo(choice);
+}
+
+/// Sends the request as chosen, or chooses again if a limited replica takes no
+/// further request now.
+void Exchange::SendTo(const forward::PlacementChoice& choice) {
   // The first prefill does not count against the retry budget. A second prefill
   // and the run that follows it do, so the budget must have room for both.
-  forward::WindowedRetryBudget& retry_budget =
-      this->context.retry_budget(this->service);
   bool may_prefill = choice.prefill_engine != nullptr &&
-                     !this->stream_started &&
                      (this->prefill_attempts == 0 ||
                       (this->prefill_attempts < kMaxPrefillAttempts &&
-                       retry_budget.HasRoom(2)));
-  if (may_prefill)
-    return this->StartPrefill(choice);
-  this->StartRun(choice.replica,
-                 choice.replica_prefill_tokens + choice.prefill_engine_tokens,
-                 "");
+                       this->context.retry_budget(this->service).HasRoom(2)));
+  const forward::Replica& target =
+      may_prefill ? *choice.prefill_engine : *choice.replica;
+  this->AwaitPermit(target, [this, choice, may_prefill](bool granted) {
+    if (!granted)
+      return this->SendToNextReplica();
+    if (may_prefill)
+      return this->StartPrefill(choice);
+    this->StartRun(choice.replica,
+                   choice.replica_prefill_tokens + choice.prefill_engine_tokens,
+                   "");
+  });
+}
+
+/// Calls `next` at once if the replica is not limited, otherwise when it is
+/// known whether one more request may be sent to it.
+void Exchange::AwaitPermit(const forward::Replica& target,
+                           std::function<void(bool granted)> next) {
+  const std::string& id = target.entry.id;
+  if (!this->context.replica_limits.RateOf(id))
+    return next(true);
+  this->phase = Phase::kAwaitingPermit;
+  auto on_reply = [weak = this->weak_from_this(), &context = this->context, id,
+                   next = std::move(next)](bool granted) {
+    auto self = weak.lock();
+    if (self == nullptr || self->phase == Phase::kDone) {
+      if (granted)
+        context.send_permits.Return(id);
+      return;
+    }
+    self->phase = Phase::kIdle;
+    if (!granted) {
+      ++self->denied_permits;
+      context.metrics.CountDecision("permit_denied");
+    }
+    next(granted);
+  };
+  this->context.send_permits.Acquire(id, std::move(on_reply));
+}
+
+/// @return The usable replicas without the limited ones that take no request
+///     now.
+std::vector<std::shared_ptr<forward::Replica>> Exchange::OpenReplicas() {
+  auto replicas = this->context.replicas.Usable(this->service);
+  std::erase_if(replicas, [this](const auto& replica) {
+    const std::string& id = replica->entry.id;
+    if (!this->context.replica_limits.RateOf(id))
+      return false;
+    return this->denied_permits >= kMaxDeniedPermits ||
+           this->context.send_permits.TimeToOpen(id) > absl::ZeroDuration();
+  });
+  return replicas;
+}
+
+/// @return Time until a limited replica may take a request; zero if none is
+///     closed.
+absl::Duration Exchange::TimeToOpenReplica() {
+  absl::Duration shortest = absl::InfiniteDuration();
+  for (const auto& replica : this->context.replicas.Usable(this->service)) {
+    absl::Duration wait =
+        this->context.send_permits.TimeToOpen(replica->entry.id);
+    if (wait > absl::ZeroDuration())
+      shortest = std::min(shortest, wait);
+  }
+  return shortest == absl::InfiniteDuration() ? absl::ZeroDuration() : shortest;
 }
 
 int Exchange::Priority() const {
@@ -189,7 +258,7 @@
 
 forward::PlacementChoice Exchange::ChooseReplica() {
   std::vector<std::shared_ptr<forward::Replica>> usable_replicas =
-      this->context.replicas.Usable(this->service);
+      this->OpenReplicas();
   absl::Time now = this->Now();
   if (!this->is_engine_service)
     return this->context.placement.ChooseServer(usable_replicas, now,
@@ -344,6 +413,7 @@
   if (this->answer_info.wrong_instance ||
       !this->context.replica_limits.OnAnswer(this->replica->entry.id, limit))
     return;
+  this->context.notify_peers();
   this->context.log.Write(
       this->MakeLogEvent("replica_limit_changed")
           .Add("replica", this->replica->entry.id)
@@ -465,20 +535,7 @@
       this->cache_owner = prefill_engine;
       if (this->RefuseIfItCrashesReplicas())
         return this->ReleaseCache();
-      // The decode engine is chosen only now because an engine chosen before
-      // the prefill may no longer be available.
-      std::shared_ptr<forward::Replica> decode_engine =
-          this->context.placement.ChooseDecodeEngine(
-              this->context.replicas.Usable(this->service), this->fingerprint,
-              this->Now(), this->excluded_replicas);
-      if (decode_engine == nullptr) {
-        this->ReleaseCache();
-        return this->SendToNextReplica();
-      }
-      return this->StartRun(
-          std::move(decode_engine), 0,
-          this->context.wire.CacheSource(this->cache_owner->Address(),
-                                         this->cache_handle));
+      return this->RunWithCache();
     }
   }
   this->RecordPossibleCrash(prefill_engine, this->Classify(end));
@@ -509,6 +566,27 @@
   this->SendToNextReplica();
 }
 
+/// Runs the request whose KV cache is kept at a prefill engine. The decode
+/// engine is chosen only now because an engine chosen before the prefill may no
+/// longer be available.
+void Exchange::RunWithCache() {
+  std::shared_ptr<forward::Replica> decode_engine =
+      this->context.placement.ChooseDecodeEngine(this->OpenReplicas(),
+                                                 this->fingerprint, this->Now(),
+                                                 this->excluded_replicas);
+  if (decode_engine == nullptr) {
+    this->ReleaseCache();
+    return this->SendToNextReplica();
+  }
+  this->AwaitPermit(*decode_engine, [this, decode_engine](bool granted) {
+    if (!granted)
+      return this->RunWithCache();
+    this->StartRun(decode_engine, 0,
+                   this->context.wire.CacheSource(this->cache_owner->Address(),
+                                                  this->cache_handle));
+  });
+}
+
 void Exchange::RecordPossibleCrash(
     const std::shared_ptr<forward::Replica>& failed,
     forward::AttemptOutcome outcome) {
@@ -648,7 +726,12 @@
 bool Exchange::RunOnOtherReplicaOrWithoutCache(
     const std::shared_ptr<forward::Replica>& refused) {
   this->excluded_replicas.push_back(refused->entry.id);
+  auto is_limited = [this](const auto& replica) {
+    return this->context.replica_limits.RateOf(replica->entry.id).has_value();
+  };
   auto usable_replicas = this->context.replicas.Usable(this->service);
+  // A refused run is not worth one of the few requests that these take.
+  std::erase_if(usable_replicas, is_limited);
   std::shared_ptr<forward::Replica> other =
       this->context.placement.ChooseDecodeEngine(usable_replicas,
                                                  this->fingerprint, this->Now(),
@@ -663,7 +746,7 @@
     return true;
   }
   this->ReleaseCache();
-  if (std::exchange(this->tried_uncached, true) ||
+  if (std::exchange(this->tried_uncached, true) || is_limited(refused) ||
       !this->attempt_policy.MaySendTo(refused->entry.id))
     return false;
   this->prefill_attempts = kMaxPrefillAttempts;
@@ -677,6 +760,7 @@
 void Exchange::ReleaseCache() {
   if (this->cache_handle.empty())
     return;
+  this->context.send_permits.OnSentWithoutPermit(this->cache_owner->entry.id);
   http1::OutgoingRequest release = this->context.wire.EncodeCacheRelease(
       this->cache_owner->Address(), this->cache_handle);
   SendAndForget(this->context.io,
@@ -768,7 +852,7 @@
   if (!may_move)
     return false;
   absl::Time now = this->Now();
-  auto usable_replicas = this->context.replicas.Usable(this->service);
+  auto usable_replicas = this->OpenReplicas();
   return std::any_of(
       usable_replicas.begin(), usable_replicas.end(), [&](const auto& other) {
         const std::string& id = other->entry.id;
@@ -781,7 +865,8 @@
 }
 
 void Exchange::OnTimer() {
-  if (this->phase == Phase::kDone)
+  // The next send arms the timer again.
+  if (this->phase == Phase::kDone || this->phase == Phase::kAwaitingPermit)
     return;
   auto self = this->shared_from_this();
   absl::Time now = this->Now();
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -32,6 +32,7 @@
 #include "cranberryhill/gateway/connection_pool.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/metrics.h"
+#include "cranberryhill/gateway/send_permits.h"
 #include "cranberryhill/gateway/wire_format.h"
 #include "cranberryhill/http1/client.h"
 #include "cranberryhill/http1/server.h"
@@ -50,6 +51,7 @@
   forward::PromptPartQuarantine& prompt_part_quarantine;
   forward::ReplicaCrashQuarantine& replica_crash_quarantine;
   forward::ReplicaLimits& replica_limits;
+  SendPermits& send_permits;
   const forward::Placement& placement;
   forward::EngineSpeedModels& engine_speeds;
   forward::Reachability& reachability;
@@ -94,9 +96,15 @@
   void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
 
  private:
-  enum class Phase { kIdle, kPrefilling, kRunning, kDone };
+  enum class Phase { kIdle, kAwaitingPermit, kPrefilling, kRunning, kDone };
 
   void SendToNextReplica();
+  void SendTo(const forward::PlacementChoice& choice);
+  void RunWithCache();
+  void AwaitPermit(const forward::Replica& target,
+                   std::function<void(bool granted)> next);
+  std::vector<std::shared_ptr<forward::Replica>> OpenReplicas();
+  absl::Duration TimeToOpenReplica();
   void StartPrefill(const forward::PlacementChoice& choice);
   void StartRun(std::shared_ptr<forward::Replica> replica,
                 double prefill_tokens,
@@ -170,6 +178,7 @@
   absl::Duration expected_first_byte;  // Estimated when the replica was chosen.
   absl::Duration first_byte_timeout;   // Longest wait for the first byte.
   int prefill_attempts = 0;
+  int denied_permits = 0;
   bool tried_uncached = false;  // A run without the cache was tried.
   std::string cache_handle;     // Set until a run has used the cache.
   std::shared_ptr<forward::Replica> cache_owner;
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -93,6 +93,7 @@
           this->prompt_part_quarantine,
           this->replica_crash_quarantine,
           this->replica_limits,
+          this->send_permits,
           this->placement,
           this->engine_speeds,
           this->reachability,
@@ -138,6 +139,7 @@
                        this->settings.order_handover_gap,
                        this->control_table,
                        this->replicas,
+                       this->send_permits,
                        wire,
                        log,
                        clock,
@@ -149,12 +151,19 @@
                 this->peer_load_sync,
                 this->crash_quarantine,
                 this->prompt_part_quarantine,
+                this->replica_limits,
                 this->replicas,
                 this->order_dispatcher,
                 this->engine_speeds,
                 *this,
                 log,
                 clock),
+      send_permits(this->settings.instance_id,
+                   this->replica_limits,
+                   this->peer_link,
+                   std::make_unique<AsioDelayTimer>(io),
+                   clock,
+                   random),
       caller_server(io, clock, *this, {}),
       readiness_server(io, clock, this->readiness_pages, {}),
       control_server(io, clock, this->control_pages, {}),
@@ -364,6 +373,10 @@
       .OnPeerRows(message.after, message.up_to, message.rows);
 }
 
+void Gateway::OnPeerPermit(const PermitMessage& message) {
+  this->send_permits.OnMessage(message);
+}
+
 void Gateway::ApplyConfiguration(const StoreRow& row) {
   auto decoded =
       Capture([&] { return this->codec.DecodeConfiguration(row.value); });
@@ -544,6 +557,10 @@
     if (error)
       return;
     this->connection_pool.CloseStale();
+    this->replica_limits.Prune([this](std::string_view replica) {
+      return this->replicas.IsForgotten(replica);
+    });
+    this->send_permits.Prune();
     this->ProbeUnreachable();
     if (this->ready())
       this->order_dispatcher.Tick(*this->routes, this->peer_load_sync.Rank());
@@ -662,8 +679,13 @@
   this->metrics.SetGauge(
       "quarantined_prompt_parts",
       static_cast<double>(this->prompt_part_quarantine.QuarantinedCount()));
-  this->metrics.SetGauge("limited_replicas",
-                         static_cast<double>(this->replica_limits.size()));
+  this->metrics.SetGauge(
+      "limited_replicas",
+      static_cast<double>(this->replica_limits.Rates().size()));
+  this->metrics.SetGauge("send_permits_granted",
+                         static_cast<double>(this->send_permits.granted()));
+  this->metrics.SetGauge("send_permits_denied",
+                         static_cast<double>(this->send_permits.denied()));
   this->metrics.SetGauge("registry_age_seconds",
                          absl::ToDoubleSeconds(this->store_contact.Age()));
   this->metrics.SetGauge(
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -42,6 +42,7 @@
 #include "cranberryhill/gateway/metrics.h"
 #include "cranberryhill/gateway/order_dispatcher.h"
 #include "cranberryhill/gateway/peer_link.h"
+#include "cranberryhill/gateway/send_permits.h"
 #include "cranberryhill/gateway/settings.h"
 #include "cranberryhill/gateway/status_pages.h"
 #include "cranberryhill/gateway/store_contact.h"
@@ -99,6 +100,7 @@
   void DescribeStoreContact(forward::LoadMessage& message) const override;
   void OnPeerStoreContact(const forward::LoadMessage& message) override;
   void OnPeerRows(const RowMessage& message) override;
+  void OnPeerPermit(const PermitMessage& message) override;
   std::vector<std::string> UnreachableReplicas() const override;
   void OnPeerUnreachable(std::span<const std::string> ids) override;
 
@@ -155,6 +157,7 @@
   ControlTable control_table;
   OrderDispatcher order_dispatcher;
   PeerLink peer_link;
+  SendPermits send_permits;
   http1::Server caller_server;
   StatusPages readiness_pages;
   StatusPages control_pages;
--- a/cranberryhill/gateway/order_dispatcher.cc
+++ b/cranberryhill/gateway/order_dispatcher.cc
@@ -80,6 +80,8 @@
  private:
   void Call(const http1::OutgoingRequest& request,
             SerialHttpClient::Callback done) {
+    // An order cannot wait: engines without a role serve nothing.
+    this->dispatcher.send_permits.OnSentWithoutPermit(this->change.replica);
     this->client.Call(request, this->deadline - this->dispatcher.clock.Now(),
                       std::move(done));
   }
@@ -145,6 +147,7 @@
                                  absl::Duration handover_gap,
                                  ControlTable& table,
                                  forward::ReplicaSet& replicas,
+                                 SendPermits& send_permits,
                                  const WireFormat& wire,
                                  EventLog& log,
                                  const Clock& clock,
@@ -153,6 +156,7 @@
       instance(std::move(instance)),
       handover_gap(handover_gap),
       replicas(replicas),
+      send_permits(send_permits),
       wire(wire),
       log(log),
       clock(clock),
--- a/cranberryhill/gateway/order_dispatcher.h
+++ b/cranberryhill/gateway/order_dispatcher.h
@@ -18,6 +18,7 @@
 #include "cranberryhill/forward/role_balancer.h"
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/gateway/send_permits.h"
 #include "cranberryhill/gateway/wire_format.h"
 #include "cranberryhill/lease/lease_manager.h"
 
@@ -33,6 +34,7 @@
                   absl::Duration handover_gap,
                   ControlTable& table,
                   forward::ReplicaSet& replicas,
+                  SendPermits& send_permits,
                   const WireFormat& wire,
                   EventLog& log,
                   const Clock& clock,
@@ -63,6 +65,7 @@
   const std::string instance;
   const absl::Duration handover_gap;
   forward::ReplicaSet& replicas;
+  SendPermits& send_permits;
   const WireFormat& wire;
   EventLog& log;
   const Clock& clock;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -55,6 +55,7 @@
                    forward::PeerLoadSync& peer_load_sync,
                    CrashQuarantine& crash_quarantine,
                    forward::PromptPartQuarantine& prompt_part_quarantine,
+                   forward::ReplicaLimits& replica_limits,
                    forward::ReplicaSet& replicas,
                    const OrderDispatcher& order_dispatcher,
                    forward::EngineSpeedModels& engine_speeds,
@@ -67,6 +68,7 @@
       peer_load_sync(peer_load_sync),
       crash_quarantine(crash_quarantine),
       prompt_part_quarantine(prompt_part_quarantine),
+      replica_limits(replica_limits),
       replicas(replicas),
       order_dispatcher(order_dispatcher),
       engine_speeds(engine_speeds),
@@ -156,17 +158,16 @@
       if (std::find(this->peer_endpoints.begin(), this->peer_endpoints.end(),
                     sender) == this->peer_endpoints.end())
         this->peer_endpoints.push_back(sender);
-      this->OnDatagram({this->receive_buffer.data(), bytes},
-                       sender.address().to_string());
+      this->OnDatagram({this->receive_buffer.data(), bytes}, sender);
     }
     this->Receive();
   });
 }
 
-void PeerLink::OnDatagram(std::string_view bytes, const std::string& sender) {
+void PeerLink::OnDatagram(std::string_view bytes, const udp::endpoint& sender) {
   auto log_unreadable = [&](const Error& error) {
     this->log.Write(LogEvent("peer_message_unreadable")
-                        .Add("from", sender)
+                        .Add("from", sender.address().to_string())
                         .Add("reason", error.ToString()));
   };
   if (IsRowMessage(bytes)) {
@@ -176,13 +177,21 @@
     this->delegate.OnPeerRows(rows.value());
     return this->ForwardRows(std::move(rows.value()));
   }
+  if (IsPermitMessage(bytes)) {
+    auto permit = Capture([&] { return DecodePermitMessage(bytes); });
+    if (!permit.ok())
+      return log_unreadable(permit.error());
+    return this->delegate.OnPeerPermit(permit.value());
+  }
   auto decoded = Capture([&] { return forward::DecodeLoadMessage(bytes); });
   if (!decoded.ok())
     return log_unreadable(decoded.error());
   const forward::LoadMessage& message = decoded.value();
   if (!this->peer_load_sync.Merge(message, this->replicas))
     return;
+  this->endpoint_by_instance[message.instance] = sender;
   this->crash_quarantine.Merge(message.crashes, this->clock.Now());
+  this->MergeLimits(message);
   this->engine_speeds.MergePeer(message.instance, message.engine_speeds);
   if (!message.partial) {
     this->MergePromptParts(message);
@@ -201,6 +210,36 @@
   }
 }
 
+void PeerLink::MergeLimits(const forward::LoadMessage& message) {
+  for (const forward::ReplicaLimitReport& report : message.replica_limits) {
+    if (!this->replica_limits.Merge(report))
+      continue;
+    this->log.Write(LogEvent("replica_limit_changed")
+                        .Add("replica", report.replica)
+                        .Add("requests_per_s",
+                             report.requests_per_s
+                                 ? fmt::format("{}", *report.requests_per_s)
+                                 : "none")
+                        .Add("from", message.instance)
+                        .Add("age_ms", report.age));
+  }
+}
+
+std::string PeerLink::OwnerOf(std::string_view key) const {
+  return this->peer_load_sync.OwnerOf(key);
+}
+
+double PeerLink::ReachableShare() const {
+  return this->peer_load_sync.LiveShare();
+}
+
+void PeerLink::SendPermitMessage(std::string_view instance,
+                                 const PermitMessage& message) {
+  auto found = this->endpoint_by_instance.find(instance);
+  if (found != this->endpoint_by_instance.end())
+    this->SendTo(EncodePermitMessage(message), found->second);
+}
+
 void PeerLink::SendPartialUpdateSoon() {
   if (std::exchange(this->partial_update_scheduled, true))
     return;
@@ -245,6 +284,7 @@
   message.crashes =
       this->crash_quarantine.Entries(kMaxCrashEntries, this->clock.Now());
   message.prompt_parts = this->prompt_part_quarantine.Report();
+  message.replica_limits = this->replica_limits.OwnReports();
   this->delegate.DescribeStoreContact(message);
   message.unreachable_replicas = this->delegate.UnreachableReplicas();
   bool idle = message.engine_loads.empty() && message.cached_prefixes.empty() &&
@@ -267,7 +307,8 @@
 void PeerLink::SendPartialUpdate() {
   forward::LoadMessage message =
       this->peer_load_sync.BuildPartialMessage(this->replicas);
-  if (message.engine_loads.empty())
+  message.replica_limits = this->replica_limits.OwnReports();
+  if (message.engine_loads.empty() && message.replica_limits.empty())
     return;
   this->partial_update_sent_at = this->clock.Now();
   this->Send(message);
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -9,8 +9,11 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <functional>
+#include <map>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cranberryhill/base/result.h"
@@ -21,7 +24,9 @@
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/order_dispatcher.h"
+#include "cranberryhill/gateway/permit_message.h"
 #include "cranberryhill/gateway/row_message.h"
+#include "cranberryhill/gateway/send_permits.h"
 #include "cranberryhill/gateway/settings.h"
 #include "cranberryhill/request/crash_quarantine.h"
 
@@ -44,6 +49,9 @@
   /// Called with rows that a peer has received from the store.
   virtual void OnPeerRows(const RowMessage& message) = 0;
 
+  /// Called with a message about permits.
+  virtual void OnPeerPermit(const PermitMessage& message) = 0;
+
   /// @return The replicas that this instance cannot reach.
   virtual std::vector<std::string> UnreachableReplicas() const = 0;
 
@@ -52,7 +60,7 @@
 };
 
 /// Not thread-safe.
-class PeerLink {
+class PeerLink : public PermitTransport {
  public:
   /// All references must outlive this object.
   PeerLink(boost::asio::io_context& io,
@@ -62,6 +70,7 @@
            forward::PeerLoadSync& peer_load_sync,
            CrashQuarantine& crash_quarantine,
            forward::PromptPartQuarantine& prompt_part_quarantine,
+           forward::ReplicaLimits& replica_limits,
            forward::ReplicaSet& replicas,
            const OrderDispatcher& order_dispatcher,
            forward::EngineSpeedModels& engine_speeds,
@@ -87,6 +96,11 @@
                 const std::vector<StoreRow>& rows,
                 size_t rank);
 
+  std::string OwnerOf(std::string_view key) const override;
+  double ReachableShare() const override;
+  void SendPermitMessage(std::string_view instance,
+                         const PermitMessage& message) override;
+
   size_t peer_count() const { return this->peer_endpoints.size(); }  // NOLINT
 
  private:
@@ -99,10 +113,12 @@
   void SendTo(std::string_view bytes,
               const boost::asio::ip::udp::endpoint& peer);
   void ForwardRows(RowMessage message);
-  void OnDatagram(std::string_view bytes, const std::string& sender);
+  void OnDatagram(std::string_view bytes,
+                  const boost::asio::ip::udp::endpoint& sender);
   std::chrono::milliseconds FullUpdateInterval() const;
   void WriteOwnRow();
   void MergePromptParts(const forward::LoadMessage& message);
+  void MergeLimits(const forward::LoadMessage& message);
 
   const std::string instance;
   const Endpoint address;
@@ -110,6 +126,7 @@
   forward::PeerLoadSync& peer_load_sync;
   CrashQuarantine& crash_quarantine;
   forward::PromptPartQuarantine& prompt_part_quarantine;
+  forward::ReplicaLimits& replica_limits;
   forward::ReplicaSet& replicas;
   const OrderDispatcher& order_dispatcher;
   forward::EngineSpeedModels& engine_speeds;
@@ -119,6 +136,9 @@
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer full_update_timer;
   std::vector<boost::asio::ip::udp::endpoint> peer_endpoints;
+  // Endpoints from which instances have sent messages.
+  std::map<std::string, boost::asio::ip::udp::endpoint, std::less<>>
+      endpoint_by_instance;
   std::array<char, 16384> receive_buffer{};
   int idle_updates = 0;
   absl::Time full_update_sent_at = absl::InfinitePast();
--- a/cranberryhill/gateway/table_follower_fleet_test.cc
+++ b/cranberryhill/gateway/table_follower_fleet_test.cc
@@ -17,56 +17,11 @@
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/gateway/row_message.h"
 #include "cranberryhill/gateway/table_follower.h"
+#include "cranberryhill/gateway/virtual_time_test.h"
 
 namespace cranberryhill::gateway {
 namespace {
 
-/// Runs functions at their times.
-class EventQueue {
- public:
-  uint64_t Schedule(absl::Duration wait, std::function<void()> event) {
-    uint64_t id = this->next_id++;
-    this->events[{this->clock.Now() + wait, id}] = std::move(event);
-    return id;
-  }
-
-  void RunFor(absl::Duration duration) {
-    absl::Time end = this->clock.Now() + duration;
-    while (!this->events.empty() && this->events.begin()->first.first <= end) {
-      auto next = this->events.begin();
-      this->clock.Set(next->first.first);
-      auto event = std::move(next->second);
-      this->events.erase(next);
-      event();
-    }
-    this->clock.Set(end);
-  }
-
-  ManualClock clock;
-
- private:
-  std::map<std::pair<absl::Time, uint64_t>, std::function<void()>> events;
-  uint64_t next_id = 0;
-};
-
-class VirtualTimer : public DelayTimer {
- public:
-  explicit VirtualTimer(EventQueue& queue) : queue(queue) {}
-
-  void Start(absl::Duration delay, std::function<void()> done) override {
-    uint64_t call = ++this->current;
-    this->queue.Schedule(delay, [this, call, done = std::move(done)] {
-      if (call == this->current)
-        done();
-    });
-  }
-  void Cancel() override { ++this->current; }
-
- private:
-  EventQueue& queue;
-  uint64_t current = 0;
-};
-
 /// A store with one row. Answers a poll when the row is newer than `after`, or
 /// with an empty page when the time of the poll is over.
 class VirtualStore {
--- a/fuzz/gateway_peer_fuzz.cc
+++ b/fuzz/gateway_peer_fuzz.cc
@@ -1,7 +1,9 @@
-// Datagrams between gateways: the input is read as a load message and as a
-// message with rows; what parses is written out and parses again.
+// Datagrams between gateways: the input is read as a load message, a
+// message with rows and a message about permits; what parses is written out and
+// parses again.
 
 #include "cranberryhill/forward/peer_load_sync.h"
+#include "cranberryhill/gateway/permit_message.h"
 #include "cranberryhill/gateway/row_message.h"
 #include "fuzz/check.h"
 
@@ -33,6 +35,15 @@
   Check(again.ok(), "an encoded load message is valid");
 }
 
+void CheckPermitMessage(std::string_view bytes) {
+  auto message = Capture([&] { return gateway::DecodePermitMessage(bytes); });
+  if (!message.ok())
+    return;
+  std::string encoded = gateway::EncodePermitMessage(message.value());
+  auto again = Capture([&] { return gateway::DecodePermitMessage(encoded); });
+  Check(again.ok(), "an encoded permit message is valid");
+}
+
 }  // namespace
 }  // namespace cranberryhill
 
@@ -40,5 +51,6 @@
   std::string_view bytes(reinterpret_cast<const char*>(data), size);
   cranberryhill::CheckRowMessage(bytes);
   cranberryhill::CheckLoadMessage(bytes);
+  cranberryhill::CheckPermitMessage(bytes);
   return 0;
 }
