soak: play replicas that name a limit

A replica names 2.5 requests/s in half of the seeds; the ledger counts what arrives from gateways that were told of it and not disturbed, and compares it with one and a half times the limit in 4 s and 5 requests.

--- a/programs/gateway_soak.cc
+++ b/programs/gateway_soak.cc
@@ -108,6 +108,11 @@
       add({faults / 8, faults * 0.8, FaultKind::kCrashingPart,
            part_random.UniformInt(0, 1000)});
     }
+    SeededRandom limit_random(absl::GetFlag(FLAGS_seed) + 2);
+    if (limit_random.UniformInt(0, 1) == 0) {
+      add({faults / 6, faults * 0.6, FaultKind::kReplicaLimited,
+           limit_random.UniformInt(0, 1000)});
+    }
     // Half of the days end with the loss of all gateways.
     this->restart_all_at =
         this->random.UniformInt(0, 1) == 0 ? faults : absl::InfiniteDuration();
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -5,7 +5,9 @@
 
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "cranberryhill/base/hash.h"
@@ -27,6 +29,11 @@
 /// back after the second time.
 constexpr absl::Duration kCrashDelay = absl::Milliseconds(20);
 constexpr absl::Duration kCrashTime = absl::Seconds(1);
+/// What a limited replica takes per second, when its limit binds, and how long
+/// before a request its gateway must have been told of it.
+constexpr double kRequestsPerS = 2.5;
+constexpr absl::Duration kLimitBinds = absl::Seconds(3);
+constexpr absl::Duration kToldBefore = absl::Milliseconds(500);
 /// Time in which an engine carries out an order.
 constexpr absl::Duration kOrderTime = absl::Milliseconds(300);
 /// Entries that lapsed with the store are back this long after it.
@@ -114,6 +121,9 @@
   bool crashing = false;  // It has crashed, or is about to.
   absl::Time draining_since = absl::InfiniteFuture();
   std::vector<std::shared_ptr<http1::Responder>> unanswered;
+  std::optional<double> requests_per_s;  // Named in all answers while set.
+  absl::Time limited_since = absl::InfiniteFuture();
+  std::map<size_t, absl::Time> told;  // Gateways that got such an answer.
 };
 
 struct Fleet::Member {
@@ -304,10 +314,12 @@
     this->ledger.OnCrashingArrival(this->clock.Now(),
                                    this->IsCalm(*this->members[sent->gateway]));
   }
+  if (sent != nullptr)
+    this->RecordLimitedArrival(server, *sent);
   if (refuses || !reads_only)
     this->ledger.OnArrival(id, server.id, this->clock.Now(), !refuses);
   if (refuses) {
-    http1::AnswerHead head = StatusSignedHead(id, 503);
+    http1::AnswerHead head = this->HeadOf(server, id, 503);
     head.headers.Add(platform::kNotRun, "1");
     return responder->SendWhole(std::move(head), "");
   }
@@ -319,13 +331,13 @@
         absl::FormatDuration(now - server.draining_since)));
   }
   if (server.mode == Server::Mode::kErrors)
-    return responder->SendWhole(StatusSignedHead(id, 500), "failed");
+    return responder->SendWhole(this->HeadOf(server, id, 500), "failed");
   if (server.mode == Server::Mode::kBreaks)
     return responder->Abort();
   if (server.mode == Server::Mode::kHangs)
     return server.unanswered.push_back(responder);
   if (reads_only)
-    return this->ReadPrompt(id, *responder);
+    return this->ReadPrompt(server, id, *responder);
   auto source = headers.Find(platform::kCacheSource);
   if (source && !source->ends_with("/cache-" + id)) {
     this->ledger.OnViolation(fmt::format(
@@ -339,6 +351,34 @@
   this->Run(server, id, first, server.row.service == kEngines, responder);
 }
 
+/// @return The head of an answer, with the limit of the replica if it has one.
+http1::AnswerHead Fleet::HeadOf(Server& server,
+                                std::string_view id,
+                                int status) {
+  http1::AnswerHead head = StatusSignedHead(id, status);
+  if (!server.requests_per_s)
+    return head;
+  head.headers.Add(platform::kRequestLimit,
+                   fmt::format("{}", *server.requests_per_s));
+  absl::Time now = this->clock.Now();
+  server.limited_since = std::min(server.limited_since, now);
+  if (const SentRequest* sent = this->ledger.Find(id))
+    server.told.try_emplace(sent->gateway, now);
+  return head;
+}
+
+void Fleet::RecordLimitedArrival(const Server& server,
+                                 const SentRequest& sent) {
+  absl::Time now = this->clock.Now();
+  auto told = server.told.find(sent.gateway);
+  if (!server.requests_per_s || told == server.told.end() ||
+      now - told->second < kToldBefore ||
+      !this->IsCalm(*this->members[sent.gateway]))
+    return;
+  this->ledger.OnLimitedArrival(server.id, *server.requests_per_s, now,
+                                now - server.limited_since > kLimitBinds);
+}
+
 bool Fleet::IsCalm(const Member& member) const {
   absl::Time now = this->clock.Now();
   return now - member.started_at > kCalm &&
@@ -348,7 +388,7 @@
 void Fleet::CrashEngine(Server& server,
                         std::string_view id,
                         http1::Responder& responder) {
-  http1::AnswerHead head = StatusSignedHead(id, 200);
+  http1::AnswerHead head = this->HeadOf(server, id, 200);
   head.headers.Add("Content-Type", "text/event-stream");
   responder.BeginStream(std::move(head));
   responder.SendPart("id: 1\nda");
@@ -386,11 +426,13 @@
               });
 }
 
-void Fleet::ReadPrompt(std::string_view id, http1::Responder& responder) {
+void Fleet::ReadPrompt(Server& server,
+                       std::string_view id,
+                       http1::Responder& responder) {
   json handle = {{"transfer-handle", fmt::format("cache-{}", id)},
                  {"tokens", 5000},
                  {"version", 1}};
-  responder.SendWhole(StatusSignedHead(id, 200), handle.dump());
+  responder.SendWhole(this->HeadOf(server, id, 200), handle.dump());
 }
 
 void Fleet::Run(Server& server,
@@ -401,11 +443,12 @@
   if (!stream) {
     auto work = absl::Milliseconds(
         this->random.UniformInt(kShortestWorkMs, kLongestWorkMs));
-    return this->After(work, [responder, id = std::string(id)] {
-      responder->SendWhole(StatusSignedHead(id, 200), ExpectedBody(id, false));
+    return this->After(work, [this, &server, responder, id = std::string(id)] {
+      responder->SendWhole(this->HeadOf(server, id, 200),
+                           ExpectedBody(id, false));
     });
   }
-  http1::AnswerHead head = StatusSignedHead(id, 200);
+  http1::AnswerHead head = this->HeadOf(server, id, 200);
   head.headers.Add("Content-Type", "text/event-stream");
   responder->BeginStream(std::move(head));
   int last = EventCount(id);
@@ -430,6 +473,7 @@
     case FaultKind::kHangUp:
     case FaultKind::kConfigure:
     case FaultKind::kReplicaDrains:
+    case FaultKind::kReplicaLimited:
       return nullptr;
     case FaultKind::kKill:
     case FaultKind::kPause:
@@ -539,6 +583,12 @@
       return ApplyToLink(*server.link, LinkFault::kDelayed, begins);
     case FaultKind::kReplicaErrors:
       return set_mode(Server::Mode::kErrors);
+    case FaultKind::kReplicaLimited:
+      server.requests_per_s =
+          begins ? std::optional(kRequestsPerS) : std::nullopt;
+      server.limited_since = absl::InfiniteFuture();
+      server.told.clear();
+      return;
     case FaultKind::kReplicaRefuses:
       return set_mode(Server::Mode::kRefuses);
     case FaultKind::kReplicaBreaks:
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -106,7 +106,11 @@
   void TakeOrder(Server& server,
                  const http1::IncomingRequest& request,
                  http1::Responder& responder);
-  void ReadPrompt(std::string_view id, http1::Responder& responder);
+  void ReadPrompt(Server& server,
+                  std::string_view id,
+                  http1::Responder& responder);
+  http1::AnswerHead HeadOf(Server& server, std::string_view id, int status);
+  void RecordLimitedArrival(const Server& server, const SentRequest& sent);
   void Run(Server& server,
            std::string_view id,
            int first_event,
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -216,6 +216,26 @@
   }
 }
 
+void Ledger::OnLimitedArrival(std::string_view replica,
+                              double requests_per_s,
+                              absl::Time now,
+                              bool binding) {
+  ++this->limited_arrival_count;
+  auto& arrivals = this->limited_arrivals[std::string(replica)];
+  arrivals.push_back(now);
+  while (now - arrivals.front() > this->bounds.limit_window)
+    arrivals.pop_front();
+  double allowed = this->bounds.limit_factor * requests_per_s *
+                       absl::ToDoubleSeconds(this->bounds.limit_window) +
+                   this->bounds.limit_slack;
+  if (binding && static_cast<double>(arrivals.size()) > allowed) {
+    this->OnViolation(
+        fmt::format("limit: {} takes {} requests/s and got {} in {}", replica,
+                    requests_per_s, arrivals.size(),
+                    absl::FormatDuration(this->bounds.limit_window)));
+  }
+}
+
 std::vector<std::string> Ledger::Violations() const {
   std::vector<std::string> out = this->seen;
   for (const auto& [id, request] : this->requests)
@@ -246,8 +266,8 @@
   size_t orders = 0;
   for (const auto& [replica, list] : this->orders)
     orders += list.size();
-  return line +
-         fmt::format(" orders={} crashes={}", orders, this->crashes.size());
+  return line + fmt::format(" orders={} crashes={} limited={}", orders,
+                            this->crashes.size(), this->limited_arrival_count);
 }
 
 }  // namespace cranberryhill::soak
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -11,6 +11,7 @@
 //   for (const std::string& line : ledger.Violations()) ...
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -64,6 +65,11 @@
   size_t known_after_crashes = 5;
   absl::Duration stable_window = absl::Seconds(3);
   size_t late_crashing_requests = 3;
+  /// In any time of this length a limited replica gets this multiple of what
+  /// its limit allows, and some requests more, at most.
+  absl::Duration limit_window = absl::Seconds(4);
+  double limit_factor = 1.5;
+  double limit_slack = 5;
 };
 
 /// Not thread-safe.
@@ -97,6 +103,15 @@
                uint64_t fencing_token,
                absl::Time now);
 
+  /// A request reached a replica that takes a limited number of requests per
+  /// second, from a gateway without disturbance that has passed on an answer
+  /// which says so.
+  /// @param binding True if the replica named its limit long enough ago.
+  void OnLimitedArrival(std::string_view replica,
+                        double requests_per_s,
+                        absl::Time now,
+                        bool binding);
+
   /// Records a broken promise that was seen elsewhere.
   void OnViolation(std::string text) { this->seen.push_back(std::move(text)); }
 
@@ -136,6 +151,8 @@
   std::map<std::string, std::vector<Order>, std::less<>> orders;
   std::vector<absl::Time> crashes;
   std::vector<absl::Time> crashing_arrivals;  // From calm gateways.
+  std::map<std::string, std::deque<absl::Time>, std::less<>> limited_arrivals;
+  size_t limited_arrival_count = 0;
   std::vector<std::string> seen;
 };
 
--- a/soak/ledger_test.cc
+++ b/soak/ledger_test.cc
@@ -33,6 +33,16 @@
 
 // Each case guards against a check of the soak that no longer finds its fault.
 
+BOOST_FIXTURE_TEST_CASE(requests_beyond_a_limit_are_found, Fixture) {
+  for (int i = 0; i < 20; ++i) {
+    this->now += absl::Milliseconds(200);
+    this->ledger.OnLimitedArrival("desk-1", 2.5, this->now, true);
+  }
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->ledger.OnLimitedArrival("desk-1", 2.5, this->now, true);
+  BOOST_TEST(this->BrokenIs("limit"));
+}
+
 BOOST_FIXTURE_TEST_CASE(sound_requests_break_nothing, Fixture) {
   this->Send("a", false, true);
   this->Arrive("a");
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -40,6 +40,7 @@
     "registry_lapses",
     "configure",
     "crashing_part",
+    "replica_limited",
 };
 
 }  // namespace
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -39,8 +39,9 @@
   kRegistryLapses,     ///< Entries are gone while the store is down.
   kConfigure,          ///< A new version moves routes.
   kCrashingPart,       ///< Engines crash when they answer certain prompts.
+  kReplicaLimited,     ///< Takes a few requests a second, and says so.
 };
-inline constexpr size_t kFaultKinds = 26;
+inline constexpr size_t kFaultKinds = 27;
 /// The kinds that DrawFaults() draws come first, so that later ones do not
 /// change what a seed means.
 inline constexpr size_t kDrawnFaultKinds = 25;
