--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -38,6 +38,27 @@
   return found == this->rows.end() ? std::nullopt : found->second.value;
 }
 
+http1::AnswerHead FakeStore::Head(int status) const {
+  http1::AnswerHead head;
+  head.status = status;
+  head.headers.Add(kStoreEra, std::to_string(this->era));
+  return head;
+}
+
+void FakeStore::SaveCopy() {
+  this->copied_rows = this->rows;
+  this->copied_version = this->version;
+}
+
+void FakeStore::Restore() {
+  this->rows = this->copied_rows;
+  this->version = this->copied_version;
+  this->history_from = 0;
+  ++this->era;
+  for (Watch& watch : std::exchange(this->watches, {}))
+    watch.responder->Abort();
+}
+
 void FakeStore::SetSilent(bool silent) {
   this->is_silent = silent;
   for (Watch& watch : this->watches)
@@ -58,8 +79,8 @@
 void FakeStore::SendPage(const std::shared_ptr<http1::Responder>& responder,
                          const std::string& page) {
   if (!this->page_limit || page.size() <= *this->page_limit)
-    return responder->SendWhole({200, "", {}}, page);
-  responder->BeginStream({200, "", {}});
+    return responder->SendWhole(this->Head(200), page);
+  responder->BeginStream(this->Head(200));
   responder->SendPart(std::string_view(page).substr(0, *this->page_limit));
   this->held_pages.push_back({responder, page.substr(*this->page_limit)});
 }
@@ -96,13 +117,13 @@
   if (this->is_silent) {
     this->unanswered.push_back(std::move(responder));
   } else if (this->is_down) {
-    responder->SendWhole({503, "", {}}, "");
+    responder->SendWhole(this->Head(503), "");
   } else if (target.starts_with(kRowsGetPath)) {
     this->SendPage(responder, this->Page(table, 0, false));
   } else if (target.starts_with(kRowsFeedPath)) {
     uint64_t after = std::stoull(Parameter(target, "after"));
-    if (after + 1 < this->history_from)
-      responder->SendWhole({410, "", {}}, "");
+    if (after + 1 < this->history_from || after > this->version)
+      responder->SendWhole(this->Head(410), "");
     else
       this->watches.push_back(
           {table, after,
@@ -122,7 +143,7 @@
     uint64_t current = found == this->rows.end() ? 0 : found->second.version;
     if (current != condition["row-version"].get<uint64_t>())
       return responder.SendWhole(
-          {412, "", {}},
+          this->Head(412),
           this->Page(condition["table"].get<std::string>(), 0, false));
   }
   for (const json& write : call["writes"]) {
@@ -133,7 +154,7 @@
   }
   if (this->loses_answers)
     return responder.Abort();
-  responder.SendWhole({200, "", {}},
+  responder.SendWhole(this->Head(200),
                       json{{"row-version", this->version}}.dump());
 }
 
--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -48,6 +48,13 @@
   /// several times a second where watches must end.
   void EndOldWatches(absl::Time now);
 
+  /// Keeps a copy of all rows.
+  void SaveCopy();
+
+  /// Goes back to the copy: what was written since is lost, and its versions
+  /// are given out again. Open calls get no answer.
+  void Restore();
+
   /// Forgets what changed before now.
   void DropHistory() { this->history_from = this->version + 1; }
 
@@ -83,7 +90,14 @@
   void Write(const std::string& body, http1::Responder& responder);
   void AnswerWatches();
 
-  std::map<std::pair<std::string, std::string>, Row> rows;
+  using Rows = std::map<std::pair<std::string, std::string>, Row>;
+
+  http1::AnswerHead Head(int status) const;
+
+  Rows rows;
+  Rows copied_rows;
+  uint64_t copied_version = 0;
+  uint64_t era = 1;
   std::vector<Watch> watches;
   std::vector<std::shared_ptr<http1::Responder>> unanswered;
   std::vector<HeldPage> held_pages;
