--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "absl/container/flat_hash_set.h"
 
@@ -16,8 +17,13 @@
 /// Replaces kUseAfterRemoval for this time after an outage of the registry,
 /// because entries that expired during the outage are written again within 2 s.
 constexpr absl::Duration kReregistrationTime = absl::Seconds(2);
-/// Removed replicas are erased after this time.
-constexpr absl::Duration kEraseRemovedAfter = absl::Seconds(10);
+/// After the registry went back to an older copy, an entry of a known replica
+/// is trusted after this time. Until then a replica that lives has written it
+/// again, and the registry has dropped those of replicas that are silent.
+constexpr absl::Duration kOutdatedEntryTime = absl::Milliseconds(4500);
+/// Removed replicas are erased after this time. Until then they are known not
+/// to be used if the registry goes back to a copy that lists them.
+constexpr absl::Duration kEraseRemovedAfter = absl::Seconds(30);
 /// How long a replica is avoided after kFailuresToAvoid failures in a row;
 /// doubles with each further failure.
 constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(300);
@@ -52,6 +58,7 @@
 }
 
 void ReplicaSet::Apply(const ReplicaEntry& entry) {
+  this->outdated_entries.erase(entry.id);
   auto& replica = this->by_id[entry.id];
   bool same_process = replica != nullptr &&
                       replica->entry.endpoint == entry.endpoint &&
@@ -71,6 +78,7 @@
     replica->role_changing_until = absl::InfinitePast();
   replica->entry = entry;
   replica->registered = true;
+  replica->missing_until = absl::InfiniteFuture();
 }
 
 void ReplicaSet::SetCacheCapacity(std::string_view service, int64_t tokens) {
@@ -91,6 +99,7 @@
 }
 
 void ReplicaSet::Remove(std::string_view id) {
+  this->outdated_entries.erase(std::string(id));
   auto found = this->by_id.find(std::string(id));
   if (found == this->by_id.end() || !found->second->registered)
     return;
@@ -100,16 +109,55 @@
 
 void ReplicaSet::Reset(const std::vector<ReplicaEntry>& entries) {
   absl::flat_hash_set<std::string_view> present_ids;
+  this->outdated_entries.clear();
   for (const ReplicaEntry& entry : entries) {
     present_ids.insert(entry.id);
-    this->Apply(entry);
+    if (this->IsOutdated(entry))
+      this->outdated_entries[entry.id] = entry;
+    else
+      this->Apply(entry);
   }
-  std::vector<std::string> missing_ids;
+  absl::Time now = this->clock.Now();
+  absl::Time missing_until =
+      now < this->entries_trusted_at ? now + kReregistrationTime : now;
   for (const auto& [id, replica] : this->by_id) {
     if (!present_ids.contains(id))
-      missing_ids.push_back(id);
+      replica->missing_until = std::min(replica->missing_until, missing_until);
+  }
+  this->SettleAfterRestore();
+}
+
+void ReplicaSet::ResetAfterRestore(const std::vector<ReplicaEntry>& entries) {
+  this->entries_trusted_at = this->clock.Now() + kOutdatedEntryTime;
+  this->Reset(entries);
+}
+
+/// @return True if the entry must be older than what is known of the replica.
+bool ReplicaSet::IsOutdated(const ReplicaEntry& entry) const {
+  auto found = this->by_id.find(entry.id);
+  if (found == this->by_id.end() || entry.leaving ||
+      this->clock.Now() >= this->entries_trusted_at)
+    return false;
+  const Replica& known = *found->second;
+  if (entry.started_ms < known.entry.started_ms)
+    return true;
+  bool same_process = entry.started_ms == known.entry.started_ms &&
+                      entry.endpoint == known.entry.endpoint;
+  return same_process && (!known.registered || known.entry.leaving);
+}
+
+void ReplicaSet::SettleAfterRestore() {
+  absl::Time now = this->clock.Now();
+  if (now >= this->entries_trusted_at) {
+    for (const auto& [id, entry] : std::exchange(this->outdated_entries, {}))
+      this->Apply(entry);
+  }
+  std::vector<std::string> lost_ids;
+  for (const auto& [id, replica] : this->by_id) {
+    if (replica->registered && now >= replica->missing_until)
+      lost_ids.push_back(id);
   }
-  for (const std::string& id : missing_ids)
+  for (const std::string& id : lost_ids)
     this->Remove(id);
 }
 
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -79,6 +79,9 @@
   ReplicaEntry entry;
   bool registered = true;  ///< True while the registry lists the replica.
   absl::Time removed_at;   ///< When the registry stopped listing it.
+  /// The registry has lost the entry, and the replica counts as removed at this
+  /// time unless it writes another one.
+  absl::Time missing_until = absl::InfiniteFuture();
   /// Requests of this instance without a complete answer.
   int outstanding = 0;
   QueuedTokens queued;  ///< Tokens of this instance's requests.
@@ -139,6 +142,17 @@
   /// are removed.
   void Reset(const std::vector<ReplicaEntry>& entries);
 
+  /// Takes over the registry's contents after it went back to an older copy, in
+  /// which entries are missing and others are out of date until the replicas
+  /// write them again. What is known of a replica goes before its entry for
+  /// some seconds; those that `entries` does not contain are kept for about
+  /// two.
+  void ResetAfterRestore(const std::vector<ReplicaEntry>& entries);
+
+  /// Ends the times after ResetAfterRestore() that have passed. To be called
+  /// several times a second.
+  void SettleAfterRestore();
+
   /// Records that the registry is reachable again after an outage.
   void OnRegistryReconnected() {
     this->registry_reconnected_at = this->clock.Now();
@@ -189,6 +203,7 @@
 
  private:
   void EraseExpired();
+  bool IsOutdated(const ReplicaEntry& entry) const;
 
   const Clock& clock;
   absl::flat_hash_map<std::string, std::shared_ptr<Replica>> by_id;
@@ -196,6 +211,9 @@
   absl::flat_hash_map<std::string, int64_t> cache_capacity_by_service;
   absl::flat_hash_map<std::string, int> connection_share_by_service;
   absl::Time registry_reconnected_at = absl::InfinitePast();
+  // Entries of the registry's older copy that differ from what is known.
+  absl::flat_hash_map<std::string, ReplicaEntry> outdated_entries;
+  absl::Time entries_trusted_at = absl::InfinitePast();
 };
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/replica_set_test.cc
+++ b/cranberryhill/forward/replica_set_test.cc
@@ -33,6 +33,52 @@
   BOOST_TEST((this->Usable() == Ids{"x"}));
 }
 
+// Guards against a replica that has left and returns with an older copy of the
+// registry, and against one that is never used again.
+BOOST_FIXTURE_TEST_CASE(older_copy_does_not_bring_a_left_replica_back,
+                        Fixture) {
+  ReplicaEntry leaving = MakeEntry("leaving");
+  leaving.leaving = true;
+  for (const ReplicaEntry& entry :
+       {MakeEntry("x"), leaving, MakeEntry("removed")})
+    this->replicas.Apply(entry);
+  this->replicas.Remove("removed");
+  this->replicas.ResetAfterRestore(
+      {MakeEntry("x"), MakeEntry("leaving"), MakeEntry("removed")});
+  BOOST_TEST((this->Usable() == Ids{"x"}));
+  this->replicas.Apply(MakeEntry("removed"));
+  BOOST_TEST((this->Usable() == Ids{"removed", "x"}));
+  this->clock.Advance(absl::Seconds(5));
+  this->replicas.SettleAfterRestore();
+  BOOST_TEST((this->Usable() == Ids{"leaving", "removed", "x"}));
+}
+
+// Guards against a replica that leaves after the restore and goes on being used
+// because what was known before goes first.
+BOOST_FIXTURE_TEST_CASE(replica_that_leaves_after_a_restore_gets_no_request,
+                        Fixture) {
+  this->replicas.Apply(MakeEntry("x"));
+  this->replicas.Apply(MakeEntry("y"));
+  ReplicaEntry leaving = MakeEntry("y");
+  leaving.leaving = true;
+  this->replicas.ResetAfterRestore({MakeEntry("x"), leaving});
+  BOOST_TEST((this->Usable() == Ids{"x"}));
+}
+
+// Guards against refusing requests because an older copy of the registry lacks
+// replicas, and against using one that does not return.
+BOOST_FIXTURE_TEST_CASE(entry_that_a_restore_lost_is_used_until_it_returns,
+                        Fixture) {
+  for (const char* id : {"x", "y", "z"})
+    this->replicas.Apply(MakeEntry(id));
+  this->replicas.ResetAfterRestore({MakeEntry("x")});
+  BOOST_TEST((this->Usable() == Ids{"x", "y", "z"}));
+  this->replicas.Apply(MakeEntry("y"));
+  this->clock.Advance(absl::Milliseconds(2100));
+  this->replicas.SettleAfterRestore();
+  BOOST_TEST((this->Usable() == Ids{"x", "y"}));
+}
+
 // Guards against refusing all requests while registry entries expire, and
 // against using a replica for longer than a second after its removal.
 BOOST_FIXTURE_TEST_CASE(removed_replica_is_used_briefly_as_last_resort,
--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/gateway/control_table.cc
@@ -42,7 +42,8 @@
       write_client(io, store, clock) {}
 
 bool ControlTable::HasCurrentRows() const {
-  return this->loaded() && this->clock.Now() >= this->stale_until;
+  return this->loaded() && !this->follower.needs_snapshot() &&
+         this->clock.Now() >= this->stale_until;
 }
 
 void ControlTable::Stop() {
@@ -100,6 +101,18 @@
 
 CommitOutcome ControlTable::OnWriteDone(Row row, const HttpResult& answer) {
   std::string reason = answer.reason;
+  auto era = this->codec.DecodeEra(answer.headers);
+  if (era && this->era() != 0 && *era != this->era()) {
+    // The write is lost, or was applied to rows that this instance has not
+    // read.
+    this->log.Write(LogEvent("store_write_crossed_restore")
+                        .Add("key", row.key)
+                        .Add("status", answer.status)
+                        .Add("era", *era)
+                        .Add("own_era", this->era()));
+    this->follower.OnEraSeenElsewhere(*era);
+    return {CommitState::kUnknown, ""};
+  }
   if (answer.status == kOk) {
     auto version =
         Capture([&] { return this->codec.DecodeWrite(answer.body); });
@@ -144,9 +157,12 @@
 }
 
 void ControlTable::OnSnapshot(StoreTable /*table*/,
+                              SnapshotKind kind,
                               const std::vector<StoreRow>& rows) {
   // Rows of this table are never removed, so a snapshot can only add or update
-  // rows.
+  // rows, unless the store has lost some.
+  if (kind == SnapshotKind::kRestored)
+    this->cached_rows.clear();
   for (const StoreRow& row : rows)
     this->Apply({row.key, row.version, row.value});
 }
--- a/cranberryhill/gateway/control_table.h
+++ b/cranberryhill/gateway/control_table.h
@@ -39,6 +39,15 @@
 
   void SetOnChange(OnChange callback) { this->on_change = std::move(callback); }
 
+  /// Reads the table again if the store has been restored.
+  /// @param era As an answer of the store for another table says.
+  void OnEraSeenElsewhere(uint64_t era) {
+    this->follower.OnEraSeenElsewhere(era);
+  }
+
+  /// @return The era of the rows; 0 until the store has named one.
+  uint64_t era() const { return this->follower.Progress().era; }  // NOLINT
+
   /// @return True once the whole table has been read.
   bool loaded() const { return this->follower.has_snapshot(); }  // NOLINT
 
@@ -64,10 +73,16 @@
     return this->follower.store_calls() + this->write_calls;
   }
 
-  void OnSnapshot(StoreTable table, const std::vector<StoreRow>& rows) override;
+  void OnSnapshot(StoreTable table,
+                  SnapshotKind kind,
+                  const std::vector<StoreRow>& rows) override;
+  void OnStoreRestored(StoreTable, uint64_t) override {}
   void OnChanges(StoreTable table, const std::vector<StoreRow>& rows) override;
   void OnStoreRecovered(StoreTable, absl::Duration) override {}
-  void OnPolled(StoreTable, uint64_t, const std::vector<StoreRow>&) override {}
+  void OnPolled(StoreTable,
+                uint64_t,
+                uint64_t,
+                const std::vector<StoreRow>&) override {}
   void OnStoreCall(StoreTable, bool) override {}
 
  private:
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -42,7 +42,7 @@
 constexpr double kMinConnections = 2;
 
 /// Number of versions per table in a message to peers.
-constexpr size_t kProgressFields = 4;
+constexpr size_t kProgressFields = 5;
 /// An answer of the store that is older than this says nothing to peers.
 constexpr absl::Duration kMaxReportedAge = absl::Seconds(3);
 
@@ -270,7 +270,9 @@
                       .Add("reason", reason));
 }
 
-void Gateway::OnSnapshot(StoreTable table, const std::vector<StoreRow>& rows) {
+void Gateway::OnSnapshot(StoreTable table,
+                         SnapshotKind kind,
+                         const std::vector<StoreRow>& rows) {
   if (table == StoreTable::kConfiguration)
     return this->OnChanges(table, rows);
   std::vector<forward::ReplicaEntry> entries;
@@ -278,7 +280,16 @@
     if (auto entry = this->DecodeReplicaRow(row))
       entries.push_back(std::move(*entry));
   }
-  this->replicas.Reset(entries);
+  if (kind == SnapshotKind::kRestored)
+    this->replicas.ResetAfterRestore(entries);
+  else
+    this->replicas.Reset(entries);
+}
+
+void Gateway::OnStoreRestored(StoreTable /*table*/, uint64_t era) {
+  this->configuration_follower.OnEraSeenElsewhere(era);
+  this->replica_follower.OnEraSeenElsewhere(era);
+  this->control_table.OnEraSeenElsewhere(era);
 }
 
 std::optional<forward::ReplicaEntry> Gateway::DecodeReplicaRow(
@@ -307,11 +318,12 @@
 }
 
 void Gateway::OnPolled(StoreTable table,
+                       uint64_t era,
                        uint64_t after,
                        const std::vector<StoreRow>& rows) {
   size_t rank = this->StoreRank();
   if (this->store_contact.IsPoller(rank))
-    this->peer_link.SendRows(table, after, rows, rank);
+    this->peer_link.SendRows(table, era, after, rows, rank);
 }
 
 void Gateway::OnStoreCall(StoreTable /*table*/, bool answered) {
@@ -341,9 +353,10 @@
   for (const TableFollower* follower :
        {&this->configuration_follower, &this->replica_follower}) {
     TableProgress progress = follower->Progress();
-    message.table_versions.insert(message.table_versions.end(),
-                                  {progress.newest_row, progress.complete_after,
-                                   progress.seen, progress.history_lost});
+    message.table_versions.insert(
+        message.table_versions.end(),
+        {progress.newest_row, progress.complete_after, progress.seen,
+         progress.history_lost, progress.era});
   }
   message.store_lost = this->store_contact.lost();
   absl::Duration age = std::max(this->configuration_follower.TimeSinceAnswer(),
@@ -363,14 +376,15 @@
   for (TableFollower* follower :
        {&this->configuration_follower, &this->replica_follower}) {
     follower->OnPeerProgress({versions[first], versions[first + 1],
-                              versions[first + 2], versions[first + 3]});
+                              versions[first + 2], versions[first + 3],
+                              versions[first + 4]});
     first += kProgressFields;
   }
 }
 
 void Gateway::OnPeerRows(const RowMessage& message) {
   this->FollowerOf(message.table)
-      .OnPeerRows(message.after, message.up_to, message.rows);
+      .OnPeerRows(message.era, message.after, message.up_to, message.rows);
 }
 
 void Gateway::OnPeerPermit(const PermitMessage& message) {
@@ -561,6 +575,7 @@
       return this->replicas.IsForgotten(replica);
     });
     this->send_permits.Prune();
+    this->replicas.SettleAfterRestore();
     this->ProbeUnreachable();
     if (this->ready())
       this->order_dispatcher.Tick(*this->routes, this->peer_load_sync.Rank());
@@ -706,6 +721,9 @@
     this->metrics.SetEngineSpeed(service, "first_event_ms",
                                  speed.first_event.intercept);
   }
+  this->metrics.SetGauge(
+      "store_era",
+      static_cast<double>(this->configuration_follower.Progress().era));
   this->metrics.SetGauge("store_contact_age_seconds",
                          absl::ToDoubleSeconds(this->store_contact.Age()));
   this->metrics.SetGauge(
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -87,11 +87,15 @@
       std::shared_ptr<http1::Responder> responder) override;
   void OnMalformed(int status, std::string_view reason) override;
 
-  void OnSnapshot(StoreTable table, const std::vector<StoreRow>& rows) override;
+  void OnSnapshot(StoreTable table,
+                  SnapshotKind kind,
+                  const std::vector<StoreRow>& rows) override;
+  void OnStoreRestored(StoreTable table, uint64_t era) override;
   void OnChanges(StoreTable table, const std::vector<StoreRow>& rows) override;
   void OnStoreRecovered(StoreTable table, absl::Duration outage) override;
 
   void OnPolled(StoreTable table,
+                uint64_t era,
                 uint64_t after,
                 const std::vector<StoreRow>& rows) override;
   void OnStoreCall(StoreTable table, bool answered) override;
--- a/cranberryhill/gateway/http_caller.h
+++ b/cranberryhill/gateway/http_caller.h
@@ -19,6 +19,7 @@
   std::string body;
   std::string reason;  ///< Why there is no answer.
   bool sent = true;    ///< False when no connection could be made.
+  http1::HeaderList headers = {};
 };
 
 /// Not thread-safe. At most one call may be in progress.
--- a/cranberryhill/gateway/order_dispatcher.cc
+++ b/cranberryhill/gateway/order_dispatcher.cc
@@ -40,16 +40,21 @@
 /// open without answering, and the next order must not wait for it.
 constexpr absl::Duration kCommandTimeout = absl::Seconds(2);
 
+constexpr uint64_t kFencingNumbersPerEra = 1'000'000;
+
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 
-LeaseSettings MakeLeaseSettings(const std::string& instance) {
+/// @param era Of the store. A store that was restored may have lost rows with
+///     fencing numbers that were used; those of a new era are higher.
+LeaseSettings MakeLeaseSettings(const std::string& instance, uint64_t era) {
   LeaseSettings settings;
   settings.key = kLeaseKey;
   settings.holder = instance;
   settings.term = kTerm;
   settings.renew_interval = kRenewInterval;
   settings.poll_interval = kPollInterval;
+  settings.min_fencing_number = era * kFencingNumbersPerEra + 1;
   return settings;
 }
 
@@ -162,7 +167,7 @@
       clock(clock),
       random(random),
       table(table),
-      lease(std::make_unique<LeaseManager>(MakeLeaseSettings(this->instance),
+      lease(std::make_unique<LeaseManager>(MakeLeaseSettings(this->instance, 0),
                                            table,
                                            clock,
                                            random)),
@@ -179,6 +184,28 @@
          grant->valid_until - now >= kOrderDeliveryTime;
 }
 
+void OrderDispatcher::ResetLease() {
+  this->lease = std::make_unique<LeaseManager>(
+      MakeLeaseSettings(this->instance, this->era), this->table, this->clock,
+      this->random);
+  this->holds_lease = false;
+}
+
+/// Gives up the lease when the store has been restored: its row may be lost,
+/// and so may be that of another holder.
+void OrderDispatcher::ObserveEra() {
+  if (this->table.era() == this->era)
+    return;
+  bool is_first = this->era == 0;
+  this->era = this->table.era();
+  this->ResetLease();
+  if (is_first)
+    return;
+  this->row_version = kAbsentVersion;
+  this->other_holder_ended_at = this->clock.Now() + kTerm;
+  this->log.Write(LogEvent("order_lease_reset").Add("era", this->era));
+}
+
 /// Records until when the previous lease holder may still send orders.
 void OrderDispatcher::ObserveLeaseRow() {
   auto row = this->table.rows().find(kLeaseKey);
@@ -195,6 +222,7 @@
 }
 
 void OrderDispatcher::Tick(const forward::RouteTable& routes, size_t rank) {
+  this->ObserveEra();
   this->ObserveLeaseRow();
   bool needed = false;
   for (const std::string& engine : this->ChangingEngines())
@@ -238,10 +266,7 @@
   if (this->holds_lease || now >= this->acquire_from)
     this->lease->Tick();
   if (this->lease->released()) {
-    this->lease =
-        std::make_unique<LeaseManager>(MakeLeaseSettings(this->instance),
-                                       this->table, this->clock, this->random);
-    this->holds_lease = false;
+    this->ResetLease();
     this->log.Write(LogEvent("order_lease_released"));
     return;
   }
--- a/cranberryhill/gateway/order_dispatcher.h
+++ b/cranberryhill/gateway/order_dispatcher.h
@@ -56,6 +56,8 @@
 
   bool MayOrder() const;
   void ObserveLeaseRow();
+  void ObserveEra();
+  void ResetLease();
   void UpdateLease(bool needed, size_t rank);
   void StartRoleChange(const std::string& service,
                        const forward::RoleChange& change);
@@ -75,6 +77,7 @@
   bool holds_lease = false;
   absl::Time needed_at;  // When a change was last due.
   uint64_t row_version = kAbsentVersion;
+  uint64_t era = 0;  // Of the control table.
   // By this time the previous holder can no longer send orders.
   absl::Time other_holder_ended_at = absl::InfinitePast();
   absl::Time acquire_from = absl::InfiniteFuture();
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -315,6 +315,7 @@
 }
 
 void PeerLink::SendRows(StoreTable table,
+                        uint64_t era,
                         uint64_t after,
                         const std::vector<StoreRow>& rows,
                         size_t rank) {
@@ -323,11 +324,11 @@
     peers.push_back({peer.address().to_string(), peer.port()});
   std::vector<RowRecipient> recipients =
       ChooseRecipients(std::move(peers), rank);
-  std::vector<RowMessage> messages = SplitIntoMessages(table, after, rows);
+  std::vector<RowMessage> messages = SplitIntoMessages(table, era, after, rows);
   bool has_all =
       !messages.empty() && messages.back().up_to == rows.back().version;
   if (!rows.empty() && !has_all)
-    messages.push_back(AnnouncementOf(table, rows.back().version));
+    messages.push_back(AnnouncementOf(table, era, rows.back().version));
   for (RowMessage& message : messages) {
     for (const RowRecipient& recipient : recipients) {
       message.forward_to = recipient.forward_to;
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -92,6 +92,7 @@
   /// @param rank Distinguishes this instance from others that send the same
   ///     rows.
   void SendRows(StoreTable table,
+                uint64_t era,
                 uint64_t after,
                 const std::vector<StoreRow>& rows,
                 size_t rank);
--- a/cranberryhill/gateway/row_message.cc
+++ b/cranberryhill/gateway/row_message.cc
@@ -16,7 +16,7 @@
 /// load message begins with an array.
 constexpr std::string_view kMagic = "\xa3row";
 /// Incremented when the format changes.
-constexpr int kFormatVersion = 1;
+constexpr int kFormatVersion = 2;
 
 /// With at most this many peers, a message is sent to each of them directly.
 constexpr size_t kMaxDirectRecipients = 16;
@@ -66,6 +66,7 @@
 }
 
 std::vector<RowMessage> SplitIntoMessages(StoreTable table,
+                                          uint64_t era,
                                           uint64_t after,
                                           const std::vector<StoreRow>& rows) {
   std::vector<RowMessage> messages;
@@ -87,7 +88,7 @@
     }
     if (end == first)
       break;
-    RowMessage message{table, after, rows[end - 1].version, {}, {}};
+    RowMessage message{table, era, after, rows[end - 1].version, {}, {}};
     for (; first < end; ++first)
       message.rows.push_back(rows[first]);
     after = message.up_to;
@@ -96,8 +97,8 @@
   return messages;
 }
 
-RowMessage AnnouncementOf(StoreTable table, uint64_t version) {
-  return {table, version, version, {}, {}};
+RowMessage AnnouncementOf(StoreTable table, uint64_t era, uint64_t version) {
+  return {table, era, version, version, {}, {}};
 }
 
 std::string EncodeRowMessage(const RowMessage& message) {
@@ -114,7 +115,7 @@
   std::string body;
   json::to_msgpack(json::array({kFormatVersion, static_cast<int>(message.table),
                                 message.after, message.up_to, std::move(rows),
-                                std::move(forward_to)}),
+                                std::move(forward_to), message.era}),
                    body);
   return std::string(kMagic) + body;
 }
@@ -140,8 +141,11 @@
     auto table = TableFromNumber(fields.at(1).get<int>());
     if (!table)
       return invalid("names an unknown table");
-    RowMessage message{
-        *table, fields.at(2).get<uint64_t>(), fields.at(3).get<uint64_t>(), {}};
+    RowMessage message{*table,
+                       fields.at(6).get<uint64_t>(),
+                       fields.at(2).get<uint64_t>(),
+                       fields.at(3).get<uint64_t>(),
+                       {}};
     uint64_t previous = message.after;
     for (const json& entry : fields.at(4)) {
       auto text = [&entry](size_t index) {
--- a/cranberryhill/gateway/row_message.h
+++ b/cranberryhill/gateway/row_message.h
@@ -22,6 +22,7 @@
 /// must read the missing rows from the store.
 struct RowMessage {
   StoreTable table = StoreTable::kReplicas;
+  uint64_t era = 0;            ///< Of the store when it had these versions.
   uint64_t after = 0;          ///< Version of the row before the first one.
   uint64_t up_to = 0;          ///< Version of the last row.
   std::vector<StoreRow> rows;  ///< In ascending order of their versions.
@@ -48,18 +49,20 @@
 
 /// Splits changes into messages that each fit into one datagram. Rows of the
 /// same version stay together, because the store wrote them together.
+/// @param era Of the versions.
 /// @param after Version of the table's newest row before `rows`.
 /// @param rows In ascending order of their versions.
 /// @return Messages in order. Ends before the first row that is too large for a
 ///     datagram; receivers read it from the store, see AnnouncementOf().
 std::vector<RowMessage> SplitIntoMessages(StoreTable table,
+                                          uint64_t era,
                                           uint64_t after,
                                           const std::vector<StoreRow>& rows);
 
 /// @return A message without rows, which tells that the sender has the changes
 ///     up to a version. Receivers that lack some read them from the store at
 ///     once.
-RowMessage AnnouncementOf(StoreTable table, uint64_t version);
+RowMessage AnnouncementOf(StoreTable table, uint64_t era, uint64_t version);
 
 std::string EncodeRowMessage(const RowMessage& message);
 
--- a/cranberryhill/gateway/row_message_test.cc
+++ b/cranberryhill/gateway/row_message_test.cc
@@ -15,17 +15,19 @@
   for (uint64_t i = 1; i <= 100; ++i)
     rows.push_back({"k" + std::to_string(i), std::string(300, 'v'), 10 + i / 2,
                     i % 7 == 0});
-  auto messages = SplitIntoMessages(StoreTable::kReplicas, 7, rows);
+  auto messages = SplitIntoMessages(StoreTable::kReplicas, 4, 7, rows);
   BOOST_REQUIRE(messages.size() > 1U);
   uint64_t after = 7;
   size_t count = 0;
   for (const RowMessage& message : messages) {
     BOOST_TEST(message.after == after);
+    BOOST_TEST(message.era == 4U);
     BOOST_TEST(message.up_to == message.rows.back().version);
     std::string bytes = EncodeRowMessage(message);
     BOOST_TEST(bytes.size() < 16384U);
     auto decoded = Capture([&] { return DecodeRowMessage(bytes); });
     BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST(decoded.value().era == 4U);
     BOOST_TEST(decoded.value().rows.size() == message.rows.size());
     BOOST_TEST(decoded.value().rows[0].value == message.rows[0].value);
     after = message.up_to;
@@ -41,14 +43,14 @@
   std::vector<StoreRow> rows{{"a", "v", 1, false},
                              {"b", std::string(60000, 'v'), 2, false},
                              {"c", "v", 3, false}};
-  auto messages = SplitIntoMessages(StoreTable::kConfiguration, 0, rows);
+  auto messages = SplitIntoMessages(StoreTable::kConfiguration, 0, 0, rows);
   BOOST_REQUIRE(messages.size() == 1U);
   BOOST_TEST(messages[0].up_to == 1U);
 }
 
 // Guards against an announcement that receivers take for changes without rows.
 BOOST_AUTO_TEST_CASE(announcement_is_no_progress) {
-  RowMessage sent = AnnouncementOf(StoreTable::kConfiguration, 7);
+  RowMessage sent = AnnouncementOf(StoreTable::kConfiguration, 0, 7);
   auto received =
       Capture([&] { return DecodeRowMessage(EncodeRowMessage(sent)); });
   BOOST_REQUIRE(received.ok());
@@ -56,7 +58,9 @@
   versions.OnSnapshot(3, {{"a", "v", 3, false}}, false);
   const RowMessage& message = received.value();
   BOOST_TEST(
-      versions.OnPeerRows(message.after, message.up_to, message.rows).empty());
+      versions
+          .OnPeerRows(message.era, message.after, message.up_to, message.rows)
+          .empty());
   BOOST_TEST(versions.seen() == 3U);
   BOOST_TEST(versions.IsBehindPeers());
 }
@@ -98,7 +102,8 @@
 
 // Guards against a malformed datagram that ends the process or is used.
 BOOST_AUTO_TEST_CASE(malformed_messages_are_rejected) {
-  RowMessage message{StoreTable::kReplicas, 5, 9, {{"k", "v", 9, false}}, {}};
+  RowMessage message{StoreTable::kReplicas,  1, 5, 9,
+                     {{"k", "v", 9, false}}, {}};
   std::string valid = EncodeRowMessage(message);
   for (size_t length = 0; length < valid.size(); ++length) {
     auto cut =
--- a/cranberryhill/gateway/serial_http_client.cc
+++ b/cranberryhill/gateway/serial_http_client.cc
@@ -66,6 +66,7 @@
 
 void SerialHttpClient::OnHead(http1::AnswerHead head) {
   this->answer.status = head.status;
+  this->answer.headers = std::move(head.headers);
   this->deadline.OnBegin(this->clock.Now());
 }
 
--- a/cranberryhill/gateway/store_codec.h
+++ b/cranberryhill/gateway/store_codec.h
@@ -5,6 +5,7 @@
 // answers.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,6 +63,13 @@
       std::string_view value,
       uint64_t expected_version) const = 0;
 
+  /// @param headers Of any answer of the store.
+  /// @return The era of the store, a positive number that rises each time the
+  ///     store has been restored from an older copy: versions of rows are
+  ///     comparable within an era only. Nothing if the answer does not name it.
+  virtual std::optional<uint64_t> DecodeEra(
+      const http1::HeaderList& headers) const = 0;
+
   virtual Result<StorePage> DecodePage(std::string_view body) const = 0;
 
   /// @return The version of the row that the write created.
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -53,6 +53,12 @@
 /// Pause between retries of another instance.
 constexpr absl::Duration kRetryPause = absl::Seconds(3);
 
+/// Instances that have to read a snapshot for the same reason spread their
+/// reads over this time.
+constexpr absl::Duration kSnapshotReadSpread = absl::Milliseconds(200);
+/// The same after the store was restored, when each reads all tables.
+constexpr absl::Duration kEraReadSpread = absl::Milliseconds(500);
+
 PollingPolicy PollingPolicyFor(StoreTable table) {
   return table == StoreTable::kControl ? kControlTablePolling : kPolling;
 }
@@ -95,7 +101,42 @@
       [this](HttpResult answer) { this->OnSnapshotPage(std::move(answer)); });
 }
 
+/// @return True if the answer shows that the store has been restored.
+bool TableFollower::OnEraOf(const HttpResult& answer) {
+  auto era = this->codec.DecodeEra(answer.headers);
+  uint64_t previous = this->versions.era();
+  uint64_t seen = this->versions.seen();
+  if (!era || !this->versions.OnEra(*era))
+    return false;
+  this->was_restored = true;
+  this->log.Write(LogEvent("store_restored")
+                      .Add("table", StoreTableName(this->table))
+                      .Add("era", *era)
+                      .Add("previous_era", previous)
+                      .Add("version_before", seen));
+  this->observer.OnStoreRestored(this->table, *era);
+  return true;
+}
+
+void TableFollower::OnEraSeenElsewhere(uint64_t era) {
+  if (era <= std::max(this->versions.era(), this->era_seen_elsewhere))
+    return;
+  this->era_seen_elsewhere = era;
+  // Without an answer of the store there is nothing to read again.
+  if (!this->has_read_snapshot || this->versions.needs_snapshot())
+    return;
+  this->log.Write(LogEvent("store_era_seen_elsewhere")
+                      .Add("table", StoreTableName(this->table))
+                      .Add("era", era)
+                      .Add("own_era", this->versions.era())
+                      .Add("version", this->versions.seen()));
+  this->ReadSnapshotSoon(kEraReadSpread);
+}
+
 void TableFollower::OnSnapshotPage(HttpResult answer) {
+  // Pages of two eras do not make up one snapshot.
+  if (this->OnEraOf(answer) && !this->rows.empty())
+    return this->ReadSnapshotPage("");
   if (answer.status != kOk)
     return this->OnFailed(answer);
   auto page = Capture([&] { return this->codec.DecodePage(answer.body); });
@@ -115,12 +156,16 @@
   bool first = !std::exchange(this->has_read_snapshot, true);
   this->versions.OnSnapshot(this->snapshot_version, this->rows,
                             std::exchange(this->history_lost, false));
+  SnapshotKind kind = std::exchange(this->was_restored, false)
+                          ? SnapshotKind::kRestored
+                          : SnapshotKind::kCurrent;
   this->UpdateBehindSince();
   this->log.Write(LogEvent("table_read")
                       .Add("table", StoreTableName(this->table))
                       .Add("rows", static_cast<int64_t>(this->rows.size()))
-                      .Add("version", this->snapshot_version));
-  this->observer.OnSnapshot(this->table, std::exchange(this->rows, {}));
+                      .Add("version", this->snapshot_version)
+                      .Add("era", this->versions.era()));
+  this->observer.OnSnapshot(this->table, kind, std::exchange(this->rows, {}));
   bool first_control = first && this->table == StoreTable::kControl;
   this->pausing = true;
   this->ContinueAfter(first_control ? kFirstControlTablePause
@@ -150,7 +195,11 @@
   this->watching = true;
   this->watch_started_at = this->clock.Now();
   this->fetches_missing_rows = this->versions.IsBehindPeers();
-  absl::Duration wait = PollingPolicyFor(this->table).wait;
+  // After failed calls the store may have been restored, which its next answer
+  // tells.
+  absl::Duration wait = this->consecutive_failures > 0
+                            ? absl::ZeroDuration()
+                            : PollingPolicyFor(this->table).wait;
   this->store->Call(
       this->codec.EncodeWatch(this->table, this->versions.seen(), wait),
       wait + kWatchTimeoutMargin,
@@ -158,15 +207,19 @@
 }
 
 void TableFollower::OnPeerProgress(const TableProgress& progress) {
+  this->OnEraSeenElsewhere(progress.era);
   if (this->versions.OnPeerProgress(progress))
     return this->OnSnapshotNeededByPeer(progress.history_lost);
   this->OnBehindPeers(kPeerRowsDelay);
 }
 
-void TableFollower::OnPeerRows(uint64_t after,
+void TableFollower::OnPeerRows(uint64_t era,
+                               uint64_t after,
                                uint64_t up_to,
                                const std::vector<StoreRow>& rows) {
-  std::vector<StoreRow> newer = this->versions.OnPeerRows(after, up_to, rows);
+  this->OnEraSeenElsewhere(era);
+  std::vector<StoreRow> newer =
+      this->versions.OnPeerRows(era, after, up_to, rows);
   if (!newer.empty())
     this->observer.OnChanges(this->table, newer);
   this->OnBehindPeers(rows.empty() ? absl::ZeroDuration() : kPeerRowsDelay);
@@ -225,16 +278,23 @@
                       .Add("table", StoreTableName(this->table))
                       .Add("version", this->versions.seen())
                       .Add("peer_version", snapshot_version));
+  this->ReadSnapshotSoon(kSnapshotReadSpread);
+}
+
+/// Reads a snapshot after a random pause, so that instances do not all read at
+/// the same moment.
+void TableFollower::ReadSnapshotSoon(absl::Duration longest_pause) {
   this->store->Cancel();
   this->watching = false;
   this->idle = false;
   this->versions.OnSnapshotNeeded();
-  // Adds jitter so that instances do not all read at the same moment.
-  this->ContinueAfter(absl::Milliseconds(200) * this->random.UniformDouble());
+  this->ContinueAfter(longest_pause * this->random.UniformDouble());
 }
 
 void TableFollower::OnWatchAnswer(HttpResult answer) {
   this->watching = false;
+  if (this->OnEraOf(answer))
+    return this->ReadSnapshotPage("");
   if (answer.status == kHistoryGone) {
     this->log.Write(LogEvent("table_history_lost")
                         .Add("table", StoreTableName(this->table))
@@ -258,7 +318,8 @@
   if (newer.empty())
     return this->Continue();
   this->observer.OnChanges(this->table, newer);
-  this->observer.OnPolled(this->table, complete_after, newer);
+  this->observer.OnPolled(this->table, this->versions.era(), complete_after,
+                          newer);
   this->pausing = true;
   this->ContinueAfter(PollingPolicyFor(this->table).pause);
 }
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -22,6 +22,13 @@
 
 namespace cranberryhill::gateway {
 
+enum class SnapshotKind {
+  kCurrent,   ///< Holds all rows.
+  kRestored,  ///< The first after the store was restored from an older copy. It
+              ///< may lack rows that were acknowledged, and hold rows that were
+              ///< replaced or removed, until their writers write again.
+};
+
 /// Receives the contents of a table and its changes.
 class TableObserver {
  public:
@@ -29,8 +36,13 @@
 
   /// Called with all rows of the table after the whole table has been read.
   virtual void OnSnapshot(StoreTable table,
+                          SnapshotKind kind,
                           const std::vector<StoreRow>& rows) = 0;
 
+  /// Called when an answer of the store shows that it has been restored from an
+  /// older copy.
+  virtual void OnStoreRestored(StoreTable table, uint64_t era) = 0;
+
   /// Called with rows that have changed since the snapshot, in order of their
   /// changes.
   virtual void OnChanges(StoreTable table,
@@ -38,8 +50,10 @@
 
   /// Called after OnChanges() with changes that this instance has polled from
   /// the store.
+  /// @param era Of the versions.
   /// @param after All changes from this version to the last row are in `rows`.
   virtual void OnPolled(StoreTable table,
+                        uint64_t era,
                         uint64_t after,
                         const std::vector<StoreRow>& rows) = 0;
 
@@ -76,11 +90,13 @@
 
   /// Applies changes that a peer has received, unless earlier ones are missing
   /// here.
+  /// @param era Of the versions.
   /// @param after All changes from this version to `up_to` are in `rows`. If
   ///     there are none, the peer has rows that it cannot pass on, and rows
   ///     that are missing here are read from the store at once.
   /// @param up_to Version of the last of `rows`.
-  void OnPeerRows(uint64_t after,
+  void OnPeerRows(uint64_t era,
+                  uint64_t after,
                   uint64_t up_to,
                   const std::vector<StoreRow>& rows);
 
@@ -88,6 +104,11 @@
   /// arrive from peers soon are read from the store.
   void OnPeerProgress(const TableProgress& progress);
 
+  /// Reads the table again if the store has been restored, as was seen
+  /// elsewhere, since this instance last heard of it. Only an answer of the
+  /// store itself changes the era.
+  void OnEraSeenElsewhere(uint64_t era);
+
   /// Starts the next long poll without waiting for the pause to end, because
   /// the table is known to have changed.
   void EndPause();
@@ -95,6 +116,11 @@
   /// @return What this instance knows about the table, for its peers.
   const TableProgress& Progress() const { return this->versions.progress(); }
 
+  /// @return True while the whole table has to be read.
+  bool needs_snapshot() const {
+    return this->versions.needs_snapshot();
+  }  // NOLINT
+
   /// @return True once the whole table has been read.
   bool has_snapshot() const { return this->has_read_snapshot; }  // NOLINT
 
@@ -119,6 +145,8 @@
   void OnSnapshotPage(HttpResult answer);
   void Watch();
   void OnWatchAnswer(HttpResult answer);
+  bool OnEraOf(const HttpResult& answer);
+  void ReadSnapshotSoon(absl::Duration longest_pause);
   void OnAnswered();
   void OnFailed(const HttpResult& answer);
   void RetryAfter(absl::Duration mean_pause);
@@ -148,6 +176,8 @@
   bool polls = true;
   bool is_poller = true;
   bool history_lost = false;
+  bool was_restored = false;        // Since the last snapshot.
+  uint64_t era_seen_elsewhere = 0;  // The highest one.
   bool has_read_snapshot = false;
   int consecutive_failures = 0;
   uint64_t call_count = 0;
--- a/cranberryhill/gateway/table_follower_fleet_test.cc
+++ b/cranberryhill/gateway/table_follower_fleet_test.cc
@@ -33,6 +33,14 @@
       waiting();
   }
 
+  /// Goes back to a version, with which an old row comes back. Open calls fail.
+  void Restore(uint64_t version) {
+    ++this->era;
+    this->version = version;
+    this->waiting.clear();
+  }
+
+  uint64_t era = 1;
   uint64_t version = 1;
   size_t value_bytes = 100;
   bool is_down = false;                        // Refuses all calls.
@@ -63,6 +71,13 @@
                                      uint64_t) const override {
     return {};
   }
+  std::optional<uint64_t> DecodeEra(
+      const http1::HeaderList& headers) const override {
+    auto era = headers.Find("era");
+    return era ? std::optional(
+                     std::strtoull(std::string(*era).c_str(), nullptr, 10))
+               : std::nullopt;
+  }
   Result<StorePage> DecodePage(std::string_view body) const override {
     StorePage page;
     char* end = nullptr;
@@ -132,6 +147,8 @@
       return;
     if (this->store.is_down)
       return this->Finish({503, "", "down"});
+    if (after > this->store.version)
+      return this->Finish({410, "", ""});
     bool has_row = this->store.version > after;
     if (!has_row && wait > absl::ZeroDuration()) {
       this->store.waiting.push_back(
@@ -142,18 +159,25 @@
     }
     size_t bytes = has_row ? this->store.value_bytes : 0;
     this->answer_begun = true;
+    uint64_t era = this->store.era;
     std::string page =
         std::to_string(this->store.version) + " " + std::to_string(bytes);
     this->queue.Schedule(
         absl::Seconds(static_cast<double>(bytes) / this->bytes_per_s),
-        [this, call, page] {
+        [this, call, page, era] {
           if (this->IsCurrent(call))
-            this->Finish({200, page, ""});
+            this->Finish({200, page, ""}, era);
         });
   }
 
   void Finish(HttpResult result) {
+    this->Finish(std::move(result), this->store.era);
+  }
+
+  void Finish(HttpResult result, uint64_t era) {
     this->answer_begun = false;
+    if (result.status != 0)
+      result.headers.Add("era", std::to_string(era));
     std::exchange(this->done, nullptr)(std::move(result));
   }
 
@@ -244,21 +268,27 @@
           fleet.log, fleet.queue.clock, fleet.random);
     }
 
-    void OnSnapshot(StoreTable, const std::vector<StoreRow>& rows) override {
+    void OnSnapshot(StoreTable,
+                    SnapshotKind,
+                    const std::vector<StoreRow>& rows) override {
       this->Apply(rows);
     }
     void OnChanges(StoreTable, const std::vector<StoreRow>& rows) override {
       this->Apply(rows);
     }
+    void OnStoreRestored(StoreTable, uint64_t) override {}
     void OnPolled(StoreTable table,
+                  uint64_t era,
                   uint64_t after,
                   const std::vector<StoreRow>& rows) override {
-      std::vector<RowMessage> messages = SplitIntoMessages(table, after, rows);
+      std::vector<RowMessage> messages =
+          SplitIntoMessages(table, era, after, rows);
       if (messages.empty())
-        messages.push_back(AnnouncementOf(table, rows.back().version));
+        messages.push_back(AnnouncementOf(table, era, rows.back().version));
       for (const RowMessage& message : messages) {
         this->fleet.SendToOthers(*this, [message](TableFollower& receiver) {
-          receiver.OnPeerRows(message.after, message.up_to, message.rows);
+          receiver.OnPeerRows(message.era, message.after, message.up_to,
+                              message.rows);
         });
       }
     }
@@ -346,5 +376,36 @@
   }
 }
 
+// Guards against a fleet in which instances miss a change for good, because the
+// store was restored and gives versions out again that they have seen.
+BOOST_DATA_TEST_CASE(change_after_a_restore_is_in_force_everywhere_in_time,
+                     boost::unit_test::data::make(std::vector<FleetSize>{
+                         {8, 1000 * kMegabit, 10'000, absl::Seconds(2)},
+                         {60, 10 * kMegabit, 10'000, absl::Seconds(3)},
+                         {195, 20 * kMegabit, 10'000, absl::Seconds(3)}}),
+                     size) {
+  Fleet fleet(size);
+  fleet.queue.RunFor(absl::Seconds(10));
+  for (int restore = 0; restore < 6; ++restore) {
+    uint64_t copied = fleet.store.version;
+    for (int change = 0; change < 3; ++change) {
+      BOOST_REQUIRE(fleet.TimeOfChange(size.row_bytes, size.bound));
+      fleet.queue.RunFor(absl::Milliseconds(300 * restore));
+    }
+    fleet.store.is_down = true;
+    fleet.SetAllPolling(restore % 2 == 1);
+    fleet.queue.RunFor(absl::Seconds(2));
+    fleet.store.is_down = false;
+    fleet.store.Restore(copied);
+    fleet.SetAllPolling(false);
+    fleet.queue.RunFor(absl::Milliseconds(300 * restore));
+    // Versions that were in use are given out again before, at and after the
+    // next change that matters.
+    for (int change = 0; change < restore; ++change)
+      fleet.store.Write(size.row_bytes);
+    BOOST_TEST(fleet.TimeOfChange(size.row_bytes, size.bound).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/table_versions.cc
+++ b/cranberryhill/gateway/table_versions.cc
@@ -18,6 +18,21 @@
 
 }  // namespace
 
+bool TableVersions::OnEra(uint64_t era) {
+  if (era == this->current.era)
+    return false;
+  bool is_first = this->current.era == 0;
+  if (is_first) {
+    this->current.era = era;
+    return false;
+  }
+  this->current = {};
+  this->current.era = era;
+  this->peer_version = 0;
+  this->snapshot_needed = true;
+  return true;
+}
+
 void TableVersions::OnSnapshot(uint64_t version,
                                const std::vector<StoreRow>& rows,
                                bool history_lost) {
@@ -48,9 +63,12 @@
 }
 
 std::vector<StoreRow> TableVersions::OnPeerRows(
+    uint64_t era,
     uint64_t after,
     uint64_t up_to,
     const std::vector<StoreRow>& rows) {
+  if (era != this->current.era)
+    return {};
   this->peer_version = std::max(this->peer_version, up_to);
   bool complete = !this->snapshot_needed && this->current.seen >= after;
   if (!complete || this->current.seen >= up_to)
@@ -59,7 +77,7 @@
 }
 
 bool TableVersions::OnPeerProgress(const TableProgress& progress) {
-  if (this->snapshot_needed)
+  if (this->snapshot_needed || progress.era != this->current.era)
     return false;
   if (progress.history_lost > this->current.seen)
     return true;
--- a/cranberryhill/gateway/table_versions.h
+++ b/cranberryhill/gateway/table_versions.h
@@ -15,6 +15,7 @@
 namespace cranberryhill::gateway {
 
 /// Versions up to which an instance knows a table.
+/// All of them belong to one era.
 struct TableProgress {
   /// The newest row received.
   uint64_t newest_row = 0;
@@ -25,6 +26,8 @@
   /// Version of the last snapshot that was read because the store had discarded
   /// changes that this instance was waiting for; 0 if there was none.
   uint64_t history_lost = 0;
+  /// Era of the store; 0 until the store has named one.
+  uint64_t era = 0;
 };
 
 /// Not thread-safe.
@@ -40,6 +43,11 @@
                   const std::vector<StoreRow>& rows,
                   bool history_lost);
 
+  /// Records the era that an answer of the store names. In a new era everything
+  /// that is known of the table has to be read again.
+  /// @return True if the store has been restored since its last answer.
+  bool OnEra(uint64_t era);
+
   /// Records that a snapshot must be read, and until then no changes are used.
   void OnSnapshotNeeded() { this->snapshot_needed = true; }
 
@@ -49,13 +57,17 @@
   std::vector<StoreRow> OnPolled(uint64_t version,
                                  const std::vector<StoreRow>& rows);
 
+  /// @param era Of the versions.
   /// @param rows All changes from `after` to `up_to`.
-  /// @return Those of `rows` to apply; empty when earlier changes are missing.
-  std::vector<StoreRow> OnPeerRows(uint64_t after,
+  /// @return Those of `rows` to apply; empty when earlier changes are missing,
+  ///     and in another era than that of this instance.
+  std::vector<StoreRow> OnPeerRows(uint64_t era,
+                                   uint64_t after,
                                    uint64_t up_to,
                                    const std::vector<StoreRow>& rows);
 
-  /// Takes over what a peer knows about the table.
+  /// Takes over what a peer knows about the table, unless that belongs to
+  /// another era.
   /// @return True if a snapshot must be read, because removals may be missing
   ///     from the changes that peers pass on.
   bool OnPeerProgress(const TableProgress& progress);
@@ -64,6 +76,7 @@
   bool IsBehindPeers() const { return this->peer_version > this->current.seen; }
 
   bool needs_snapshot() const { return this->snapshot_needed; }  // NOLINT
+  uint64_t era() const { return this->current.era; }             // NOLINT
   uint64_t seen() const { return this->current.seen; }           // NOLINT
   uint64_t peer_row() const { return this->peer_version; }       // NOLINT
 
--- a/cranberryhill/gateway/table_versions_test.cc
+++ b/cranberryhill/gateway/table_versions_test.cc
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include "cranberryhill/gateway/row_message.h"
 
@@ -25,9 +26,23 @@
   void WriteElsewhere() { ++this->version; }
   void DiscardHistory() { this->discarded_up_to = this->version; }
 
-  Rows At(uint64_t wanted_version) const {
+  /// Goes back by some versions, which are given out again.
+  void Restore(uint64_t versions) {
+    this->eras[this->era] = this->log;
+    ++this->era;
+    this->version -= std::min(this->version, versions);
+    this->discarded_up_to = std::min(this->discarded_up_to, this->version);
+    std::erase_if(this->log, [this](const StoreRow& row) {
+      return row.version > this->version;
+    });
+  }
+
+  Rows At(uint64_t wanted_era, uint64_t wanted_version) const {
     Rows rows;
-    for (const StoreRow& row : this->log) {
+    auto earlier = this->eras.find(wanted_era);
+    const std::vector<StoreRow>& changes =
+        earlier == this->eras.end() ? this->log : earlier->second;
+    for (const StoreRow& row : changes) {
       if (row.version > wanted_version)
         break;
       if (row.removed)
@@ -38,9 +53,10 @@
     return rows;
   }
 
-  /// @return All changes, or nothing if they were discarded.
+  /// @return All changes, or nothing if they were discarded or `after` was not
+  ///     reached yet.
   std::optional<std::vector<StoreRow>> ChangesAfter(uint64_t after) const {
-    if (after < this->discarded_up_to)
+    if (after < this->discarded_up_to || after > this->version)
       return std::nullopt;
     // A feed shows the newest change of each row.
     std::map<std::string, StoreRow> newest;
@@ -60,14 +76,16 @@
 
   std::vector<StoreRow> Snapshot() const {
     std::vector<StoreRow> rows;
-    for (const auto& [key, row_version] : this->At(this->version))
+    for (const auto& [key, row_version] : this->At(this->era, this->version))
       rows.push_back({key, "", row_version, false});
     return rows;
   }
 
   uint64_t version = 0;
+  uint64_t era = 1;
 
  private:
+  std::map<uint64_t, std::vector<StoreRow>> eras;  // Changes of earlier ones.
   std::vector<StoreRow> log;
   uint64_t discarded_up_to = 0;
 };
@@ -75,6 +93,7 @@
 struct Instance {
   void ReadSnapshot(const FakeTable& table, bool history_lost) {
     this->pending_answer.reset();
+    this->versions.OnEra(table.era);
     this->rows.clear();
     std::vector<StoreRow> snapshot = table.Snapshot();
     this->versions.OnSnapshot(table.version, snapshot, history_lost);
@@ -94,23 +113,26 @@
   void StartPoll(const FakeTable& table) {
     auto changes = table.ChangesAfter(this->versions.seen());
     if (!changes)
-      return this->ReadSnapshot(table, true);
-    this->pending_answer = {table.version, std::move(*changes)};
+      return this->ReadSnapshot(table, table.era == this->versions.era());
+    this->pending_answer = {table.era, table.version, std::move(*changes)};
   }
 
   std::vector<RowMessage> EndPoll() {
     if (!this->pending_answer)
       return {};
-    auto [version, changes] = *std::exchange(this->pending_answer, {});
+    auto [era, version, changes] = *std::exchange(this->pending_answer, {});
+    if (this->versions.OnEra(era))
+      return {};
     uint64_t after = this->versions.progress().complete_after;
     std::vector<StoreRow> newer = this->versions.OnPolled(version, changes);
     this->Apply(newer);
-    return SplitIntoMessages(StoreTable::kReplicas, after, newer);
+    return SplitIntoMessages(StoreTable::kReplicas, era, after, newer);
   }
 
   TableVersions versions;
   Rows rows;
-  std::optional<std::pair<uint64_t, std::vector<StoreRow>>> pending_answer;
+  std::optional<std::tuple<uint64_t, uint64_t, std::vector<StoreRow>>>
+      pending_answer;  // Era, version and changes.
 };
 
 // Guards against rows that go backwards and against removals that are never
@@ -130,12 +152,14 @@
   auto check = [&] {
     for (const Instance& instance : instances) {
       if (!instance.versions.needs_snapshot())
-        RC_ASSERT(instance.rows == table.At(instance.versions.seen()));
+        RC_ASSERT(instance.rows ==
+                  table.At(instance.versions.era(), instance.versions.seen()));
     }
   };
   for (int step = 0; step < 300; ++step) {
     Instance& instance = instances[any(kInstances)];
     uint64_t seen_before = instance.versions.seen();
+    uint64_t era_before = instance.versions.era();
     bool needed_snapshot = instance.versions.needs_snapshot();
     switch (any(9)) {
       case 0:
@@ -148,6 +172,8 @@
       case 3:
         if (any(4) == 0)
           table.DiscardHistory();
+        else if (any(4) == 0)
+          table.Restore(any(8));
         break;
       case 4:
         if (instance.versions.needs_snapshot())
@@ -166,7 +192,7 @@
         if (!messages.empty()) {
           const RowMessage& message = messages[any_recent(messages.size())];
           instance.Apply(instance.versions.OnPeerRows(
-              message.after, message.up_to, message.rows));
+              message.era, message.after, message.up_to, message.rows));
         }
         break;
       case 8:
@@ -175,7 +201,8 @@
           instance.ReadSnapshot(table, false);
         break;
     }
-    if (!needed_snapshot && !instance.rows.empty())
+    if (!needed_snapshot && !instance.rows.empty() &&
+        instance.versions.era() == era_before)
       RC_ASSERT(instance.versions.seen() >= seen_before ||
                 instance.versions.seen() == 0);
     check();
@@ -185,7 +212,7 @@
     instance.ReadSnapshot(table, false);
     instance.StartPoll(table);
     instance.EndPoll();
-    RC_ASSERT(instance.rows == table.At(table.version));
+    RC_ASSERT(instance.rows == table.At(table.era, table.version));
   }
 }
 
--- a/cranberryhill/lease/lease_manager.cc
+++ b/cranberryhill/lease/lease_manager.cc
@@ -186,7 +186,8 @@
   } else if (row == nullptr || this->MayTakeOver()) {
     uint64_t highest =
         this->last_read_record ? this->last_read_record->fencing_number : 0;
-    this->Write(highest + 1, false);
+    this->Write(std::max(highest + 1, this->own_settings.min_fencing_number),
+                false);
   }
 }
 
--- a/cranberryhill/lease/lease_manager.h
+++ b/cranberryhill/lease/lease_manager.h
@@ -39,6 +39,9 @@
   /// ends, and another instance waits this long after the term before it takes
   /// the lease over.
   absl::Duration safety_margin = absl::Milliseconds(500);
+  /// Lowest fencing number that this instance writes. Numbers that were given
+  /// out in rows which the table has lost must be below it.
+  uint64_t min_fencing_number = 1;
   /// Time after which an unanswered table call is given up.
   absl::Duration call_timeout = absl::Seconds(2);
 };
--- a/cranberryhill/lease/lease_manager_test.cc
+++ b/cranberryhill/lease/lease_manager_test.cc
@@ -218,6 +218,31 @@
   BOOST_TEST(simulation.Grants()[0].fencing_number == 2U);
 }
 
+// Guards against a fencing number that is given out twice, because the row with
+// the first one was lost when the table was restored.
+BOOST_AUTO_TEST_CASE(FencingNumbersStartAtTheMinimum) {
+  ManualClock clock;
+  TableRows rows;
+  MemoryTable table(rows);
+  SeededRandom random(1);
+  auto fencing_number_of = [&](uint64_t min_fencing_number) -> uint64_t {
+    LeaseManager manager({.key = "lease/e/z/0",
+                          .holder = std::to_string(min_fencing_number),
+                          .address = "a",
+                          .min_fencing_number = min_fencing_number},
+                         table, clock, random);
+    for (int i = 0; i < 200 && !manager.Grant(); ++i) {
+      clock.Advance(kStepDuration);
+      manager.Tick();
+      table.Pump();
+    }
+    return manager.Grant() ? manager.Grant()->fencing_number : 0;
+  };
+  BOOST_TEST(fencing_number_of(2001) == 2001U);
+  BOOST_TEST(fencing_number_of(1) == 2002U);
+  BOOST_TEST(fencing_number_of(3001) == 3001U);
+}
+
 // Guards against a takeover of a lease whose row cannot be read, because it is
 // damaged or was written by a newer build. The new fencing number could be
 // lower than the one in that row.
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -122,13 +122,13 @@
     this->SendPage(responder, this->Page(table, 0, false));
   } else if (target.starts_with(kRowsFeedPath)) {
     uint64_t after = std::stoull(Parameter(target, "after"));
+    auto wait = absl::Milliseconds(std::stoi(Parameter(target, "wait-ms")));
     if (after + 1 < this->history_from || after > this->version)
       responder->SendWhole(this->Head(410), "");
+    else if (wait == absl::ZeroDuration())
+      this->SendPage(responder, this->Page(table, after, true));
     else
-      this->watches.push_back(
-          {table, after,
-           absl::Milliseconds(std::stoi(Parameter(target, "wait-ms"))),
-           std::move(responder)});
+      this->watches.push_back({table, after, wait, std::move(responder)});
     this->AnswerWatches();
   } else {
     this->Write(request.body, *responder);
