--- a/programs/gateway_soak.cc
+++ b/programs/gateway_soak.cc
@@ -113,6 +113,13 @@
       add({faults / 6, faults * 0.6, FaultKind::kReplicaLimited,
            limit_random.UniformInt(0, 1000)});
     }
+    SeededRandom restore_random(absl::GetFlag(FLAGS_seed) + 3);
+    for (double at = 0.1; at < 0.8; at += 0.35) {
+      if (restore_random.UniformInt(0, 1) == 0)
+        continue;
+      double lasts = 0.1 + 0.3 * restore_random.UniformDouble();
+      add({faults * at, faults * lasts, FaultKind::kStoreRestored, 0});
+    }
     // Half of the days end with the loss of all gateways.
     this->restart_all_at =
         this->random.UniformInt(0, 1) == 0 ? faults : absl::InfiniteDuration();
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -242,6 +242,10 @@
 
 void Fleet::Configure() {
   ++this->version;
+  this->WriteConfiguration();
+}
+
+void Fleet::WriteConfiguration() {
   // Every second version moves the movable route to the other service.
   std::string_view movable = this->version % 2 == 0 ? kShop : kDesk;
   auto route = [](std::string_view name, std::string_view kind,
@@ -532,6 +536,7 @@
     case FaultKind::kStoreSilent:
     case FaultKind::kStoreLosesAnswers:
     case FaultKind::kStoreForgets:
+    case FaultKind::kStoreRestored:
     case FaultKind::kRegistryLapses:
       return this->ApplyToStore(fault.kind, begins);
     default:
@@ -615,6 +620,8 @@
     return this->store.SetLosesAnswers(begins);
   if (kind == FaultKind::kStoreForgets)
     return begins ? this->store.DropHistory() : void();
+  if (kind == FaultKind::kStoreRestored)
+    return begins ? this->store.SaveCopy() : this->RestoreStore();
   this->store_outages += begins ? 1 : -1;
   this->store.SetDown(this->store_outages > 0);
   if (kind != FaultKind::kRegistryLapses)
@@ -630,6 +637,17 @@
   });
 }
 
+/// What the operators and the replicas wrote is written again, in part at once
+/// and in part some time later.
+void Fleet::RestoreStore() {
+  this->store.Restore();
+  this->WriteConfiguration();
+  for (const auto& server : this->servers) {
+    auto wait = kEntriesBack * this->random.UniformDouble();
+    this->After(wait, [this, &server = *server] { this->Publish(server); });
+  }
+}
+
 void Fleet::RestartAll() {
   for (const auto& member : this->members) {
     member->may_end = true;
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -99,6 +99,8 @@
                  std::string_view stage);
   bool AddMember(size_t index);
   void Configure();
+  void WriteConfiguration();
+  void RestoreStore();
   void Publish(Server& server);
   void Work(Server& server,
             const http1::IncomingRequest& request,
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -41,6 +41,7 @@
     "configure",
     "crashing_part",
     "replica_limited",
+    "store_restored",
 };
 
 }  // namespace
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -40,8 +40,9 @@
   kConfigure,          ///< A new version moves routes.
   kCrashingPart,       ///< Engines crash when they answer certain prompts.
   kReplicaLimited,     ///< Takes a few requests a second, and says so.
+  kStoreRestored,      ///< Loses at the end what was written since the start.
 };
-inline constexpr size_t kFaultKinds = 27;
+inline constexpr size_t kFaultKinds = 28;
 /// The kinds that DrawFaults() draws come first, so that later ones do not
 /// change what a seed means.
 inline constexpr size_t kDrawnFaultKinds = 25;
