soak: keep a limit through the part without faults

Counted arrivals at limited replicas were 0 to 6 a run, as instances are rarely undisturbed while faults are played.

--- a/cranberryhill/gateway/send_permits.cc
+++ b/cranberryhill/gateway/send_permits.cc
@@ -62,16 +62,16 @@
   if (!this->limits.RateOf(replica))
     return done(true);
   if (this->TakeUnused(replica))
-    return this->End(std::move(done), true);
+    return this->End(done, true);
   if (this->TimeToOpen(replica) > absl::ZeroDuration() ||
       this->pending.size() >= kMaxPending)
-    return this->End(std::move(done), false);
+    return this->End(done, false);
   std::string issuer = this->transport.OwnerOf(replica);
   if (issuer == this->instance) {
     PermitMessage reply = this->Issue(replica);
     if (!reply.granted)
       this->Close(replica, reply.closed_for);
-    return this->End(std::move(done), reply.granted);
+    return this->End(done, reply.granted);
   }
   PermitMessage ask = this->NewMessage(PermitMessage::Kind::kAsk, replica);
   ask.id = this->next_id++;
@@ -81,7 +81,7 @@
   this->ArmTimer();
 }
 
-void SendPermits::End(Callback done, bool granted) {
+void SendPermits::End(const Callback& done, bool granted) {
   ++(granted ? this->granted_count : this->denied_count);
   done(granted);
 }
@@ -218,7 +218,7 @@
   if (!message.granted)
     this->Close(message.replica, message.closed_for);
   if (ask.done != nullptr)
-    return this->End(std::move(ask.done), message.granted);
+    return this->End(ask.done, message.granted);
   if (message.granted) {
     this->holdings[ask.replica].unused_until.push_back(ask.asked_at +
                                                        kPermitTime);
@@ -256,7 +256,7 @@
   }
   this->ArmTimer();
   for (auto& [done, replica] : timed_out)
-    this->End(std::move(done), false);
+    this->End(done, false);
 }
 
 void SendPermits::Prune() {
--- a/cranberryhill/gateway/send_permits.h
+++ b/cranberryhill/gateway/send_permits.h
@@ -114,7 +114,7 @@
   void OnReply(const PermitMessage& message);
   void OnTimer();
   void ArmTimer();
-  void End(Callback done, bool granted);
+  void End(const Callback& done, bool granted);
   void Close(std::string_view replica, absl::Duration duration);
   PermitMessage NewMessage(PermitMessage::Kind kind,
                            std::string_view replica) const;
--- a/programs/gateway_soak.cc
+++ b/programs/gateway_soak.cc
@@ -108,11 +108,6 @@
       add({faults / 8, faults * 0.8, FaultKind::kCrashingPart,
            part_random.UniformInt(0, 1000)});
     }
-    SeededRandom limit_random(absl::GetFlag(FLAGS_seed) + 2);
-    if (limit_random.UniformInt(0, 1) == 0) {
-      add({faults / 6, faults * 0.6, FaultKind::kReplicaLimited,
-           limit_random.UniformInt(0, 1000)});
-    }
     SeededRandom restore_random(absl::GetFlag(FLAGS_seed) + 3);
     for (double at = 0.1; at < 0.8; at += 0.35) {
       if (restore_random.UniformInt(0, 1) == 0)
@@ -133,6 +128,12 @@
            this->random.UniformInt(0, 1000)});
     }
     this->calm_from = this->planned_from + kPlannedWork + kAfterPlannedWork;
+    SeededRandom limit_random(absl::GetFlag(FLAGS_seed) + 2);
+    if (limit_random.UniformInt(0, 1) == 0) {
+      absl::Duration at = faults / 6;
+      add({at, this->calm_from + kCalmPart / 2 - at, FaultKind::kReplicaLimited,
+           limit_random.UniformInt(0, 1000)});
+    }
     std::stable_sort(this->steps.begin(), this->steps.end(),
                      [](const Step& a, const Step& b) { return a.at < b.at; });
   }
