gateway: choose where to send in a file of its own, check the budget after a wait

A request that waits for a permit is sent a round trip after it was decided; if it is a repeat, the room in the retry budget is checked again. exchange.cc loses what chooses replicas to exchange_choice.cc; the linter's names are followed.

--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/gateway/control_table.cc
@@ -42,7 +42,7 @@
       write_client(io, store, clock) {}
 
 bool ControlTable::HasCurrentRows() const {
-  return this->loaded() && !this->follower.needs_snapshot() &&
+  return this->loaded() && !this->follower.NeedsSnapshot() &&
          this->clock.Now() >= this->stale_until;
 }
 
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -37,9 +37,6 @@
 /// Maximum number of prefills of one request on separate prefill engines; the
 /// second one follows a failure.
 constexpr int kMaxPrefillAttempts = 2;
-/// A request that was denied this many permits is sent to replicas without a
-/// limit only, so that it does not wait for one reply after the other.
-constexpr int kMaxDeniedPermits = 3;
 /// Retry-After of refusals for which no better time is known. Replicas that
 /// crash or are replaced are back after a second or more.
 constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
@@ -52,10 +49,6 @@
 /// have the same priority so that engines prefill them in order of arrival and
 /// no route starves another.
 constexpr int kOnTimePriority = 3;
-/// Share of the shortest latency target that a prompt may spend in an engine's
-/// queue; the rest is for the prefill, the transfer of the cache and the first
-/// event.
-constexpr double kMaxQueueWaitShare = 0.8;
 
 /// Interval between checks whether a silent replica is unreachable.
 constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(100);
@@ -187,9 +180,20 @@
                        this->context.retry_budget(this->service).HasRoom(2)));
   const forward::Replica& target =
       may_prefill ? *choice.prefill_engine : *choice.replica;
-  this->AwaitPermit(target, [this, choice, may_prefill](bool granted) {
+  bool is_retry = may_prefill ? this->prefill_attempts > 0
+                              : !this->attempt_policy.replicas().empty();
+  bool may_wait =
+      this->context.replica_limits.RateOf(target.entry.id).has_value();
+  this->AwaitPermit(target, [=, this, id = target.entry.id](bool granted) {
     if (!granted)
       return this->SendToNextReplica();
+    // Other requests may have used the room that this one had before its wait.
+    if (is_retry && may_wait &&
+        !this->context.retry_budget(this->service).HasRoom()) {
+      this->context.send_permits.Return(id);
+      this->ReleaseCache();
+      return this->Refuse("retry_budget", kDefaultRetryAfter);
+    }
     if (may_prefill)
       return this->StartPrefill(choice);
     this->StartRun(choice.replica,
@@ -198,80 +202,11 @@
   });
 }
 
-/// Calls `next` at once if the replica is not limited, otherwise when it is
-/// known whether one more request may be sent to it.
-void Exchange::AwaitPermit(const forward::Replica& target,
-                           std::function<void(bool granted)> next) {
-  const std::string& id = target.entry.id;
-  if (!this->context.replica_limits.RateOf(id))
-    return next(true);
-  this->phase = Phase::kAwaitingPermit;
-  auto on_reply = [weak = this->weak_from_this(), &context = this->context, id,
-                   next = std::move(next)](bool granted) {
-    auto self = weak.lock();
-    if (self == nullptr || self->phase == Phase::kDone) {
-      if (granted)
-        context.send_permits.Return(id);
-      return;
-    }
-    self->phase = Phase::kIdle;
-    if (!granted) {
-      ++self->denied_permits;
-      context.metrics.CountDecision("permit_denied");
-    }
-    next(granted);
-  };
-  this->context.send_permits.Acquire(id, std::move(on_reply));
-}
-
-/// @return The usable replicas without the limited ones that take no request
-///     now.
-std::vector<std::shared_ptr<forward::Replica>> Exchange::OpenReplicas() {
-  auto replicas = this->context.replicas.Usable(this->service);
-  std::erase_if(replicas, [this](const auto& replica) {
-    const std::string& id = replica->entry.id;
-    if (!this->context.replica_limits.RateOf(id))
-      return false;
-    return this->denied_permits >= kMaxDeniedPermits ||
-           this->context.send_permits.TimeToOpen(id) > absl::ZeroDuration();
-  });
-  return replicas;
-}
-
-/// @return Time until a limited replica may take a request; zero if none is
-///     closed.
-absl::Duration Exchange::TimeToOpenReplica() {
-  absl::Duration shortest = absl::InfiniteDuration();
-  for (const auto& replica : this->context.replicas.Usable(this->service)) {
-    absl::Duration wait =
-        this->context.send_permits.TimeToOpen(replica->entry.id);
-    if (wait > absl::ZeroDuration())
-      shortest = std::min(shortest, wait);
-  }
-  return shortest == absl::InfiniteDuration() ? absl::ZeroDuration() : shortest;
-}
-
 int Exchange::Priority() const {
   return this->lane == forward::PrefillLane::kOnTime ? kOnTimePriority
                                                      : kLowestPriority;
 }
 
-forward::PlacementChoice Exchange::ChooseReplica() {
-  std::vector<std::shared_ptr<forward::Replica>> usable_replicas =
-      this->OpenReplicas();
-  absl::Time now = this->Now();
-  if (!this->is_engine_service)
-    return this->context.placement.ChooseServer(usable_replicas, now,
-                                                this->excluded_replicas);
-  absl::Duration elapsed = now - this->request.arrived;
-  forward::LatencyLimits limits{
-      this->route.target_latency - elapsed,
-      this->routes->ShortestTargetLatency(this->service) * kMaxQueueWaitShare};
-  return this->context.placement.ChooseEngine(
-      usable_replicas, this->caller_request.prompt, limits, now,
-      this->excluded_replicas);
-}
-
 void Exchange::StartPrefill(const forward::PlacementChoice& choice) {
   if (this->prefill_attempts++ > 0)
     this->context.retry_budget(this->service).OnRetry();
@@ -845,25 +780,6 @@
       });
 }
 
-bool Exchange::HasAlternativeReplica() {
-  bool may_move = this->phase == Phase::kPrefilling ||
-                  this->attempt_policy.replicas().size() <
-                      static_cast<size_t>(this->route.max_replicas);
-  if (!may_move)
-    return false;
-  absl::Time now = this->Now();
-  auto usable_replicas = this->OpenReplicas();
-  return std::any_of(
-      usable_replicas.begin(), usable_replicas.end(), [&](const auto& other) {
-        const std::string& id = other->entry.id;
-        return other->entry.role == this->replica->entry.role &&
-               id != this->replica->entry.id && now >= other->avoid_until &&
-               std::find(this->excluded_replicas.begin(),
-                         this->excluded_replicas.end(),
-                         id) == this->excluded_replicas.end();
-      });
-}
-
 void Exchange::OnTimer() {
   // The next send arms the timer again.
   if (this->phase == Phase::kDone || this->phase == Phase::kAwaitingPermit)
--- a/cranberryhill/gateway/send_permits_fleet_test.cc
+++ b/cranberryhill/gateway/send_permits_fleet_test.cc
@@ -86,7 +86,7 @@
     this->members[index]->group = group;
   }
 
-  size_t size() const { return this->members.size(); }
+  size_t Size() const { return this->members.size(); }
 
   std::optional<double> limit;  // That the replica names.
 
@@ -235,15 +235,15 @@
   fleet.RunFor(absl::Seconds(10));
   absl::Time start = fleet.Now();
   for (size_t round = 0; round < 8; ++round) {
-    fleet.Restart(round * 7 % fleet.size());
+    fleet.Restart(round * 7 % fleet.Size());
     fleet.RunFor(absl::Milliseconds(900));
     fleet.Add();
     fleet.RunFor(absl::Milliseconds(1700));
   }
-  for (size_t i = 0; i < fleet.size(); ++i)
+  for (size_t i = 0; i < fleet.Size(); ++i)
     fleet.SetGroup(i, static_cast<int>(i % 3));
   fleet.RunFor(absl::Seconds(20));
-  for (size_t i = 0; i < fleet.size(); ++i)
+  for (size_t i = 0; i < fleet.Size(); ++i)
     fleet.SetGroup(i, 0);
   fleet.RunFor(absl::Seconds(20));
   BOOST_TEST(fleet.MostArrivals(start) <= AllowedInWindow(kLimit));
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -117,9 +117,7 @@
   const TableProgress& Progress() const { return this->versions.progress(); }
 
   /// @return True while the whole table has to be read.
-  bool needs_snapshot() const {
-    return this->versions.needs_snapshot();
-  }  // NOLINT
+  bool NeedsSnapshot() const { return this->versions.needs_snapshot(); }
 
   /// @return True once the whole table has been read.
   bool has_snapshot() const { return this->has_read_snapshot; }  // NOLINT
