--- a/cranberryhill/forward/replica_limits.cc
+++ b/cranberryhill/forward/replica_limits.cc
@@ -15,8 +15,8 @@
 constexpr double kMinRequestsPerS = 0.2;
 /// Answers older than this are not reported to peers.
 constexpr absl::Duration kReportTime = absl::Seconds(10);
-/// Maximum number of reports in a message. Messages with more work than that to
-/// tell of would not fit into a datagram.
+/// Maximum number of reports in a message, so that it fits into a datagram
+/// together with the loads of engines.
 constexpr size_t kMaxReports = 32;
 
 }  // namespace
