gateway: a request uses no connection that has carried it before

Cause: after an engine could not fetch the cache of a prompt, the gateway sent the request to the same engine again, without the cache, on the connection that had just been returned to the pool. A late copy of the refusal bears the id of the request, so it counted as the second answer.

The id tells answers apart as long as a connection carries each id once, so an exchange remembers the connections that it has used and the pool passes over them. The same holds for a prefill and a run at one engine, whose answers bear the same id.

--- a/cranberryhill/gateway/connection_pool.cc
+++ b/cranberryhill/gateway/connection_pool.cc
@@ -30,14 +30,24 @@
 }
 
 std::shared_ptr<http1::ClientConnection> ConnectionPool::Acquire(
-    const forward::Replica& replica) {
+    const forward::Replica& replica,
+    std::span<const std::weak_ptr<http1::ClientConnection>> excluded) {
+  auto is_excluded = [excluded](const IdleConnection& idle) {
+    return std::any_of(excluded.begin(), excluded.end(),
+                       [&idle](const auto& connection) {
+                         return connection.lock() == idle.connection;
+                       });
+  };
   auto found = this->idle_connections.find(PoolKey(replica));
   if (found != this->idle_connections.end()) {
+    std::vector<IdleConnection>& pooled = found->second;
     // The most recently used connection is taken first, so that the others can
     // expire.
-    while (!found->second.empty()) {
-      IdleConnection last = std::move(found->second.back());
-      found->second.pop_back();
+    for (size_t i = pooled.size(); i > 0; --i) {
+      if (is_excluded(pooled[i - 1]))
+        continue;
+      IdleConnection last = std::move(pooled[i - 1]);
+      pooled.erase(pooled.begin() + static_cast<ptrdiff_t>(i) - 1);
       if (this->IsFresh(last))
         return last.connection;
       last.connection->Cancel();
--- a/cranberryhill/gateway/connection_pool.h
+++ b/cranberryhill/gateway/connection_pool.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -25,9 +26,13 @@
   ConnectionPool(boost::asio::io_context& io, const Clock& clock)
       : io(io), clock(clock) {}
 
+  /// @param excluded Connections that are not returned. A request must not be
+  ///     sent again on a connection that has carried it: a late copy of the
+  ///     first answer could not be told from the second answer.
   /// @return An idle connection to the replica, or a new one.
   std::shared_ptr<http1::ClientConnection> Acquire(
-      const forward::Replica& replica);
+      const forward::Replica& replica,
+      std::span<const std::weak_ptr<http1::ClientConnection>> excluded = {});
 
   /// Returns a connection to the pool, if it can carry another request and the
   /// pool has room for it.
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -269,7 +269,9 @@
   this->sent_at = this->Now();
   this->last_progress_at = this->sent_at;
   this->silence_checked_at = absl::InfinitePast();
-  this->connection = this->context.connection_pool.Acquire(*this->replica);
+  this->connection = this->context.connection_pool.Acquire(
+      *this->replica, this->used_connections);
+  this->used_connections.push_back(this->connection);
   this->context.log.Write(
       this->MakeLogEvent("request_sent")
           .Add("replica", this->replica->entry.id)
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -167,6 +167,8 @@
   Phase phase = Phase::kIdle;
   std::shared_ptr<forward::Replica> replica;  // Receives the send in progress.
   std::shared_ptr<http1::ClientConnection> connection;
+  // Have carried this request in this or an earlier send.
+  std::vector<std::weak_ptr<http1::ClientConnection>> used_connections;
   double queued_tokens = 0;  // Added to the replica's queue by this send.
   forward::PrefillWork prefill_work;  // Of this send, when it was sent.
   bool uses_cache_source = false;     // The send refers to a transferred cache.
