http1, gateway: a connection closes at the end of a stream during a shutdown

Cause: idle connections were closed once, 2.6 s after the signal. A stream whose head had been sent before the signal could not announce the end of its connection; when it ended later than 2.6 s, the connection stayed open for the next request until the process ended. The same held for a connection that was accepted after the one close and had no request yet: as long as any request was active, it was not closed.

The server now has a state in which each connection closes as soon as it waits for a request, also after an answer that has not announced it, and the gateway closes the idle ones at each check from the end of the notice time on. Callers that send while the connection closes see it closed without an answer to a request that was not passed on.

--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -610,18 +610,16 @@
   absl::Duration elapsed = this->clock.Now() - this->shutdown_started_at;
   if (elapsed >= kIdleCloseDelay &&
       !std::exchange(this->idle_connections_closed, true))
-    this->caller_server.CloseIdle();
+    this->caller_server.CloseWhenIdle();
   if (elapsed < kLoadBalancerNoticeTime)
     return;
   bool time_is_up = elapsed >= this->settings.shutdown_time - kShutdownMargin -
                                    absl::FromChrono(kMaintenanceInterval);
   this->caller_server.StopAccepting();
-  if (this->caller_server.ActiveRequests() > 0 && !time_is_up)
+  // A request that arrived later could be cut by the end of the process.
+  this->caller_server.CloseWhenIdle();
+  if (this->caller_server.OpenConnections() > 0 && !time_is_up)
     return;
-  if (this->caller_server.OpenConnections() > 0 && !time_is_up) {
-    this->caller_server.CloseIdle();
-    return;
-  }
   this->log.Write(
       LogEvent("stopped")
           .Add("took_ms", elapsed)
--- a/cranberryhill/http1/connection_test.cc
+++ b/cranberryhill/http1/connection_test.cc
@@ -275,7 +275,7 @@
   this->RunUntil([&] { return kept != nullptr; });
   this->server.CloseAfterAnswers();
   this->server.StopAccepting();
-  this->server.CloseIdle();
+  this->server.CloseWhenIdle();
   BOOST_TEST(this->server.ActiveRequests() == 1U);
   kept->SendWhole({200, "", {}}, "done");
   this->RunUntil([&] { return answer.end.has_value(); });
@@ -284,5 +284,26 @@
   BOOST_TEST(!link->Reusable());
 }
 
+// Guards against a connection that stays open for more requests during a
+// shutdown, because the head of its stream was sent before.
+BOOST_FIXTURE_TEST_CASE(stream_that_began_before_the_shutdown_closes, Fixture) {
+  std::shared_ptr<Responder> kept;
+  this->handler.work = [&kept](const IncomingRequest&, auto responder) {
+    responder->BeginStream({200, "", {}});
+    responder->SendPart("one");
+    kept = std::move(responder);
+  };
+  auto link = ClientConnection::Create(this->io, this->ServerEndpoint());
+  Collected answer;
+  link->Send(this->Request("/"), {}, answer);
+  this->RunUntil([&] { return answer.body == "one"; });
+  this->server.CloseAfterAnswers();
+  this->server.CloseWhenIdle();
+  kept->EndStream();
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST((*answer.end == AnswerEnd::kComplete));
+  this->RunUntil([&] { return !link->Reusable(); });
+}
+
 }  // namespace
 }  // namespace cranberryhill::http1
--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -240,7 +240,8 @@
     this->active = nullptr;
     this->streaming = false;
     this->waiting_since = this->server->clock.Now();
-    if (close)
+    // The head of a stream may have been sent before the server began to close.
+    if (close || this->server->closes_when_idle)
       return this->BeginLinger();
     this->phase = Phase::kIdle;
     // Consume() runs from the event loop, so that a pipelined request does
@@ -367,7 +368,8 @@
   return this->acceptor.local_endpoint().port();
 }
 
-void Server::CloseIdle() {
+void Server::CloseWhenIdle() {
+  this->closes_when_idle = true;
   std::vector<std::shared_ptr<Connection>> open(this->connections.begin(),
                                                 this->connections.end());
   for (const auto& connection : open)
--- a/cranberryhill/http1/server.h
+++ b/cranberryhill/http1/server.h
@@ -107,8 +107,9 @@
   /// Answers from now on say "Connection: close".
   void CloseAfterAnswers() { this->closing = true; }
 
-  /// Closes the connections that wait for a request.
-  void CloseIdle();
+  /// Closes the connections that wait for a request, and from now on each other
+  /// one when its answer is complete, also if that answer has not announced it.
+  void CloseWhenIdle();
 
   /// Stops accepting connections.
   void StopAccepting();
@@ -139,6 +140,7 @@
   // next request.
   std::array<char, 16384> read_buffer{};
   bool closing = false;
+  bool closes_when_idle = false;
 };
 
 }  // namespace cranberryhill::http1
