gateway: instances that have just restarted do not count as pollers

Cause: in a fleet of more than 17 an instance does not poll for 2.5 s and 8 ms for each peer after its start, so that hundreds that start together do not all poll. Its peers ranked it as a poller all the same, so none took its place, and its report of the one answer that it had read at its start counted as contact with the store for 3 s.

Messages now say in how long their sender may poll. Until 0.5 s before, peers leave it out of the ranks of pollers, so the next three poll in its place, and its answers do not count as contact. The time is known in advance, so instances that start together agree on the pollers.

--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -22,12 +22,16 @@
 /// A peer that sent nothing for this long counts as gone for good. Before, it
 /// may be on the other side of a network partition.
 constexpr absl::Duration kGoneAfter = absl::Minutes(1);
+/// A peer that may poll the store within this time counts as if it polled.
+/// Instances that were started together differ by less, so that they all see
+/// the same few pollers.
+constexpr absl::Duration kStartSkew = absl::Milliseconds(500);
 
 /// Stands for the absence of a limit.
 constexpr double kNoLimit = -1;
 
 /// First element of every message; incremented when the format changes.
-constexpr int kFormatVersion = 8;
+constexpr int kFormatVersion = 9;
 
 /// @return Milliseconds, or -1 for an infinite duration.
 int64_t EncodedAge(absl::Duration age) {
@@ -134,7 +138,8 @@
                    message.unreachable_replicas,
                    EncodedAge(message.store_answer_age), message.store_lost,
                    EncodePromptParts(message.prompt_parts),
-                   EncodeLimits(message.replica_limits)}),
+                   EncodeLimits(message.replica_limits),
+                   EncodedAge(message.may_poll_in)}),
       bytes);
   return bytes;
 }
@@ -188,6 +193,7 @@
     message.store_lost = fields.at(13).get<bool>();
     message.prompt_parts = DecodePromptParts(fields.at(14));
     message.replica_limits = DecodeLimits(fields.at(15));
+    message.may_poll_in = DecodedAge(fields.at(16).get<int64_t>());
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
@@ -266,8 +272,10 @@
   peer.sequence = message.sequence;
   peer.last_seen_at = this->clock.Now();
   this->last_seen_by_instance[message.instance] = peer.last_seen_at;
-  if (!message.partial)
+  if (!message.partial) {
     peer.store_lost = message.store_lost;
+    peer.may_poll_from = peer.last_seen_at + message.may_poll_in;
+  }
   if (message.partial)
     this->ReplaceListedLoads(peer, message.engine_loads, replicas);
   else
@@ -375,8 +383,10 @@
 }
 
 size_t PeerLoadSync::RankByStore(bool store_lost) const {
-  return this->RankAmong(
-      [store_lost](const Peer& peer) { return peer.store_lost == store_lost; });
+  absl::Time latest_start = this->clock.Now() + kStartSkew;
+  return this->RankAmong([=](const Peer& peer) {
+    return peer.store_lost == store_lost && peer.may_poll_from <= latest_start;
+  });
 }
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/peer_load_sync.h
+++ b/cranberryhill/forward/peer_load_sync.h
@@ -71,6 +71,9 @@
   absl::Duration store_answer_age = absl::InfiniteDuration();
   /// True when the instance's calls to the store have been failing.
   bool store_lost = false;
+  /// Time until the instance, which has just started, may poll the store for
+  /// its peers.
+  absl::Duration may_poll_in = absl::ZeroDuration();
   /// Parts of prompts that crash engines.
   PromptPartReport prompt_parts = {};
   /// Limits that replicas have named to this instance.
@@ -120,7 +123,9 @@
   size_t Rank() const;
 
   /// @param store_lost Whether this instance's calls to the store fail.
-  /// @return The same among the peers for which that is equal.
+  /// @return The same among the peers for which that is equal and which may
+  ///     poll the store, or will soon: a peer that has just restarted must not
+  ///     keep another one from polling in its place.
   size_t RankByStore(bool store_lost) const;
 
   /// @return The name of the live instance, possibly this one, that comes first
@@ -139,6 +144,7 @@
     uint64_t sequence = 0;
     absl::Time last_seen_at;
     bool store_lost = false;
+    absl::Time may_poll_from;
     std::vector<EngineLoadEntry> engine_loads;
   };
 
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -359,6 +359,7 @@
          progress.history_lost, progress.era});
   }
   message.store_lost = this->store_contact.lost();
+  message.may_poll_in = this->store_contact.TimeToPoll();
   absl::Duration age = std::max(this->configuration_follower.TimeSinceAnswer(),
                                 this->replica_follower.TimeSinceAnswer());
   if (age <= kMaxReportedAge)
@@ -366,8 +367,8 @@
 }
 
 void Gateway::OnPeerStoreContact(const forward::LoadMessage& message) {
-  if (message.store_answer_age != absl::InfiniteDuration() &&
-      this->store_contact.OnPeerContact(message.store_answer_age))
+  if (this->store_contact.OnPeerContact(message.store_answer_age,
+                                        message.may_poll_in))
     this->replicas.OnRegistryReconnected();
   const std::vector<uint64_t>& versions = message.table_versions;
   if (versions.size() != 2 * kProgressFields)
@@ -671,6 +672,8 @@
   page["store"] = {
       {"contact_age_ms", absl::ToInt64Milliseconds(this->store_contact.Age())},
       {"own_calls_fail", this->store_contact.lost()},
+      {"may_poll_in_ms",
+       absl::ToInt64Milliseconds(this->store_contact.TimeToPoll())},
       {"polls", this->store_contact.MustPoll(this->StoreRank())}};
   return {200, "application/json", page.dump()};
 }
--- a/cranberryhill/gateway/store_contact.cc
+++ b/cranberryhill/gateway/store_contact.cc
@@ -33,9 +33,15 @@
   this->SetKnownPeers(0);
 }
 
-bool StoreContact::OnPeerContact(absl::Duration age) {
+bool StoreContact::OnPeerContact(absl::Duration answer_age,
+                                 absl::Duration may_poll_in) {
+  // A peer that has just started has read the store, but does not pass changes
+  // on.
+  if (may_poll_in > absl::ZeroDuration())
+    return false;
   bool was_lost = this->Age() > kMaxUnconfirmed;
-  this->confirmed_at = std::max(this->confirmed_at, this->clock.Now() - age);
+  this->confirmed_at =
+      std::max(this->confirmed_at, this->clock.Now() - answer_age);
   return was_lost && this->Age() <= kMaxUnconfirmed;
 }
 
--- a/cranberryhill/gateway/store_contact.h
+++ b/cranberryhill/gateway/store_contact.h
@@ -26,10 +26,14 @@
   /// @param clock Must outlive this object.
   explicit StoreContact(const Clock& clock);
 
-  /// Records that a peer which polls the store got its last answer `age` ago.
+  /// Records what a peer says of its contact with the store.
+  /// @param answer_age Time since its last answer of the store; infinite if
+  ///     that was long ago.
+  /// @param may_poll_in Time until it may poll for its peers, zero if it may.
   /// @return True if the contact had been lost for longer than an instance may
   ///     go without, so that entries may have expired meanwhile.
-  bool OnPeerContact(absl::Duration age);
+  bool OnPeerContact(absl::Duration answer_age,
+                     absl::Duration may_poll_in = absl::ZeroDuration());
 
   /// Records the outcome of a call of this instance to the store.
   void OnOwnCall(bool answered);
@@ -40,6 +44,12 @@
   /// @param peers Number of other instances in the control table.
   void SetKnownPeers(size_t peers);
 
+  /// @return Time until this instance, which has just started, may poll for its
+  ///     peers.
+  absl::Duration TimeToPoll() const {
+    return std::max(absl::ZeroDuration(), this->poll_from - this->clock.Now());
+  }
+
   /// @param rank Number of live peers that come before this instance among
   ///     those whose calls to the store fail, or do not fail, as its own.
   /// @return True if this instance polls for itself and its peers.
