http1, gateway: a connection ends with an answer that names no request

Cause: a replica may refuse a request before it has read the id, so a refusal without one counted as the answer to the request in progress, and its connection went back to the pool. A late copy of it met the next request on that connection and was taken for its refusal.

An answer without an id is still taken for the one that is due, but it is the last one of its connection. So the answers before the one that is due all bear ids, and a copy of one of them can be told. Counters (decision "unidentified_answer" and "foreign_answer_dropped") show how often this happens; each costs a connection.

The daemon cranberryhilld closes each connection to an engine after one answer. Releases of caches close theirs too. The answers of the store have no ids either; the store keeps the order of its answers.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -314,17 +314,23 @@
   this->replica = nullptr;
 }
 
-bool Exchange::IsOwnAnswer(const http1::AnswerHead& head) {
+http1::AnswerMatch Exchange::Match(const http1::AnswerHead& head) {
   this->answer_info = this->context.wire.DecodeAnswer(head);
   // A success echoes the id of its request; a refusal may be sent before the
   // replica has read the id.
-  bool matches_request =
-      this->answer_info.attempt_id.empty()
-          ? head.status >= 300
-          : this->answer_info.attempt_id == this->caller_request.attempt_id;
-  if (!matches_request)
+  bool is_identified = !this->answer_info.attempt_id.empty();
+  bool matches_request = is_identified ? this->answer_info.attempt_id ==
+                                             this->caller_request.attempt_id
+                                       : head.status >= 300;
+  if (!matches_request) {
+    this->context.metrics.CountDecision("foreign_answer_dropped");
     this->answer_info = {};
-  return matches_request;
+    return http1::AnswerMatch::kForeign;
+  }
+  if (is_identified)
+    return http1::AnswerMatch::kOwn;
+  this->context.metrics.CountDecision("unidentified_answer");
+  return http1::AnswerMatch::kUnidentified;
 }
 
 void Exchange::OnHead(http1::AnswerHead head) {
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -90,7 +90,7 @@
 
   void OnCallerLeft() override;
 
-  bool IsOwnAnswer(const http1::AnswerHead& head) override;
+  http1::AnswerMatch Match(const http1::AnswerHead& head) override;
   void OnHead(http1::AnswerHead head) override;
   void OnBody(std::string_view data) override;
   void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
--- a/cranberryhill/gateway/send_and_forget.cc
+++ b/cranberryhill/gateway/send_and_forget.cc
@@ -29,7 +29,9 @@
     this->connection->Send(std::move(request), {}, *this);
   }
 
-  bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
+  http1::AnswerMatch Match(const http1::AnswerHead&) override {
+    return http1::AnswerMatch::kOwn;
+  }
   void OnHead(http1::AnswerHead) override {}
   void OnBody(std::string_view) override {}
   void OnEnd(http1::AnswerEnd, std::string_view) override {
--- a/cranberryhill/gateway/serial_http_client.h
+++ b/cranberryhill/gateway/serial_http_client.h
@@ -42,7 +42,9 @@
     return this->answer.body.size();
   }
 
-  bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
+  http1::AnswerMatch Match(const http1::AnswerHead&) override {
+    return http1::AnswerMatch::kOwn;
+  }
   void OnHead(http1::AnswerHead head) override;
   void OnBody(std::string_view data) override;
   void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
--- a/cranberryhill/http1/client.cc
+++ b/cranberryhill/http1/client.cc
@@ -43,11 +43,12 @@
   explicit Sink(ClientConnection& owner) : owner(owner) {}
 
   void OnHead(AnswerHead head) override {
-    this->foreign = !this->owner.handler->IsOwnAnswer(head);
-    if (this->foreign) {
+    AnswerMatch match = this->owner.handler->Match(head);
+    if (match != AnswerMatch::kOwn)
       this->owner.clean = false;
+    this->foreign = match == AnswerMatch::kForeign;
+    if (this->foreign)
       return;
-    }
     this->owner.idle_time = kDefaultIdleLimit;
     if (auto value = head.headers.Find("Keep-Alive"))
       this->owner.idle_time = ParseIdleLimit(*value);
--- a/cranberryhill/http1/client.h
+++ b/cranberryhill/http1/client.h
@@ -27,12 +27,20 @@
   kBroken,        ///< The connection failed or the answer is malformed.
 };
 
+/// How an answer relates to the request that is in progress on its connection.
+enum class AnswerMatch {
+  kOwn,           ///< Answers this request.
+  kUnidentified,  ///< Taken for the answer to this request, although it does
+                  ///< not name it. The connection is closed after it, because
+                  ///< a late copy could be taken for the next answer.
+  kForeign,       ///< Answers another request. It is dropped and the next
+                  ///< answer is read.
+};
+
 /// Receives one answer. After OnEnd() nothing more is called.
 class AnswerHandler : public AnswerSink {
  public:
-  /// @return False when `head` answers another request; the answer is then
-  ///     dropped and the next one is read.
-  virtual bool IsOwnAnswer(const AnswerHead& head) = 0;
+  virtual AnswerMatch Match(const AnswerHead& head) = 0;
 
   /// @param reason For logs; empty for kComplete.
   virtual void OnEnd(AnswerEnd end, std::string_view reason) = 0;
--- a/cranberryhill/http1/connection_test.cc
+++ b/cranberryhill/http1/connection_test.cc
@@ -49,8 +49,11 @@
 };
 
 struct Collected : AnswerHandler {
-  bool IsOwnAnswer(const AnswerHead& head) override {
-    return head.headers.Find("X-Id").value_or("own") == "own";
+  AnswerMatch Match(const AnswerHead& head) override {
+    std::string_view id = head.headers.Find("X-Id").value_or("own");
+    if (id == "missing")
+      return AnswerMatch::kUnidentified;
+    return id == "own" ? AnswerMatch::kOwn : AnswerMatch::kForeign;
   }
   void OnHead(AnswerHead head) override { this->status = head.status; }
   void OnBody(std::string_view data) override { this->body.append(data); }
@@ -170,6 +173,19 @@
   BOOST_TEST(!link->Reusable());
 }
 
+// Guards against a late copy of an answer being taken for the answer to the
+// next request on the connection.
+BOOST_FIXTURE_TEST_CASE(unidentified_answer_ends_the_connection, Fixture) {
+  RawServer raw(this->io, {RawAnswer("missing", "refused")});
+  auto link = ClientConnection::Create(this->io, raw.acceptor.local_endpoint());
+  Collected answer;
+  link->Send(this->Request("/"), {}, answer);
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST((*answer.end == AnswerEnd::kComplete));
+  BOOST_TEST(answer.body == "refused");
+  BOOST_TEST(!link->Reusable());
+}
+
 // Guards against bytes after a whole answer being read as the next answer.
 BOOST_FIXTURE_TEST_CASE(extra_bytes_end_the_connection, Fixture) {
   RawServer raw(this->io, {RawAnswer("own", "right") + "HTTP/1.1 200"});
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -41,7 +41,9 @@
   Call(Callers& owner, size_t gateway, std::string id, absl::Time sent_at)
       : owner(owner), gateway(gateway), id(std::move(id)), sent_at(sent_at) {}
 
-  bool IsOwnAnswer(const http1::AnswerHead&) override { return true; }
+  http1::AnswerMatch Match(const http1::AnswerHead&) override {
+    return http1::AnswerMatch::kOwn;
+  }
 
   void OnHead(http1::AnswerHead head) override {
     this->answer.status = head.status;
