gateway: an order to an engine goes over a connection of its own

A late copy of the report (200) counted as the answer to the order, "it already holds", whatever the engine answered.

report_is_no_answer_to_an_order saw the copy sent before the answer to the order; now the order finds a connection that has carried nothing.

--- a/cranberryhill/gateway/order_dispatcher.cc
+++ b/cranberryhill/gateway/order_dispatcher.cc
@@ -72,23 +72,29 @@
         change(std::move(change)),
         address(engine.Address()),
         deadline(dispatcher.clock.Now() + kCommandTimeout),
-        client(dispatcher.io,
-               http1::TcpEndpoint(engine.entry.endpoint),
-               dispatcher.clock,
-               kConnectTimeout) {}
+        report_client(dispatcher.io,
+                      http1::TcpEndpoint(engine.entry.endpoint),
+                      dispatcher.clock,
+                      kConnectTimeout),
+        order_client(dispatcher.io,
+                     http1::TcpEndpoint(engine.entry.endpoint),
+                     dispatcher.clock,
+                     kConnectTimeout) {}
 
   void Start() {
-    this->Call(this->dispatcher.wire.EncodeReportRequest(this->address),
+    this->Call(this->report_client,
+               this->dispatcher.wire.EncodeReportRequest(this->address),
                [this](const HttpResult& answer) { this->OnReport(answer); });
   }
 
  private:
-  void Call(const http1::OutgoingRequest& request,
+  void Call(SerialHttpClient& client,
+            const http1::OutgoingRequest& request,
             SerialHttpClient::Callback done) {
     // An order cannot wait: engines without a role serve nothing.
     this->dispatcher.send_permits.OnSentWithoutPermit(this->change.replica);
-    this->client.Call(request, this->deadline - this->dispatcher.clock.Now(),
-                      std::move(done));
+    client.Call(request, this->deadline - this->dispatcher.clock.Now(),
+                std::move(done));
   }
 
   void OnReport(const HttpResult& answer) {
@@ -111,7 +117,8 @@
             .Add("expected_orders", order.expected_orders)
             .Add("lease_left_ms",
                  grant->valid_until - this->dispatcher.clock.Now()));
-    this->Call(this->dispatcher.wire.EncodeRoleOrder(this->address, order),
+    this->Call(this->order_client,
+               this->dispatcher.wire.EncodeRoleOrder(this->address, order),
                [this](const HttpResult& answer) { this->OnAnswer(answer); });
   }
 
@@ -144,7 +151,10 @@
   const forward::RoleChange change;
   const std::string address;
   const absl::Time deadline;
-  SerialHttpClient client;
+  SerialHttpClient report_client;
+  // Not shared with the report: a late copy of it would count as the answer to
+  // the order, as neither names its request.
+  SerialHttpClient order_client;
 };
 
 OrderDispatcher::OrderDispatcher(boost::asio::io_context& io,
