platform, gateway: tests of odd rows among those of the replicas

Operators of similar systems saw processes end, or follow their replicas no longer, because of one row of another writer: nested deeply, with a number too large or a port out of range.

--- a/cranberryhill/forward/peer_load_sync_test.cc
+++ b/cranberryhill/forward/peer_load_sync_test.cc
@@ -167,6 +167,12 @@
   BOOST_TEST((ranks == std::vector<size_t>{0, 1, 2, 3}));
 }
 
+// Guards against a message of nested arrays that overflows the stack.
+BOOST_AUTO_TEST_CASE(deeply_nested_message_is_rejected) {
+  std::string bytes(16384, '\x91');
+  BOOST_TEST(!Capture([&] { return DecodeLoadMessage(bytes); }).ok());
+}
+
 // Guards against a crash or a wrong load caused by bytes that do not encode a
 // message.
 RC_BOOST_PROP(arbitrary_bytes_are_rejected, (const std::string& bytes)) {
--- a/cranberryhill/gateway/permit_message_test.cc
+++ b/cranberryhill/gateway/permit_message_test.cc
@@ -5,6 +5,8 @@
 namespace cranberryhill::gateway {
 namespace {
 
+constexpr size_t kDatagramBytes = 16384;
+
 PermitMessage SampleMessage() {
   return {PermitMessage::Kind::kReply,
           "entry-1",
@@ -43,5 +45,13 @@
   }
 }
 
+// Guards against a message of nested arrays that overflows the stack.
+BOOST_AUTO_TEST_CASE(deeply_nested_permit_message_is_rejected) {
+  std::string bytes = EncodePermitMessage(SampleMessage()).substr(0, 5) +
+                      std::string(kDatagramBytes, '\x91');
+  BOOST_REQUIRE(IsPermitMessage(bytes));
+  BOOST_TEST(!Capture([&] { return DecodePermitMessage(bytes); }).ok());
+}
+
 }  // namespace
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/row_message_test.cc
+++ b/cranberryhill/gateway/row_message_test.cc
@@ -121,5 +121,16 @@
   BOOST_TEST(!beyond.ok());
 }
 
+constexpr size_t kDatagramBytes = 16384;
+
+// Guards against a message of nested arrays that overflows the stack.
+BOOST_AUTO_TEST_CASE(deeply_nested_row_message_is_rejected) {
+  RowMessage message{StoreTable::kReplicas, 1, 5, 9, {}, {}};
+  std::string bytes = EncodeRowMessage(message).substr(0, 4) +
+                      std::string(kDatagramBytes, '\x91');
+  BOOST_REQUIRE(IsRowMessage(bytes));
+  BOOST_TEST(!Capture([&] { return DecodeRowMessage(bytes); }).ok());
+}
+
 }  // namespace
 }  // namespace cranberryhill::gateway
