platform, daemon: one odd entry does not hide the list of instances

Operators of similar systems saw machines that stopped following their list because of one entry of another writer. In cranberryhilld it could happen: an entry with a missing field, an unknown state, 65 levels or a number such as 1e999 made the whole list unreadable, and the daemon went on with the last one without a log line.

The elements of the list are now found without parsing them and parsed one by one. Those that cannot be read are left out, with a log line that counts them and names the first; a list that cannot be read at all is logged when that begins and ends.

OddEntriesDoNotHideTheOtherInstances could not read the list before; the texts of elements are cut at every length in TextThatIsNoListHasNoElements.

--- a/cranberryhill/base/json.cc
+++ b/cranberryhill/base/json.cc
@@ -45,6 +45,65 @@
   return at + 1;
 }
 
+// @return The position of the next bracket, comma, colon or string, or the end.
+size_t SkipToToken(std::string_view text, size_t at) {
+  while ((at = text.find_first_of("[]{},:\"/", at)) < text.size() &&
+         text[at] == '/')
+    at = std::max(SkipComment(text, at), at + 1);
+  return std::min(at, text.size());
+}
+
+// @return The position after the value that starts at or after `at`.
+size_t SkipValue(std::string_view text, size_t at) {
+  size_t depth = 0;
+  while ((at = SkipToToken(text, at)) < text.size()) {
+    char c = text[at];
+    bool ends_value = c == ',' || c == ']' || c == '}';
+    if (depth == 0 && ends_value)
+      return at;
+    if (c == '[' || c == '{')
+      ++depth;
+    else if (ends_value && c != ',')
+      --depth;
+    at = c == '"' ? SkipString(text, at) : at + 1;
+  }
+  return text.size();
+}
+
+// Positions of the elements of an array, without its brackets.
+struct ArrayRange {
+  size_t begin = 0;
+  size_t end = 0;
+};
+
+std::optional<ArrayRange> FindArray(std::string_view text,
+                                    std::string_view name) {
+  std::string key = "\"" + std::string(name) + "\"";
+  size_t at = SkipToToken(text, 0);
+  if (at >= text.size() || text[at] != '{')
+    return std::nullopt;
+  // One field of the object after the other.
+  for (++at; (at = SkipToToken(text, at)) < text.size() && text[at] == '"';) {
+    size_t name_end = std::min(SkipString(text, at), text.size());
+    bool matches = text.substr(at, name_end - at) == key;
+    at = SkipToToken(text, name_end);
+    if (at >= text.size() || text[at] != ':')
+      return std::nullopt;
+    size_t value = SkipToToken(text, ++at);
+    if (matches && value < text.size() && text[value] == '[') {
+      size_t end = SkipValue(text, value + 1);
+      while (end < text.size() && text[end] == ',')
+        end = SkipValue(text, end + 1);
+      return ArrayRange{value + 1, end};
+    }
+    at = SkipValue(text, at);
+    if (at >= text.size() || text[at] != ',')
+      return std::nullopt;
+    ++at;
+  }
+  return std::nullopt;
+}
+
 // Brackets in strings and comments don't count. The result for text that is
 // not JSON has no meaning, as the parser refuses it.
 bool IsTooDeep(std::string_view text) {
@@ -92,6 +151,31 @@
   }
 }
 
+std::vector<std::string_view> SplitArray(std::string_view text,
+                                         std::string_view name) {
+  std::vector<std::string_view> elements;
+  auto range = FindArray(text, name);
+  if (!range)
+    return elements;
+  std::string_view array = text.substr(0, range->end);
+  bool is_empty =
+      array.find_first_not_of(" \t\r\n", range->begin) == std::string::npos;
+  for (size_t at = range->begin; !is_empty && at <= range->end;) {
+    size_t end = SkipValue(array, at);
+    elements.push_back(array.substr(at, end - at));
+    at = end + 1;
+  }
+  return elements;
+}
+
+std::string WithoutElements(std::string_view text, std::string_view name) {
+  auto range = FindArray(text, name);
+  if (!range)
+    return std::string(text);
+  return std::string(text.substr(0, range->begin)) +
+         std::string(text.substr(range->end));
+}
+
 ObjectReader::ObjectReader(const Json& json, std::string_view path)
     : json(json), path(path) {}
 
--- a/cranberryhill/base/json.h
+++ b/cranberryhill/base/json.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cranberryhill/base/result.h"
 
@@ -35,6 +36,16 @@
 /// more than kMaxJsonDepth levels.
 Result<Json> ParseJson(std::string_view text, std::string_view what);
 
+/// Finds the elements of the array `name` of an object without parsing them, so
+/// that one that cannot be parsed does not hide the others.
+/// @param text The object. Must outlive the result.
+/// @return The texts of the elements; none if there is no such array.
+std::vector<std::string_view> SplitArray(std::string_view text,
+                                         std::string_view name);
+
+/// @return `text` with an empty array in place of the array `name`.
+std::string WithoutElements(std::string_view text, std::string_view name);
+
 /// Inclusive bounds of an integer field.
 struct IntRange {
   int64_t low = 0;
--- a/cranberryhill/base/json_test.cc
+++ b/cranberryhill/base/json_test.cc
@@ -71,6 +71,42 @@
   BOOST_TEST(parses("/*" + brackets + "*/ [1]"));
 }
 
+// Guards against an element that cannot be parsed and hides the others, and
+// against elements that are split at a comma of a string or a comment.
+BOOST_AUTO_TEST_CASE(ElementsAreFoundWithoutParsingThem) {
+  std::string deep = std::string(500'000, '[') + std::string(500'000, ']');
+  std::string text = R"({"list": "list", /* [ , */ "other": {"list": [7]},
+      "list" : [ {"a": [1, 2]}, "x,]\"", 1e999, )" +
+                     deep + R"( ], "revision": 3})";
+  auto elements = SplitArray(text, "list");
+  BOOST_REQUIRE(elements.size() == 4U);
+  auto parses = [](std::string_view element) {
+    return Capture([&] { return ParseJson(element, "element"); }).ok();
+  };
+  BOOST_TEST(parses(elements[0]));
+  BOOST_TEST(parses(elements[1]));
+  BOOST_TEST(!parses(elements[2]));
+  BOOST_TEST(!parses(elements[3]));
+  auto rest =
+      Capture([&] { return ParseJson(WithoutElements(text, "list"), "rest"); });
+  BOOST_REQUIRE(rest.ok());
+  BOOST_TEST(rest.value()["revision"] == 3);
+}
+
+// Guards against reads beyond the end of a text that is cut, and against
+// elements that are not in the list.
+BOOST_AUTO_TEST_CASE(TextThatIsNoListHasNoElements) {
+  for (const char* text :
+       {"", "[1]", "{}", "{\"list\"", "{\"list\":", "{\"list\":7}",
+        "{\"list\":[]}", "{\"list\":[ ]}", "{\"lis\":[1]}", "\"list\":[1]"})
+    BOOST_TEST(SplitArray(text, "list").empty());
+  std::string text = R"({"a": [1, {"b": "\\"}], "list": [1, "2", [3]]})";
+  for (size_t length = 0; length < text.size(); ++length) {
+    SplitArray(text.substr(0, length), "list");
+    WithoutElements(text.substr(0, length), "list");
+  }
+}
+
 // Guards against a refusal as long as the field name that a caller chose.
 BOOST_AUTO_TEST_CASE(UnknownFieldNameIsCut) {
   Json json = {{std::string(1000, 'x'), 1}};
--- a/cranberryhill/daemon/daemon.cc
+++ b/cranberryhill/daemon/daemon.cc
@@ -128,6 +128,7 @@
   void FastTick();
   void SlowTick();
   void PollPlatform();
+  void OnListPolled(const Outcome<InstanceListUpdate>& update);
   void OnList(const InstanceListUpdate& update);
   void UpdatePeers();
   void MoveStreams();
@@ -183,6 +184,7 @@
   absl::Time next_list_poll = absl::InfinitePast();
   absl::Time last_work_report;
   uint64_t list_revision = 0;
+  bool list_readable = true;  // At the last poll.
 };
 
 Daemon::Impl::Impl(const Settings& settings)
@@ -342,13 +344,27 @@
     this->next_list_poll = now + interval;
     this->list.Poll(this->list_revision,
                     [this](const Outcome<InstanceListUpdate>& update) {
-                      if (update.ok())
-                        this->OnList(update.value());
+                      this->OnListPolled(update);
                     });
   }
 }
 
+void Daemon::Impl::OnListPolled(const Outcome<InstanceListUpdate>& update) {
+  bool readable = update.ok();
+  if (readable != std::exchange(this->list_readable, readable)) {
+    LogLine("instance list: {}", readable ? std::string("readable again")
+                                          : update.error().ToString());
+  }
+  if (readable)
+    this->OnList(update.value());
+}
+
 void Daemon::Impl::OnList(const InstanceListUpdate& update) {
+  if (!update.unreadable_entries.empty()) {
+    LogLine("instance list: {} entries are left out, the first one: {}",
+            update.unreadable_entries.size(),
+            update.unreadable_entries.front().ToString());
+  }
   PlatformListUpdate converted;
   converted.revision = update.revision;
   converted.complete = this->list_revision == 0;
--- a/cranberryhill/platform/http_platform.cc
+++ b/cranberryhill/platform/http_platform.cc
@@ -148,23 +148,35 @@
                    "must be live, leaving or gone");
 }
 
+Result<ListedInstance> ParseInstance(std::string_view text) {
+  BOOST_LEAF_AUTO(json, ParseJson(text, "instance_list.instances"));
+  ObjectReader fields(json, "instance_list.instances");
+  ListedInstance instance;
+  BOOST_LEAF_ASSIGN(instance.id, fields.String("id"));
+  BOOST_LEAF_ASSIGN(instance.address, fields.String("address"));
+  BOOST_LEAF_ASSIGN(instance.availability_zone,
+                    fields.String("availability_zone"));
+  BOOST_LEAF_ASSIGN(instance.kind, fields.String("kind"));
+  BOOST_LEAF_ASSIGN(instance.state, ReadState(fields));
+  return instance;
+}
+
+/// Leaves out entries that cannot be read: each has another writer.
 Result<InstanceListUpdate> ParseInstances(const std::string& body) {
-  BOOST_LEAF_AUTO(json, ParseJson(body, "instance_list"));
+  constexpr std::string_view kInstances = "instances";
+  BOOST_LEAF_AUTO(
+      json, ParseJson(WithoutElements(body, kInstances), "instance_list"));
   ObjectReader reader(json, "instance_list");
   InstanceListUpdate update;
   BOOST_LEAF_AUTO(revision, reader.Int("revision", {}));
   update.revision = static_cast<uint64_t>(revision);
-  BOOST_LEAF_AUTO(array, reader.Array("instances"));
-  for (const Json& item : *array) {
-    ObjectReader fields(item, reader.PathOf("instances"));
-    ListedInstance instance;
-    BOOST_LEAF_ASSIGN(instance.id, fields.String("id"));
-    BOOST_LEAF_ASSIGN(instance.address, fields.String("address"));
-    BOOST_LEAF_ASSIGN(instance.availability_zone,
-                      fields.String("availability_zone"));
-    BOOST_LEAF_ASSIGN(instance.kind, fields.String("kind"));
-    BOOST_LEAF_ASSIGN(instance.state, ReadState(fields));
-    update.instances.push_back(std::move(instance));
+  BOOST_LEAF_CHECK(reader.Array(kInstances));
+  for (std::string_view element : SplitArray(body, kInstances)) {
+    auto instance = Capture([&] { return ParseInstance(element); });
+    if (instance.ok())
+      update.instances.push_back(std::move(instance.value()));
+    else
+      update.unreadable_entries.push_back(instance.error());
   }
   return update;
 }
--- a/cranberryhill/platform/http_platform_test.cc
+++ b/cranberryhill/platform/http_platform_test.cc
@@ -56,7 +56,24 @@
 };
 
 /// What the scripted server does with each request.
-enum class Script { kClose, kAnswerOnceThenClose, kServiceUnavailable, kHold };
+enum class Script {
+  kClose,
+  kAnswerOnceThenClose,
+  kServiceUnavailable,
+  kHold,
+  kOddInstances,
+};
+
+/// @return A list with entries of other writers before and after a sound one.
+std::string OddInstances() {
+  constexpr char kSound[] =
+      R"({"id": "i", "address": "127.0.0.1:1", "availability_zone": "z",
+          "kind": "engine", "state": "live")";
+  std::string nested = std::string(200, '[') + std::string(200, ']');
+  return R"({"revision": 7, "instances": [{"id": "deep", "address": )" +
+         nested + "}," + kSound + R"(, "weight": 1e999}, 7, )" + kSound +
+         "}, " + R"({"id": "lost", "state": "elsewhere"}]})";
+}
 
 /// A server that reads requests and misbehaves.
 class ScriptedServer {
@@ -114,6 +131,8 @@
         this->release.wait();
       if (this->script == Script::kServiceUnavailable) {
         this->Answer(connection, "503 Unavailable", "{}");
+      } else if (this->script == Script::kOddInstances) {
+        this->Answer(connection, "200 OK", OddInstances());
       } else if (this->script == Script::kAnswerOnceThenClose && !answered) {
         this->Answer(connection, "200 OK", R"({"rows":[]})");
         answered = true;
@@ -317,5 +336,20 @@
   BOOST_TEST(poll(update.revision).instances.empty());
 }
 
+// Guards against an entry of another writer that hides all other instances.
+BOOST_AUTO_TEST_CASE(OddEntriesDoNotHideTheOtherInstances) {
+  ScriptedServer server(Script::kOddInstances);
+  Client client(server.endpoint);
+  HttpInstanceList list(server.endpoint, client.pool, client.executor);
+  std::optional<Outcome<InstanceListUpdate>> update;
+  list.Poll(0, [&](const auto& outcome) { update = outcome; });
+  client.executor.RunUntil([&] { return update.has_value(); });
+  BOOST_REQUIRE(update->ok());
+  BOOST_TEST(update->value().revision == 7U);
+  BOOST_REQUIRE(update->value().instances.size() == 1U);
+  BOOST_TEST(update->value().instances[0].id == "i");
+  BOOST_TEST(update->value().unreadable_entries.size() == 4U);
+}
+
 }  // namespace
 }  // namespace cranberryhill
--- a/cranberryhill/platform/instance_list.h
+++ b/cranberryhill/platform/instance_list.h
@@ -36,6 +36,8 @@
   /// All instances when polled since 0, otherwise the changed ones; removed
   /// ones are kGone.
   std::vector<ListedInstance> instances;
+  /// Why entries were left out; one for each.
+  std::vector<Error> unreadable_entries;
 };
 
 using InstanceListCallback =
