--- a/cranberryhill/daemon/chat_service_test.cc
+++ b/cranberryhill/daemon/chat_service_test.cc
@@ -59,6 +59,26 @@
   BOOST_TEST(chat.text == Expected(chat));
 }
 
+// Guards against an error of the next engine that becomes part of a stream that
+// broke off, and against a stream that then counts as answered in part.
+BOOST_AUTO_TEST_CASE(ErrorOfTheNextEngineIsNotPartOfTheStream) {
+  for (int status : {400, 404, 500, 503}) {
+    ChatFixture f({"mixed", "mixed"});
+    ChatRecord& chat = f.Submit(kPrompt, 60);
+    f.RunFor(absl::Milliseconds(500));
+    size_t first = f.engines.Running(f.Engine(0), kPrompt) > 0 ? 0 : 1;
+    BOOST_TEST(chat.tokens > 0U);
+    f.Engine(0).error_status = f.Engine(1).error_status = status;
+    f.engines.Crash(f.Engine(first));
+    f.RunFor(absl::Seconds(31));
+    BOOST_TEST(chat.ends == 1);
+    BOOST_TEST(!chat.answered);
+    BOOST_TEST(chat.refusal.has_value());
+    BOOST_TEST(chat.text == Expected(chat));
+    BOOST_TEST(chat.after_end == 0);
+  }
+}
+
 // Guards against a hand-over after an answer that ended by itself.
 BOOST_AUTO_TEST_CASE(AnswerOfOneTokenIsNotHandedOver) {
   ChatFixture f({"prefill", "decode"});
