forward, gateway, platform: replicas that leave or want no requests for a time

Nothing read the two headers.

Both are decoded once in platform/ into an answer's notices; a value that makes no sense is ignored with a log line that names it. forward/replica_notices records them with the replica's process: a new process at the same address begins without any. Leaving is told to peers in the periodic messages, with the start time of the process and the age of the answer; a time to come back concerns one instance. ReplicaSet leaves such replicas out for first sends, repeats, both stages, orders and probes; what runs there goes on to its end.

After its time a replica opens at a random moment, and an instance has one request there at first, twice as many each 250 ms. When none is open, requests are refused at once with the time of the next opening. While some are closed, an open plain replica gets no further request at twice its slots. The role balancer counts only engines that take requests, and a send that follows a failed prefill uses the retry budget only if a replica is open.

--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -31,7 +31,7 @@
 constexpr double kNoLimit = -1;
 
 /// First element of every message; incremented when the format changes.
-constexpr int kFormatVersion = 9;
+constexpr int kFormatVersion = 10;
 
 /// @return Milliseconds, or -1 for an infinite duration.
 int64_t EncodedAge(absl::Duration age) {
@@ -102,6 +102,26 @@
   return limits;
 }
 
+nlohmann::json EncodeLeaving(const std::vector<LeavingReport>& reports) {
+  using nlohmann::json;
+  json encoded = json::array();
+  for (const LeavingReport& entry : reports) {
+    encoded.push_back({entry.replica, entry.started_ms, EncodedAge(entry.age)});
+  }
+  return encoded;
+}
+
+/// @throws nlohmann::json::exception when a field has the wrong type.
+std::vector<LeavingReport> DecodeLeaving(const nlohmann::json& fields) {
+  std::vector<LeavingReport> reports;
+  for (const nlohmann::json& entry : fields) {
+    reports.push_back({entry.at(0).get<std::string>(),
+                       entry.at(1).get<int64_t>(),
+                       DecodedAge(entry.at(2).get<int64_t>())});
+  }
+  return reports;
+}
+
 }  // namespace
 
 std::string EncodeLoadMessage(const LoadMessage& message) {
@@ -139,7 +159,8 @@
                    EncodedAge(message.store_answer_age), message.store_lost,
                    EncodePromptParts(message.prompt_parts),
                    EncodeLimits(message.replica_limits),
-                   EncodedAge(message.may_poll_in)}),
+                   EncodedAge(message.may_poll_in),
+                   EncodeLeaving(message.leaving_replicas)}),
       bytes);
   return bytes;
 }
@@ -194,6 +215,7 @@
     message.prompt_parts = DecodePromptParts(fields.at(14));
     message.replica_limits = DecodeLimits(fields.at(15));
     message.may_poll_in = DecodedAge(fields.at(16).get<int64_t>());
+    message.leaving_replicas = DecodeLeaving(fields.at(17));
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
--- a/cranberryhill/forward/peer_load_sync.h
+++ b/cranberryhill/forward/peer_load_sync.h
@@ -27,6 +27,7 @@
 #include "cranberryhill/forward/prompt.h"
 #include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/replica_limits.h"
+#include "cranberryhill/forward/replica_notices.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/request/crash_quarantine.h"
 
@@ -78,6 +79,8 @@
   PromptPartReport prompt_parts = {};
   /// Limits that replicas have named to this instance.
   std::vector<ReplicaLimitReport> replica_limits = {};
+  /// Replicas that have told this instance that they are leaving.
+  std::vector<LeavingReport> leaving_replicas = {};
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
--- a/cranberryhill/forward/peer_load_sync_test.cc
+++ b/cranberryhill/forward/peer_load_sync_test.cc
@@ -167,6 +167,25 @@
   BOOST_TEST((ranks == std::vector<size_t>{0, 1, 2, 3}));
 }
 
+// Guards against fields of a message that are lost or exchanged on the way.
+BOOST_AUTO_TEST_CASE(store_contact_and_leaving_replicas_are_decoded) {
+  LoadMessage message;
+  message.instance = "entry-1";
+  message.may_poll_in = absl::Milliseconds(1700);
+  message.store_answer_age = absl::Milliseconds(300);
+  message.leaving_replicas = {{"r1", 1700000000123, absl::Milliseconds(450)}};
+  std::string bytes = EncodeLoadMessage(message);
+  auto decoded = Capture([&] { return DecodeLoadMessage(bytes); });
+  BOOST_REQUIRE(decoded.ok());
+  BOOST_TEST((decoded.value().may_poll_in == absl::Milliseconds(1700)));
+  BOOST_TEST((decoded.value().store_answer_age == absl::Milliseconds(300)));
+  BOOST_REQUIRE(decoded.value().leaving_replicas.size() == 1U);
+  const LeavingReport& report = decoded.value().leaving_replicas[0];
+  BOOST_TEST(report.replica == "r1");
+  BOOST_TEST(report.started_ms == 1700000000123);
+  BOOST_TEST((report.age == absl::Milliseconds(450)));
+}
+
 // Guards against a message of nested arrays that overflows the stack.
 BOOST_AUTO_TEST_CASE(deeply_nested_message_is_rejected) {
   std::string bytes(16384, '\x91');
--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -45,6 +45,10 @@
 /// Capacity for cached prefixes that is assumed until the configuration gives
 /// one.
 constexpr int64_t kDefaultCacheTokens = 900000;
+/// After a replica was closed, an instance may have one request there at the
+/// same time, and twice as many after each of these intervals.
+constexpr absl::Duration kReopeningInterval = absl::Milliseconds(250);
+constexpr int kReopeningIntervals = 8;
 
 }  // namespace
 
@@ -57,6 +61,15 @@
   return EndpointText(this->entry.endpoint);
 }
 
+bool Replica::TakesRequests(absl::Time now) const {
+  if (this->WantsNoRequests(now))
+    return false;
+  double intervals =
+      absl::FDivDuration(now - this->closed_until, kReopeningInterval);
+  return intervals >= kReopeningIntervals ||
+         this->outstanding < std::exp2(std::floor(intervals));
+}
+
 void ReplicaSet::Apply(const ReplicaEntry& entry) {
   this->outdated_entries.erase(entry.id);
   auto& replica = this->by_id[entry.id];
@@ -166,7 +179,7 @@
   std::vector<std::shared_ptr<Replica>> members;
   for (const auto& [id, replica] : this->by_id) {
     if (replica->entry.service == service && replica->registered &&
-        !replica->entry.leaving)
+        !replica->IsLeaving())
       members.push_back(replica);
   }
   return members;
@@ -178,8 +191,9 @@
   absl::Time now = this->clock.Now();
   std::vector<std::shared_ptr<Replica>> members = this->Members(service);
   bool any_registered = !members.empty();
-  std::erase_if(members, [](const auto& replica) {
-    return replica->outstanding >= replica->connection_share;
+  std::erase_if(members, [now](const auto& replica) {
+    return replica->outstanding >= replica->connection_share ||
+           !replica->TakesRequests(now);
   });
   std::vector<std::shared_ptr<Replica>> available;
   for (const auto& replica : members) {
@@ -195,8 +209,8 @@
           ? kReregistrationTime
           : kUseAfterRemoval;
   for (const auto& [id, replica] : this->by_id) {
-    if (replica->entry.service == service && !replica->entry.leaving &&
-        !replica->registered && now - replica->removed_at < usable_time)
+    if (replica->entry.service == service && !replica->registered &&
+        replica->TakesRequests(now) && now - replica->removed_at < usable_time)
       members.push_back(replica);
   }
   return members;
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -108,12 +108,37 @@
   bool probing = false;  ///< A probe connection is being opened.
   absl::Time probed_at = absl::InfinitePast();
   int failed_probes = 0;  ///< In a row.
+  /// The replica has said in an answer, to this instance or to a peer, that it
+  /// is leaving. See ReplicaNotices.
+  bool says_leaving = false;
+  bool told_of_leaving = false;  ///< In an answer to this instance.
+  absl::Time leaving_heard_at = absl::InfinitePast();
+  /// The replica wants no request of this instance before this time.
+  absl::Time closed_until = absl::InfinitePast();
+  bool turned_away = false;  ///< The end of this time has not been noticed yet.
   /// Connections that this instance may open to the replica.
   int connection_share = kUnlimitedConnections;
   PrefixCacheEstimate prefix_cache{0};
 
   /// @return The endpoint as "IP:PORT".
   std::string Address() const;
+
+  /// @return True if the registry or the replica itself says that it is
+  ///     leaving.
+  bool IsLeaving() const { return this->entry.leaving || this->says_leaving; }
+
+  /// @return True if the replica wants no request of this instance now.
+  bool IsClosed(absl::Time now) const { return now < this->closed_until; }
+
+  /// @return True if the replica wants no request of this instance, now or any
+  ///     more.
+  bool WantsNoRequests(absl::Time now) const {
+    return this->IsLeaving() || this->IsClosed(now);
+  }
+
+  /// @return True if the replica may receive one more request of this instance.
+  ///     For some time after it was closed, it gets few at the same time.
+  bool TakesRequests(absl::Time now) const;
 };
 
 /// Not thread-safe.
@@ -163,9 +188,10 @@
 
   /// @return The replicas of a service that may receive new requests. Replicas
   ///     to which this instance has used up its connections are left out.
-  ///     Unreachable replicas and those whose role is changing are returned
-  ///     only when there is no other. Replicas that the registry has just
-  ///     removed are returned only when it lists no other.
+  ///     So are those that want none now. Unreachable replicas and those whose
+  ///     role is changing are returned only when there is no other. Replicas
+  ///     that the registry has just removed are returned only when it lists no
+  ///     other.
   std::vector<std::shared_ptr<Replica>> Usable(std::string_view service);
 
   /// @return The replica with this id if it is registered, or null.
--- a/cranberryhill/forward/role_balancer.cc
+++ b/cranberryhill/forward/role_balancer.cc
@@ -59,12 +59,21 @@
   return engine.entry.role.value_or(EngineRole::kMixed);
 }
 
+/// @return True if the engine takes requests, or will when an order has been
+///     carried out: an engine may turn requests away meanwhile.
+bool RoleBalancer::IsCapacity(const Replica& engine) const {
+  return this->pending_orders.contains(engine.entry.id) ||
+         !engine.IsClosed(this->clock.Now());
+}
+
 RoleBalancer::Counts RoleBalancer::CountEngines(
     std::span<const std::shared_ptr<Replica>> engines) const {
   Counts counts;
   std::set<std::string_view> zones;
   counts.slots = std::numeric_limits<int>::max();
   for (const auto& engine : engines) {
+    if (!this->IsCapacity(*engine))
+      continue;
     counts.slots = std::min(counts.slots, std::max(1, engine->entry.slots));
     zones.insert(engine->entry.availability_zone);
     if (this->RoleAfterOrders(*engine) == EngineRole::kPrefill)
@@ -93,16 +102,17 @@
     std::span<const std::shared_ptr<Replica>> engines) {
   this->EraseSettledOrders(engines);
   Counts counts = this->CountEngines(engines);
+  size_t engine_count = counts.decode_engines + counts.prefill_engines;
   bool balanced =
-      engines.size() < 2 || counts.decode_engines == counts.WantedDecode();
+      engine_count < 2 || counts.decode_engines == counts.WantedDecode();
   // While the registry is still being filled, its size says little about the
   // final number of engines.
-  if (balanced || engines.size() != this->last_engine_count)
+  if (balanced || engine_count != this->last_engine_count)
     this->unbalanced_since = absl::InfiniteFuture();
   if (!balanced)
     this->unbalanced_since =
         std::min(this->unbalanced_since, this->clock.Now());
-  this->last_engine_count = engines.size();
+  this->last_engine_count = engine_count;
   return !balanced;
 }
 
@@ -127,7 +137,8 @@
   EngineRole from = to_prefill ? EngineRole::kDecode : EngineRole::kPrefill;
   std::map<std::string_view, int> decode_engines_by_zone;
   for (const auto& engine : engines) {
-    if (this->RoleAfterOrders(*engine) != EngineRole::kPrefill)
+    if (this->IsCapacity(*engine) &&
+        this->RoleAfterOrders(*engine) != EngineRole::kPrefill)
       ++decode_engines_by_zone[engine->entry.availability_zone];
   }
   // A decode engine is taken from the zone with the most decode engines, a
@@ -143,7 +154,8 @@
   const Replica* best = nullptr;
   for (const auto& engine : engines) {
     if (this->RoleAfterOrders(*engine) != from ||
-        this->pending_orders.contains(engine->entry.id))
+        this->pending_orders.contains(engine->entry.id) ||
+        !this->IsCapacity(*engine))
       continue;
     if (best == nullptr || rank(*engine) < rank(*best))
       best = engine.get();
--- a/cranberryhill/forward/role_balancer.h
+++ b/cranberryhill/forward/role_balancer.h
@@ -35,7 +35,8 @@
   /// @param clock Must outlive this object.
   explicit RoleBalancer(const Clock& clock) : clock(clock) {}
 
-  /// @param engines All usable engines of the service.
+  /// @param engines All engines of the service that are not leaving. Those that
+  ///     want no requests now do not count.
   /// @return The change to order now, or nothing.
   std::optional<RoleChange> NextChange(
       std::span<const std::shared_ptr<Replica>> engines);
@@ -78,6 +79,7 @@
   };
 
   EngineRole RoleAfterOrders(const Replica& engine) const;
+  bool IsCapacity(const Replica& engine) const;
   Counts CountEngines(std::span<const std::shared_ptr<Replica>> engines) const;
   void EraseSettledOrders(std::span<const std::shared_ptr<Replica>> engines);
 
--- a/cranberryhill/forward/role_balancer_test.cc
+++ b/cranberryhill/forward/role_balancer_test.cc
@@ -41,6 +41,29 @@
   RoleBalancer balancer{clock};
 };
 
+// Guards against a service without an engine that generates answers, because
+// the only one counts although it wants no requests, and against an order to
+// that engine.
+BOOST_FIXTURE_TEST_CASE(closed_engine_is_no_capacity, Fixture) {
+  this->Add(1, "a", EngineRole::kDecode);
+  this->Add(4, "a", EngineRole::kPrefill);
+  this->WaitUntilSteady();
+  BOOST_TEST(this->OrderAll().empty());
+  this->replicas.Find("e0")->closed_until =
+      this->clock.Now() + absl::Seconds(20);
+  this->WaitUntilSteady();
+  this->clock.Advance(absl::Seconds(2));
+  std::vector<RoleChange> changes = this->OrderAll();
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST((changes[0].role == EngineRole::kDecode));
+  BOOST_TEST(changes[0].replica != "e0");
+  // An engine that turns requests away while its role changes still counts.
+  this->replicas.Find(changes[0].replica)->closed_until =
+      this->clock.Now() + absl::Seconds(5);
+  this->WaitUntilSteady();
+  BOOST_TEST(this->OrderAll().empty());
+}
+
 // Three quarters of the engines must become prefill engines; with fewer, long
 // prompts wait while decode engines are idle. Each zone must keep a decode
 // engine.
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -145,10 +145,9 @@
     return this->Refuse("no_time_left", kDefaultRetryAfter);
   forward::PlacementChoice choice = this->ChooseReplica();
   if (choice.replica == nullptr) {
-    absl::Duration wait = this->TimeToOpenReplica();
-    return this->Refuse(
-        wait > absl::ZeroDuration() ? "replicas_limited" : "no_replica",
-        std::max(kDefaultRetryAfter, wait));
+    NextOpening opening = this->FindNextOpening();
+    return this->Refuse(opening.reason,
+                        std::max(kDefaultRetryAfter, opening.wait));
   }
   this->chosen_at = this->Now();
   this->expected_first_byte = choice.expected_first_byte;
@@ -187,6 +186,10 @@
   this->AwaitPermit(target, [=, this, id = target.entry.id](bool granted) {
     if (!granted)
       return this->SendToNextReplica();
+    if (may_wait && this->WantsNoRequests(id)) {
+      this->context.send_permits.Return(id);
+      return this->SendToNextReplica();
+    }
     // Other requests may have used the room that this one had before its wait.
     if (is_retry && may_wait &&
         !this->context.retry_budget(this->service).HasRoom()) {
@@ -342,7 +345,7 @@
     this->context.replicas.OnLoadReport(*this->replica,
                                         *this->answer_info.load);
   }
-  this->LearnLimit();
+  this->LearnFromHead();
   bool success =
       this->answer_head.status >= 200 && this->answer_head.status < 300;
   this->relaying_events = this->phase == Phase::kRunning && success &&
@@ -350,20 +353,6 @@
                           this->answer_info.is_event_stream;
 }
 
-void Exchange::LearnLimit() {
-  std::optional<double> limit = this->answer_info.requests_per_s;
-  // Another process may have answered at the address of the replica.
-  if (this->answer_info.wrong_instance ||
-      !this->context.replica_limits.OnAnswer(this->replica->entry.id, limit))
-    return;
-  this->context.notify_peers();
-  this->context.log.Write(
-      this->MakeLogEvent("replica_limit_changed")
-          .Add("replica", this->replica->entry.id)
-          .Add("requests_per_s", limit ? fmt::format("{}", *limit) : "none")
-          .Add("outstanding", this->replica->outstanding));
-}
-
 void Exchange::OnBody(std::string_view data) {
   auto self = this->shared_from_this();
   this->context.reachability.OnHeard(*this->replica);
@@ -505,7 +494,9 @@
       this->context.retry_budget(this->service);
   if (!retry_budget.HasRoom())
     return this->Refuse("retry_budget", kDefaultRetryAfter);
-  retry_budget.OnRetry();
+  // Without a replica that takes requests nothing is sent.
+  if (!this->OpenReplicas().empty())
+    retry_budget.OnRetry();
   this->SendToNextReplica();
 }
 
@@ -524,6 +515,10 @@
   this->AwaitPermit(*decode_engine, [this, decode_engine](bool granted) {
     if (!granted)
       return this->RunWithCache();
+    if (decode_engine->WantsNoRequests(this->Now())) {
+      this->context.send_permits.Return(decode_engine->entry.id);
+      return this->RunWithCache();
+    }
     this->StartRun(decode_engine, 0,
                    this->context.wire.CacheSource(this->cache_owner->Address(),
                                                   this->cache_handle));
@@ -690,6 +685,7 @@
   }
   this->ReleaseCache();
   if (std::exchange(this->tried_uncached, true) || is_limited(refused) ||
+      refused->WantsNoRequests(this->Now()) ||
       !this->attempt_policy.MaySendTo(refused->entry.id))
     return false;
   this->prefill_attempts = kMaxPrefillAttempts;
@@ -703,6 +699,13 @@
 void Exchange::ReleaseCache() {
   if (this->cache_handle.empty())
     return;
+  // The engine frees the cache itself when its time is over.
+  if (this->cache_owner->IsClosed(this->Now())) {
+    this->context.log.Write(this->MakeLogEvent("cache_not_released")
+                                .Add("replica", this->cache_owner->entry.id)
+                                .Add("reason", "replica_closed"));
+    return this->cache_handle.clear();
+  }
   this->context.send_permits.OnSentWithoutPermit(this->cache_owner->entry.id);
   http1::OutgoingRequest release = this->context.wire.EncodeCacheRelease(
       this->cache_owner->Address(), this->cache_handle);
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -27,6 +27,7 @@
 #include "cranberryhill/forward/reachability.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
 #include "cranberryhill/forward/replica_limits.h"
+#include "cranberryhill/forward/replica_notices.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
 #include "cranberryhill/gateway/connection_pool.h"
@@ -51,6 +52,7 @@
   forward::PromptPartQuarantine& prompt_part_quarantine;
   forward::ReplicaCrashQuarantine& replica_crash_quarantine;
   forward::ReplicaLimits& replica_limits;
+  forward::ReplicaNotices& replica_notices;
   SendPermits& send_permits;
   const forward::Placement& placement;
   forward::EngineSpeedModels& engine_speeds;
@@ -104,7 +106,15 @@
   void AwaitPermit(const forward::Replica& target,
                    std::function<void(bool granted)> next);
   std::vector<std::shared_ptr<forward::Replica>> OpenReplicas();
-  absl::Duration TimeToOpenReplica();
+  /// Why no replica takes a request, and when one may.
+  struct NextOpening {
+    std::string_view reason;
+    absl::Duration wait;  ///< Zero if no time is known.
+  };
+
+  NextOpening FindNextOpening();
+  bool WantsNoRequests(std::string_view replica_id) const;
+  bool IsOverloaded(const forward::Replica& replica) const;
   void StartPrefill(const forward::PlacementChoice& choice);
   void StartRun(std::shared_ptr<forward::Replica> replica,
                 double prefill_tokens,
@@ -122,6 +132,7 @@
       const std::shared_ptr<forward::Replica>& refused);
   void RelayEvents(std::string_view data);
   void OnAnswerTooLarge();
+  void LearnFromHead();
   void LearnLimit();
   void LearnFromFirstEvent();
   absl::Duration TookAtUsualSpeed(const forward::Replica& replica) const;
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -15,6 +15,12 @@
 /// queue; the rest is for the prefill, the transfer of the cache and the first
 /// event.
 constexpr double kMaxQueueWaitShare = 0.8;
+/// While replicas of a service are closed, the open ones get no further request
+/// at this many times their slots, so that they do not fail under all of the
+/// load: as many wait as are served.
+constexpr double kMaxLoadOfOpenReplica = 2;
+/// Callers that are refused until a replica opens return within this time.
+constexpr absl::Duration kReturnSpread = absl::Milliseconds(300);
 
 }  // namespace
 
@@ -60,11 +66,19 @@
   this->context.send_permits.Acquire(id, std::move(on_reply));
 }
 
-/// @return The usable replicas without the limited ones that take no request
-///     now.
+/// @return The usable replicas without those that take no request now: limited
+///     ones, and while others of the service are closed, those that have as
+///     much to do as they can serve.
 std::vector<std::shared_ptr<forward::Replica>> Exchange::OpenReplicas() {
   auto replicas = this->context.replicas.Usable(this->service);
-  std::erase_if(replicas, [this](const auto& replica) {
+  absl::Time now = this->Now();
+  auto members = this->context.replicas.Members(this->service);
+  bool some_are_closed =
+      std::any_of(members.begin(), members.end(),
+                  [now](const auto& member) { return member->IsClosed(now); });
+  std::erase_if(replicas, [&](const auto& replica) {
+    if (some_are_closed && this->IsOverloaded(*replica))
+      return true;
     const std::string& id = replica->entry.id;
     if (!this->context.replica_limits.RateOf(id))
       return false;
@@ -74,17 +88,37 @@
   return replicas;
 }
 
-/// @return Time until a limited replica may take a request; zero if none is
-///     closed.
-absl::Duration Exchange::TimeToOpenReplica() {
-  absl::Duration shortest = absl::InfiniteDuration();
-  for (const auto& replica : this->context.replicas.Usable(this->service)) {
-    absl::Duration wait =
-        this->context.send_permits.TimeToOpen(replica->entry.id);
-    if (wait > absl::ZeroDuration())
-      shortest = std::min(shortest, wait);
+/// @return True if the replica has more requests than it serves soon. Engines
+///     are judged by the expected time to the first event instead.
+bool Exchange::IsOverloaded(const forward::Replica& replica) const {
+  if (this->is_engine_service)
+    return false;
+  double requests = replica.outstanding +
+                    forward::EstimatedOtherRequests(replica, this->Now());
+  return requests >= kMaxLoadOfOpenReplica * std::max(1, replica.entry.slots);
+}
+
+bool Exchange::WantsNoRequests(std::string_view replica_id) const {
+  auto replica = this->context.replicas.Find(replica_id);
+  return replica == nullptr || replica->WantsNoRequests(this->Now());
+}
+
+Exchange::NextOpening Exchange::FindNextOpening() {
+  absl::Time now = this->Now();
+  NextOpening next{"no_replica", absl::InfiniteDuration()};
+  for (const auto& replica : this->context.replicas.Members(this->service)) {
+    absl::Duration closed_for = replica->closed_until - now;
+    absl::Duration wait = std::max(
+        closed_for, this->context.send_permits.TimeToOpen(replica->entry.id));
+    if (wait <= absl::ZeroDuration() || wait >= next.wait)
+      continue;
+    next = {closed_for >= wait ? "replicas_closed" : "replicas_limited", wait};
   }
-  return shortest == absl::InfiniteDuration() ? absl::ZeroDuration() : shortest;
+  if (next.wait == absl::InfiniteDuration())
+    return {next.reason, absl::ZeroDuration()};
+  // The callers of one instance must not all return at the same moment.
+  next.wait += kReturnSpread * this->context.random.UniformDouble();
+  return next;
 }
 
 bool Exchange::HasAlternativeReplica() {
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -79,6 +79,7 @@
                                this->prompt_part_quarantine,
                                clock),
       replica_limits(clock),
+      replica_notices(clock, random),
       engine_speeds(clock),
       placement(this->settings.availability_zone, this->engine_speeds),
       reachability(clock),
@@ -93,6 +94,7 @@
           this->prompt_part_quarantine,
           this->replica_crash_quarantine,
           this->replica_limits,
+          this->replica_notices,
           this->send_permits,
           this->placement,
           this->engine_speeds,
@@ -140,6 +142,7 @@
                        this->control_table,
                        this->replicas,
                        this->send_permits,
+                       this->replica_notices,
                        wire,
                        log,
                        clock,
@@ -152,6 +155,7 @@
                 this->crash_quarantine,
                 this->prompt_part_quarantine,
                 this->replica_limits,
+                this->replica_notices,
                 this->replicas,
                 this->order_dispatcher,
                 this->engine_speeds,
@@ -431,7 +435,16 @@
 }
 
 void Gateway::ApplyReplica(const StoreRow& row) {
+  auto known = this->replicas.Find(row.key);
+  auto log_end_of_leaving = [&](std::string_view reason) {
+    if (known == nullptr || !known->says_leaving)
+      return;
+    this->log.Write(LogEvent("replica_leaving_ended")
+                        .Add("replica", row.key)
+                        .Add("reason", reason));
+  };
   if (row.removed) {
+    log_end_of_leaving("removed");
     this->replicas.Remove(row.key);
     this->log.Write(LogEvent("replica_removed")
                         .Add("replica", row.key)
@@ -443,6 +456,8 @@
     return this->replicas.Remove(row.key);
   const forward::ReplicaEntry& replica_entry = *entry;
   this->replicas.Apply(replica_entry);
+  if (this->replicas.Find(row.key) != known)
+    log_end_of_leaving("restarted");
   this->log.Write(LogEvent("replica_changed")
                       .Add("replica", replica_entry.id)
                       .Add("service", replica_entry.service)
@@ -539,11 +554,22 @@
 /// Probes unreachable replicas again, so that they are used when they are back.
 void Gateway::ProbeUnreachable() {
   for (const auto& replica : this->replicas.Registered()) {
-    if (this->reachability.ShouldProbeAgain(*replica))
+    if (!replica->WantsNoRequests(this->clock.Now()) &&
+        this->reachability.ShouldProbeAgain(*replica))
       this->Probe(replica);
   }
 }
 
+void Gateway::EndNotices() {
+  for (const forward::EndedNotice& ended :
+       this->replica_notices.EndExpired(this->replicas.Registered())) {
+    this->log.Write(LogEvent(ended.was_leaving ? "replica_leaving_ended"
+                                               : "replica_reopened")
+                        .Add("replica", ended.replica->entry.id)
+                        .Add("reason", "time"));
+  }
+}
+
 std::vector<std::string> Gateway::UnreachableReplicas() const {
   return this->reachability.Unreachable(this->replicas.Registered());
 }
@@ -578,6 +604,7 @@
     this->send_permits.Prune();
     this->replicas.SettleAfterRestore();
     this->ProbeUnreachable();
+    this->EndNotices();
     if (this->ready())
       this->order_dispatcher.Tick(*this->routes, this->peer_load_sync.Rank());
     this->CheckShutdown();
@@ -653,6 +680,10 @@
                       ? std::string(EngineRoleName(*replica->entry.role))
                       : "none"},
          {"leaving", replica->entry.leaving},
+         {"says_leaving", replica->says_leaving},
+         {"closed_for_ms",
+          absl::ToInt64Milliseconds(
+              std::max(absl::ZeroDuration(), replica->closed_until - now))},
          {"avoided", now < replica->avoid_until},
          {"unreachable", replica->unreachable},
          {"failure_rate", replica->failure_rate},
@@ -698,6 +729,14 @@
   this->metrics.SetGauge(
       "limited_replicas",
       static_cast<double>(this->replica_limits.Rates().size()));
+  size_t says_leaving = 0;
+  size_t closed = 0;
+  for (const auto& replica : this->replicas.Registered()) {
+    says_leaving += replica->says_leaving ? 1 : 0;
+    closed += replica->IsClosed(this->clock.Now()) ? 1 : 0;
+  }
+  this->metrics.SetGauge("leaving_replicas", static_cast<double>(says_leaving));
+  this->metrics.SetGauge("closed_replicas", static_cast<double>(closed));
   this->metrics.SetGauge("send_permits_granted",
                          static_cast<double>(this->send_permits.granted()));
   this->metrics.SetGauge("send_permits_denied",
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -31,6 +31,7 @@
 #include "cranberryhill/forward/reachability.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
 #include "cranberryhill/forward/replica_limits.h"
+#include "cranberryhill/forward/replica_notices.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
 #include "cranberryhill/gateway/connect_probe.h"
@@ -123,6 +124,7 @@
                     ProbeResult result);
   void OnRefusedConnection(const forward::Replica& replica);
   void ProbeUnreachable();
+  void EndNotices();
   size_t StoreRank() const;
   TableFollower& FollowerOf(StoreTable table);
   forward::WindowedRetryBudget& RetryBudgetFor(std::string_view service);
@@ -145,6 +147,7 @@
   forward::PromptPartQuarantine prompt_part_quarantine;
   forward::ReplicaCrashQuarantine replica_crash_quarantine;
   forward::ReplicaLimits replica_limits;
+  forward::ReplicaNotices replica_notices;
   forward::EngineSpeedModels engine_speeds;
   forward::Placement placement;
   forward::Reachability reachability;
--- a/cranberryhill/gateway/order_dispatcher.cc
+++ b/cranberryhill/gateway/order_dispatcher.cc
@@ -98,6 +98,11 @@
   }
 
   void OnReport(const HttpResult& answer) {
+    this->dispatcher.LearnNotices(this->change.replica, answer);
+    auto engine = this->dispatcher.replicas.Find(this->change.replica);
+    if (engine == nullptr ||
+        engine->WantsNoRequests(this->dispatcher.clock.Now()))
+      return this->End(answer, false, "takes_no_requests");
     auto report = Capture(
         [&] { return this->dispatcher.wire.DecodeReport(answer.body); });
     bool usable = answer.status == kOk && report.ok() && !report.value().busy;
@@ -123,6 +128,7 @@
   }
 
   void OnAnswer(const HttpResult& answer) {
+    this->dispatcher.LearnNotices(this->change.replica, answer);
     bool accepted = answer.status == kOk || answer.status == kAccepted;
     // Without an answer the order may still be carried out, so the engine
     // counts as changing.
@@ -163,6 +169,7 @@
                                  ControlTable& table,
                                  forward::ReplicaSet& replicas,
                                  SendPermits& send_permits,
+                                 forward::ReplicaNotices& replica_notices,
                                  const WireFormat& wire,
                                  EventLog& log,
                                  const Clock& clock,
@@ -172,6 +179,7 @@
       handover_gap(handover_gap),
       replicas(replicas),
       send_permits(send_permits),
+      replica_notices(replica_notices),
       wire(wire),
       log(log),
       clock(clock),
@@ -315,6 +323,26 @@
   started->Start();
 }
 
+/// Records what an engine's answer says about the requests that it wants.
+void OrderDispatcher::LearnNotices(std::string_view replica,
+                                   const HttpResult& answer) {
+  auto engine = this->replicas.Find(replica);
+  if (engine == nullptr || answer.status == 0)
+    return;
+  ReplicaAnswerInfo info =
+      this->wire.DecodeAnswer({answer.status, "", answer.headers});
+  if (info.wrong_instance)
+    return;
+  if (info.is_leaving && this->replica_notices.OnLeaving(*engine))
+    this->log.Write(LogEvent("replica_leaving").Add("replica", replica));
+  if (info.retry_after &&
+      this->replica_notices.OnTurnedAway(*engine, *info.retry_after)) {
+    this->log.Write(LogEvent("replica_closed")
+                        .Add("replica", replica)
+                        .Add("retry_after_ms", *info.retry_after));
+  }
+}
+
 void OrderDispatcher::OnCommandDone(RoleChangeCommand* command) {
   // The command is still executing in the caller of this function, so it is
   // destroyed later.
--- a/cranberryhill/gateway/order_dispatcher.h
+++ b/cranberryhill/gateway/order_dispatcher.h
@@ -14,10 +14,12 @@
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/configuration.h"
+#include "cranberryhill/forward/replica_notices.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/role_balancer.h"
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/gateway/http_caller.h"
 #include "cranberryhill/gateway/send_permits.h"
 #include "cranberryhill/gateway/wire_format.h"
 #include "cranberryhill/lease/lease_manager.h"
@@ -35,6 +37,7 @@
                   ControlTable& table,
                   forward::ReplicaSet& replicas,
                   SendPermits& send_permits,
+                  forward::ReplicaNotices& replica_notices,
                   const WireFormat& wire,
                   EventLog& log,
                   const Clock& clock,
@@ -61,6 +64,7 @@
   void UpdateLease(bool needed, size_t rank);
   void StartRoleChange(const std::string& service,
                        const forward::RoleChange& change);
+  void LearnNotices(std::string_view replica, const HttpResult& answer);
   void OnCommandDone(RoleChangeCommand* command);
 
   boost::asio::io_context& io;
@@ -68,6 +72,7 @@
   const absl::Duration handover_gap;
   forward::ReplicaSet& replicas;
   SendPermits& send_permits;
+  forward::ReplicaNotices& replica_notices;
   const WireFormat& wire;
   EventLog& log;
   const Clock& clock;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -56,6 +56,7 @@
                    CrashQuarantine& crash_quarantine,
                    forward::PromptPartQuarantine& prompt_part_quarantine,
                    forward::ReplicaLimits& replica_limits,
+                   forward::ReplicaNotices& replica_notices,
                    forward::ReplicaSet& replicas,
                    const OrderDispatcher& order_dispatcher,
                    forward::EngineSpeedModels& engine_speeds,
@@ -69,6 +70,7 @@
       crash_quarantine(crash_quarantine),
       prompt_part_quarantine(prompt_part_quarantine),
       replica_limits(replica_limits),
+      replica_notices(replica_notices),
       replicas(replicas),
       order_dispatcher(order_dispatcher),
       engine_speeds(engine_speeds),
@@ -192,6 +194,7 @@
   this->endpoint_by_instance[message.instance] = sender;
   this->crash_quarantine.Merge(message.crashes, this->clock.Now());
   this->MergeLimits(message);
+  this->MergeLeaving(message);
   this->engine_speeds.MergePeer(message.instance, message.engine_speeds);
   if (!message.partial) {
     this->MergePromptParts(message);
@@ -225,6 +228,20 @@
   }
 }
 
+void PeerLink::MergeLeaving(const forward::LoadMessage& message) {
+  for (const forward::LeavingReport& report : message.leaving_replicas) {
+    auto replica = this->replicas.Find(report.replica);
+    if (replica == nullptr ||
+        !this->replica_notices.MergeLeaving(*replica, report))
+      continue;
+    this->log.Write(LogEvent("replica_leaving")
+                        .Add("replica", report.replica)
+                        .Add("from", message.instance)
+                        .Add("age_ms", report.age)
+                        .Add("outstanding", replica->outstanding));
+  }
+}
+
 std::string PeerLink::OwnerOf(std::string_view key) const {
   return this->peer_load_sync.OwnerOf(key);
 }
@@ -285,6 +302,8 @@
       this->crash_quarantine.Entries(kMaxCrashEntries, this->clock.Now());
   message.prompt_parts = this->prompt_part_quarantine.Report();
   message.replica_limits = this->replica_limits.OwnReports();
+  message.leaving_replicas =
+      this->replica_notices.OwnReports(this->replicas.Registered());
   this->delegate.DescribeStoreContact(message);
   message.unreachable_replicas = this->delegate.UnreachableReplicas();
   bool idle = message.engine_loads.empty() && message.cached_prefixes.empty() &&
@@ -308,7 +327,10 @@
   forward::LoadMessage message =
       this->peer_load_sync.BuildPartialMessage(this->replicas);
   message.replica_limits = this->replica_limits.OwnReports();
-  if (message.engine_loads.empty() && message.replica_limits.empty())
+  message.leaving_replicas =
+      this->replica_notices.OwnReports(this->replicas.Registered());
+  if (message.engine_loads.empty() && message.replica_limits.empty() &&
+      message.leaving_replicas.empty())
     return;
   this->partial_update_sent_at = this->clock.Now();
   this->Send(message);
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -71,6 +71,7 @@
            CrashQuarantine& crash_quarantine,
            forward::PromptPartQuarantine& prompt_part_quarantine,
            forward::ReplicaLimits& replica_limits,
+           forward::ReplicaNotices& replica_notices,
            forward::ReplicaSet& replicas,
            const OrderDispatcher& order_dispatcher,
            forward::EngineSpeedModels& engine_speeds,
@@ -120,6 +121,7 @@
   void WriteOwnRow();
   void MergePromptParts(const forward::LoadMessage& message);
   void MergeLimits(const forward::LoadMessage& message);
+  void MergeLeaving(const forward::LoadMessage& message);
 
   const std::string instance;
   const Endpoint address;
@@ -128,6 +130,7 @@
   CrashQuarantine& crash_quarantine;
   forward::PromptPartQuarantine& prompt_part_quarantine;
   forward::ReplicaLimits& replica_limits;
+  forward::ReplicaNotices& replica_notices;
   forward::ReplicaSet& replicas;
   const OrderDispatcher& order_dispatcher;
   forward::EngineSpeedModels& engine_speeds;
--- a/cranberryhill/gateway/wire_format.h
+++ b/cranberryhill/gateway/wire_format.h
@@ -48,6 +48,12 @@
   /// Requests per second that the replica takes from all instances together;
   /// unset while it takes any number.
   std::optional<double> requests_per_s;
+  bool is_leaving = false;  ///< The replica will end soon.
+  /// The replica wants no request from this instance for so long.
+  std::optional<absl::Duration> retry_after;
+  /// A header of these whose value makes no sense, as "NAME: VALUE"; it is
+  /// ignored.
+  std::string ignored_header;
 };
 
 /// The role of an engine and its progress with orders, as reported by the
--- a/standins/gateway_platform/replica_row.cc
+++ b/standins/gateway_platform/replica_row.cc
@@ -10,6 +10,8 @@
               {"zone", this->zone},        {"version", "v1"},
               {"slots", this->slots},      {"state", this->state},
               {"sequence", this->sequence}};
+  if (this->started_ms != 0)
+    row["born"] = this->started_ms;
   if (!this->stage.empty()) {
     row["stage"] = this->stage;
     row["models"] = {
--- a/standins/gateway_platform/replica_row.h
+++ b/standins/gateway_platform/replica_row.h
@@ -3,6 +3,7 @@
 
 // What a replica writes of itself into the store.
 
+#include <cstdint>
 #include <string>
 
 namespace cranberryhill::platform {
@@ -15,6 +16,7 @@
   int slots = 6;
   std::string state = "ready";
   int sequence = 1;
+  int64_t started_ms = 0;  ///< Start of the process; left out if it is 0.
 
   /// @return The value of the row.
   std::string Text() const;
