soak: replicas that leave, close or repeat their answers

Three new faults: a replica says in its answers that it leaves and stays ready in the store, one turns requests away with Retry-After, and a link sends an answer once more when the next request arrives. Half of the refusals bear no id. Promises: nothing later than the drain time after a gateway was told, and at most two requests before the time that a replica has named.

--- a/programs/gateway_soak.cc
+++ b/programs/gateway_soak.cc
@@ -115,6 +115,18 @@
       double lasts = 0.1 + 0.3 * restore_random.UniformDouble();
       add({faults * at, faults * lasts, FaultKind::kStoreRestored, 0});
     }
+    SeededRandom notice_random(absl::GetFlag(FLAGS_seed) + 4);
+    for (FaultKind kind :
+         {FaultKind::kReplicaSaysLeaving, FaultKind::kReplicaCloses,
+          FaultKind::kReplicaRepeats}) {
+      for (double at = 0.05; at < 0.85; at += 0.2) {
+        if (notice_random.UniformInt(0, 2) == 0)
+          continue;
+        double lasts = 0.1 + 0.2 * notice_random.UniformDouble();
+        add({faults * at, faults * std::min(lasts, 1 - at), kind,
+             notice_random.UniformInt(0, 1000)});
+      }
+    }
     // Half of the days end with the loss of all gateways.
     this->restart_all_at =
         this->random.UniformInt(0, 1) == 0 ? faults : absl::InfiniteDuration();
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -34,6 +34,10 @@
 constexpr double kRequestsPerS = 2.5;
 constexpr absl::Duration kLimitBinds = absl::Seconds(3);
 constexpr absl::Duration kToldBefore = absl::Milliseconds(500);
+/// How long a replica that is closed wants no requests, and how many may come
+/// all the same.
+constexpr absl::Duration kRetryAfter = absl::Seconds(2);
+constexpr int kMaxEarlyArrivals = 2;
 /// Time in which an engine carries out an order.
 constexpr absl::Duration kOrderTime = absl::Milliseconds(300);
 /// Entries that lapsed with the store are back this long after it.
@@ -124,6 +128,16 @@
   std::optional<double> requests_per_s;  // Named in all answers while set.
   absl::Time limited_since = absl::InfiniteFuture();
   std::map<size_t, absl::Time> told;  // Gateways that got such an answer.
+  bool says_leaving = false;
+  bool closed = false;
+  absl::Time link_disturbed_at = absl::InfinitePast();
+  std::map<size_t, absl::Time> told_of_leaving;
+  struct Closing {
+    absl::Time told_at;
+    absl::Time until;
+    int early = 0;  // Arrivals before that.
+  };
+  std::map<size_t, Closing> told_to_come_back;
 };
 
 struct Fleet::Member {
@@ -318,13 +332,21 @@
     this->ledger.OnCrashingArrival(this->clock.Now(),
                                    this->IsCalm(*this->members[sent->gateway]));
   }
-  if (sent != nullptr)
+  if (sent != nullptr) {
     this->RecordLimitedArrival(server, *sent);
+    this->CheckNotices(server, *sent);
+  }
+  refuses = refuses || server.closed;
   if (refuses || !reads_only)
     this->ledger.OnArrival(id, server.id, this->clock.Now(), !refuses);
+  if (server.closed)
+    return responder->SendWhole(this->ClosedHead(server, id), "");
   if (refuses) {
     http1::AnswerHead head = this->HeadOf(server, id, 503);
     head.headers.Add(platform::kNotRun, "1");
+    // Some are sent before the id has been read.
+    if (StableHash(id) % 2 == 0)
+      head.headers.Remove(platform::kAttemptId);
     return responder->SendWhole(std::move(head), "");
   }
   absl::Time now = this->clock.Now();
@@ -360,6 +382,12 @@
                                 std::string_view id,
                                 int status) {
   http1::AnswerHead head = StatusSignedHead(id, status);
+  const SentRequest* request = this->ledger.Find(id);
+  if (server.says_leaving) {
+    head.headers.Add(platform::kLeaving, "1");
+    if (request != nullptr)
+      server.told_of_leaving.try_emplace(request->gateway, this->clock.Now());
+  }
   if (!server.requests_per_s)
     return head;
   head.headers.Add(platform::kRequestLimit,
@@ -383,6 +411,55 @@
                                 now - server.limited_since > kLimitBinds);
 }
 
+http1::AnswerHead Fleet::ClosedHead(Server& server, std::string_view id) {
+  http1::AnswerHead head = this->HeadOf(server, id, 503);
+  head.headers.Add(platform::kNotRun, "1");
+  head.headers.Add(platform::kRetryAfter,
+                   fmt::format("{}", absl::ToInt64Seconds(kRetryAfter)));
+  absl::Time now = this->clock.Now();
+  if (const SentRequest* sent = this->ledger.Find(id)) {
+    Server::Closing& closing = server.told_to_come_back[sent->gateway];
+    if (now >= closing.until)
+      closing = {now, now + kRetryAfter};
+    closing.until = std::max(closing.until, now + kRetryAfter);
+  }
+  return head;
+}
+
+/// @return True if the gateway must have got an answer that the replica gave it
+///     at this time, and has not been restarted or suspended since.
+bool Fleet::KnowsSince(const Server& server,
+                       const Member& member,
+                       absl::Time told_at) const {
+  return member.started_at < told_at &&
+         member.disturbance.CalmSince(told_at - kToldBefore) &&
+         server.link_disturbed_at < told_at - kToldBefore;
+}
+
+void Fleet::CheckNotices(Server& server, const SentRequest& sent) {
+  absl::Time now = this->clock.Now();
+  const Member& member = *this->members[sent.gateway];
+  auto leaving = server.told_of_leaving.find(sent.gateway);
+  if (leaving != server.told_of_leaving.end() &&
+      now - leaving->second > kDrainTime &&
+      sent.at - leaving->second > kDrainTime &&
+      this->KnowsSince(server, member, leaving->second)) {
+    this->ledger.OnViolation(fmt::format(
+        "leaving: {} got a request {} after it had told {} that it leaves",
+        server.id, absl::FormatDuration(now - leaving->second), member.id));
+  }
+  auto closing = server.told_to_come_back.find(sent.gateway);
+  if (closing != server.told_to_come_back.end() &&
+      now - closing->second.told_at > kToldBefore &&
+      now < closing->second.until &&
+      this->KnowsSince(server, member, closing->second.told_at) &&
+      ++closing->second.early > kMaxEarlyArrivals) {
+    this->ledger.OnViolation(fmt::format(
+        "closed: {} got request {} from {} before the time it had named",
+        server.id, closing->second.early, member.id));
+  }
+}
+
 bool Fleet::IsCalm(const Member& member) const {
   absl::Time now = this->clock.Now();
   return now - member.started_at > kCalm &&
@@ -478,6 +555,8 @@
     case FaultKind::kConfigure:
     case FaultKind::kReplicaDrains:
     case FaultKind::kReplicaLimited:
+    case FaultKind::kReplicaSaysLeaving:
+    case FaultKind::kReplicaCloses:
       return nullptr;
     case FaultKind::kKill:
     case FaultKind::kPause:
@@ -579,13 +658,11 @@
   };
   switch (kind) {
     case FaultKind::kReplicaLinkSilent:
-      return ApplyToLink(*server.link, LinkFault::kSilent, begins);
     case FaultKind::kReplicaLinkOneWay:
-      return ApplyToLink(*server.link, LinkFault::kOneWay, begins);
     case FaultKind::kReplicaLinkReset:
-      return ApplyToLink(*server.link, LinkFault::kReset, begins);
     case FaultKind::kReplicaLinkDelayed:
-      return ApplyToLink(*server.link, LinkFault::kDelayed, begins);
+    case FaultKind::kReplicaRepeats:
+      return this->ApplyToReplicaLink(server, kind, begins);
     case FaultKind::kReplicaErrors:
       return set_mode(Server::Mode::kErrors);
     case FaultKind::kReplicaLimited:
@@ -594,6 +671,18 @@
       server.limited_since = absl::InfiniteFuture();
       server.told.clear();
       return;
+    case FaultKind::kReplicaSaysLeaving:
+      server.says_leaving = begins;
+      server.told_of_leaving.clear();
+      if (!begins) {
+        ++server.row.started_ms;
+        server.orders = 0;
+        this->Publish(server);
+      }
+      return;
+    case FaultKind::kReplicaCloses:
+      server.closed = begins;
+      return;
     case FaultKind::kReplicaRefuses:
       return set_mode(Server::Mode::kRefuses);
     case FaultKind::kReplicaBreaks:
@@ -613,6 +702,24 @@
   }
 }
 
+void Fleet::ApplyToReplicaLink(Server& server, FaultKind kind, bool begins) {
+  server.link_disturbed_at =
+      begins ? absl::InfiniteFuture() : this->clock.Now();
+  if (kind == FaultKind::kReplicaRepeats) {
+    LinkState state;
+    state.repeats_answers = begins;
+    return server.link->SetState(state);
+  }
+  LinkFault fault = LinkFault::kDelayed;
+  if (kind == FaultKind::kReplicaLinkSilent)
+    fault = LinkFault::kSilent;
+  else if (kind == FaultKind::kReplicaLinkOneWay)
+    fault = LinkFault::kOneWay;
+  else if (kind == FaultKind::kReplicaLinkReset)
+    fault = LinkFault::kReset;
+  ApplyToLink(*server.link, fault, begins);
+}
+
 void Fleet::ApplyToStore(FaultKind kind, bool begins) {
   if (kind == FaultKind::kStoreSilent)
     return this->store.SetSilent(begins);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -112,7 +112,12 @@
                   std::string_view id,
                   http1::Responder& responder);
   http1::AnswerHead HeadOf(Server& server, std::string_view id, int status);
+  http1::AnswerHead ClosedHead(Server& server, std::string_view id);
   void RecordLimitedArrival(const Server& server, const SentRequest& sent);
+  bool KnowsSince(const Server& server,
+                  const Member& member,
+                  absl::Time told_at) const;
+  void CheckNotices(Server& server, const SentRequest& sent);
   void Run(Server& server,
            std::string_view id,
            int first_event,
@@ -127,6 +132,7 @@
   void ChangeRoles();
   void ApplyToProcess(Member& member, FaultKind kind, bool begins);
   void ApplyToReplica(Server& server, FaultKind kind, bool begins);
+  void ApplyToReplicaLink(Server& server, FaultKind kind, bool begins);
   void ApplyToStore(FaultKind kind, bool begins);
   Disturbance* DisturbanceOf(const Fault& fault);
 
--- a/soak/link_proxy.cc
+++ b/soak/link_proxy.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <string>
+#include <utility>
 
 #include "soak/soak_address.h"
 
@@ -16,6 +18,9 @@
 
 /// How often a link that holds bytes back is looked at.
 constexpr std::chrono::milliseconds kHoldCheck(10);
+/// One answer in this many is repeated, if it has at most kMaxRepeatedBytes.
+constexpr int kAnswersPerCopy = 8;
+constexpr size_t kMaxRepeatedBytes = 4096;
 
 tcp::endpoint Loopback(uint16_t port) {
   return {SoakAddress(), port};
@@ -95,6 +100,31 @@
   }
 
   void Write(Pipe& pipe) {
+    if (!pipe.to_target) {
+      this->last_answer.append(pipe.buffer.data(), pipe.bytes);
+    } else if (!this->last_answer.empty()) {
+      this->copy = std::exchange(this->last_answer, "");
+      if (this->proxy.state.repeats_answers &&
+          this->copy.size() <= kMaxRepeatedBytes &&
+          ++this->answers % kAnswersPerCopy == 0)
+        return this->WriteCopy(pipe);
+    }
+    this->Forward(pipe);
+  }
+
+  /// Nothing else is written to the near end meanwhile: the target has not got
+  /// the next request.
+  void WriteCopy(Pipe& pipe) {
+    asio::async_write(
+        this->near, asio::buffer(this->copy),
+        [self = this->shared_from_this(), &pipe](error_code error, size_t) {
+          if (error)
+            return self->Close();
+          self->Forward(pipe);
+        });
+  }
+
+  void Forward(Pipe& pipe) {
     asio::async_write(
         this->Sink(pipe), asio::buffer(pipe.buffer.data(), pipe.bytes),
         [self = this->shared_from_this(), &pipe](error_code error, size_t) {
@@ -115,6 +145,9 @@
   LinkProxy& proxy;
   tcp::socket near;
   tcp::socket far;
+  std::string last_answer;  // What came back since the last request.
+  std::string copy;
+  int answers = 0;
 };
 
 LinkProxy::LinkProxy(asio::io_context& io, uint16_t target_port)
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -19,6 +19,9 @@
   bool holds_to_target = false;
   bool holds_from_target = false;
   std::chrono::milliseconds delay{0};  ///< Of each piece, either way.
+  /// What the target has answered last on a connection comes once more when the
+  /// next request arrives, unless it was long.
+  bool repeats_answers = false;
 };
 
 /// Belongs to the thread of `io`.
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -42,6 +42,9 @@
     "crashing_part",
     "replica_limited",
     "store_restored",
+    "replica_says_leaving",
+    "replica_closes",
+    "replica_repeats",
 };
 
 }  // namespace
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -34,15 +34,18 @@
   kRolesChange,     ///< Engines come back with other roles; orders are due.
   kStoreDown,
   kStoreSilent,
-  kStoreLosesAnswers,  ///< Carries writes out and ends the connection.
-  kStoreForgets,       ///< Drops its history.
-  kRegistryLapses,     ///< Entries are gone while the store is down.
-  kConfigure,          ///< A new version moves routes.
-  kCrashingPart,       ///< Engines crash when they answer certain prompts.
-  kReplicaLimited,     ///< Takes a few requests a second, and says so.
-  kStoreRestored,      ///< Loses at the end what was written since the start.
+  kStoreLosesAnswers,   ///< Carries writes out and ends the connection.
+  kStoreForgets,        ///< Drops its history.
+  kRegistryLapses,      ///< Entries are gone while the store is down.
+  kConfigure,           ///< A new version moves routes.
+  kCrashingPart,        ///< Engines crash when they answer certain prompts.
+  kReplicaLimited,      ///< Takes a few requests a second, and says so.
+  kStoreRestored,       ///< Loses at the end what was written since the start.
+  kReplicaSaysLeaving,  ///< Stays ready in the store; restarts at the end.
+  kReplicaCloses,       ///< Says "not run" and when to come back.
+  kReplicaRepeats,      ///< Its answers come once more, late.
 };
-inline constexpr size_t kFaultKinds = 28;
+inline constexpr size_t kFaultKinds = 31;
 /// The kinds that DrawFaults() draws come first, so that later ones do not
 /// change what a seed means.
 inline constexpr size_t kDrawnFaultKinds = 25;
