--- a/cranberryhill/base/json.cc
+++ b/cranberryhill/base/json.cc
@@ -78,7 +78,7 @@
 
 std::optional<ArrayRange> FindArray(std::string_view text,
                                     std::string_view name) {
-  std::string key = "\"" + std::string(name) + "\"";
+  std::string key = fmt::format("\"{}\"", name);
   size_t at = SkipToToken(text, 0);
   if (at >= text.size() || text[at] != '{')
     return std::nullopt;
