gateway: a closed replica is looked for without copying the service's list

Each choice of a replica copied the members of the service once more, only to see whether one of them is closed. A header that makes no sense is logged once for a replica, not with each of its answers.

adapter_test (96 cases), forward_test and gateway_test pass.

--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -185,6 +185,16 @@
   return members;
 }
 
+bool ReplicaSet::HasClosed(std::string_view service) const {
+  absl::Time now = this->clock.Now();
+  return std::any_of(
+      this->by_id.begin(), this->by_id.end(), [&](const auto& item) {
+        const Replica& replica = *item.second;
+        return replica.IsClosed(now) && replica.registered &&
+               !replica.IsLeaving() && replica.entry.service == service;
+      });
+}
+
 std::vector<std::shared_ptr<Replica>> ReplicaSet::Usable(
     std::string_view service) {
   this->EraseExpired();
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -116,6 +116,8 @@
   /// The replica wants no request of this instance before this time.
   absl::Time closed_until = absl::InfinitePast();
   bool turned_away = false;  ///< The end of this time has not been noticed yet.
+  /// The last header of its answers that made no sense, for the log.
+  std::string ignored_header;
   /// Connections that this instance may open to the replica.
   int connection_share = kUnlimitedConnections;
   PrefixCacheEstimate prefix_cache{0};
@@ -186,6 +188,10 @@
   /// @return All registered replicas of a service that are not leaving.
   std::vector<std::shared_ptr<Replica>> Members(std::string_view service) const;
 
+  /// @return True if a replica of the service that is not leaving wants no
+  ///     requests now.
+  bool HasClosed(std::string_view service) const;
+
   /// @return The replicas of a service that may receive new requests. Replicas
   ///     to which this instance has used up its connections are left out.
   ///     So are those that want none now. Unreachable replicas and those whose
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -71,11 +71,7 @@
 ///     much to do as they can serve.
 std::vector<std::shared_ptr<forward::Replica>> Exchange::OpenReplicas() {
   auto replicas = this->context.replicas.Usable(this->service);
-  absl::Time now = this->Now();
-  auto members = this->context.replicas.Members(this->service);
-  bool some_are_closed =
-      std::any_of(members.begin(), members.end(),
-                  [now](const auto& member) { return member->IsClosed(now); });
+  bool some_are_closed = this->context.replicas.HasClosed(this->service);
   std::erase_if(replicas, [&](const auto& replica) {
     if (some_are_closed && this->IsOverloaded(*replica))
       return true;
--- a/cranberryhill/gateway/exchange_notices.cc
+++ b/cranberryhill/gateway/exchange_notices.cc
@@ -13,11 +13,13 @@
   if (this->answer_info.wrong_instance)
     return;
   this->LearnLimit();
-  if (!this->answer_info.ignored_header.empty()) {
-    this->context.log.Write(
-        this->MakeLogEvent("replica_header_ignored")
-            .Add("replica", this->replica->entry.id)
-            .Add("header", this->answer_info.ignored_header));
+  const std::string& ignored = this->answer_info.ignored_header;
+  // A replica repeats its headers in each answer.
+  if (!ignored.empty() && ignored != this->replica->ignored_header) {
+    this->replica->ignored_header = ignored;
+    this->context.log.Write(this->MakeLogEvent("replica_header_ignored")
+                                .Add("replica", this->replica->entry.id)
+                                .Add("header", ignored));
   }
   if (this->answer_info.is_leaving &&
       this->context.replica_notices.OnLeaving(*this->replica)) {
