gateway: a limited replica that was just removed is not chosen without end

Cause: after a permit was granted the request looked again whether the replica still wants requests, by its id in the registry. A replica that the registry has just removed is used for a second more, but is not found by its id, so it was taken for closed, its permit was returned and the choice was made again, with the same result, until the stack overflowed.

The replica that was chosen is looked at itself. One that wants no requests is not among the usable ones at the next choice, so no choice repeats.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -186,7 +186,9 @@
   this->AwaitPermit(target, [=, this, id = target.entry.id](bool granted) {
     if (!granted)
       return this->SendToNextReplica();
-    if (may_wait && this->WantsNoRequests(id)) {
+    const forward::Replica& chosen =
+        may_prefill ? *choice.prefill_engine : *choice.replica;
+    if (chosen.WantsNoRequests(this->Now())) {
       this->context.send_permits.Return(id);
       return this->SendToNextReplica();
     }
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -113,7 +113,6 @@
   };
 
   NextOpening FindNextOpening();
-  bool WantsNoRequests(std::string_view replica_id) const;
   bool IsOverloaded(const forward::Replica& replica) const;
   void StartPrefill(const forward::PlacementChoice& choice);
   void StartRun(std::shared_ptr<forward::Replica> replica,
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -94,11 +94,6 @@
   return requests >= kMaxLoadOfOpenReplica * std::max(1, replica.entry.slots);
 }
 
-bool Exchange::WantsNoRequests(std::string_view replica_id) const {
-  auto replica = this->context.replicas.Find(replica_id);
-  return replica == nullptr || replica->WantsNoRequests(this->Now());
-}
-
 Exchange::NextOpening Exchange::FindNextOpening() {
   absl::Time now = this->Now();
   NextOpening next{"no_replica", absl::InfiniteDuration()};
