gateway: how long a request waits for its replica has a file of its own

The code that decides about time limits and silent replicas moves to exchange_timing.cc as it is; what happens at the deadline is now OnDeadline(). No change of behaviour.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -10,10 +10,6 @@
 namespace cranberryhill::gateway {
 namespace {
 
-/// Time limit for opening a connection to a replica. A replica in the same
-/// region accepts one within a few milliseconds. If a packet is lost, it is
-/// resent only after a second, so trying another replica is faster.
-constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
 /// Maximum size of an answer that is relayed as a whole; a larger one counts as
 /// broken. According to the platform's documentation answers have a few
 /// kilobytes.
@@ -23,17 +19,6 @@
 constexpr absl::Duration kDeadlineMargin = absl::Milliseconds(20);
 /// A request is sent to a replica only if at least this much time is left.
 constexpr absl::Duration kMinTimeForSend = absl::Milliseconds(30);
-/// A resumable stream that has had no event for this long is resumed at another
-/// replica. Callers give up after 2 s or more without an event.
-constexpr absl::Duration kStreamStallTimeout = absl::Milliseconds(1000);
-/// A repeatable request is sent to another replica if it gets no first byte
-/// within this multiple of its latency target.
-constexpr double kFirstByteTargetMultiple = 2.5;
-/// The request must also have waited for this multiple of the expected time to
-/// the first byte: a long queue that is known is not a sign of a fault, and
-/// another send would only lengthen the queue.
-constexpr double kFirstByteExpectedMultiple = 4.0;
-constexpr absl::Duration kMinFirstByteTimeout = absl::Milliseconds(300);
 /// Maximum number of prefills of one request on separate prefill engines; the
 /// second one follows a failure.
 constexpr int kMaxPrefillAttempts = 2;
@@ -50,9 +35,6 @@
 /// no route starves another.
 constexpr int kOnTimePriority = 3;
 
-/// Interval between checks whether a silent replica is unreachable.
-constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(100);
-
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
@@ -717,124 +699,17 @@
   this->cache_handle.clear();
 }
 
-absl::Duration Exchange::FirstByteTimeout(absl::Duration expected) const {
-  return std::max({kMinFirstByteTimeout,
-                   this->route.target_latency * kFirstByteTargetMultiple,
-                   expected * kFirstByteExpectedMultiple});
-}
-
-absl::Time Exchange::NextTimeoutCheck() const {
-  absl::Time next = this->deadline;
-  bool may_move = this->phase == Phase::kPrefilling ||
-                  (this->phase == Phase::kRunning && this->route.MayRepeat());
-  if (!may_move)
-    return next;
-  absl::Duration limit =
-      this->stream_started ? kStreamStallTimeout : this->first_byte_timeout;
-  return std::min(next, this->last_progress_at + limit);
-}
-
-/// @return When to check whether the replica has gone silent.
-absl::Time Exchange::NextSilenceCheck() const {
-  absl::Duration expected = this->has_head || this->stream_started
-                                ? absl::ZeroDuration()
-                                : this->expected_first_byte;
-  // Until then a connection may still be opened; if that fails, the request has
-  // certainly not run.
-  absl::Time connected_at = this->sent_at + kConnectTimeout * 1.1;
-  return std::max(
-      {this->last_progress_at + expected + forward::kSilenceTolerance,
-       this->silence_checked_at + kSilenceCheckInterval, connected_at});
-}
-
-absl::Time Exchange::NextCheck() const {
-  return std::min(this->NextTimeoutCheck(), this->NextSilenceCheck());
-}
-
-/// Probes the replica if it has been silent for longer than expected.
-/// @return True if it is unreachable and the send has been ended.
-bool Exchange::GiveUpOnUnreachableReplica() {
-  absl::Time now = this->Now();
-  if (now < this->NextSilenceCheck())
-    return false;
-  this->silence_checked_at = now;
-  if (!this->replica->unreachable) {
-    if (this->context.reachability.ShouldProbe(*this->replica,
-                                               this->last_progress_at))
-      this->context.probe(this->replica);
-    return false;
-  }
-  this->connection->Cancel();
-  constexpr std::string_view kReason = "replica unreachable";
-  if (this->phase == Phase::kPrefilling) {
-    this->has_head = false;
-    this->answer_info = {};
-    this->OnPrefillEnd(http1::AnswerEnd::kBroken, kReason);
-  } else {
-    this->OnSendFailed(forward::AttemptOutcome::kTimedOut, kReason);
-  }
-  return true;
-}
-
-void Exchange::ArmTimer() {
-  absl::Time next = this->NextCheck();
-  if (next >= this->timer_expires_at)
-    return;
-  this->timer_expires_at = next;
-  absl::Duration wait = std::max(absl::ZeroDuration(), next - this->Now());
-  this->timer.expires_after(absl::ToChronoMicroseconds(wait));
-  this->timer.async_wait(
-      [weak = this->weak_from_this()](boost::system::error_code error) {
-        auto self = weak.lock();
-        if (error || self == nullptr)
-          return;
-        self->timer_expires_at = absl::InfiniteFuture();
-        self->OnTimer();
-      });
-}
-
-void Exchange::OnTimer() {
-  // The next send arms the timer again.
-  if (this->phase == Phase::kDone || this->phase == Phase::kAwaitingPermit)
-    return;
-  auto self = this->shared_from_this();
-  absl::Time now = this->Now();
-  if (this->connection != nullptr && now < this->deadline &&
-      this->GiveUpOnUnreachableReplica())
-    return;
-  if (now < this->NextTimeoutCheck())
-    return this->ArmTimer();
-  bool deadline_passed = now >= this->deadline;
-  if (!deadline_passed) {
-    forward::WindowedRetryBudget& retry_budget =
-        this->context.retry_budget(this->service);
-    if (!retry_budget.HasRoom() || !this->HasAlternativeReplica()) {
-      // The retry budget is used up or there is no other replica, so the
-      // request keeps waiting for its current replica.
-      this->last_progress_at = now;
-      return this->ArmTimer();
-    }
-  }
-  if (this->connection != nullptr)
-    this->connection->Cancel();
-  if (deadline_passed) {
-    bool certainly_not_run =
-        this->phase == Phase::kPrefilling && !this->attempt_policy.MayHaveRun();
-    this->context.replicas.OnFailure(*this->replica);
-    this->EndSend();
-    this->ReleaseCache();
-    if (this->stream_started)
-      return this->AbortStream("deadline");
-    if (certainly_not_run)
-      return this->Refuse("deadline_before_run", kDefaultRetryAfter);
-    return this->AnswerWithError(kGatewayTimeout, "deadline");
-  }
-  if (this->phase == Phase::kPrefilling) {
-    this->has_head = false;
-    this->answer_info = {};
-    return this->OnPrefillEnd(http1::AnswerEnd::kBroken, "no progress");
-  }
-  this->OnSendFailed(forward::AttemptOutcome::kTimedOut, "no progress");
+void Exchange::OnDeadline() {
+  bool certainly_not_run =
+      this->phase == Phase::kPrefilling && !this->attempt_policy.MayHaveRun();
+  this->context.replicas.OnFailure(*this->replica);
+  this->EndSend();
+  this->ReleaseCache();
+  if (this->stream_started)
+    return this->AbortStream("deadline");
+  if (certainly_not_run)
+    return this->Refuse("deadline_before_run", kDefaultRetryAfter);
+  return this->AnswerWithError(kGatewayTimeout, "deadline");
 }
 
 void Exchange::OnCallerLeft() {
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -98,6 +98,11 @@
   void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
 
  private:
+  /// Time limit for opening a connection to a replica. A replica in the same
+  /// region accepts one within a few milliseconds. If a packet is lost, it is
+  /// resent only after a second, so trying another replica is faster.
+  static constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
+
   enum class Phase { kIdle, kAwaitingPermit, kPrefilling, kRunning, kDone };
 
   void SendToNextReplica();
@@ -140,6 +145,7 @@
   bool HasAlternativeReplica();
   void ArmTimer();
   void OnTimer();
+  void OnDeadline();
   absl::Time NextTimeoutCheck() const;
   absl::Time NextSilenceCheck() const;
   absl::Time NextCheck() const;
