--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -574,6 +574,7 @@
 void Exchange::OnSendFailed(forward::AttemptOutcome outcome,
                             std::string_view reason) {
   std::shared_ptr<forward::Replica> failed = this->replica;
+  absl::Duration replica_silence = this->ReplicaSilence();
   if (this->answer_info.wrong_instance)
     this->context.replicas.OnWrongInstance(*failed);
   else if (outcome == forward::AttemptOutcome::kNotRun)
@@ -617,6 +618,7 @@
           .Add("status", this->has_head ? this->answer_head.status : 0)
           .Add("reason", reason)
           .Add("took_ms", this->Now() - this->sent_at)
+          .Add("replica_silent_ms", replica_silence)
           .Add("events",
                static_cast<int64_t>(this->event_splitter.event_count()))
           .Add("budget_left", budget_left)
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -150,6 +150,7 @@
   absl::Time NextSilenceCheck() const;
   absl::Time NextCheck() const;
   bool GiveUpOnUnreachableReplica();
+  absl::Duration ReplicaSilence() const;
   forward::PlacementChoice ChooseReplica();
   bool RefuseIfItCrashesReplicas();
   void RecordPossibleCrash(const std::shared_ptr<forward::Replica>& failed,
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -58,6 +58,12 @@
   return std::min(this->NextTimeoutCheck(), this->NextSilenceCheck());
 }
 
+/// @return Time since the replica last sent something on any connection, or
+///     since this send began if that is less.
+absl::Duration Exchange::ReplicaSilence() const {
+  return this->Now() - std::max(this->sent_at, this->replica->heard_at);
+}
+
 /// Probes the replica if it has been silent for longer than expected.
 /// @return True if it is unreachable and the send has been ended.
 bool Exchange::GiveUpOnUnreachableReplica() {
