gateway: a request waits while its replica may only be silent for a moment

What callers saw: a replica that was silent for 1.2 s and then went on cost all requests at it that could not run elsewhere. Those without an answer so far got 502 after about half a second; streams were cut.

Cause: a replica that accepts no probe for 250 ms counts as unreachable, and every send there was ended at once, also where nothing else could take the request over.

Change: such a send is ended only if the request can go on at another replica, has only been sent for its prefill, or the replica has been silent for 1.5 s.

Evidence: silence_of_a_sound_replica_ends_no_request, six cases, all of which failed before and pass now; request_at_a_dark_replica_ends_at_once holds as it was. All 103 cases of adapter_test pass.

--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -151,6 +151,7 @@
   absl::Time NextCheck() const;
   bool GiveUpOnUnreachableReplica();
   absl::Duration ReplicaSilence() const;
+  bool MayLeaveSilentReplica();
   forward::PlacementChoice ChooseReplica();
   bool RefuseIfItCrashesReplicas();
   void RecordPossibleCrash(const std::shared_ptr<forward::Replica>& failed,
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -21,6 +21,9 @@
 constexpr absl::Duration kMinFirstByteTimeout = absl::Milliseconds(300);
 /// Interval between checks whether a silent replica is unreachable.
 constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(100);
+/// A sound replica may send nothing and accept no connection for a second or
+/// so. One that is silent for longer has lost power or cannot be reached.
+constexpr absl::Duration kLongestSoundSilence = absl::Milliseconds(1500);
 
 }  // namespace
 
@@ -64,6 +67,18 @@
   return this->Now() - std::max(this->sent_at, this->replica->heard_at);
 }
 
+/// @return True if ending the send at an unreachable replica costs the caller
+///     nothing: the request can go on elsewhere, has not run, or gets no answer
+///     from this replica any more.
+bool Exchange::MayLeaveSilentReplica() {
+  if (this->phase == Phase::kPrefilling ||
+      this->ReplicaSilence() >= kLongestSoundSilence)
+    return true;
+  return this->route.MayRepeat() &&
+         this->context.retry_budget(this->service).HasRoom() &&
+         this->HasAlternativeReplica();
+}
+
 /// Probes the replica if it has been silent for longer than expected.
 /// @return True if it is unreachable and the send has been ended.
 bool Exchange::GiveUpOnUnreachableReplica() {
@@ -77,6 +92,8 @@
       this->context.probe(this->replica);
     return false;
   }
+  if (!this->MayLeaveSilentReplica())
+    return false;
   this->connection->Cancel();
   constexpr std::string_view kReason = "replica unreachable";
   if (this->phase == Phase::kPrefilling) {
