http1: a shorter idle limit no longer closes idle connections at once

The server compared the idle time of a connection with the newest limit. A configuration that shortens idle-timeout-ms therefore closed, within 250 ms, all connections that had been idle for longer, although their callers may still reuse them; a request that was on its way was lost without an answer. A connection now keeps the limit in force when it became idle. A longer limit applies at once.

The new test failed before: both idle connections were closed.

--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -40,7 +40,8 @@
       : server(&server),
         socket(std::move(socket)),
         reader(std::make_unique<RequestReader>(server.limits.request)),
-        waiting_since(server.clock.Now()) {}
+        waiting_since(server.clock.Now()),
+        idle_time(server.limits.idle_time) {}
 
   void Start() { this->Read(); }
 
@@ -112,7 +113,8 @@
         this->server->handler.OnMalformed(408, "the request came too slowly");
         return this->SendWhole({408, "", {}}, "");
       case Phase::kIdle:
-        if (now - this->waiting_since >= limits.idle_time)
+        if (now - this->waiting_since >=
+            std::max(this->idle_time, limits.idle_time))
           this->Close();
         return;
       case Phase::kClosing:
@@ -240,6 +242,7 @@
     this->active = nullptr;
     this->streaming = false;
     this->waiting_since = this->server->clock.Now();
+    this->idle_time = this->server->limits.idle_time;
     // The head of a stream may have been sent before the server began to close.
     if (close || this->server->closes_when_idle)
       return this->BeginLinger();
@@ -311,6 +314,9 @@
   std::unique_ptr<RequestReader> reader;
   Phase phase = Phase::kIdle;
   absl::Time waiting_since;  // Start of the current phase, for time limits.
+  // Limit in force when the connection became idle. Callers may use the
+  // connection for that long, so a shorter limit does not replace it.
+  absl::Duration idle_time;
   absl::Time request_began;
   std::string incoming;
   std::string outgoing;
--- a/cranberryhill/http1/server.h
+++ b/cranberryhill/http1/server.h
@@ -101,7 +101,8 @@
   /// @return The bound port.
   uint16_t port() const;  // NOLINT
 
-  /// Applies to requests that start afterwards.
+  /// Applies to requests that start afterwards. Connections that are idle keep
+  /// their idle time if the new one is shorter.
   void SetLimits(ServerLimits limits) { this->limits = limits; }
 
   /// Answers from now on say "Connection: close".
--- /dev/null
+++ b/cranberryhill/http1/server_limits_test.cc
@@ -0,0 +1,95 @@
+// Limits of the server that change while connections are open.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cranberryhill/http1/raw_caller_test.h"
+#include "cranberryhill/http1/server.h"
+
+namespace cranberryhill::http1 {
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr char kIp[] = "127.0.0.1";
+/// Bounds a test whose condition never comes true.
+constexpr std::chrono::seconds kLongest(10);
+/// Several intervals between two checks of the time limits.
+constexpr std::chrono::milliseconds kSeveralChecks(700);
+constexpr char kGet[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct Handler : RequestHandler {
+  std::shared_ptr<ActiveRequest> OnRequest(
+      IncomingRequest request,
+      std::shared_ptr<Responder> responder) override {
+    ++this->requests;
+    responder->SendWhole({200, "", {}}, request.body);
+    return nullptr;
+  }
+  void OnMalformed(int /*status*/, std::string_view /*reason*/) override {}
+
+  size_t requests = 0;
+};
+
+struct Fixture {
+  Fixture() {
+    auto started = Capture([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(this->server.Listen(kIp, 0));
+      return true;
+    });
+    BOOST_REQUIRE(started.ok());
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    auto until = std::chrono::steady_clock::now() + kLongest;
+    while (!condition() && std::chrono::steady_clock::now() < until)
+      this->io.run_one_for(std::chrono::milliseconds(50));
+    BOOST_REQUIRE(condition());
+  }
+
+  std::unique_ptr<RawCaller> Connect() {
+    return std::make_unique<RawCaller>(
+        this->io,
+        tcp::endpoint(boost::asio::ip::make_address(kIp), this->server.port()));
+  }
+
+  /// Connects and has one request answered.
+  std::unique_ptr<RawCaller> ConnectAndGet() {
+    auto caller = this->Connect();
+    caller->Write(kGet);
+    this->RunUntil([&] { return caller->Statuses().size() == 1; });
+    return caller;
+  }
+
+  boost::asio::io_context io{1};
+  BootClock clock;
+  Handler handler;
+  Server server{io, clock, handler, {}};
+};
+
+// Guards against closing connections that their callers may still use, because
+// the idle limit became shorter after they had become idle.
+BOOST_FIXTURE_TEST_CASE(shorter_idle_limit_spares_idle_connections, Fixture) {
+  auto caller = this->ConnectAndGet();
+  auto unused = this->Connect();
+  this->RunUntil([&] { return this->server.OpenConnections() == 2; });
+  ServerLimits limits;
+  limits.idle_time = absl::Milliseconds(1);
+  this->server.SetLimits(limits);
+  this->io.run_for(kSeveralChecks);
+  BOOST_TEST(!caller->closed);
+  BOOST_TEST(!unused->closed);
+  caller->Write(kGet);
+  this->RunUntil([&] { return caller->Statuses().size() == 2; });
+  // The shorter limit applies from the end of this request.
+  this->RunUntil([&] { return caller->closed; });
+}
+
+}  // namespace
+}  // namespace cranberryhill::http1
