http1: the time limit of a request is the one in force when it began

The server compared the age of a request that is being received with the newest limit. The limit is now kept with the request.

The new test failed before: the request got 408 instead of 200. It passes now, as do all tests of http1_test.

--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -101,12 +101,11 @@
 
   /// Closes the connection if a time limit has passed.
   void CheckTime(absl::Time now) {
-    const ServerLimits& limits = this->server->limits;
     switch (this->phase) {
       case Phase::kAnswering:
         return;
       case Phase::kReading:
-        if (now - this->waiting_since < limits.request_time)
+        if (now - this->waiting_since < this->request_time)
           return;
         this->phase = Phase::kAnswering;
         this->force_close = true;
@@ -114,7 +113,7 @@
         return this->SendWhole({408, "", {}}, "");
       case Phase::kIdle:
         if (now - this->waiting_since >=
-            std::max(this->idle_time, limits.idle_time))
+            std::max(this->idle_time, this->server->limits.idle_time))
           this->Close();
         return;
       case Phase::kClosing:
@@ -196,6 +195,7 @@
         this->phase = Phase::kReading;
         this->waiting_since = this->server->clock.Now();
         this->request_began = this->waiting_since;
+        this->request_time = this->server->limits.request_time;
       }
       size_t used = this->reader->Feed(this->incoming);
       this->incoming.erase(0, used);
@@ -318,6 +318,7 @@
   // connection for that long, so a shorter limit does not replace it.
   absl::Duration idle_time;
   absl::Time request_began;
+  absl::Duration request_time;  // Limit in force when the request began.
   std::string incoming;
   std::string outgoing;
   std::string in_flight;
--- a/cranberryhill/http1/server_limits_test.cc
+++ b/cranberryhill/http1/server_limits_test.cc
@@ -91,5 +91,22 @@
   this->RunUntil([&] { return caller->closed; });
 }
 
+// Guards against refusing a request as too slow that keeps to the limit that
+// was in force when it began.
+BOOST_FIXTURE_TEST_CASE(shorter_request_time_spares_requests_that_have_begun,
+                        Fixture) {
+  auto caller = this->Connect();
+  caller->Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+  this->io.run_for(std::chrono::milliseconds(50));
+  ServerLimits limits;
+  limits.request_time = absl::Milliseconds(1);
+  this->server.SetLimits(limits);
+  this->io.run_for(kSeveralChecks);
+  BOOST_TEST(caller->received == "");
+  caller->Write("dy");
+  this->RunUntil([&] { return caller->Statuses().size() == 1; });
+  BOOST_TEST(caller->Statuses()[0] == 200);
+}
+
 }  // namespace
 }  // namespace cranberryhill::http1
