http1: size limits of a request are those in force when it begins

The reader of the next request was created when the one before had been read, with the limits of that time. After a configuration that allows larger heads or bodies, the first request on each open connection was still refused with 431 or 413, which callers do not repeat. The reader is now created with the first byte of a request; an idle connection needs none.

The new test failed before: the request got 431 instead of 200.

--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -39,7 +39,6 @@
   Connection(Server& server, tcp::socket socket)
       : server(&server),
         socket(std::move(socket)),
-        reader(std::make_unique<RequestReader>(server.limits.request)),
         waiting_since(server.clock.Now()),
         idle_time(server.limits.idle_time) {}
 
@@ -196,6 +195,8 @@
         this->waiting_since = this->server->clock.Now();
         this->request_began = this->waiting_since;
         this->request_time = this->server->limits.request_time;
+        this->reader =
+            std::make_unique<RequestReader>(this->server->limits.request);
       }
       size_t used = this->reader->Feed(this->incoming);
       this->incoming.erase(0, used);
@@ -224,8 +225,7 @@
   void Dispatch() {
     IncomingRequest request{this->reader->TakeHead(), this->reader->TakeBody(),
                             this->request_began};
-    this->reader =
-        std::make_unique<RequestReader>(this->server->limits.request);
+    this->reader = nullptr;
     this->continue_sent = false;
     this->phase = Phase::kAnswering;
     this->streaming = false;
@@ -311,7 +311,7 @@
 
   Server* server;
   tcp::socket socket;
-  std::unique_ptr<RequestReader> reader;
+  std::unique_ptr<RequestReader> reader;  // Set while a request is read.
   Phase phase = Phase::kIdle;
   absl::Time waiting_since;  // Start of the current phase, for time limits.
   // Limit in force when the connection became idle. Callers may use the
--- a/cranberryhill/http1/server_limits_test.cc
+++ b/cranberryhill/http1/server_limits_test.cc
@@ -108,5 +108,20 @@
   BOOST_TEST(caller->Statuses()[0] == 200);
 }
 
+// Guards against refusing a request as too large on a connection that was idle
+// when the limits became larger; callers do not repeat it.
+BOOST_FIXTURE_TEST_CASE(larger_size_limits_apply_to_idle_connections, Fixture) {
+  ServerLimits limits;
+  limits.request = {64, 4};
+  this->server.SetLimits(limits);
+  auto caller = this->ConnectAndGet();
+  limits.request = {16384, 100};
+  this->server.SetLimits(limits);
+  caller->Write("POST /" + std::string(100, 'x') +
+                " HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nlonger");
+  this->RunUntil([&] { return caller->Statuses().size() == 2; });
+  BOOST_TEST(caller->Statuses()[1] == 200);
+}
+
 }  // namespace
 }  // namespace cranberryhill::http1
