http1: read what has arrived before closing a connection for its time limit

The check of the time limits may run before bytes that have arrived are read: the event loop takes at most 128 events from the system at a time, and a loop that was busy or frozen has both timers and sockets due. The check then closed connections with whole unread requests as idle, so that their callers got neither an answer nor a refusal, and refused requests as too slow whose last bytes had arrived in time. The same could happen to requests that arrive before a shutdown closes idle connections. The server now reads what has arrived before it applies a limit or closes an idle connection.

--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -100,29 +100,28 @@
 
   /// Closes the connection if a time limit has passed.
   void CheckTime(absl::Time now) {
+    if (!this->IsTimeUp(now))
+      return;
+    // While the event loop was busy, the request may have arrived in time.
+    this->ReadArrived();
+    if (!this->IsTimeUp(now))
+      return;
     switch (this->phase) {
       case Phase::kAnswering:
         return;
       case Phase::kReading:
-        if (now - this->waiting_since < this->request_time)
-          return;
         this->phase = Phase::kAnswering;
         this->force_close = true;
         this->server->handler.OnMalformed(408, "the request came too slowly");
         return this->SendWhole({408, "", {}}, "");
       case Phase::kIdle:
-        if (now - this->waiting_since >=
-            std::max(this->idle_time, this->server->limits.idle_time))
-          this->Close();
-        return;
       case Phase::kClosing:
-        if (now - this->waiting_since >= kLinger)
-          this->Close();
-        return;
+        return this->Close();
     }
   }
 
   void CloseIfIdle() {
+    this->ReadArrived();
     if (this->phase == Phase::kIdle)
       this->BeginLinger();
   }
@@ -143,6 +142,23 @@
  private:
   enum class Phase { kIdle, kReading, kAnswering, kClosing };
 
+  /// @return True if the current phase has lasted for its time limit.
+  bool IsTimeUp(absl::Time now) const {
+    absl::Duration elapsed = now - this->waiting_since;
+    switch (this->phase) {
+      case Phase::kAnswering:
+        return false;
+      case Phase::kReading:
+        return elapsed >= this->request_time;
+      case Phase::kIdle:
+        return elapsed >=
+               std::max(this->idle_time, this->server->limits.idle_time);
+      case Phase::kClosing:
+        return elapsed >= kLinger;
+    }
+    return false;
+  }
+
   bool MustClose() const {
     return this->force_close || this->server->closing || !this->keep_alive;
   }
@@ -186,6 +202,19 @@
     this->Read();
   }
 
+  /// Reads the bytes that have arrived, if the connection waits for any.
+  void ReadArrived() {
+    error_code error;
+    size_t unread = this->socket.available(error);
+    size_t buffer_bytes = this->server->read_buffer.size();
+    // A caller that goes on sending does not keep this loop busy.
+    for (size_t read = 0; read < unread; read += buffer_bytes) {
+      if (this->phase != Phase::kIdle && this->phase != Phase::kReading)
+        return;
+      this->OnReadable();
+    }
+  }
+
   void Consume() {
     while (this->phase == Phase::kIdle || this->phase == Phase::kReading) {
       if (this->phase == Phase::kIdle) {
--- a/cranberryhill/http1/server_limits_test.cc
+++ b/cranberryhill/http1/server_limits_test.cc
@@ -1,5 +1,6 @@
 // Limits of the server that change while connections are open.
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +9,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "cranberryhill/http1/raw_caller_test.h"
 #include "cranberryhill/http1/server.h"
@@ -123,5 +126,42 @@
   BOOST_TEST(caller->Statuses()[1] == 200);
 }
 
+// Guards against closing a connection as idle, or refusing its request as too
+// slow, while the rest of the request has arrived and waits to be read, after
+// the event loop has been busy.
+BOOST_FIXTURE_TEST_CASE(requests_that_have_arrived_are_read_before_the_limit,
+                        Fixture) {
+  // More than the event loop takes from the system at a time.
+  constexpr size_t kCallers = 400;
+  constexpr std::chrono::milliseconds kBusy(300);
+  ServerLimits limits;
+  limits.idle_time = limits.request_time = absl::Milliseconds(500);
+  this->server.SetLimits(limits);
+  std::string get = kGet;
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (size_t i = 0; i < kCallers; ++i)
+    callers.push_back(this->Connect());
+  // Half of the callers have begun their requests.
+  for (size_t i = 0; i < kCallers; i += 2)
+    callers[i]->Write(get.substr(0, get.size() / 2));
+  this->RunUntil([&] { return this->server.OpenConnections() == kCallers; });
+  this->io.run_for(std::chrono::milliseconds(50));
+  // A check of the limits becomes due before the bytes arrive, and is made
+  // after the limits have passed.
+  std::this_thread::sleep_for(kBusy);
+  for (size_t i = 0; i < kCallers; ++i)
+    callers[i]->Write(i % 2 == 0 ? get.substr(get.size() / 2) : get);
+  std::this_thread::sleep_for(kBusy);
+  auto has_ended = [](const auto& caller) {
+    return caller->closed || !caller->Statuses().empty();
+  };
+  this->RunUntil(
+      [&] { return std::all_of(callers.begin(), callers.end(), has_ended); });
+  size_t served = 0;
+  for (const auto& caller : callers)
+    served += caller->Statuses() == std::vector<int>{200} ? 1 : 0;
+  BOOST_TEST(served == kCallers);
+}
+
 }  // namespace
 }  // namespace cranberryhill::http1
