--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -39,8 +39,8 @@
   Connection(Server& server, tcp::socket socket)
       : server(&server),
         socket(std::move(socket)),
-        reader(std::make_unique<RequestReader>(server.limits.request)),
-        waiting_since(server.clock.Now()) {}
+        waiting_since(server.clock.Now()),
+        idle_time(server.limits.idle_time) {}
 
   void Start() { this->Read(); }
 
@@ -100,29 +100,28 @@
 
   /// Closes the connection if a time limit has passed.
   void CheckTime(absl::Time now) {
-    const ServerLimits& limits = this->server->limits;
+    if (!this->IsTimeUp(now))
+      return;
+    // While the event loop was busy, the request may have arrived in time.
+    this->ReadArrived();
+    if (!this->IsTimeUp(now))
+      return;
     switch (this->phase) {
       case Phase::kAnswering:
         return;
       case Phase::kReading:
-        if (now - this->waiting_since < limits.request_time)
-          return;
         this->phase = Phase::kAnswering;
         this->force_close = true;
         this->server->handler.OnMalformed(408, "the request came too slowly");
         return this->SendWhole({408, "", {}}, "");
       case Phase::kIdle:
-        if (now - this->waiting_since >= limits.idle_time)
-          this->Close();
-        return;
       case Phase::kClosing:
-        if (now - this->waiting_since >= kLinger)
-          this->Close();
-        return;
+        return this->Close();
     }
   }
 
   void CloseIfIdle() {
+    this->ReadArrived();
     if (this->phase == Phase::kIdle)
       this->BeginLinger();
   }
@@ -143,6 +142,23 @@
  private:
   enum class Phase { kIdle, kReading, kAnswering, kClosing };
 
+  /// @return True if the current phase has lasted for its time limit.
+  bool IsTimeUp(absl::Time now) const {
+    absl::Duration elapsed = now - this->waiting_since;
+    switch (this->phase) {
+      case Phase::kAnswering:
+        return false;
+      case Phase::kReading:
+        return elapsed >= this->request_time;
+      case Phase::kIdle:
+        return elapsed >=
+               std::max(this->idle_time, this->server->limits.idle_time);
+      case Phase::kClosing:
+        return elapsed >= kLinger;
+    }
+    return false;
+  }
+
   bool MustClose() const {
     return this->force_close || this->server->closing || !this->keep_alive;
   }
@@ -186,6 +202,19 @@
     this->Read();
   }
 
+  /// Reads the bytes that have arrived, if the connection waits for any.
+  void ReadArrived() {
+    error_code error;
+    size_t unread = this->socket.available(error);
+    size_t buffer_bytes = this->server->read_buffer.size();
+    // A caller that goes on sending does not keep this loop busy.
+    for (size_t read = 0; read < unread; read += buffer_bytes) {
+      if (this->phase != Phase::kIdle && this->phase != Phase::kReading)
+        return;
+      this->OnReadable();
+    }
+  }
+
   void Consume() {
     while (this->phase == Phase::kIdle || this->phase == Phase::kReading) {
       if (this->phase == Phase::kIdle) {
@@ -194,6 +223,9 @@
         this->phase = Phase::kReading;
         this->waiting_since = this->server->clock.Now();
         this->request_began = this->waiting_since;
+        this->request_time = this->server->limits.request_time;
+        this->reader =
+            std::make_unique<RequestReader>(this->server->limits.request);
       }
       size_t used = this->reader->Feed(this->incoming);
       this->incoming.erase(0, used);
@@ -222,8 +254,7 @@
   void Dispatch() {
     IncomingRequest request{this->reader->TakeHead(), this->reader->TakeBody(),
                             this->request_began};
-    this->reader =
-        std::make_unique<RequestReader>(this->server->limits.request);
+    this->reader = nullptr;
     this->continue_sent = false;
     this->phase = Phase::kAnswering;
     this->streaming = false;
@@ -240,6 +271,7 @@
     this->active = nullptr;
     this->streaming = false;
     this->waiting_since = this->server->clock.Now();
+    this->idle_time = this->server->limits.idle_time;
     // The head of a stream may have been sent before the server began to close.
     if (close || this->server->closes_when_idle)
       return this->BeginLinger();
@@ -308,10 +340,14 @@
 
   Server* server;
   tcp::socket socket;
-  std::unique_ptr<RequestReader> reader;
+  std::unique_ptr<RequestReader> reader;  // Set while a request is read.
   Phase phase = Phase::kIdle;
   absl::Time waiting_since;  // Start of the current phase, for time limits.
+  // Limit in force when the connection became idle. Callers may use the
+  // connection for that long, so a shorter limit does not replace it.
+  absl::Duration idle_time;
   absl::Time request_began;
+  absl::Duration request_time;  // Limit in force when the request began.
   std::string incoming;
   std::string outgoing;
   std::string in_flight;
--- /dev/null
+++ b/cranberryhill/http1/server_limits_test.cc
@@ -0,0 +1,167 @@
+// Limits of the server that change while connections are open.
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cranberryhill/http1/raw_caller_test.h"
+#include "cranberryhill/http1/server.h"
+
+namespace cranberryhill::http1 {
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr char kIp[] = "127.0.0.1";
+/// Bounds a test whose condition never comes true.
+constexpr std::chrono::seconds kLongest(10);
+/// Several intervals between two checks of the time limits.
+constexpr std::chrono::milliseconds kSeveralChecks(700);
+constexpr char kGet[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct Handler : RequestHandler {
+  std::shared_ptr<ActiveRequest> OnRequest(
+      IncomingRequest request,
+      std::shared_ptr<Responder> responder) override {
+    ++this->requests;
+    responder->SendWhole({200, "", {}}, request.body);
+    return nullptr;
+  }
+  void OnMalformed(int /*status*/, std::string_view /*reason*/) override {}
+
+  size_t requests = 0;
+};
+
+struct Fixture {
+  Fixture() {
+    auto started = Capture([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(this->server.Listen(kIp, 0));
+      return true;
+    });
+    BOOST_REQUIRE(started.ok());
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    auto until = std::chrono::steady_clock::now() + kLongest;
+    while (!condition() && std::chrono::steady_clock::now() < until)
+      this->io.run_one_for(std::chrono::milliseconds(50));
+    BOOST_REQUIRE(condition());
+  }
+
+  std::unique_ptr<RawCaller> Connect() {
+    return std::make_unique<RawCaller>(
+        this->io,
+        tcp::endpoint(boost::asio::ip::make_address(kIp), this->server.port()));
+  }
+
+  /// Connects and has one request answered.
+  std::unique_ptr<RawCaller> ConnectAndGet() {
+    auto caller = this->Connect();
+    caller->Write(kGet);
+    this->RunUntil([&] { return caller->Statuses().size() == 1; });
+    return caller;
+  }
+
+  boost::asio::io_context io{1};
+  BootClock clock;
+  Handler handler;
+  Server server{io, clock, handler, {}};
+};
+
+// Guards against closing connections that their callers may still use, because
+// the idle limit became shorter after they had become idle.
+BOOST_FIXTURE_TEST_CASE(shorter_idle_limit_spares_idle_connections, Fixture) {
+  auto caller = this->ConnectAndGet();
+  auto unused = this->Connect();
+  this->RunUntil([&] { return this->server.OpenConnections() == 2; });
+  ServerLimits limits;
+  limits.idle_time = absl::Milliseconds(1);
+  this->server.SetLimits(limits);
+  this->io.run_for(kSeveralChecks);
+  BOOST_TEST(!caller->closed);
+  BOOST_TEST(!unused->closed);
+  caller->Write(kGet);
+  this->RunUntil([&] { return caller->Statuses().size() == 2; });
+  // The shorter limit applies from the end of this request.
+  this->RunUntil([&] { return caller->closed; });
+}
+
+// Guards against refusing a request as too slow that keeps to the limit that
+// was in force when it began.
+BOOST_FIXTURE_TEST_CASE(shorter_request_time_spares_requests_that_have_begun,
+                        Fixture) {
+  auto caller = this->Connect();
+  caller->Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+  this->io.run_for(std::chrono::milliseconds(50));
+  ServerLimits limits;
+  limits.request_time = absl::Milliseconds(1);
+  this->server.SetLimits(limits);
+  this->io.run_for(kSeveralChecks);
+  BOOST_TEST(caller->received == "");
+  caller->Write("dy");
+  this->RunUntil([&] { return caller->Statuses().size() == 1; });
+  BOOST_TEST(caller->Statuses()[0] == 200);
+}
+
+// Guards against refusing a request as too large on a connection that was idle
+// when the limits became larger; callers do not repeat it.
+BOOST_FIXTURE_TEST_CASE(larger_size_limits_apply_to_idle_connections, Fixture) {
+  ServerLimits limits;
+  limits.request = {64, 4};
+  this->server.SetLimits(limits);
+  auto caller = this->ConnectAndGet();
+  limits.request = {16384, 100};
+  this->server.SetLimits(limits);
+  caller->Write("POST /" + std::string(100, 'x') +
+                " HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nlonger");
+  this->RunUntil([&] { return caller->Statuses().size() == 2; });
+  BOOST_TEST(caller->Statuses()[1] == 200);
+}
+
+// Guards against closing a connection as idle, or refusing its request as too
+// slow, while the rest of the request has arrived and waits to be read, after
+// the event loop has been busy.
+BOOST_FIXTURE_TEST_CASE(requests_that_have_arrived_are_read_before_the_limit,
+                        Fixture) {
+  // More than the event loop takes from the system at a time.
+  constexpr size_t kCallers = 400;
+  constexpr std::chrono::milliseconds kBusy(300);
+  ServerLimits limits;
+  limits.idle_time = limits.request_time = absl::Milliseconds(500);
+  this->server.SetLimits(limits);
+  std::string get = kGet;
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (size_t i = 0; i < kCallers; ++i)
+    callers.push_back(this->Connect());
+  // Half of the callers have begun their requests.
+  for (size_t i = 0; i < kCallers; i += 2)
+    callers[i]->Write(get.substr(0, get.size() / 2));
+  this->RunUntil([&] { return this->server.OpenConnections() == kCallers; });
+  this->io.run_for(std::chrono::milliseconds(50));
+  // A check of the limits becomes due before the bytes arrive, and is made
+  // after the limits have passed.
+  std::this_thread::sleep_for(kBusy);
+  for (size_t i = 0; i < kCallers; ++i)
+    callers[i]->Write(i % 2 == 0 ? get.substr(get.size() / 2) : get);
+  std::this_thread::sleep_for(kBusy);
+  auto has_ended = [](const auto& caller) {
+    return caller->closed || !caller->Statuses().empty();
+  };
+  this->RunUntil(
+      [&] { return std::all_of(callers.begin(), callers.end(), has_ended); });
+  size_t served = 0;
+  for (const auto& caller : callers)
+    served += caller->Statuses() == std::vector<int>{200} ? 1 : 0;
+  BOOST_TEST(served == kCallers);
+}
+
+}  // namespace
+}  // namespace cranberryhill::http1
