gateway: read the software version of replicas

Neither logs nor code knew at which software version a replica runs, so a stream that went on at another version could not be told from one that went on at its own. A row without a readable version is still usable; its replica has the empty version.

--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -31,6 +31,9 @@
   std::string service;
   Endpoint endpoint;
   std::string availability_zone;
+  /// Version of the replica's software. Replicas whose entries have none are of
+  /// one version, the empty one.
+  std::string software_version;
   int slots = 1;
   bool leaving = false;
   std::optional<EngineRole> role;  ///< Set for model engines only.
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -280,6 +280,7 @@
   this->context.log.Write(
       this->MakeLogEvent("request_sent")
           .Add("replica", this->replica->entry.id)
+          .Add("software_version", this->replica->entry.software_version)
           .Add("read_only", fields.prefill_only)
           .Add("unread_tokens", prefill_tokens)
           .Add("outstanding", this->replica->outstanding)
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -461,6 +461,7 @@
   this->log.Write(LogEvent("replica_changed")
                       .Add("replica", replica_entry.id)
                       .Add("service", replica_entry.service)
+                      .Add("software_version", replica_entry.software_version)
                       .Add("leaving", replica_entry.leaving)
                       .Add("role", replica_entry.role
                                        ? EngineRoleName(*replica_entry.role)
