gateway: keep each stream at the software version that began it

Callers got streams joined from two software versions, with nothing in the answer to show it. A stream that broke off was resumed at any replica, and so was one that its caller took up again: placement did not know of versions, and nothing read the header Resumes.

The first event binds a stream to the software version that its replica's entry had when the request was sent. A take-up (Resumes or Last-Event-Id on a resumable route) is bound before its first send, to the version at which the named attempt began. OpenReplicas, and with it every choice of a replica, leaves out replicas that would write events of another version; prefill engines write none and may be of any. If nobody knows the version, or no replica of it takes requests, the take-up is refused with 503 at once as stream_version_unknown or no_replica_of_stream_version, so that the caller may begin afresh.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -119,6 +119,8 @@
 
 void Exchange::Start() {
   this->context.retry_budget(this->service).OnRequest();
+  if (this->IsTakeUp())
+    return this->FindStreamVersion();
   this->SendToNextReplica();
 }
 
@@ -188,7 +190,8 @@
       return this->SendToNextReplica();
     const forward::Replica& chosen =
         may_prefill ? *choice.prefill_engine : *choice.replica;
-    if (chosen.WantsNoRequests(this->Now())) {
+    if (chosen.WantsNoRequests(this->Now()) ||
+        !this->MayWriteStream(*choice.replica)) {
       this->context.send_permits.Return(id);
       return this->SendToNextReplica();
     }
@@ -271,6 +274,7 @@
   this->has_head = false;
   this->send_has_event = false;
   this->relaying_events = false;
+  this->sent_version = this->replica->entry.software_version;
   this->sent_at = this->Now();
   this->last_progress_at = this->sent_at;
   this->silence_checked_at = absl::InfinitePast();
@@ -382,6 +386,7 @@
   this->queued_tokens = 0;
   if (!this->stream_started) {
     this->stream_started = true;
+    this->BindToSentVersion();
     this->LearnFromFirstEvent();
     this->context.log.Write(
         this->MakeLogEvent("first_event")
@@ -518,7 +523,8 @@
   this->AwaitPermit(*decode_engine, [this, decode_engine](bool granted) {
     if (!granted)
       return this->RunWithCache();
-    if (decode_engine->WantsNoRequests(this->Now())) {
+    if (decode_engine->WantsNoRequests(this->Now()) ||
+        !this->MayWriteStream(*decode_engine)) {
       this->context.send_permits.Return(decode_engine->entry.id);
       return this->RunWithCache();
     }
@@ -670,7 +676,7 @@
   auto is_limited = [this](const auto& replica) {
     return this->context.replica_limits.RateOf(replica->entry.id).has_value();
   };
-  auto usable_replicas = this->context.replicas.Usable(this->service);
+  auto usable_replicas = this->UsableReplicas();
   // A refused run is not worth one of the few requests that these take.
   std::erase_if(usable_replicas, is_limited);
   std::shared_ptr<forward::Replica> other =
@@ -689,6 +695,7 @@
   this->ReleaseCache();
   if (std::exchange(this->tried_uncached, true) || is_limited(refused) ||
       refused->WantsNoRequests(this->Now()) ||
+      !this->MayWriteStream(*refused) ||
       !this->attempt_policy.MaySendTo(refused->entry.id))
     return false;
   this->prefill_attempts = kMaxPrefillAttempts;
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -34,6 +34,7 @@
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/metrics.h"
 #include "cranberryhill/gateway/send_permits.h"
+#include "cranberryhill/gateway/stream_versions.h"
 #include "cranberryhill/gateway/wire_format.h"
 #include "cranberryhill/http1/client.h"
 #include "cranberryhill/http1/server.h"
@@ -54,6 +55,7 @@
   forward::ReplicaLimits& replica_limits;
   forward::ReplicaNotices& replica_notices;
   SendPermits& send_permits;
+  StreamVersions& stream_versions;
   const forward::Placement& placement;
   forward::EngineSpeedModels& engine_speeds;
   forward::Reachability& reachability;
@@ -98,13 +100,27 @@
   void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
 
  private:
-  enum class Phase { kIdle, kAwaitingPermit, kPrefilling, kRunning, kDone };
+  enum class Phase {
+    kIdle,
+    kFindingVersion,
+    kAwaitingPermit,
+    kPrefilling,
+    kRunning,
+    kDone
+  };
 
   void SendToNextReplica();
   void SendTo(const forward::PlacementChoice& choice);
   void RunWithCache();
   void AwaitPermit(const forward::Replica& target,
                    std::function<void(bool granted)> next);
+  bool IsTakeUp() const;
+  void FindStreamVersion();
+  void OnStreamVersionFound(std::optional<std::string> version);
+  void BindToSentVersion();
+  bool MayWriteStream(const forward::Replica& replica) const;
+  bool IsOfUsableVersion(const forward::Replica& replica) const;
+  std::vector<std::shared_ptr<forward::Replica>> UsableReplicas();
   std::vector<std::shared_ptr<forward::Replica>> OpenReplicas();
   /// Why no replica takes a request, and when one may.
   struct NextOpening {
@@ -184,6 +200,10 @@
   bool uses_cache_source = false;     // The send refers to a transferred cache.
   absl::Time chosen_at;               // When the replica was chosen.
   forward::PrefillLane lane = forward::PrefillLane::kOnTime;
+  // Software version of the replica when the request was sent.
+  std::string sent_version;
+  // Software version that began the stream; unset before its first event.
+  std::optional<std::string> stream_version;
   absl::Time sent_at;
   absl::Time last_progress_at;
   absl::Time silence_checked_at = absl::InfinitePast();
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -66,11 +66,21 @@
   this->context.send_permits.Acquire(id, std::move(on_reply));
 }
 
+/// @return The usable replicas, for a stream that has begun only those of its
+///     software version.
+std::vector<std::shared_ptr<forward::Replica>> Exchange::UsableReplicas() {
+  auto replicas = this->context.replicas.Usable(this->service);
+  std::erase_if(replicas, [this](const auto& replica) {
+    return !this->IsOfUsableVersion(*replica);
+  });
+  return replicas;
+}
+
 /// @return The usable replicas without those that take no request now: limited
 ///     ones, and while others of the service are closed, those that have as
 ///     much to do as they can serve.
 std::vector<std::shared_ptr<forward::Replica>> Exchange::OpenReplicas() {
-  auto replicas = this->context.replicas.Usable(this->service);
+  auto replicas = this->UsableReplicas();
   bool some_are_closed = this->context.replicas.HasClosed(this->service);
   std::erase_if(replicas, [&](const auto& replica) {
     if (some_are_closed && this->IsOverloaded(*replica))
@@ -96,8 +106,12 @@
 
 Exchange::NextOpening Exchange::FindNextOpening() {
   absl::Time now = this->Now();
-  NextOpening next{"no_replica", absl::InfiniteDuration()};
+  NextOpening next{
+      this->stream_version ? "no_replica_of_stream_version" : "no_replica",
+      absl::InfiniteDuration()};
   for (const auto& replica : this->context.replicas.Members(this->service)) {
+    if (!this->MayWriteStream(*replica))
+      continue;
     absl::Duration closed_for = replica->closed_until - now;
     absl::Duration wait = std::max(
         closed_for, this->context.send_permits.TimeToOpen(replica->entry.id));
--- /dev/null
+++ b/cranberryhill/gateway/exchange_versions.cc
@@ -0,0 +1,87 @@
+// The part of Exchange that keeps a stream at the software version that began
+// it. What two versions write does not fit together, and replicas do not check
+// this.
+
+#include <utility>
+
+#include "cranberryhill/gateway/exchange.h"
+
+namespace cranberryhill::gateway {
+namespace {
+
+/// Retry-After of a take-up whose version is not known. The instance may have
+/// learned it by then.
+constexpr absl::Duration kRetryAfterUnknownVersion = absl::Milliseconds(500);
+
+}  // namespace
+
+/// @return True if the caller has events of this stream from an earlier
+///     attempt.
+bool Exchange::IsTakeUp() const {
+  return this->route.kind == forward::RequestKind::kStream &&
+         this->route.resumable &&
+         (!this->caller_request.resumed_attempt_id.empty() ||
+          this->caller_request.has_last_event_id);
+}
+
+/// Sends the take-up to a replica when it is known at which version its stream
+/// began; refuses it if nobody knows.
+void Exchange::FindStreamVersion() {
+  this->phase = Phase::kFindingVersion;
+  this->context.stream_versions.Find(
+      this->service, this->caller_request.resumed_attempt_id,
+      [weak = this->weak_from_this()](std::optional<std::string> version) {
+        auto self = weak.lock();
+        if (self == nullptr || self->phase != Phase::kFindingVersion)
+          return;
+        self->phase = Phase::kIdle;
+        self->OnStreamVersionFound(std::move(version));
+      });
+}
+
+void Exchange::OnStreamVersionFound(std::optional<std::string> version) {
+  this->context.metrics.CountDecision(version ? "stream_version_found"
+                                              : "stream_version_unknown");
+  LogEvent event = this->MakeLogEvent("stream_taken_up");
+  event.Add("resumes", this->caller_request.resumed_attempt_id)
+      .Add("service", this->service)
+      .Add("version_known", version.has_value())
+      .Add("software_version", version.value_or(""))
+      .Add("took_ms", this->Now() - this->request.arrived);
+  this->context.log.Write(event);
+  if (!version)
+    return this->Refuse("stream_version_unknown", kRetryAfterUnknownVersion);
+  this->stream_version = std::move(version);
+  this->SendToNextReplica();
+}
+
+/// Binds the stream to the version that the replica's entry had when the
+/// request was sent. To be called before the first event of this answer is
+/// relayed.
+void Exchange::BindToSentVersion() {
+  this->stream_version = this->sent_version;
+  StreamVersions& versions = this->context.stream_versions;
+  versions.OnStreamBegan(this->service, this->caller_request.attempt_id,
+                         this->sent_version);
+  // The caller may name either attempt when it takes the stream up again.
+  if (this->IsTakeUp() && !this->caller_request.resumed_attempt_id.empty()) {
+    versions.OnStreamBegan(this->service,
+                           this->caller_request.resumed_attempt_id,
+                           this->sent_version);
+  }
+}
+
+/// @return True if the replica may write events of this stream.
+bool Exchange::MayWriteStream(const forward::Replica& replica) const {
+  return !this->stream_version ||
+         replica.entry.software_version == *this->stream_version;
+}
+
+/// @return True if the replica may take part in serving the request. A prefill
+///     engine writes no events, so it may be of any version.
+bool Exchange::IsOfUsableVersion(const forward::Replica& replica) const {
+  return replica.entry.role == EngineRole::kPrefill ||
+         this->MayWriteStream(replica);
+}
+
+}  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -40,6 +40,7 @@
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/exchange.h"
 #include "cranberryhill/gateway/http_caller.h"
+#include "cranberryhill/gateway/local_stream_versions.h"
 #include "cranberryhill/gateway/metrics.h"
 #include "cranberryhill/gateway/order_dispatcher.h"
 #include "cranberryhill/gateway/peer_link.h"
@@ -153,6 +154,7 @@
   forward::Reachability reachability;
   ConnectionPool connection_pool;
   GatewayMetrics metrics;
+  LocalStreamVersions stream_versions;
   ExchangeContext exchange_context;
   std::shared_ptr<const forward::RouteTable> routes;
   absl::flat_hash_map<std::string,
--- a/cranberryhill/gateway/wire_format.h
+++ b/cranberryhill/gateway/wire_format.h
@@ -22,6 +22,10 @@
 /// What a caller's request says in addition to its method, path and body.
 struct CallerRequest {
   std::string attempt_id;  ///< Unique for each attempt of a caller's request.
+  /// Attempt of the caller that brought the first event of the stream that this
+  /// one continues; empty if none is named.
+  std::string resumed_attempt_id;
+  bool has_last_event_id = false;  ///< Continues a stream after an event.
   std::string host;
   std::optional<absl::Duration> time_left;
   forward::PromptDescription prompt;  ///< Empty if not for an engine.
--- a/standins/gateway_platform/replica_row.cc
+++ b/standins/gateway_platform/replica_row.cc
@@ -6,10 +6,11 @@
 
 std::string ReplicaRow::Text() const {
   using nlohmann::json;
-  json row = {{"service", this->service},  {"address", this->address},
-              {"zone", this->zone},        {"version", "v1"},
-              {"slots", this->slots},      {"state", this->state},
-              {"sequence", this->sequence}};
+  json row = {{"service", this->service}, {"address", this->address},
+              {"zone", this->zone},       {"slots", this->slots},
+              {"state", this->state},     {"sequence", this->sequence}};
+  if (!this->version.empty())
+    row["version"] = this->version;
   if (this->started_ms != 0)
     row["born"] = this->started_ms;
   if (!this->stage.empty()) {
--- a/standins/gateway_platform/replica_row.h
+++ b/standins/gateway_platform/replica_row.h
@@ -12,7 +12,8 @@
   std::string service;
   std::string address;  ///< "IP:PORT".
   std::string zone = "a";
-  std::string stage;  ///< Empty for plain services.
+  std::string stage;           ///< Empty for plain services.
+  std::string version = "v1";  ///< Of the software; left out if it is empty.
   int slots = 6;
   std::string state = "ready";
   int sequence = 1;
