--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -84,6 +84,7 @@
       placement(this->settings.availability_zone, this->engine_speeds),
       reachability(clock),
       connection_pool(io, clock),
+      stream_versions(this->replicas, clock),
       exchange_context{
           io,
           clock,
@@ -96,6 +97,7 @@
           this->replica_limits,
           this->replica_notices,
           this->send_permits,
+          this->stream_versions,
           this->placement,
           this->engine_speeds,
           this->reachability,
@@ -461,6 +463,7 @@
   this->log.Write(LogEvent("replica_changed")
                       .Add("replica", replica_entry.id)
                       .Add("service", replica_entry.service)
+                      .Add("software_version", replica_entry.software_version)
                       .Add("leaving", replica_entry.leaving)
                       .Add("role", replica_entry.role
                                        ? EngineRoleName(*replica_entry.role)
