gateway: take a stream without further events for a whole take-up

A caller whose stream broke off after its last event takes the stream up only to learn its end. The replica answers 200 with a stream that ends well and holds no event; the gateway took that for a broken answer, sent the request to further replicas and answered 502.

A stream that ends well without an event is relayed as complete where the request has Last-Event-Id on a resumable route. New streams without events, and those that break off or end within an event, count as broken as before.

Test take_up_without_further_events_is_complete: on the former code the first of its five cases got 502 after 2 runs instead of 200 after 1. All five pass now.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -385,7 +385,6 @@
   this->replica->queued.Add(this->lane, -this->queued_tokens);
   this->queued_tokens = 0;
   if (!this->stream_started) {
-    this->stream_started = true;
     this->BindToSentVersion();
     this->LearnFromFirstEvent();
     this->context.log.Write(
@@ -394,14 +393,19 @@
             .Add("took_ms", this->Now() - this->sent_at)
             .Add("others",
                  forward::EstimatedOtherRequests(*this->replica, this->Now())));
-    this->context.metrics.ObserveFirstByte(this->Now() - this->request.arrived);
-    http1::AnswerHead head = this->answer_head;
-    head.headers.RemoveConnectionFields();
-    this->responder->BeginStream(std::move(head));
+    this->RelayStreamHead();
   }
   this->responder->SendPart(events);
 }
 
+void Exchange::RelayStreamHead() {
+  this->stream_started = true;
+  this->context.metrics.ObserveFirstByte(this->Now() - this->request.arrived);
+  http1::AnswerHead head = this->answer_head;
+  head.headers.RemoveConnectionFields();
+  this->responder->BeginStream(std::move(head));
+}
+
 /// Ends a send whose answer may never end.
 void Exchange::OnAnswerTooLarge() {
   // Operators search the logs for this reason.
@@ -572,8 +576,14 @@
 
 void Exchange::OnRunEnd(http1::AnswerEnd end, std::string_view reason) {
   bool complete = end == http1::AnswerEnd::kComplete;
+  // A caller that takes a stream up may have all of its events already.
+  bool may_be_empty =
+      this->IsTakeUp() && this->caller_request.has_last_event_id;
   if (complete && this->relaying_events &&
-      this->event_splitter.incomplete_event().empty() && this->stream_started) {
+      this->event_splitter.incomplete_event().empty() &&
+      (this->stream_started || may_be_empty)) {
+    if (!this->stream_started)
+      this->RelayStreamHead();
     this->context.replicas.OnSuccess(*this->replica);
     this->context.prompt_part_quarantine.OnAnswered(
         this->caller_request.prompt);
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -146,6 +146,7 @@
   bool RunOnOtherReplicaOrWithoutCache(
       const std::shared_ptr<forward::Replica>& refused);
   void RelayEvents(std::string_view data);
+  void RelayStreamHead();
   void OnAnswerTooLarge();
   void LearnFromHead();
   void LearnLimit();
