--- a/cranberryhill/http1/raw_caller_test.h
+++ b/cranberryhill/http1/raw_caller_test.h
@@ -8,13 +8,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace cranberryhill::http1 {
 
-/// Not thread-safe. Must live until `io` runs no more.
+/// Not thread-safe.
 class RawCaller {
  public:
   RawCaller(boost::asio::io_context& io,
@@ -61,7 +62,10 @@
   void Read() {
     this->socket.async_read_some(
         boost::asio::buffer(this->buffer),
-        [this](boost::system::error_code error, size_t bytes) {
+        [this, alive = std::weak_ptr<bool>(this->alive)](
+            boost::system::error_code error, size_t bytes) {
+          if (alive.expired())
+            return;
           this->received.append(this->buffer.data(), bytes);
           this->closed = static_cast<bool>(error);
           if (!error)
@@ -71,6 +75,8 @@
 
   boost::asio::ip::tcp::socket socket;
   std::array<char, 4096> buffer{};
+  // Ends with this object, after which the last read may still complete.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 }  // namespace cranberryhill::http1
