tests: answers that are cut in their head, chunk lines or trailer

An operator of another system reported that a replica stopped in the middle of its answer's head and closed, and that callers got a 200 with an empty or short body, framed as whole. It cannot happen here; no code changes.

--- a/cranberryhill/http1/answer_reader_test.cc
+++ b/cranberryhill/http1/answer_reader_test.cc
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace cranberryhill::http1 {
 namespace {
@@ -127,6 +129,52 @@
   BOOST_TEST((Read("", 1, true).state == State::kFailed));
 }
 
+// Guards against an answer that was cut in its head, in an interim head, in the
+// line of a chunk or in a trailer being taken for a whole one.
+BOOST_AUTO_TEST_CASE(answers_cut_in_their_framing_fail) {
+  constexpr std::string_view kInterim =
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  constexpr std::string_view kHeads[] = {
+      "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n",
+      "HTTP/1.0 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nX-A: b\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n",
+      "HTTP/1.1 503 Busy\r\nX-A: b\r\nContent-Length: 0\r\n\r\n",
+  };
+  constexpr std::string_view kChunks[] = {
+      "0\r\n\r\n",
+      "5\r\nhello\r\n0\r\n\r\n",
+      "5;name=value\r\nhello\r\n0;name=\"a;b\"\r\n\r\n",
+      "5\r\nhello\r\n0\r\nX-Sum: 12\r\nX-End: 1\r\n\r\n",
+      "1\r\n0\r\n00005\r\n0\r\n\r\n\r\n0\r\n\r\n",
+  };
+  std::vector<std::string> answers;
+  for (std::string_view head : kHeads)
+    answers.emplace_back(head);
+  for (std::string_view chunks : kChunks) {
+    answers.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                      std::string(chunks));
+  }
+  for (size_t i = 0, count = answers.size(); i < count; ++i)
+    answers.push_back(std::string(kInterim) + answers[i]);
+  for (std::string_view whole : answers) {
+    for (size_t piece : {size_t{1}, whole.size()}) {
+      for (size_t length = 0; length < whole.size(); ++length) {
+        Outcome outcome = Read(whole.substr(0, length), piece, true);
+        BOOST_TEST_CONTEXT(whole << " cut after " << length) {
+          BOOST_TEST((outcome.state == State::kFailed));
+          BOOST_TEST(!outcome.keeps_alive);
+        }
+      }
+      BOOST_TEST_CONTEXT(whole) {
+        BOOST_TEST((Read(whole, piece, true).state == State::kDone));
+      }
+    }
+  }
+}
+
 // Guards against handing on a body without a length before its end is known,
 // and against using its connection again.
 BOOST_AUTO_TEST_CASE(body_without_length_ends_with_the_connection) {
