gateway: requests are answered, not cut, at the end of a planned stop

Cause: the shutdown had an end, but no request knew it. Requests were passed on whatever their time limit, on new connections until 3.2 s after the signal and on open ones until the process ended, and what was left then was closed: runs, requests that waited inside the gateway, and requests that still arrived. A shutdown_s below 3.2 s was exceeded besides.

The end of the stop is fixed at the signal. So each request that was read has an answer before the process ends. Reloads and configurations do not change the end.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -140,6 +140,8 @@
 void Exchange::SendToNextReplica() {
   if (this->RefuseIfItCrashesReplicas())
     return;
+  if (this->OutlastsShutdown())
+    return this->Refuse("shutdown", kRetryAfterShutdown);
   absl::Duration left = this->TimeLeft();
   if (left < kMinTimeForSend)
     return this->Refuse("no_time_left", kDefaultRetryAfter);
@@ -506,6 +508,10 @@
 /// engine is chosen only now because an engine chosen before the prefill may no
 /// longer be available.
 void Exchange::RunWithCache() {
+  if (this->OutlastsShutdown()) {
+    this->ReleaseCache();
+    return this->Refuse("shutdown", kRetryAfterShutdown);
+  }
   std::shared_ptr<forward::Replica> decode_engine =
       this->context.placement.ChooseDecodeEngine(this->OpenReplicas(),
                                                  this->fingerprint, this->Now(),
@@ -891,6 +897,8 @@
   absl::Duration took = this->Now() - this->request.arrived;
   this->context.metrics.CountOutcome(outcome);
   this->context.metrics.ObserveWholeAnswer(took);
+  if (outcome != "refused" && outcome != "caller_left")
+    this->context.shutdown_admission.OnAnswered(this->route.name, took);
   this->context.log.Write(
       this->MakeLogEvent("request_ended")
           .Add("outcome", outcome)
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -5,6 +5,7 @@
 // last byte of its answer. Sends it to replicas as decided by Placement and
 // AttemptPolicy and relays the answer.
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -34,12 +35,17 @@
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/metrics.h"
 #include "cranberryhill/gateway/send_permits.h"
+#include "cranberryhill/gateway/shutdown_admission.h"
 #include "cranberryhill/gateway/wire_format.h"
 #include "cranberryhill/http1/client.h"
 #include "cranberryhill/http1/server.h"
 
 namespace cranberryhill::gateway {
 
+/// Retry-After of requests that are refused during a shutdown; another instance
+/// can take them at once.
+inline constexpr absl::Duration kRetryAfterShutdown = absl::Milliseconds(100);
+
 /// State shared by all exchanges of a gateway. All members must outlive the
 /// exchanges.
 struct ExchangeContext {
@@ -58,6 +64,7 @@
   forward::EngineSpeedModels& engine_speeds;
   forward::Reachability& reachability;
   ConnectionPool& connection_pool;
+  ShutdownAdmission& shutdown_admission;
   GatewayMetrics& metrics;
   EventLog& log;
   Random& random;
@@ -91,6 +98,7 @@
   void Start();
 
   void OnCallerLeft() override;
+  void OnShutdownEnds() override;
 
   http1::AnswerMatch Match(const http1::AnswerHead& head) override;
   void OnHead(http1::AnswerHead head) override;
@@ -146,6 +154,7 @@
   bool GiveUpOnUnreachableReplica();
   forward::PlacementChoice ChooseReplica();
   bool RefuseIfItCrashesReplicas();
+  bool OutlastsShutdown() const;
   void RecordPossibleCrash(const std::shared_ptr<forward::Replica>& failed,
                            forward::AttemptOutcome outcome);
   int Priority() const;
@@ -158,7 +167,11 @@
   void Finish(std::string_view outcome, std::string_view reason, int status);
 
   absl::Time Now() const { return this->context.clock.Now(); }
-  absl::Duration TimeLeft() const { return this->deadline - this->Now(); }
+  absl::Duration TimeLeft() const {
+    return std::min(this->deadline,
+                    this->context.shutdown_admission.requests_end_at()) -
+           this->Now();
+  }
   LogEvent MakeLogEvent(std::string_view name) const;
 
   ExchangeContext& context;
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -57,6 +57,10 @@
       return;
     }
     self->phase = Phase::kIdle;
+    if (granted && self->OutlastsShutdown()) {
+      context.send_permits.Return(id);
+      granted = false;
+    }
     if (!granted) {
       ++self->denied_permits;
       context.metrics.CountDecision("permit_denied");
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -7,7 +7,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "cranberryhill/gateway/delay_timer.h"
 #include "cranberryhill/gateway/serial_http_client.h"
 #include "cranberryhill/http1/socket_options.h"
 
@@ -23,9 +22,11 @@
 /// then they may carry new requests; each answer tells the caller to close its
 /// connection.
 constexpr absl::Duration kIdleCloseDelay = absl::Milliseconds(2600);
-/// The shutdown ends this long before the time limit in the settings, at which
-/// the operators kill the process.
-constexpr absl::Duration kShutdownMargin = absl::Milliseconds(250);
+/// The requests in progress are ended this long before the time limit in the
+/// settings, at which the operators kill the process.
+constexpr absl::Duration kShutdownMargin = absl::Milliseconds(500);
+/// Time for sending the answers to these requests.
+constexpr absl::Duration kLastAnswersTime = absl::Milliseconds(250);
 /// Retry-After while this instance has not yet read the configuration or the
 /// replicas; a retry may reach an instance that is ready.
 constexpr absl::Duration kRetryAfterNotReady = absl::Milliseconds(300);
@@ -84,6 +85,7 @@
       placement(this->settings.availability_zone, this->engine_speeds),
       reachability(clock),
       connection_pool(io, clock),
+      shutdown_admission(clock),
       exchange_context{
           io,
           clock,
@@ -100,6 +102,7 @@
           this->engine_speeds,
           this->reachability,
           this->connection_pool,
+          this->shutdown_admission,
           this->metrics,
           log,
           random,
@@ -172,7 +175,8 @@
       readiness_server(io, clock, this->readiness_pages, {}),
       control_server(io, clock, this->control_pages, {}),
       metrics_server(io, clock, this->control_pages, {}),
-      maintenance_timer(io) {
+      maintenance_timer(io),
+      shutdown_timer(io) {
   this->readiness_pages.Add(readiness_path,
                             [this] { return this->MakeReadinessPage(); });
   this->control_pages.Add("/status", [this] { return this->MakeStatusPage(); });
@@ -625,11 +629,16 @@
     return;
   this->shutdown_started_at = this->clock.Now();
   this->shutdown_done = std::move(done);
+  absl::Duration time_for_requests = std::max(
+      absl::ZeroDuration(), this->settings.shutdown_time - kShutdownMargin);
+  this->shutdown_admission.Begin(time_for_requests);
   this->caller_server.CloseAfterAnswers();
   this->log.Write(
       LogEvent("stopping")
           .Add("active_requests",
                static_cast<int64_t>(this->caller_server.ActiveRequests())));
+  this->shutdown_timer.Start(time_for_requests,
+                             [this] { this->EndRequests(); });
 }
 
 void Gateway::CheckShutdown() {
@@ -641,16 +650,38 @@
     this->caller_server.CloseWhenIdle();
   if (elapsed < kLoadBalancerNoticeTime)
     return;
-  bool time_is_up = elapsed >= this->settings.shutdown_time - kShutdownMargin -
-                                   absl::FromChrono(kMaintenanceInterval);
   this->caller_server.StopAccepting();
   // A request that arrived later could be cut by the end of the process.
   this->caller_server.CloseWhenIdle();
-  if (this->caller_server.OpenConnections() > 0 && !time_is_up)
+  if (this->caller_server.OpenConnections() == 0)
+    this->ReportStopped();
+}
+
+/// Answers all requests while there is still time to send the answers.
+void Gateway::EndRequests() {
+  if (!this->shutdown_done)
+    return;
+  this->caller_server.StopAccepting();
+  this->caller_server.CloseWhenIdle();
+  size_t active = this->caller_server.ActiveRequests();
+  size_t incomplete = this->caller_server.EndRequests(
+      this->wire.MakeGatewayAnswer(kUnavailable, kRetryAfterShutdown));
+  for (size_t i = 0; i < incomplete; ++i)
+    this->metrics.CountOutcome("refused");
+  this->log.Write(LogEvent("requests_ended_by_shutdown")
+                      .Add("active", static_cast<int64_t>(active))
+                      .Add("incomplete", static_cast<int64_t>(incomplete)));
+  this->shutdown_timer.Start(kLastAnswersTime,
+                             [this] { this->ReportStopped(); });
+}
+
+void Gateway::ReportStopped() {
+  if (!this->shutdown_done)
     return;
+  this->shutdown_timer.Cancel();
   this->log.Write(
       LogEvent("stopped")
-          .Add("took_ms", elapsed)
+          .Add("took_ms", this->clock.Now() - this->shutdown_started_at)
           .Add("unfinished_requests",
                static_cast<int64_t>(this->caller_server.ActiveRequests())));
   std::exchange(this->shutdown_done, nullptr)();
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -37,6 +37,7 @@
 #include "cranberryhill/gateway/connect_probe.h"
 #include "cranberryhill/gateway/connection_pool.h"
 #include "cranberryhill/gateway/control_table.h"
+#include "cranberryhill/gateway/delay_timer.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/exchange.h"
 #include "cranberryhill/gateway/http_caller.h"
@@ -45,6 +46,7 @@
 #include "cranberryhill/gateway/peer_link.h"
 #include "cranberryhill/gateway/send_permits.h"
 #include "cranberryhill/gateway/settings.h"
+#include "cranberryhill/gateway/shutdown_admission.h"
 #include "cranberryhill/gateway/status_pages.h"
 #include "cranberryhill/gateway/store_contact.h"
 #include "cranberryhill/gateway/table_follower.h"
@@ -74,8 +76,10 @@
   Result<void> Start();
 
   /// Shuts down gracefully: reports not ready at once, lets requests in
-  /// progress finish, then closes connections. Calls `done` when all answers
-  /// have been sent or the time limit in the settings has passed.
+  /// progress finish, then closes connections. Requests that may last longer
+  /// than the time limit in the settings are refused unless they have been sent
+  /// to a replica; those that are unfinished at its end are answered. Calls
+  /// `done` when all answers have been sent or the time limit has passed.
   void Shutdown(std::function<void()> done);
 
   /// Applies the settings that can change while the process runs.
@@ -130,6 +134,8 @@
   forward::WindowedRetryBudget& RetryBudgetFor(std::string_view service);
   void ScheduleMaintenance();
   void CheckShutdown();
+  void EndRequests();
+  void ReportStopped();
   StatusPage MakeReadinessPage() const;
   StatusPage MakeStatusPage() const;
   StatusPage MakeMetricsPage();
@@ -152,6 +158,7 @@
   forward::Placement placement;
   forward::Reachability reachability;
   ConnectionPool connection_pool;
+  ShutdownAdmission shutdown_admission;
   GatewayMetrics metrics;
   ExchangeContext exchange_context;
   std::shared_ptr<const forward::RouteTable> routes;
@@ -172,6 +179,7 @@
   http1::Server control_server;
   http1::Server metrics_server;
   boost::asio::steady_timer maintenance_timer;
+  AsioDelayTimer shutdown_timer;
   std::function<void()> shutdown_done;
   absl::Time shutdown_started_at = absl::InfiniteFuture();
   bool idle_connections_closed = false;
--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -127,6 +127,21 @@
       this->BeginLinger();
   }
 
+  /// @return True if the request has not arrived in full and was refused.
+  bool EndRequest(const AnswerHead& refusal) {
+    if (this->phase == Phase::kAnswering) {
+      if (auto request = this->active)
+        request->OnShutdownEnds();
+      return false;
+    }
+    if (this->phase != Phase::kReading)
+      return false;
+    this->phase = Phase::kAnswering;
+    this->force_close = true;
+    this->SendWhole(refusal, "");
+    return true;
+  }
+
   void Close() {
     if (!this->socket.is_open())
       return;
@@ -376,6 +391,14 @@
     connection->CloseIfIdle();
 }
 
+size_t Server::EndRequests(const AnswerHead& refusal) {
+  std::vector<std::shared_ptr<Connection>> open(this->connections.begin(),
+                                                this->connections.end());
+  return static_cast<size_t>(std::count_if(
+      open.begin(), open.end(),
+      [&](const auto& connection) { return connection->EndRequest(refusal); }));
+}
+
 void Server::StopAccepting() {
   error_code ignored;
   this->acceptor.close(ignored);
--- a/cranberryhill/http1/server.h
+++ b/cranberryhill/http1/server.h
@@ -69,6 +69,10 @@
 
   /// The caller closed its connection before the answer was complete.
   virtual void OnCallerLeft() = 0;
+
+  /// The process ends soon. The request is to be answered, or its stream
+  /// aborted, during this call.
+  virtual void OnShutdownEnds() {}
 };
 
 class RequestHandler {
@@ -111,6 +115,12 @@
   /// one when its answer is complete, also if that answer has not announced it.
   void CloseWhenIdle();
 
+  /// Ends the requests in progress: tells the active ones, and answers those
+  /// that have not arrived in full.
+  /// @param refusal The answer to the latter.
+  /// @return Number of the latter.
+  size_t EndRequests(const AnswerHead& refusal);
+
   /// Stops accepting connections.
   void StopAccepting();
 
