forward: records of the software versions of streams

Replicas of several software versions may serve one service, and a stream may go on only at the version that began it.

Adds the bookkeeping without input and output: the versions of recent streams in memory (15 s, bounded), the segments of a second in which an instance stores them, the rows' values, and the rule by which a stored row says that one version alone has served a service. Writes without a known outcome are repeated under other keys, because a late write would replace a row by one with fewer records.

Not used yet.

--- /dev/null
+++ b/cranberryhill/forward/stream_version_records.h
@@ -0,0 +1,217 @@
+#ifndef CRANBERRYHILL_FORWARD_STREAM_VERSION_RECORDS_H_
+#define CRANBERRYHILL_FORWARD_STREAM_VERSION_RECORDS_H_
+
+// Keeps at which software version of its service a stream began, and decides
+// what of it is stored. Replicas of several versions may serve one service, and
+// a stream may go on only at the version that began it.
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/result.h"
+
+namespace cranberryhill::forward {
+
+/// Longer than a stream and the requests that resume it may last by the
+/// callers' time limits, which are 6 s at most.
+inline constexpr absl::Duration kStreamVersionLifetime = absl::Seconds(15);
+
+struct StreamVersionRecord {
+  std::string service;
+  std::string attempt_id;  ///< Of the attempt that brought the first event.
+  std::string version;
+
+  bool operator==(const StreamVersionRecord&) const = default;
+};
+
+/// The versions of recent streams. Not thread-safe.
+class RecentStreamVersions {
+ public:
+  /// @param max_streams The oldest are dropped beyond this number.
+  /// @param clock Must outlive this object.
+  RecentStreamVersions(size_t max_streams, const Clock& clock)
+      : max_streams(max_streams), clock(clock) {}
+
+  /// Adds a stream that began at this instance.
+  /// @param stored False if TakeUnstored() shall return it.
+  void AddOwn(const StreamVersionRecord& record, bool stored);
+
+  /// Adds a stream that has been read from the store.
+  void AddRead(const StreamVersionRecord& record);
+
+  /// @return The version at which the stream began. Nothing if it is not known,
+  ///     or if records contradict each other.
+  std::optional<std::string> Find(std::string_view service,
+                                  std::string_view attempt_id);
+
+  /// @return The streams of a service that began here and are not stored. From
+  ///     now on they count as stored.
+  std::vector<StreamVersionRecord> TakeUnstored(std::string_view service);
+
+  size_t size() const { return this->streams.size(); }  // NOLINT
+
+ private:
+  struct Stream {
+    StreamVersionRecord record;
+    bool contradicted = false;
+    bool stored = true;
+  };
+
+  void Add(const StreamVersionRecord& record, bool stored);
+  void EraseExpired();
+
+  const size_t max_streams;
+  const Clock& clock;
+  absl::flat_hash_map<std::string, Stream> streams;
+  std::deque<std::pair<absl::Time, std::string>> expiries;  // In their order.
+};
+
+/// One row of the store with the streams of one instance that began within
+/// about a second.
+struct StreamVersionRow {
+  uint64_t segment = 0;
+  std::string value;
+};
+
+/// A write that is due.
+struct StreamVersionWrite {
+  std::vector<StreamVersionRow> rows;
+  std::vector<uint64_t> removed_segments;
+  size_t records = 0;  ///< Number of records that no earlier write has stored.
+};
+
+enum class StreamVersionWriteOutcome {
+  kWritten,
+  kNotWritten,
+  kUnknown,  ///< The write may take effect now, later or never.
+};
+
+/// The streams of this instance that are stored, in segments of a second, so
+/// that a write holds no more than what began within a second. One write may be
+/// in progress. Not thread-safe.
+class StreamVersionSegments {
+ public:
+  /// @param clock Must outlive this object.
+  explicit StreamVersionSegments(const Clock& clock) : clock(clock) {}
+
+  /// @return False if the record cannot be stored: its attempt id is too long
+  ///     or has characters other than printable ASCII, or too much is waiting.
+  bool Add(const StreamVersionRecord& record);
+
+  /// @return True if records have not been written yet, or old segments must be
+  ///     removed without waiting for new records.
+  bool HasWork();
+
+  /// @return The write that is due, or nothing. Requires that no write is in
+  ///     progress.
+  std::optional<StreamVersionWrite> StartWrite();
+
+  /// Records the outcome of the write in progress. A write without a known
+  /// outcome may still replace the rows, so its records are repeated in other
+  /// segments.
+  void OnWriteEnded(StreamVersionWriteOutcome outcome);
+
+  /// Has everything written again, because the store may have lost it.
+  void OnStoreRestored();
+
+  size_t record_count() const;          // NOLINT
+  uint64_t expired_unwritten() const {  // NOLINT
+    return this->expired_unwritten_count;
+  }
+
+ private:
+  struct Segment {
+    uint64_t number = 0;
+    absl::Time opened_at;
+    std::vector<StreamVersionRecord> records;
+    size_t bytes = 0;
+    size_t written = 0;        // Number of records that are stored.
+    size_t being_written = 0;  // Number of records in the write in progress.
+    bool may_be_stored = false;
+    bool closed = false;
+  };
+
+  struct Removal {
+    uint64_t number = 0;
+    absl::Time due;
+  };
+
+  void CloseExpired();
+
+  const Clock& clock;
+  std::deque<Segment> segments;
+  std::vector<Removal> removals;
+  std::vector<uint64_t> removals_in_progress;
+  bool write_in_progress = false;
+  uint64_t next_number = 1;
+  uint64_t expired_unwritten_count = 0;
+};
+
+/// @return The value of a row.
+std::string EncodeStreamVersions(
+    const std::vector<StreamVersionRecord>& records);
+
+/// @return kInvalidArgument for text that is not the value of such a row.
+Result<std::vector<StreamVersionRecord>> DecodeStreamVersions(
+    std::string_view value);
+
+/// The stored row of a service.
+struct ServiceVersionRow {
+  /// The version of all streams that have no record of their own; nothing if
+  /// the service has several versions, and every stream has a record.
+  std::optional<std::string> sole;
+
+  bool operator==(const ServiceVersionRow&) const = default;
+};
+
+std::string EncodeServiceVersion(const ServiceVersionRow& row);
+
+/// @return kInvalidArgument for text that is not the value of such a row.
+Result<ServiceVersionRow> DecodeServiceVersion(std::string_view value);
+
+/// The software versions that the registry has listed lately, per service.
+/// Not thread-safe.
+class ServiceVersions {
+ public:
+  /// @param clock Must outlive this object.
+  explicit ServiceVersions(const Clock& clock)
+      : clock(clock), current_since(clock.Now()) {}
+
+  /// Records that the registry lists a replica of this version.
+  /// @return True if the version has not been seen lately.
+  bool Observe(std::string_view service, std::string_view version);
+
+  /// Records that the registry, as this instance knows it, may be out of date.
+  void OnRegistryOutdated() { this->current_since = this->clock.Now(); }
+
+  /// @return The versions seen within kStreamVersionLifetime.
+  std::vector<std::string> VersionsOf(std::string_view service) const;
+
+  std::vector<std::string> Services() const;
+
+  /// Decides what the stored row of a service must say.
+  /// @param row What it says; null if there is none.
+  /// @param row_since When this instance first saw it say so.
+  /// @return What has to be written, or nothing.
+  std::optional<ServiceVersionRow> RowToWrite(std::string_view service,
+                                              const ServiceVersionRow* row,
+                                              absl::Time row_since) const;
+
+ private:
+  const Clock& clock;
+  absl::Time current_since;
+  std::map<std::string, std::map<std::string, absl::Time>, std::less<>> seen;
+};
+
+}  // namespace cranberryhill::forward
+
+#endif  // CRANBERRYHILL_FORWARD_STREAM_VERSION_RECORDS_H_
