gateway: versions of streams in the store

StoredStreamVersions keeps that in the store: a row per service that names its sole version, and records of streams while there are several, in a table and part of their own (EncodeUpdate). It is not used by Gateway yet.

--- a/cranberryhill/forward/stream_version_records.cc
+++ b/cranberryhill/forward/stream_version_records.cc
@@ -67,6 +67,12 @@
   }
 }
 
+bool RecentStreamVersions::Contains(std::string_view service,
+                                    std::string_view attempt_id) {
+  this->EraseExpired();
+  return this->streams.contains(KeyOf(service, attempt_id));
+}
+
 std::optional<std::string> RecentStreamVersions::Find(
     std::string_view service,
     std::string_view attempt_id) {
--- a/cranberryhill/forward/stream_version_records.h
+++ b/cranberryhill/forward/stream_version_records.h
@@ -48,6 +48,9 @@
   /// Adds a stream that has been read from the store.
   void AddRead(const StreamVersionRecord& record);
 
+  /// @return True if there is a record of the stream.
+  bool Contains(std::string_view service, std::string_view attempt_id);
+
   /// @return The version at which the stream began. Nothing if it is not known,
   ///     or if records contradict each other.
   std::optional<std::string> Find(std::string_view service,
--- a/cranberryhill/forward/stream_version_records_test.cc
+++ b/cranberryhill/forward/stream_version_records_test.cc
@@ -89,6 +89,8 @@
   BOOST_TEST((this->recent.Find(kService, "attempt-1") == "v1"));
   this->recent.AddRead(MakeRecord(1, "v2"));
   BOOST_TEST(!this->recent.Find(kService, "attempt-1"));
+  BOOST_TEST(this->recent.Contains(kService, "attempt-1"));
+  BOOST_TEST(!this->recent.Contains("other", "attempt-1"));
   BOOST_TEST(!this->recent.Find("other", "attempt-1"));
 }
 
--- a/cranberryhill/gateway/store_codec.cc
+++ b/cranberryhill/gateway/store_codec.cc
@@ -10,6 +10,8 @@
       return "replicas";
     case StoreTable::kControl:
       return "control";
+    case StoreTable::kStreamVersions:
+      return "stream_versions";
   }
   return "unknown";
 }
--- a/cranberryhill/gateway/store_codec.h
+++ b/cranberryhill/gateway/store_codec.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,10 +20,12 @@
 namespace cranberryhill::gateway {
 
 enum class StoreTable {
-  kConfiguration,  ///< Written by operators.
-  kReplicas,       ///< Written by replicas.
-  kControl,        ///< Written by the gateway: peer addresses and the lease for
-                   ///< engine orders.
+  kConfiguration,   ///< Written by operators.
+  kReplicas,        ///< Written by replicas.
+  kControl,         ///< Written by the gateway: peer addresses, the lease for
+                    ///< engine orders and the versions of services.
+  kStreamVersions,  ///< Written by the gateway: the versions at which streams
+                    ///< began.
 };
 
 /// @return The name of the table for logs and metrics.
@@ -63,6 +66,14 @@
       std::string_view value,
       uint64_t expected_version) const = 0;
 
+  /// Encodes a write of rows that takes effect whatever their versions are,
+  /// for all of them or for none.
+  /// @param rows At most 100, and 500 KB of values. Those that are `removed`
+  ///     are removed; their values are not used. Versions are not used.
+  virtual http1::OutgoingRequest EncodeUpdate(
+      StoreTable table,
+      std::span<const StoreRow> rows) const = 0;
+
   /// @param headers Of any answer of the store.
   /// @return The era of the store, a positive number that rises each time the
   ///     store has been restored from an older copy: versions of rows are
--- /dev/null
+++ b/cranberryhill/gateway/stream_version_store.h
@@ -0,0 +1,190 @@
+#ifndef CRANBERRYHILL_GATEWAY_STREAM_VERSION_STORE_H_
+#define CRANBERRYHILL_GATEWAY_STREAM_VERSION_STORE_H_
+
+// Finds the software versions of streams, also those of other instances and
+// those that began before all instances were restarted at once.
+//
+// While one version serves a service, a row of the control table says so, and
+// nothing is stored per stream. Otherwise each instance writes the streams that
+// begin there to rows of its own, a few times per second, and an instance that
+// is asked for a stream that it does not know reads the rows of all.
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/random.h"
+#include "cranberryhill/forward/stream_version_records.h"
+#include "cranberryhill/gateway/delay_timer.h"
+#include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/gateway/http_caller.h"
+#include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/gateway/stream_versions.h"
+#include "cranberryhill/table/table_service.h"
+
+namespace cranberryhill::gateway {
+
+/// What StoredStreamVersions needs to know of the fleet, and its rows that say
+/// which services have one version.
+class StreamVersionFleet {
+ public:
+  virtual ~StreamVersionFleet() = default;
+
+  /// @return The number of instances; nothing while it is not known.
+  virtual std::optional<size_t> InstanceCount() const = 0;
+
+  /// @return True if the registry, as it is known here, is at most a few
+  ///     seconds old.
+  virtual bool IsRegistryCurrent() const = 0;
+
+  /// @return The row with this key, with kAbsentVersion if there is none.
+  ///     Nothing if the local copy of the rows may be out of date.
+  virtual std::optional<Row> FindServiceRow(std::string_view key) const = 0;
+
+  /// Checks and writes one row.
+  virtual void CommitServiceRow(Transaction transaction,
+                                CommitCallback callback) = 0;
+
+  /// Brings the local copy of the rows up to date soon.
+  virtual void RefreshServiceRows() = 0;
+};
+
+/// Not thread-safe.
+class StoredStreamVersions : public StreamVersions {
+ public:
+  /// Calls to the store and timers for them.
+  struct Channels {
+    std::unique_ptr<HttpCaller> writer;
+    std::unique_ptr<HttpCaller> reader;
+    std::unique_ptr<DelayTimer> write_timer;
+    std::unique_ptr<DelayTimer> read_timer;
+    std::unique_ptr<DelayTimer> service_row_timer;
+  };
+
+  /// @param instance Name of this instance.
+  /// @param codec, fleet, log, clock, random Must outlive this object.
+  StoredStreamVersions(std::string instance,
+                       Channels channels,
+                       const StoreCodec& codec,
+                       StreamVersionFleet& fleet,
+                       EventLog& log,
+                       const Clock& clock,
+                       Random& random);
+
+  void OnStreamBegan(std::string_view service,
+                     std::string_view attempt_id,
+                     std::string_view version) override;
+  void Find(std::string_view service,
+            std::string_view attempt_id,
+            Callback done) override;
+
+  /// Records that the registry lists a replica of this version. To be called
+  /// for each change of the registry, and for all replicas before each Tick().
+  void OnRegistered(std::string_view service, std::string_view version);
+
+  /// Writes what is due. To be called several times per second.
+  void Tick();
+
+  /// Cancels the calls in progress; their callbacks are not called.
+  void Stop();
+
+  uint64_t records_written() const {  // NOLINT
+    return this->records_written_count;
+  }
+  uint64_t records_lost() const {  // NOLINT
+    return this->records_refused + this->segments.expired_unwritten();
+  }
+  uint64_t reads() const { return this->read_count; }  // NOLINT
+  /// Streams that nobody knew.
+  uint64_t unknown() const { return this->unknown_count; }         // NOLINT
+  uint64_t store_calls() const { return this->store_call_count; }  // NOLINT
+
+ private:
+  struct PendingFind {
+    std::string service;
+    std::string attempt_id;
+    absl::Time deadline;
+    Callback done;
+  };
+
+  /// What this instance knows of the row of a service.
+  struct ServiceRow {
+    std::optional<forward::ServiceVersionRow> value;  // Nothing: no row.
+    uint64_t version = kAbsentVersion;
+    absl::Time since;  // When this value was first seen.
+    absl::Time write_at = absl::InfiniteFuture();
+    bool had_sole_version = false;
+  };
+
+  absl::Duration Interval() const;
+  ServiceRow* UpdateServiceRow(std::string_view service);
+  std::optional<std::string> SoleVersion(std::string_view service);
+  void Check(std::string_view service);
+  void OnVersionsMixed(std::string_view service);
+  void ArmServiceRowTimer();
+  void WriteServiceRows();
+  void WriteServiceRow(const std::string& service, ServiceRow& row);
+
+  void WriteSoon();
+  void Write();
+  void OnWritten(size_t records, size_t stale_rows, const HttpResult& answer);
+  void OnEraOf(const HttpResult& answer);
+  std::string RowKey(uint64_t segment) const;
+
+  void ContinueReading();
+  void ReadPage(const std::string& from);
+  void OnPage(const HttpResult& answer);
+  void OnReadEnded(bool complete);
+  void AnswerKnown(std::deque<PendingFind>& finds, bool all);
+  void OnUnknown(const PendingFind& find, std::string_view reason);
+  void EndExpired(std::deque<PendingFind>& finds);
+  void FindStaleRows();
+
+  const std::string own_prefix;    // Of the rows of this instance.
+  const std::string start_prefix;  // Of its rows since its start.
+  const Channels channels;
+  const StoreCodec& codec;
+  StreamVersionFleet& fleet;
+  EventLog& log;
+  const Clock& clock;
+  Random& random;
+  forward::RecentStreamVersions recent;
+  forward::StreamVersionSegments segments;
+  forward::ServiceVersions service_versions;
+  std::map<std::string, ServiceRow, std::less<>> service_rows;
+  bool service_row_write_in_progress = false;
+
+  bool write_in_progress = false;
+  bool write_scheduled = false;
+  absl::Time write_started_at = absl::InfinitePast();
+  int failed_writes = 0;                // In a row.
+  uint64_t store_era = 0;               // 0 until the store has named one.
+  std::vector<std::string> stale_rows;  // Of earlier starts, to be removed.
+  absl::Time stale_rows_due;            // When to look for them.
+
+  std::deque<PendingFind> waiting;     // For a read that has not begun.
+  std::deque<PendingFind> being_read;  // By the read in progress.
+  bool read_in_progress = false;
+  bool reads_stale_rows = false;  // The read in progress.
+  absl::Time read_started_at = absl::InfinitePast();
+  int failed_reads = 0;  // In a row.
+
+  uint64_t records_written_count = 0;
+  uint64_t records_refused = 0;
+  uint64_t read_count = 0;
+  uint64_t unknown_count = 0;
+  uint64_t store_call_count = 0;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_STREAM_VERSION_STORE_H_
--- /dev/null
+++ b/cranberryhill/gateway/virtual_row_store_test.h
@@ -0,0 +1,204 @@
+#ifndef CRANBERRYHILL_GATEWAY_VIRTUAL_ROW_STORE_TEST_H_
+#define CRANBERRYHILL_GATEWAY_VIRTUAL_ROW_STORE_TEST_H_
+
+// A store with the rows of one table and part, on a virtual clock, for tests
+// that simulate many instances.
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "cranberryhill/gateway/http_caller.h"
+#include "cranberryhill/gateway/virtual_store_test.h"
+#include "cranberryhill/gateway/virtual_time_test.h"
+
+namespace cranberryhill::gateway {
+
+/// Performs transactions one after another, as one part of a store does.
+class VirtualRowStore {
+ public:
+  /// A call that takes effect some time after it was made.
+  using Done = std::function<void(HttpResult)>;
+
+  explicit VirtualRowStore(EventQueue& queue) : queue(queue) {}
+
+  void Call(const std::string& target, const std::string& body, Done done) {
+    absl::Time now = this->queue.clock.Now();
+    if (this->is_silent)
+      return;
+    if (target == "update") {
+      this->writes.push_back(now);
+      absl::Time start = std::max(now, this->busy_until);
+      if (this->is_down || start - now > absl::Seconds(1)) {
+        ++this->refused_writes;
+        return this->Answer({this->is_down ? 503 : 429, "", ""}, done);
+      }
+      this->busy_until = start + kTransactionTime;
+      this->longest_queue = std::max(this->longest_queue, start - now);
+      this->queue.Schedule(this->busy_until - now, [this, body, done] {
+        this->Update(body);
+        this->Answer({200, "{}", ""}, done);
+      });
+      return;
+    }
+    this->reads.push_back(now);
+    if (this->is_down)
+      return this->Answer({503, "", ""}, done);
+    this->Answer({200, this->Page(target.substr(5)), ""}, done);
+  }
+
+  /// Goes back to the rows of an earlier moment.
+  void Restore(const std::map<std::string, std::string>& copy) {
+    ++this->era;
+    this->rows = copy;
+  }
+
+  /// @return The largest number of calls within a second since `from`.
+  static size_t MostPerSecond(const std::vector<absl::Time>& calls,
+                              absl::Time from) {
+    size_t most = 0;
+    size_t first = 0;
+    for (size_t last = 0; last < calls.size(); ++last) {
+      while (calls[last] - calls[first] >= absl::Seconds(1) ||
+             calls[first] < from) {
+        if (first == last)
+          break;
+        ++first;
+      }
+      if (calls[last] >= from)
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+  }
+
+  uint64_t era = 1;
+  bool is_down = false;    // Refuses all calls.
+  bool is_silent = false;  // Answers no calls.
+  std::map<std::string, std::string> rows;
+  std::vector<absl::Time> reads;
+  std::vector<absl::Time> writes;
+  size_t refused_writes = 0;
+  size_t largest_write = 0;  // In bytes.
+  absl::Duration longest_queue;
+
+ private:
+  static constexpr absl::Duration kTransactionTime = absl::Milliseconds(5);
+  static constexpr absl::Duration kLinkTime = absl::Milliseconds(2);
+  static constexpr size_t kRowsPerPage = 500;
+
+  void Answer(HttpResult answer, const Done& done) {
+    answer.headers.Add("era", std::to_string(this->era));
+    this->queue.Schedule(kLinkTime, [answer, done] { done(answer); });
+  }
+
+  void Update(const std::string& body) {
+    this->largest_write = std::max(this->largest_write, body.size());
+    for (const auto& row : nlohmann::json::parse(body)) {
+      if (row.size() == 1)
+        this->rows.erase(row[0].get<std::string>());
+      else
+        this->rows[row[0].get<std::string>()] = row[1].get<std::string>();
+    }
+  }
+
+  std::string Page(const std::string& from) const {
+    nlohmann::json page = nlohmann::json::array();
+    auto row = this->rows.lower_bound(from);
+    for (; row != this->rows.end() && page.size() < kRowsPerPage; ++row)
+      page.push_back({row->first, row->second});
+    return nlohmann::json({page, row != this->rows.end()}).dump();
+  }
+
+  EventQueue& queue;
+  absl::Time busy_until = absl::InfinitePast();
+};
+
+class VirtualRowCodec : public VirtualCodec {
+ public:
+  http1::OutgoingRequest EncodeRead(StoreTable,
+                                    std::string_view from) const override {
+    http1::OutgoingRequest request;
+    request.head.target = "read " + std::string(from);
+    return request;
+  }
+  http1::OutgoingRequest EncodeUpdate(
+      StoreTable,
+      std::span<const StoreRow> rows) const override {
+    http1::OutgoingRequest request;
+    request.head.target = "update";
+    nlohmann::json body = nlohmann::json::array();
+    for (const StoreRow& row : rows) {
+      body.push_back(row.removed ? nlohmann::json::array({row.key})
+                                 : nlohmann::json::array({row.key, row.value}));
+    }
+    request.body = body.dump();
+    return request;
+  }
+  Result<StorePage> DecodePage(std::string_view body) const override {
+    nlohmann::json json = nlohmann::json::parse(body);
+    StorePage page;
+    for (const auto& row : json[0])
+      page.rows.push_back(
+          {row[0].get<std::string>(), row[1].get<std::string>()});
+    page.has_more = json[1].get<bool>();
+    return page;
+  }
+};
+
+/// Calls that are on their way when their caller is destroyed still take
+/// effect.
+class VirtualRowCaller : public HttpCaller {
+ public:
+  /// @param loses_answer Called for each answer; true loses it.
+  VirtualRowCaller(EventQueue& queue,
+                   VirtualRowStore& store,
+                   std::function<bool()> loses_answer)
+      : queue(queue), store(store), loses_answer(std::move(loses_answer)) {}
+
+  void Call(const http1::OutgoingRequest& request,
+            absl::Duration timeout,
+            Callback done) override {
+    uint64_t call = ++*this->current;
+    this->done = std::move(done);
+    auto finish = [this, call, current = std::weak_ptr(this->current)](
+                      const HttpResult& answer) {
+      auto alive = current.lock();
+      if (alive && *alive == call && this->done)
+        std::exchange(this->done, nullptr)(answer);
+    };
+    this->queue.Schedule(
+        absl::Milliseconds(2),
+        [&store = this->store, target = request.head.target,
+         body = request.body, finish, loses_answer = this->loses_answer] {
+          store.Call(target, body, [finish, loses_answer](HttpResult answer) {
+            if (!loses_answer())
+              finish(answer);
+          });
+        });
+    this->queue.Schedule(timeout, [finish] { finish({0, "", "timeout"}); });
+  }
+  void Cancel() override {
+    ++*this->current;
+    this->done = nullptr;
+  }
+  bool IsReceiving() const override { return false; }
+  size_t received_bytes() const override { return 0; }
+
+ private:
+  EventQueue& queue;
+  VirtualRowStore& store;
+  const std::function<bool()> loses_answer;
+  Callback done;
+  std::shared_ptr<uint64_t> current = std::make_shared<uint64_t>(0);
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_VIRTUAL_ROW_STORE_TEST_H_
--- a/cranberryhill/gateway/virtual_store_test.h
+++ b/cranberryhill/gateway/virtual_store_test.h
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -68,6 +69,10 @@
                                      uint64_t) const override {
     return {};
   }
+  http1::OutgoingRequest EncodeUpdate(StoreTable, std::span<const StoreRow>)
+      const override {
+    return {};
+  }
   std::optional<uint64_t> DecodeEra(
       const http1::HeaderList& headers) const override {
     auto era = headers.Find("era");
