gateway: test of a version that is withdrawn during a kill

Without the row that says that a service has several versions, the tests of a second version passed: registry and row disagreed there.

--- a/cranberryhill/gateway/stream_version_store_fleet_test.cc
+++ b/cranberryhill/gateway/stream_version_store_fleet_test.cc
@@ -334,6 +334,22 @@
   fleet.CheckCalls();
 }
 
+// Guards against streams of a new version that is withdrawn while all instances
+// are away, and which go on at the old one because the stored row still names
+// it as the only one.
+BOOST_DATA_TEST_CASE(withdrawn_version_is_not_taken_for_the_old_one,
+                     boost::unit_test::data::make(kFleetSizes),
+                     instances) {
+  Fleet fleet(instances, {"v1"});
+  fleet.RunFor(absl::Seconds(40));
+  fleet.registered = {"v1", "v2"};
+  fleet.RunFor(absl::Seconds(5));
+  fleet.KillAndTakeUp(absl::Seconds(2), {"v1"});
+  BOOST_TEST(fleet.older.wrong + fleet.newer.wrong == 0);
+  BOOST_TEST(fleet.older.FoundShare() > 0.5);
+  fleet.CheckCalls();
+}
+
 // Guards against a second version that comes just before the kill, when the
 // stored row has named the first one as the only one until then.
 BOOST_DATA_TEST_CASE(kill_soon_after_a_second_version_misleads_nobody,
