gateway: a silent replica is given up only when a later probe fails too

What callers saw: a replica was silent for 1.2 s, accepted connections again and answered 0.6 s later, but its request had been ended with 502, also where the replica was draining.

Cause: the time without a sign of the replica counted as its silence, although it may have been working for a part of it, and nobody looked again before the request was ended. Replicas that are draining or closed are not probed again by the regular check. Found by the review of the fix.

Change: Reachability says when an unreachable replica is lost: a probe that started a second or more after the first failed one has failed too. A request that waits there has that probe made.

--- a/cranberryhill/forward/reachability.cc
+++ b/cranberryhill/forward/reachability.cc
@@ -13,6 +13,9 @@
 /// each failed probe, because hundreds of instances may do so at the same time.
 constexpr absl::Duration kFirstRetryInterval = absl::Milliseconds(500);
 constexpr int kMaxDoublings = 2;
+/// A sound replica may send nothing and accept no connection for a second or
+/// so. One that is silent for longer has lost power or cannot be reached.
+constexpr absl::Duration kLongestSoundSilence = absl::Seconds(1);
 /// A probe that never ended, because its exchange was destroyed, no longer
 /// counts as running after this time.
 constexpr absl::Duration kMaxProbeTime = absl::Seconds(2);
@@ -53,6 +56,16 @@
   return since_probe >= kFirstRetryInterval * std::pow(2, doublings);
 }
 
+bool Reachability::ShouldProbeForLoss(const Replica& replica) const {
+  return replica.unreachable && !replica.probing && !this->IsLost(replica) &&
+         this->clock.Now() - replica.unreachable_since >= kLongestSoundSilence;
+}
+
+bool Reachability::IsLost(const Replica& replica) const {
+  return replica.unreachable && !replica.probing &&
+         replica.probed_at - replica.unreachable_since >= kLongestSoundSilence;
+}
+
 void Reachability::OnProbeStarted(Replica& replica) {
   replica.probing = true;
   replica.probed_at = this->clock.Now();
@@ -65,6 +78,8 @@
   // Something may have arrived while the probe was running.
   if (replica.heard_at > replica.probed_at)
     return;
+  if (!replica.unreachable)
+    replica.unreachable_since = replica.probed_at;
   replica.unreachable = true;
   ++replica.failed_probes;
 }
--- a/cranberryhill/forward/reachability.h
+++ b/cranberryhill/forward/reachability.h
@@ -51,6 +51,14 @@
   /// @return True when the time has come to probe an unreachable replica again.
   bool ShouldProbeAgain(const Replica& replica) const;
 
+  /// @return True when a probe is due that shows whether the silence of an
+  ///     unreachable replica outlasts that of a sound one.
+  bool ShouldProbeForLoss(const Replica& replica) const;
+
+  /// @return True when the replica has been silent for longer than a sound one
+  ///     ever is, as a probe at the end of that time has shown.
+  bool IsLost(const Replica& replica) const;
+
   void OnProbeStarted(Replica& replica);
 
   /// @param answered Whether the replica accepted or refused the connection. A
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -109,6 +109,7 @@
   /// The replica does not accept connections: it has lost power, or the network
   /// between it and this instance is down. See Reachability.
   bool unreachable = false;
+  absl::Time unreachable_since;  ///< Start of the first probe that failed.
   bool probing = false;  ///< A probe connection is being opened.
   absl::Time probed_at = absl::InfinitePast();
   int failed_probes = 0;  ///< In a row.
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -21,9 +21,6 @@
 constexpr absl::Duration kMinFirstByteTimeout = absl::Milliseconds(300);
 /// Interval between checks whether a silent replica is unreachable.
 constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(100);
-/// A sound replica may send nothing and accept no connection for a second or
-/// so. One that is silent for longer has lost power or cannot be reached.
-constexpr absl::Duration kLongestSoundSilence = absl::Milliseconds(1500);
 
 }  // namespace
 
@@ -72,7 +69,7 @@
 ///     from this replica any more.
 bool Exchange::MayLeaveSilentReplica() {
   if (this->phase == Phase::kPrefilling ||
-      this->ReplicaSilence() >= kLongestSoundSilence)
+      this->context.reachability.IsLost(*this->replica))
     return true;
   return this->route.MayRepeat() &&
          this->context.retry_budget(this->service).HasRoom() &&
@@ -92,8 +89,11 @@
       this->context.probe(this->replica);
     return false;
   }
-  if (!this->MayLeaveSilentReplica())
+  if (!this->MayLeaveSilentReplica()) {
+    if (this->context.reachability.ShouldProbeForLoss(*this->replica))
+      this->context.probe(this->replica);
     return false;
+  }
   this->connection->Cancel();
   constexpr std::string_view kReason = "replica unreachable";
   if (this->phase == Phase::kPrefilling) {
