http1: time limits of a connection wait until its answer has been sent

What callers saw: a caller that read a 3 MB answer slowly got 2.8 MB of it and then the end of the connection.

Cause: a connection counted as idle, or as closing, as soon as the answer was queued, so the idle limit or the linger time could pass while the rest of the answer waited to be sent. A configuration with a shorter idle limit made it likely.

Change: the time limits begin when everything has been sent; sending the rest has a limit of its own.

Evidence: answer_that_is_read_slowly_is_sent_to_its_end failed before in three of three runs (2807808 of 3145728 bytes) and passes now.

--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -29,6 +29,9 @@
 /// answer on its way; after an answer that closes, bytes are read and dropped
 /// for this long.
 constexpr absl::Duration kLinger = absl::Seconds(1);
+/// Longest time in which the rest of an answer must be sent after its end is
+/// known. The system ends connections whose callers are gone much sooner.
+constexpr absl::Duration kMaxSendTime = absl::Seconds(10);
 constexpr int kBacklog = 1024;
 
 }  // namespace
@@ -160,6 +163,8 @@
   /// @return True if the current phase has lasted for its time limit.
   bool IsTimeUp(absl::Time now) const {
     absl::Duration elapsed = now - this->waiting_since;
+    if (this->writing && this->phase != Phase::kAnswering)
+      return elapsed >= kMaxSendTime;
     switch (this->phase) {
       case Phase::kAnswering:
         return false;
@@ -338,6 +343,9 @@
     if (error)
       return this->Close();
     this->StartWrite();
+    // The caller can use the connection again only now.
+    if (!this->writing && this->phase != Phase::kReading)
+      this->waiting_since = this->server->clock.Now();
     this->MaybeCloseAfterWrite();
   }
 
--- a/cranberryhill/http1/server_limits_test.cc
+++ b/cranberryhill/http1/server_limits_test.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
@@ -163,5 +165,33 @@
   BOOST_TEST(served == kCallers);
 }
 
+// Guards against dropping the rest of an answer, because the idle limit passes
+// while its caller is slow to read it.
+BOOST_FIXTURE_TEST_CASE(answer_that_is_read_slowly_is_sent_to_its_end,
+                        Fixture) {
+  constexpr size_t kBodyBytes = 3 << 20;
+  ServerLimits limits;
+  limits.idle_time = absl::Milliseconds(1);
+  this->server.SetLimits(limits);
+  tcp::socket caller(this->io, tcp::v4());
+  caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  caller.connect({boost::asio::ip::make_address(kIp), this->server.port()});
+  std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                        std::to_string(kBodyBytes) + "\r\n\r\n" +
+                        std::string(kBodyBytes, 'x');
+  boost::asio::async_write(caller, boost::asio::buffer(request),
+                           [](boost::system::error_code, size_t) {});
+  this->RunUntil([&] { return this->handler.requests == 1; });
+  this->io.run_for(kSeveralChecks);
+  std::string received;
+  boost::system::error_code end;
+  boost::asio::async_read(
+      caller, boost::asio::dynamic_buffer(received),
+      [&end](boost::system::error_code error, size_t) { end = error; });
+  this->RunUntil([&end] { return end.failed(); });
+  BOOST_TEST(end == boost::asio::error::eof);
+  BOOST_TEST(received.size() > kBodyBytes);
+}
+
 }  // namespace
 }  // namespace cranberryhill::http1
