--- a/cranberryhill/gateway/stream_version_store_fleet_test.cc
+++ b/cranberryhill/gateway/stream_version_store_fleet_test.cc
@@ -37,7 +37,9 @@
 
   double FoundShare() const {
     size_t all = this->right + this->wrong + this->unknown;
-    return all == 0 ? 0 : static_cast<double>(this->right) / all;
+    return all == 0
+               ? 0
+               : static_cast<double>(this->right) / static_cast<double>(all);
   }
 };
 
@@ -87,11 +89,11 @@
           stream.began_at > this->killed_at)
         continue;
       bool old = this->killed_at - stream.began_at > absl::Seconds(1);
-      this->queue.Schedule(absl::Seconds(1) * this->random.UniformDouble(),
-                           [this, attempt, version = stream.version, old] {
-                             this->Find(attempt, version,
-                                        old ? this->older : this->newer);
-                           });
+      this->queue.Schedule(
+          absl::Seconds(1) * this->random.UniformDouble(),
+          [this, attempt = attempt, version = stream.version, old] {
+            this->Find(attempt, version, old ? this->older : this->newer);
+          });
     }
   }
 
--- a/cranberryhill/gateway/virtual_row_store_test.h
+++ b/cranberryhill/gateway/virtual_row_store_test.h
@@ -29,7 +29,9 @@
 
   explicit VirtualRowStore(EventQueue& queue) : queue(queue) {}
 
-  void Call(const std::string& target, const std::string& body, Done done) {
+  void Call(const std::string& target,
+            const std::string& body,
+            const Done& done) {
     absl::Time now = this->queue.clock.Now();
     if (this->is_silent)
       return;
@@ -177,10 +179,11 @@
         absl::Milliseconds(2),
         [&store = this->store, target = request.head.target,
          body = request.body, finish, loses_answer = this->loses_answer] {
-          store.Call(target, body, [finish, loses_answer](HttpResult answer) {
-            if (!loses_answer())
-              finish(answer);
-          });
+          store.Call(target, body,
+                     [finish, loses_answer](const HttpResult& answer) {
+                       if (!loses_answer())
+                         finish(answer);
+                     });
         });
     this->queue.Schedule(timeout, [finish] { finish({0, "", "timeout"}); });
   }
