Find versions of streams in the store after a restart

After a restart of all instances, take-ups were run at whatever version served: an instance knew only the streams that it had seen itself, and where the registry listed one version, it took that for the version of every other stream. While several versions served, all take-ups of earlier streams were refused.

Gateway used LocalStreamVersions, which keeps streams in memory only. It now uses StoredStreamVersions (decision 0019), with two clients of the store and three timers, and GatewayStreamVersionFleet, which says what the instance knows of the fleet. The gauges stream_versions_written, stream_versions_lost, stream_version_reads and stream_versions_unknown are new; store_calls includes its calls.

ControlTable writes the rows of services with a client of their own. With the shared one, the lease for orders could not be written while such a write was in progress, nor read for a second after one without an answer.

LocalStreamVersions and ReplicaSet::RecentSoftwareVersions, which only it used, are removed. What the test of LocalStreamVersions guarded: a stream of another service, an unknown one and one without an attempt id are in stream_version_store_test; a stream without an attempt id was recorded by StoredStreamVersions and is not any more.

FakeStore honours "remove" and "part", and a removed row counts as absent in a condition.

--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -22,8 +22,7 @@
 /// again, and the registry has dropped those of replicas that are silent.
 constexpr absl::Duration kOutdatedEntryTime = absl::Milliseconds(4500);
 /// Removed replicas are erased after this time. Until then they are known not
-/// to be used if the registry goes back to a copy that lists them. Callers take
-/// up streams of their software versions for no longer.
+/// to be used if the registry goes back to a copy that lists them.
 constexpr absl::Duration kEraseRemovedAfter = absl::Seconds(30);
 /// How long a replica is avoided after kFailuresToAvoid failures in a row;
 /// doubles with each further failure.
@@ -78,13 +77,6 @@
                       replica->entry.endpoint == entry.endpoint &&
                       replica->entry.started_ms == entry.started_ms &&
                       replica->entry.service == entry.service;
-  if (replica != nullptr &&
-      (replica->entry.service != entry.service ||
-       replica->entry.software_version != entry.software_version)) {
-    this->former_versions.push_back({replica->entry.service,
-                                     replica->entry.software_version,
-                                     this->clock.Now()});
-  }
   if (!same_process) {
     replica = std::make_shared<Replica>();
     auto capacity = this->cache_capacity_by_service.find(entry.service);
@@ -234,23 +226,6 @@
   return members;
 }
 
-std::set<std::string> ReplicaSet::RecentSoftwareVersions(
-    std::string_view service) const {
-  absl::Time now = this->clock.Now();
-  std::set<std::string> versions;
-  for (const auto& [id, replica] : this->by_id) {
-    bool is_recent =
-        replica->registered || now - replica->removed_at <= kEraseRemovedAfter;
-    if (is_recent && replica->entry.service == service)
-      versions.insert(replica->entry.software_version);
-  }
-  for (const FormerVersion& former : this->former_versions) {
-    if (former.service == service && now - former.until <= kEraseRemovedAfter)
-      versions.insert(former.software_version);
-  }
-  return versions;
-}
-
 std::shared_ptr<Replica> ReplicaSet::Find(std::string_view id) const {
   auto found = this->by_id.find(std::string(id));
   if (found == this->by_id.end() || !found->second->registered)
@@ -322,9 +297,6 @@
     return !item.second->registered &&
            now - item.second->removed_at > kEraseRemovedAfter;
   });
-  std::erase_if(this->former_versions, [now](const FormerVersion& former) {
-    return now - former.until > kEraseRemovedAfter;
-  });
 }
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -12,7 +12,6 @@
 #include <limits>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -204,10 +203,6 @@
   ///     other.
   std::vector<std::shared_ptr<Replica>> Usable(std::string_view service);
 
-  /// @return The software versions that replicas of the service have had in the
-  ///     last 30 s, according to the registry.
-  std::set<std::string> RecentSoftwareVersions(std::string_view service) const;
-
   /// @return The replica with this id if it is registered, or null.
   std::shared_ptr<Replica> Find(std::string_view id) const;
 
@@ -242,13 +237,6 @@
   size_t size() const { return this->by_id.size(); }  // NOLINT
 
  private:
-  /// A version that a replica had before its entry changed.
-  struct FormerVersion {
-    std::string service;
-    std::string software_version;
-    absl::Time until;
-  };
-
   void EraseExpired();
   bool IsOutdated(const ReplicaEntry& entry) const;
 
@@ -257,7 +245,6 @@
   // Capacities in tokens.
   absl::flat_hash_map<std::string, int64_t> cache_capacity_by_service;
   absl::flat_hash_map<std::string, int> connection_share_by_service;
-  std::vector<FormerVersion> former_versions;
   absl::Time registry_reconnected_at = absl::InfinitePast();
   // Entries of the registry's older copy that differ from what is known.
   absl::flat_hash_map<std::string, ReplicaEntry> outdated_entries;
--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/gateway/control_table.cc
@@ -39,20 +39,22 @@
                log,
                clock,
                random),
-      write_client(io, store, clock) {}
+      writer{{io, store, clock}},
+      independent_writer{{io, store, clock}} {}
 
-bool ControlTable::HasCurrentRows() const {
+bool ControlTable::HasCurrentRows(const Writer& writer) const {
   return this->loaded() && !this->follower.NeedsSnapshot() &&
-         this->clock.Now() >= this->stale_until;
+         this->clock.Now() >= writer.stale_until;
 }
 
 void ControlTable::Stop() {
   this->follower.Stop();
-  this->write_client.Cancel();
+  this->writer.client.Cancel();
+  this->independent_writer.client.Cancel();
 }
 
 void ControlTable::Read(std::vector<std::string> keys, ReadCallback callback) {
-  if (!this->HasCurrentRows())
+  if (!this->HasCurrentRows(this->writer))
     return callback(StaleRowsError());
   std::vector<Row> found;
   for (const std::string& key : keys) {
@@ -67,7 +69,7 @@
                         std::string after,
                         size_t limit,
                         ReadCallback callback) {
-  if (!this->HasCurrentRows())
+  if (!this->HasCurrentRows(this->writer))
     return callback(StaleRowsError());
   std::vector<Row> found;
   for (auto row = this->cached_rows.lower_bound(prefix);
@@ -80,26 +82,49 @@
   callback(found);
 }
 
+std::optional<Row> ControlTable::FindIndependently(std::string_view key) const {
+  if (!this->HasCurrentRows(this->independent_writer))
+    return std::nullopt;
+  auto row = this->cached_rows.find(key);
+  return row == this->cached_rows.end()
+             ? Row{std::string(key), kAbsentVersion, ""}
+             : row->second;
+}
+
 void ControlTable::Commit(Transaction transaction, CommitCallback callback) {
+  this->Write(this->writer, std::move(transaction), std::move(callback));
+}
+
+void ControlTable::CommitIndependently(Transaction transaction,
+                                       CommitCallback callback) {
+  this->Write(this->independent_writer, std::move(transaction),
+              std::move(callback));
+}
+
+void ControlTable::Write(Writer& writer,
+                         Transaction transaction,
+                         CommitCallback callback) {
   bool one_row = transaction.checks.size() == 1 &&
                  transaction.puts.size() == 1 && transaction.deletes.empty() &&
                  transaction.checks[0].key == transaction.puts[0].key;
-  if (!one_row || this->write_in_progress)
+  if (!one_row || writer.write_in_progress)
     return callback({CommitState::kUnavailable, ""});
   Row row{transaction.puts[0].key, 0, transaction.puts[0].value};
-  this->write_in_progress = true;
+  writer.write_in_progress = true;
   ++this->write_calls;
   http1::OutgoingRequest call = this->codec.EncodeWrite(
       StoreTable::kControl, row.key, row.value, transaction.checks[0].version);
-  this->write_client.Call(
-      call, kWriteTimeout,
-      [this, row, callback = std::move(callback)](const HttpResult& answer) {
-        this->write_in_progress = false;
-        callback(this->OnWriteDone(row, answer));
-      });
+  writer.client.Call(call, kWriteTimeout,
+                     [this, &writer, row, callback = std::move(callback)](
+                         const HttpResult& answer) {
+                       writer.write_in_progress = false;
+                       callback(this->OnWriteDone(writer, row, answer));
+                     });
 }
 
-CommitOutcome ControlTable::OnWriteDone(Row row, const HttpResult& answer) {
+CommitOutcome ControlTable::OnWriteDone(Writer& writer,
+                                        Row row,
+                                        const HttpResult& answer) {
   std::string reason = answer.reason;
   auto era = this->codec.DecodeEra(answer.headers);
   if (era && this->era() != 0 && *era != this->era()) {
@@ -129,20 +154,22 @@
                       .Add("reason", reason));
   if (answer.status == kConflictStatus) {
     this->follower.EndPause();
-    this->OnConflict(row.key, answer.body);
+    this->OnConflict(writer, row.key, answer.body);
     return {CommitState::kConflict, row.key};
   }
   bool may_have_taken_effect =
       answer.sent && (answer.status == 0 || answer.status == kOk);
   if (!may_have_taken_effect)
     return {CommitState::kUnavailable, ""};
-  this->stale_until = this->clock.Now() + kMaxLongPollDelay;
+  writer.stale_until = this->clock.Now() + kMaxLongPollDelay;
   return {CommitState::kUnknown, ""};
 }
 
 /// @param body Holds the current rows, whose versions differ from those that
 ///     the write expected.
-void ControlTable::OnConflict(const std::string& key, std::string_view body) {
+void ControlTable::OnConflict(Writer& writer,
+                              const std::string& key,
+                              std::string_view body) {
   auto version = [this, &key] {
     auto row = this->cached_rows.find(key);
     return row == this->cached_rows.end() ? kAbsentVersion
@@ -153,7 +180,7 @@
   if (page.ok())
     this->OnChanges(StoreTable::kControl, page.value().rows);
   if (version() == known)
-    this->stale_until = this->clock.Now() + kMaxLongPollDelay;
+    writer.stale_until = this->clock.Now() + kMaxLongPollDelay;
 }
 
 void ControlTable::OnSnapshot(StoreTable /*table*/,
--- a/cranberryhill/gateway/control_table.h
+++ b/cranberryhill/gateway/control_table.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,6 +70,21 @@
   /// Returns kUnavailable while another write is in progress.
   void Commit(Transaction transaction, CommitCallback callback) override;
 
+  /// @return The row with this key in the local copy, with kAbsentVersion if
+  ///     there is none. Nothing while the copy may be out of date: until the
+  ///     table has been read, and for a short time after CommitIndependently()
+  ///     had an unknown outcome, or a conflict that did not update the row.
+  std::optional<Row> FindIndependently(std::string_view key) const;
+
+  /// Commits like Commit(), for rows that no user of Commit() and Read() needs.
+  /// Does not affect their results, because a lease that waits for another
+  /// write could expire. Returns kUnavailable while another such write is in
+  /// progress.
+  void CommitIndependently(Transaction transaction, CommitCallback callback);
+
+  /// Reads changes soon, without waiting for the pause between calls to end.
+  void Refresh() { this->follower.EndPause(); }
+
   uint64_t store_calls() const {  // NOLINT
     return this->follower.store_calls() + this->write_calls;
   }
@@ -86,21 +102,31 @@
   void OnStoreCall(StoreTable, bool) override {}
 
  private:
-  bool HasCurrentRows() const;
+  /// Makes one write at a time.
+  struct Writer {
+    SerialHttpClient client;
+    bool write_in_progress = false;
+    /// Until then the local copy of the rows may be older than the last write.
+    absl::Time stale_until = absl::InfinitePast();
+  };
+
+  bool HasCurrentRows(const Writer& writer) const;
   void Apply(const Row& row);
-  void OnConflict(const std::string& key, std::string_view body);
-  CommitOutcome OnWriteDone(Row row, const HttpResult& answer);
+  void Write(Writer& writer, Transaction transaction, CommitCallback callback);
+  void OnConflict(Writer& writer,
+                  const std::string& key,
+                  std::string_view body);
+  CommitOutcome OnWriteDone(Writer& writer, Row row, const HttpResult& answer);
 
   const StoreCodec& codec;
   EventLog& log;
   const Clock& clock;
   TableFollower follower;
-  SerialHttpClient write_client;
+  Writer writer;
+  Writer independent_writer;
   std::map<std::string, Row, std::less<>> cached_rows;
   OnChange on_change;
-  bool write_in_progress = false;
   uint64_t write_calls = 0;
-  absl::Time stale_until = absl::InfinitePast();
 };
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -85,7 +85,6 @@
       placement(this->settings.availability_zone, this->engine_speeds),
       reachability(clock),
       connection_pool(io, clock),
-      stream_versions(this->replicas, clock),
       shutdown_admission(clock),
       exchange_context{
           io,
@@ -173,6 +172,17 @@
                    std::make_unique<AsioDelayTimer>(io),
                    clock,
                    random),
+      stream_version_fleet(this->control_table,
+                           this->peer_link,
+                           this->replica_follower,
+                           this->store_contact),
+      stream_versions(this->settings.instance_id,
+                      this->MakeStreamVersionChannels(),
+                      codec,
+                      this->stream_version_fleet,
+                      log,
+                      clock,
+                      random),
       caller_server(io, clock, *this, {}),
       readiness_server(io, clock, this->readiness_pages, {}),
       control_server(io, clock, this->control_pages, {}),
@@ -186,7 +196,9 @@
                           [this] { return this->MakeMetricsPage(); });
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() {
+  this->stream_versions.Stop();
+}
 
 Result<void> Gateway::Start() {
   BOOST_LEAF_CHECK(this->caller_server.Listen(
@@ -225,6 +237,13 @@
       this->io, http1::TcpEndpoint(this->settings.store_address), this->clock);
 }
 
+StoredStreamVersions::Channels Gateway::MakeStreamVersionChannels() const {
+  return {this->MakeStoreClient(), this->MakeStoreClient(),
+          std::make_unique<AsioDelayTimer>(this->io),
+          std::make_unique<AsioDelayTimer>(this->io),
+          std::make_unique<AsioDelayTimer>(this->io)};
+}
+
 bool Gateway::ready() const {
   return this->routes != nullptr && this->replica_follower.has_snapshot() &&
          this->shutdown_started_at == absl::InfiniteFuture();
@@ -287,8 +306,11 @@
     return this->OnChanges(table, rows);
   std::vector<forward::ReplicaEntry> entries;
   for (const StoreRow& row : rows) {
-    if (auto entry = this->DecodeReplicaRow(row))
+    if (auto entry = this->DecodeReplicaRow(row)) {
+      this->stream_versions.OnRegistered(entry->service,
+                                         entry->software_version);
       entries.push_back(std::move(*entry));
+    }
   }
   if (kind == SnapshotKind::kRestored)
     this->replicas.ResetAfterRestore(entries);
@@ -462,6 +484,8 @@
     return this->replicas.Remove(row.key);
   const forward::ReplicaEntry& replica_entry = *entry;
   this->replicas.Apply(replica_entry);
+  this->stream_versions.OnRegistered(replica_entry.service,
+                                     replica_entry.software_version);
   if (this->replicas.Find(row.key) != known)
     log_end_of_leaving("restarted");
   this->log.Write(LogEvent("replica_changed")
@@ -599,6 +623,16 @@
   return *retry_budget;
 }
 
+void Gateway::UpdateStreamVersions() {
+  if (!this->replica_follower.has_snapshot())
+    return;
+  for (const auto& replica : this->replicas.Registered()) {
+    this->stream_versions.OnRegistered(replica->entry.service,
+                                       replica->entry.software_version);
+  }
+  this->stream_versions.Tick();
+}
+
 void Gateway::ScheduleMaintenance() {
   this->maintenance_timer.expires_after(kMaintenanceInterval);
   this->maintenance_timer.async_wait([this](boost::system::error_code error) {
@@ -612,6 +646,7 @@
     this->replicas.SettleAfterRestore();
     this->ProbeUnreachable();
     this->EndNotices();
+    this->UpdateStreamVersions();
     if (this->ready())
       this->order_dispatcher.Tick(*this->routes, this->peer_load_sync.Rank());
     this->CheckShutdown();
@@ -781,7 +816,18 @@
       "store_calls",
       static_cast<double>(this->replica_follower.store_calls() +
                           this->configuration_follower.store_calls() +
-                          this->control_table.store_calls()));
+                          this->control_table.store_calls() +
+                          this->stream_versions.store_calls()));
+  this->metrics.SetGauge(
+      "stream_versions_written",
+      static_cast<double>(this->stream_versions.records_written()));
+  this->metrics.SetGauge(
+      "stream_versions_lost",
+      static_cast<double>(this->stream_versions.records_lost()));
+  this->metrics.SetGauge("stream_version_reads",
+                         static_cast<double>(this->stream_versions.reads()));
+  this->metrics.SetGauge("stream_versions_unknown",
+                         static_cast<double>(this->stream_versions.unknown()));
   this->metrics.SetGauge(
       "orders", static_cast<double>(this->order_dispatcher.orders_sent()));
   this->metrics.SetGauge("peers",
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -40,8 +40,8 @@
 #include "cranberryhill/gateway/delay_timer.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/exchange.h"
+#include "cranberryhill/gateway/gateway_stream_version_fleet.h"
 #include "cranberryhill/gateway/http_caller.h"
-#include "cranberryhill/gateway/local_stream_versions.h"
 #include "cranberryhill/gateway/metrics.h"
 #include "cranberryhill/gateway/order_dispatcher.h"
 #include "cranberryhill/gateway/peer_link.h"
@@ -50,6 +50,7 @@
 #include "cranberryhill/gateway/shutdown_admission.h"
 #include "cranberryhill/gateway/status_pages.h"
 #include "cranberryhill/gateway/store_contact.h"
+#include "cranberryhill/gateway/stream_version_store.h"
 #include "cranberryhill/gateway/table_follower.h"
 #include "cranberryhill/http1/server.h"
 #include "cranberryhill/request/crash_quarantine.h"
@@ -116,6 +117,7 @@
 
  private:
   std::unique_ptr<HttpCaller> MakeStoreClient() const;
+  StoredStreamVersions::Channels MakeStreamVersionChannels() const;
   void ApplyConfiguration(const StoreRow& row);
   void ApplyReplica(const StoreRow& row);
   std::optional<forward::ReplicaEntry> DecodeReplicaRow(const StoreRow& row);
@@ -133,6 +135,7 @@
   size_t StoreRank() const;
   TableFollower& FollowerOf(StoreTable table);
   forward::WindowedRetryBudget& RetryBudgetFor(std::string_view service);
+  void UpdateStreamVersions();
   void ScheduleMaintenance();
   void CheckShutdown();
   void EndRequests();
@@ -161,7 +164,6 @@
   ConnectionPool connection_pool;
   ShutdownAdmission shutdown_admission;
   GatewayMetrics metrics;
-  LocalStreamVersions stream_versions;
   ExchangeContext exchange_context;
   std::shared_ptr<const forward::RouteTable> routes;
   absl::flat_hash_map<std::string,
@@ -174,6 +176,8 @@
   OrderDispatcher order_dispatcher;
   PeerLink peer_link;
   SendPermits send_permits;
+  GatewayStreamVersionFleet stream_version_fleet;
+  StoredStreamVersions stream_versions;
   http1::Server caller_server;
   StatusPages readiness_pages;
   StatusPages control_pages;
--- /dev/null
+++ b/cranberryhill/gateway/gateway_stream_version_fleet.h
@@ -0,0 +1,44 @@
+#ifndef CRANBERRYHILL_GATEWAY_GATEWAY_STREAM_VERSION_FLEET_H_
+#define CRANBERRYHILL_GATEWAY_GATEWAY_STREAM_VERSION_FLEET_H_
+
+// What a gateway instance knows of the fleet, for the versions of streams.
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+#include "cranberryhill/gateway/control_table.h"
+#include "cranberryhill/gateway/peer_link.h"
+#include "cranberryhill/gateway/store_contact.h"
+#include "cranberryhill/gateway/stream_version_store.h"
+#include "cranberryhill/gateway/table_follower.h"
+
+namespace cranberryhill::gateway {
+
+/// Not thread-safe.
+class GatewayStreamVersionFleet : public StreamVersionFleet {
+ public:
+  /// All references must outlive this object.
+  /// @param replica_follower Follows the registry.
+  GatewayStreamVersionFleet(ControlTable& control_table,
+                            const PeerLink& peer_link,
+                            const TableFollower& replica_follower,
+                            const StoreContact& store_contact);
+
+  std::optional<size_t> InstanceCount() const override;
+  bool IsRegistryCurrent() const override;
+  std::optional<Row> FindServiceRow(std::string_view key) const override;
+  void CommitServiceRow(Transaction transaction,
+                        CommitCallback callback) override;
+  void RefreshServiceRows() override;
+
+ private:
+  ControlTable& control_table;
+  const PeerLink& peer_link;
+  const TableFollower& replica_follower;
+  const StoreContact& store_contact;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_GATEWAY_STREAM_VERSION_FLEET_H_
--- a/cranberryhill/gateway/stream_version_store.cc
+++ b/cranberryhill/gateway/stream_version_store.cc
@@ -85,6 +85,9 @@
 void StoredStreamVersions::OnStreamBegan(std::string_view service,
                                          std::string_view attempt_id,
                                          std::string_view version) {
+  // Nobody can name the stream.
+  if (attempt_id.empty())
+    return;
   forward::StreamVersionRecord record{
       std::string(service), std::string(attempt_id), std::string(version)};
   if (this->SoleVersion(service) == version) {
--- /dev/null
+++ b/cranberryhill/gateway/stream_version_store_test.cc
@@ -0,0 +1,85 @@
+#include "cranberryhill/gateway/stream_version_store.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+
+#include "cranberryhill/base/random.h"
+#include "cranberryhill/gateway/virtual_row_store_test.h"
+#include "cranberryhill/gateway/virtual_time_test.h"
+
+namespace cranberryhill::gateway {
+namespace {
+
+class NullLog : public EventLog {
+ public:
+  void Write(const LogEvent&) override {}
+};
+
+/// A fleet whose service rows are not known.
+class UnknownFleet : public StreamVersionFleet {
+ public:
+  std::optional<size_t> InstanceCount() const override { return std::nullopt; }
+  bool IsRegistryCurrent() const override { return false; }
+  std::optional<Row> FindServiceRow(std::string_view) const override {
+    return std::nullopt;
+  }
+  void CommitServiceRow(Transaction, CommitCallback callback) override {
+    callback({CommitState::kUnavailable, ""});
+  }
+  void RefreshServiceRows() override {}
+};
+
+struct Fixture {
+  std::unique_ptr<HttpCaller> MakeCaller() {
+    return std::make_unique<VirtualRowCaller>(this->queue, this->store,
+                                              [] { return false; });
+  }
+  std::unique_ptr<DelayTimer> MakeTimer() {
+    return std::make_unique<VirtualTimer>(this->queue);
+  }
+
+  /// @return The version, or "unknown".
+  std::string Find(std::string_view attempt_id,
+                   std::string_view service = "lm") {
+    std::string found = "not called";
+    this->versions.Find(service, attempt_id,
+                        [&found](std::optional<std::string> version) {
+                          found = version.value_or("unknown");
+                        });
+    this->queue.RunFor(absl::Seconds(1));
+    return found;
+  }
+
+  EventQueue queue;
+  VirtualRowStore store{queue};
+  VirtualRowCodec codec;
+  UnknownFleet fleet;
+  NullLog log;
+  SeededRandom random{7};
+  StoredStreamVersions versions{
+      "entry-1",
+      {MakeCaller(), MakeCaller(), MakeTimer(), MakeTimer(), MakeTimer()},
+      codec,
+      fleet,
+      log,
+      queue.clock,
+      random};
+};
+
+// Guards against a version that is guessed, or taken from another service or
+// from another stream that has no attempt id either.
+BOOST_FIXTURE_TEST_CASE(version_of_a_known_stream_is_found, Fixture) {
+  this->versions.OnRegistered("lm", "v1");
+  this->versions.OnRegistered("lm", "v2");
+  this->versions.OnStreamBegan("lm", "first", "v1");
+  this->versions.OnStreamBegan("lm", "", "v1");
+  BOOST_TEST(this->Find("first") == "v1");
+  BOOST_TEST(this->Find("second") == "unknown");
+  BOOST_TEST(this->Find("") == "unknown");
+  BOOST_TEST(this->Find("first", "other") == "unknown");
+  BOOST_TEST(this->versions.records_lost() == 0U);
+}
+
+}  // namespace
+}  // namespace cranberryhill::gateway
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -27,17 +27,30 @@
 void FakeStore::Set(std::string_view table,
                     std::string_view key,
                     std::optional<std::string> value) {
-  this->rows[{std::string(table), std::string(key)}] = {std::move(value),
-                                                        ++this->version};
+  this->Put({std::string(table), "", std::string(key)}, std::move(value));
+}
+
+void FakeStore::Put(RowKey key, std::optional<std::string> value) {
+  this->rows[std::move(key)] = {std::move(value), ++this->version};
   this->AnswerWatches();
 }
 
 std::optional<std::string> FakeStore::Find(std::string_view table,
                                            std::string_view key) const {
-  auto found = this->rows.find({std::string(table), std::string(key)});
+  auto found = this->rows.find({std::string(table), "", std::string(key)});
   return found == this->rows.end() ? std::nullopt : found->second.value;
 }
 
+std::vector<std::string> FakeStore::Values(std::string_view table,
+                                           std::string_view part) const {
+  std::vector<std::string> values;
+  for (const auto& [key, row] : this->rows) {
+    if (key.table == table && key.part == part && row.value)
+      values.push_back(*row.value);
+  }
+  return values;
+}
+
 http1::AnswerHead FakeStore::Head(int status) const {
   http1::AnswerHead head;
   head.status = status;
@@ -86,15 +99,17 @@
 }
 
 std::string FakeStore::Page(std::string_view table,
+                            std::string_view part,
                             uint64_t after,
                             bool removed) const {
   json list = json::array();
   for (const auto& [key, row] : this->rows) {
-    if (key.first != table || row.version <= after || (!row.value && !removed))
+    if (key.table != table || key.part != part || row.version <= after ||
+        (!row.value && !removed))
       continue;
-    json entry = {{"table", key.first},
-                  {"part", ""},
-                  {"key", key.second},
+    json entry = {{"table", key.table},
+                  {"part", key.part},
+                  {"key", key.key},
                   {"row-version", row.version}};
     if (row.value)
       entry["value"] = absl::Base64Escape(*row.value);
@@ -114,21 +129,22 @@
     std::shared_ptr<http1::Responder> responder) {
   const std::string& target = request.head.target;
   std::string table = Parameter(target, "table");
+  std::string part = Parameter(target, "part");
   if (this->is_silent) {
     this->unanswered.push_back(std::move(responder));
   } else if (this->is_down) {
     responder->SendWhole(this->Head(503), "");
   } else if (target.starts_with(kRowsGetPath)) {
-    this->SendPage(responder, this->Page(table, 0, false));
+    this->SendPage(responder, this->Page(table, part, 0, false));
   } else if (target.starts_with(kRowsFeedPath)) {
     uint64_t after = std::stoull(Parameter(target, "after"));
     auto wait = absl::Milliseconds(std::stoi(Parameter(target, "wait-ms")));
     if (after + 1 < this->history_from || after > this->version)
       responder->SendWhole(this->Head(410), "");
     else if (wait == absl::ZeroDuration())
-      this->SendPage(responder, this->Page(table, after, true));
+      this->SendPage(responder, this->Page(table, part, after, true));
     else
-      this->watches.push_back({table, after, wait, std::move(responder)});
+      this->watches.push_back({table, part, after, wait, std::move(responder)});
     this->AnswerWatches();
   } else {
     this->Write(request.body, *responder);
@@ -136,21 +152,32 @@
   return nullptr;
 }
 
+FakeStore::RowKey FakeStore::KeyOf(const nlohmann::json& row) {
+  return {row["table"].get<std::string>(), row["part"].get<std::string>(),
+          row["key"].get<std::string>()};
+}
+
 void FakeStore::Write(const std::string& body, http1::Responder& responder) {
   json call = json::parse(body);
   for (const json& condition : call["expected-revision"]) {
-    auto found = this->rows.find({condition["table"], condition["key"]});
-    uint64_t current = found == this->rows.end() ? 0 : found->second.version;
+    auto found = this->rows.find(KeyOf(condition));
+    bool exists = found != this->rows.end() && found->second.value;
+    uint64_t current = exists ? found->second.version : 0;
     if (current != condition["row-version"].get<uint64_t>())
       return responder.SendWhole(
           this->Head(412),
-          this->Page(condition["table"].get<std::string>(), 0, false));
+          this->Page(condition["table"].get<std::string>(),
+                     condition["part"].get<std::string>(), 0, false));
   }
   for (const json& write : call["writes"]) {
     std::string text;
     absl::Base64Unescape(write["value"].get<std::string>(), &text);
-    this->Set(write["table"].get<std::string>(),
-              write["key"].get<std::string>(), text);
+    this->Put(KeyOf(write), text);
+  }
+  for (const json& removal : call["remove"]) {
+    auto found = this->rows.find(KeyOf(removal));
+    if (found != this->rows.end() && found->second.value)
+      this->Put(found->first, std::nullopt);
   }
   if (this->loses_answers)
     return responder.Abort();
@@ -163,7 +190,8 @@
     watch.until = std::min(watch.until, now + watch.wait);
     if (now < watch.until)
       return false;
-    this->SendPage(watch.responder, this->Page(watch.table, watch.after, true));
+    this->SendPage(watch.responder,
+                   this->Page(watch.table, watch.part, watch.after, true));
     return true;
   });
 }
@@ -172,7 +200,7 @@
   std::vector<Watch> open = std::move(this->watches);
   this->watches.clear();
   for (Watch& watch : open) {
-    std::string page = this->Page(watch.table, watch.after, true);
+    std::string page = this->Page(watch.table, watch.part, watch.after, true);
     if (json::parse(page)["rows"].empty())
       this->watches.push_back(std::move(watch));
     else
--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -4,10 +4,12 @@
 // The store of the users' platform, as far as the gateway uses it: rows, pages
 // and watches, with outages on request.
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -61,6 +63,10 @@
   std::optional<std::string> Find(std::string_view table,
                                   std::string_view key) const;
 
+  /// @return The values of all rows of a table in one part of the store.
+  std::vector<std::string> Values(std::string_view table,
+                                  std::string_view part) const;
+
   std::shared_ptr<http1::ActiveRequest> OnRequest(
       http1::IncomingRequest request,
       std::shared_ptr<http1::Responder> responder) override;
@@ -71,8 +77,16 @@
     std::optional<std::string> value;
     uint64_t version = 0;
   };
+  struct RowKey {
+    std::string table;
+    std::string part;
+    std::string key;
+
+    auto operator<=>(const RowKey&) const = default;
+  };
   struct Watch {
     std::string table;
+    std::string part;
     uint64_t after = 0;
     absl::Duration wait;
     std::shared_ptr<http1::Responder> responder;
@@ -86,11 +100,16 @@
 
   void SendPage(const std::shared_ptr<http1::Responder>& responder,
                 const std::string& page);
-  std::string Page(std::string_view table, uint64_t after, bool removed) const;
+  std::string Page(std::string_view table,
+                   std::string_view part,
+                   uint64_t after,
+                   bool removed) const;
+  static RowKey KeyOf(const nlohmann::json& row);
+  void Put(RowKey key, std::optional<std::string> value);
   void Write(const std::string& body, http1::Responder& responder);
   void AnswerWatches();
 
-  using Rows = std::map<std::pair<std::string, std::string>, Row>;
+  using Rows = std::map<RowKey, Row>;
 
   http1::AnswerHead Head(int status) const;
 
