--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -109,7 +109,7 @@
   /// between it and this instance is down. See Reachability.
   bool unreachable = false;
   absl::Time unreachable_since;  ///< Start of the first probe that failed.
-  bool probing = false;  ///< A probe connection is being opened.
+  bool probing = false;          ///< A probe connection is being opened.
   absl::Time probed_at = absl::InfinitePast();
   int failed_probes = 0;  ///< In a row.
   /// The replica has said in an answer, to this instance or to a peer, that it
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -86,7 +86,6 @@
       reachability(clock),
       connection_pool(io, clock),
       shutdown_admission(clock),
-      stream_versions(this->replicas, clock),
       exchange_context{
           io,
           clock,
