--- a/cranberryhill/gateway/stream_version_store_test.cc
+++ b/cranberryhill/gateway/stream_version_store_test.cc
@@ -44,7 +44,7 @@
                    std::string_view service = "lm") {
     std::string found = "not called";
     this->versions.Find(service, attempt_id,
-                        [&found](std::optional<std::string> version) {
+                        [&found](const std::optional<std::string>& version) {
                           found = version.value_or("unknown");
                         });
     this->queue.RunFor(absl::Seconds(1));
