--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -82,7 +83,10 @@
     std::string part;
     std::string key;
 
-    auto operator<=>(const RowKey&) const = default;
+    bool operator<(const RowKey& other) const {
+      return std::tie(this->table, this->part, this->key) <
+             std::tie(other.table, other.part, other.key);
+    }
   };
   struct Watch {
     std::string table;
