--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -4,7 +4,6 @@
 // The store of the users' platform, as far as the gateway uses it: rows, pages
 // and watches, with outages on request.
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
