forward: the order of replicas does not depend on hash tables

Cause: ReplicaSet listed replicas in the order of a hash table, which differs between tables and processes, and Placement::ChooseServer kept the first of several replicas with the same cost. While a service is idle all cost the same, so each instance sent everything to one replica; where no instance's first replica was the leaving one, nothing reached it.

Change: replicas are kept in the order of their ids, and equal costs are decided by a hash of the replica and a value that differs between requests, as for decode engines. idle_servers_get_equal_shares guards against the herd.

--- a/cranberryhill/forward/placement.cc
+++ b/cranberryhill/forward/placement.cc
@@ -282,10 +282,12 @@
 
 PlacementChoice Placement::ChooseServer(
     std::span<const ReplicaPtr> candidates,
+    uint64_t random_value,
     absl::Time now,
     std::span<const std::string> excluded) const {
   PlacementChoice best;
   double best_cost_ms = std::numeric_limits<double>::infinity();
+  uint64_t best_rank = 0;
   constexpr double kTypicalWorkMs = 40;
   for (const ReplicaPtr& replica : candidates) {
     if (Contains(excluded, replica->entry.id))
@@ -298,8 +300,11 @@
     double work_ms = kTypicalWorkMs * EstimatedSlowness(*replica, now);
     double queue_ms = work_ms * std::max(0.0, outstanding / slots - 0.5);
     double cost_ms = work_ms + queue_ms + this->PenaltyMs(*replica, now);
-    if (cost_ms < best_cost_ms) {
+    uint64_t rank = HashRank(*replica, random_value);
+    if (cost_ms < best_cost_ms ||
+        (cost_ms == best_cost_ms && rank > best_rank)) {
       best_cost_ms = cost_ms;
+      best_rank = rank;
       best = {
           replica, nullptr, absl::Milliseconds(cost_ms), PrefillLane::kOnTime,
           0,       0};
--- a/cranberryhill/forward/placement.h
+++ b/cranberryhill/forward/placement.h
@@ -79,8 +79,11 @@
       std::span<const std::string> excluded) const;
 
   /// @param candidates Usable replicas of a service without model engines.
+  /// @param random_value Differs between requests; decides among replicas that
+  ///     cost the same.
   PlacementChoice ChooseServer(
       std::span<const std::shared_ptr<Replica>> candidates,
+      uint64_t random_value,
       absl::Time now,
       std::span<const std::string> excluded) const;
 
--- a/cranberryhill/forward/placement_test.cc
+++ b/cranberryhill/forward/placement_test.cc
@@ -131,12 +131,12 @@
   replicas.Find("y")->avoid_until = clock.Now() + absl::Seconds(1);
   std::vector<std::string> excluded{"x"};
   auto usable = replicas.Usable("service");
-  BOOST_TEST(
-      placement.ChooseServer(usable, clock.Now(), excluded).replica->entry.id ==
-      "z");
+  BOOST_TEST(placement.ChooseServer(usable, 0, clock.Now(), excluded)
+                 .replica->entry.id == "z");
   excluded = {"x", "y", "z"};
-  BOOST_TEST((placement.ChooseServer(usable, clock.Now(), excluded).replica ==
-              nullptr));
+  BOOST_TEST(
+      (placement.ChooseServer(usable, 0, clock.Now(), excluded).replica ==
+       nullptr));
 }
 
 // Guards against choosing a replica in another zone that is only slightly less
@@ -151,14 +151,36 @@
   auto usable = replicas.Usable("service");
   replicas.Find("near")->outstanding = 2;
   BOOST_TEST(
-      placement.ChooseServer(usable, clock.Now(), {}).replica->entry.id ==
+      placement.ChooseServer(usable, 0, clock.Now(), {}).replica->entry.id ==
       "near");
   replicas.Find("near")->outstanding = 8;
   BOOST_TEST(
-      placement.ChooseServer(usable, clock.Now(), {}).replica->entry.id ==
+      placement.ChooseServer(usable, 0, clock.Now(), {}).replica->entry.id ==
       "far");
 }
 
+// Guards against instances that send all requests of an idle service to the
+// replica that a container happens to list first.
+BOOST_AUTO_TEST_CASE(idle_servers_get_equal_shares) {
+  ManualClock clock;
+  ReplicaSet replicas(clock);
+  for (const char* id : {"x", "y", "z"})
+    replicas.Apply(MakeEntry(id));
+  EngineSpeedModels speeds(clock);
+  Placement placement("a", speeds);
+  SeededRandom random(5);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 300; ++i) {
+    ++chosen[placement
+                 .ChooseServer(replicas.Usable("service"),
+                               random.UniformInt(0, UINT64_MAX), clock.Now(),
+                               {})
+                 .replica->entry.id];
+  }
+  for (const char* id : {"x", "y", "z"})
+    BOOST_TEST(chosen[id] > 60);
+}
+
 /// A prompt in the prefill queue of an engine.
 struct QueuedPrompt {
   absl::Time arrived;
@@ -247,7 +269,7 @@
     servers.Apply(MakeEntry(id));
   auto choose = [&] {
     return fleet.placement
-        .ChooseServer(servers.Members("service"), fleet.clock.Now(), {})
+        .ChooseServer(servers.Members("service"), 0, fleet.clock.Now(), {})
         .replica->entry.id;
   };
   servers.OnLoadReport(*servers.Find("x"), {0, 0, 6, 2.5});
--- a/cranberryhill/forward/replica_notices_fleet_test.cc
+++ b/cranberryhill/forward/replica_notices_fleet_test.cc
@@ -173,7 +173,8 @@
   void Send(size_t index) {
     Member& member = *this->members[index];
     auto choice = this->placement.ChooseServer(
-        member.replicas.Usable("service"), this->clock.Now(), {});
+        member.replicas.Usable("service"),
+        this->random.UniformInt(0, UINT64_MAX), this->clock.Now(), {});
     if (choice.replica == nullptr) {
       ++this->tally.refused;
       return;
--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -113,7 +113,7 @@
 
 void ReplicaSet::Remove(std::string_view id) {
   this->outdated_entries.erase(std::string(id));
-  auto found = this->by_id.find(std::string(id));
+  auto found = this->by_id.find(id);
   if (found == this->by_id.end() || !found->second->registered)
     return;
   found->second->registered = false;
@@ -227,7 +227,7 @@
 }
 
 std::shared_ptr<Replica> ReplicaSet::Find(std::string_view id) const {
-  auto found = this->by_id.find(std::string(id));
+  auto found = this->by_id.find(id);
   if (found == this->by_id.end() || !found->second->registered)
     return nullptr;
   return found->second;
@@ -293,7 +293,7 @@
 
 void ReplicaSet::EraseExpired() {
   absl::Time now = this->clock.Now();
-  absl::erase_if(this->by_id, [now](const auto& item) {
+  std::erase_if(this->by_id, [now](const auto& item) {
     return !item.second->registered &&
            now - item.second->removed_at > kEraseRemovedAfter;
   });
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -9,7 +9,9 @@
 //   for (const auto& replica : replicas.Usable("parts")) ...
 
 #include <cstdint>
+#include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -209,7 +211,7 @@
 
   /// @return True if the replica is not registered and was not lately.
   bool IsForgotten(std::string_view id) const {
-    return !this->by_id.contains(std::string(id));
+    return !this->by_id.contains(id);
   }
 
   /// Records the outcome of an attempt.
@@ -242,7 +244,8 @@
   bool IsOutdated(const ReplicaEntry& entry) const;
 
   const Clock& clock;
-  absl::flat_hash_map<std::string, std::shared_ptr<Replica>> by_id;
+  // In the order of ids, which is the same in every process.
+  std::map<std::string, std::shared_ptr<Replica>, std::less<>> by_id;
   // Capacities in tokens.
   absl::flat_hash_map<std::string, int64_t> cache_capacity_by_service;
   absl::flat_hash_map<std::string, int> connection_share_by_service;
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -29,8 +29,9 @@
       this->OpenReplicas();
   absl::Time now = this->Now();
   if (!this->is_engine_service)
-    return this->context.placement.ChooseServer(usable_replicas, now,
-                                                this->excluded_replicas);
+    return this->context.placement.ChooseServer(
+        usable_replicas, this->context.random.UniformInt(0, UINT64_MAX), now,
+        this->excluded_replicas);
   absl::Duration elapsed = now - this->request.arrived;
   forward::LatencyLimits limits{
       this->route.target_latency - elapsed,
