gateway: a take-up asks the store for one stream

What callers saw: a stream broke off, its caller took it up again at another instance and was refused with 503 (stream_version_unknown), though replicas of its version served.

Cause: a find read the records of all instances, page after page, for one stream. At 66 instances that is hundreds of rows over a link of 10 Mbit/s or more, and a second find waited for the next read; the find gave up after 300 ms whatever the caller's time was (112 of 127 refusals). When the read was quick, a record that was not written yet ended the find at once (15). The class: a lookup whose cost grows with the fleet, with a constant time limit.

Change: each stream has a row of its own under its attempt id, so that a find reads one row, whatever the number of instances and streams (StreamVersionFinder). A row that is not there yet is looked for again until it must have been written, within half of the caller's time and 1.7 s. Rows are written in the same batches and at the same intervals as before, and removed with later writes (StreamVersionQueue).

Tests replaced: those of StreamVersionSegments, whose rows no longer exist, by those of StreamVersionQueue, which guard against the same failures (growing writes, rows left behind, late writes, bounded memory, the property over random actions).

--- /dev/null
+++ b/cranberryhill/forward/stream_version_queue.h
@@ -0,0 +1,96 @@
+#ifndef CRANBERRYHILL_FORWARD_STREAM_VERSION_QUEUE_H_
+#define CRANBERRYHILL_FORWARD_STREAM_VERSION_QUEUE_H_
+
+// Decides which of an instance's streams are written to the store, and when
+// their rows are removed. Each stream has a row of its own, so that another
+// instance reads just the stream that it is asked for.
+//
+//   StreamVersionQueue queue(clock);
+//   queue.Add(record);
+//   if (auto write = queue.StartWrite()) ...
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/forward/stream_version_records.h"
+
+namespace cranberryhill::forward {
+
+/// A write that is due, of at most 100 rows.
+struct StreamVersionWrite {
+  std::vector<StreamVersionRecord> records;
+  std::vector<std::string> removed_attempt_ids;
+};
+
+enum class StreamVersionWriteOutcome {
+  kWritten,
+  kNotWritten,
+  kUnknown,  ///< The write may take effect now, later or never.
+};
+
+/// One write may be in progress. Not thread-safe.
+class StreamVersionQueue {
+ public:
+  /// @param clock Must outlive this object.
+  explicit StreamVersionQueue(const Clock& clock) : clock(clock) {}
+
+  /// @return False if the record cannot be stored: its attempt id is too long
+  ///     or has characters other than printable ASCII, or too much is kept.
+  bool Add(const StreamVersionRecord& record);
+
+  /// @return True if records wait to be written, or old rows must be removed
+  ///     without waiting for new records.
+  bool HasWork();
+
+  /// @return The write that is due, or nothing. Requires that no write is in
+  ///     progress.
+  std::optional<StreamVersionWrite> StartWrite();
+
+  void OnWriteEnded(StreamVersionWriteOutcome outcome);
+
+  /// Has everything written again, because the store may have lost it.
+  void OnStoreRestored();
+
+  /// @return Number of records that are kept.
+  size_t size() const { return this->streams.size(); }  // NOLINT
+  /// @return Number of records that were not written while they were of use.
+  uint64_t expired_unwritten() const {  // NOLINT
+    return this->expired_unwritten_count;
+  }
+
+ private:
+  enum class State { kWaiting, kBeingWritten, kWritten };
+
+  struct Stream {
+    StreamVersionRecord record;
+    absl::Time added_at;
+    State state = State::kWaiting;
+    /// The store may have a row of the stream.
+    bool may_be_stored = false;
+  };
+
+  struct Removal {
+    std::string attempt_id;
+    absl::Time due;
+  };
+
+  void EraseExpired();
+
+  const Clock& clock;
+  std::deque<Stream> streams;  // In the order in which they were added.
+  size_t waiting = 0;
+  std::deque<Removal> removals;
+  size_t removals_in_progress = 0;  // The first ones.
+  bool write_in_progress = false;
+  uint64_t expired_unwritten_count = 0;
+};
+
+}  // namespace cranberryhill::forward
+
+#endif  // CRANBERRYHILL_FORWARD_STREAM_VERSION_QUEUE_H_
--- /dev/null
+++ b/cranberryhill/forward/stream_version_queue_test.cc
@@ -0,0 +1,190 @@
+#include "cranberryhill/forward/stream_version_queue.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cranberryhill::forward {
+namespace {
+
+constexpr std::string_view kService = "assistant";
+
+StreamVersionRecord MakeRecord(int attempt, std::string_view version) {
+  return {std::string(kService), "attempt-" + std::to_string(attempt),
+          std::string(version)};
+}
+
+/// The rows of a store: versions by attempt id.
+using Rows = std::map<std::string, std::string>;
+
+void Apply(const StreamVersionWrite& write, Rows& rows) {
+  BOOST_TEST(write.records.size() + write.removed_attempt_ids.size() <= 100);
+  for (const StreamVersionRecord& record : write.records)
+    rows[record.attempt_id] = record.version;
+  for (const std::string& attempt_id : write.removed_attempt_ids)
+    rows.erase(attempt_id);
+}
+
+struct Fixture {
+  /// Performs the write that is due.
+  bool Write() {
+    auto write = this->queue.StartWrite();
+    if (!write)
+      return false;
+    Apply(*write, this->rows);
+    this->queue.OnWriteEnded(StreamVersionWriteOutcome::kWritten);
+    return true;
+  }
+
+  ManualClock clock;
+  StreamVersionQueue queue{clock};
+  Rows rows;
+};
+
+// Guards against writes and rows that grow with the number of earlier streams.
+BOOST_FIXTURE_TEST_CASE(write_holds_new_records_only, Fixture) {
+  size_t most_rows = 0;
+  for (int attempt = 0; attempt < 3000; ++attempt) {
+    BOOST_TEST_REQUIRE(this->queue.Add(MakeRecord(attempt, "v1")));
+    this->clock.Advance(absl::Milliseconds(10));
+    auto write = this->queue.StartWrite();
+    BOOST_TEST_REQUIRE(write.has_value());
+    BOOST_TEST(write->records.size() == 1);
+    Apply(*write, this->rows);
+    this->queue.OnWriteEnded(StreamVersionWriteOutcome::kWritten);
+    most_rows = std::max(most_rows, this->rows.size());
+  }
+  // The streams of 15 s, at 100 a second.
+  BOOST_TEST(most_rows >= 1499);
+  BOOST_TEST(most_rows <= 1502);
+}
+
+// Guards against rows that stay in the store when no more streams begin.
+BOOST_FIXTURE_TEST_CASE(last_rows_are_removed, Fixture) {
+  for (int attempt = 0; attempt < 70; ++attempt)
+    this->queue.Add(MakeRecord(attempt, "v1"));
+  BOOST_TEST(this->Write());
+  BOOST_TEST(this->Write());
+  BOOST_TEST(!this->Write());
+  BOOST_TEST(this->rows.size() == 70);
+  this->clock.Advance(absl::Seconds(20));
+  BOOST_TEST(!this->Write());
+  this->clock.Advance(absl::Seconds(20));
+  BOOST_TEST(this->Write());
+  BOOST_TEST(this->Write());
+  BOOST_TEST(this->rows.empty());
+  BOOST_TEST(!this->queue.HasWork());
+}
+
+// Guards against records that are lost with a write without an answer, and
+// against rows that a late write leaves in the store.
+BOOST_FIXTURE_TEST_CASE(write_without_an_answer_is_repeated, Fixture) {
+  this->queue.Add(MakeRecord(1, "v1"));
+  auto late = this->queue.StartWrite();
+  BOOST_TEST_REQUIRE(late.has_value());
+  this->queue.OnWriteEnded(StreamVersionWriteOutcome::kUnknown);
+  this->queue.Add(MakeRecord(2, "v2"));
+  BOOST_TEST(this->Write());
+  BOOST_TEST(this->rows.size() == 2);
+  Apply(*late, this->rows);
+  BOOST_TEST(this->rows.size() == 2);
+  for (int second = 0; second < 60; ++second) {
+    this->clock.Advance(absl::Seconds(1));
+    this->Write();
+  }
+  BOOST_TEST(this->rows.empty());
+}
+
+// Guards against memory that grows while the store does not answer, and against
+// attempt ids that cannot be stored as they are.
+BOOST_FIXTURE_TEST_CASE(what_waits_for_the_store_is_bounded, Fixture) {
+  size_t added = 0;
+  for (int attempt = 0; attempt < 200'000; ++attempt)
+    added += this->queue.Add(MakeRecord(attempt, "v1")) ? 1 : 0;
+  BOOST_TEST(added < 200'000);
+  BOOST_TEST(this->queue.size() == added);
+  BOOST_TEST_REQUIRE(this->queue.StartWrite().has_value());
+  this->queue.OnWriteEnded(StreamVersionWriteOutcome::kNotWritten);
+  this->clock.Advance(absl::Seconds(17));
+  BOOST_TEST(!this->queue.HasWork());
+  BOOST_TEST(this->queue.expired_unwritten() == added);
+  BOOST_TEST(!this->queue.Add({"assistant", "\xff", "v1"}));
+  BOOST_TEST(!this->queue.Add({"assistant", "", "v1"}));
+  BOOST_TEST(!this->queue.Add({"assistant", std::string(500, 'a'), "v1"}));
+}
+
+// Guards against a version that is found though another one was recorded,
+// whatever writes are lost, late or repeated, when records are lost with the
+// memory of the instance, or the store goes back to an older copy.
+BOOST_AUTO_TEST_CASE(no_version_is_found_other_than_the_recorded_one) {
+  bool held = rc::check([](const std::vector<uint8_t>& actions) {
+    ManualClock clock;
+    auto recent = std::make_unique<RecentStreamVersions>(50, clock);
+    auto queue = std::make_unique<StreamVersionQueue>(clock);
+    std::map<std::string, std::string> recorded;
+    Rows rows;
+    Rows copy;
+    std::vector<StreamVersionWrite> late_writes;
+    int attempt = 0;
+    for (uint8_t action : actions) {
+      clock.Advance(absl::Milliseconds(action * 4));
+      StreamVersionRecord record =
+          MakeRecord(attempt, action % 2 == 0 ? "v1" : "v2");
+      switch (action % 10) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+          ++attempt;
+          recorded[record.attempt_id] = record.version;
+          recent->AddOwn(record, queue->Add(record));
+          break;
+        case 4:
+        case 5:
+        case 6:
+          if (auto write = queue->StartWrite()) {
+            auto outcome =
+                static_cast<StreamVersionWriteOutcome>(action / 10 % 3);
+            if (outcome == StreamVersionWriteOutcome::kWritten)
+              Apply(*write, rows);
+            else if (outcome == StreamVersionWriteOutcome::kUnknown)
+              late_writes.push_back(*write);
+            queue->OnWriteEnded(outcome);
+          }
+          break;
+        case 7:
+          if (!late_writes.empty()) {
+            Apply(late_writes.front(), rows);
+            late_writes.erase(late_writes.begin());
+          }
+          break;
+        case 8:
+          recent = std::make_unique<RecentStreamVersions>(50, clock);
+          break;
+        default:
+          if (action > 128) {
+            copy = rows;
+          } else {
+            rows = copy;
+            queue->OnStoreRestored();
+          }
+          break;
+      }
+      for (const auto& [id, version] : rows)
+        recent->AddRead({std::string(kService), id, version});
+      for (const auto& [id, version] : recorded) {
+        auto found = recent->Find(kService, id);
+        RC_ASSERT(!found || *found == version);
+      }
+    }
+  });
+  BOOST_TEST(held);
+}
+
+}  // namespace
+}  // namespace cranberryhill::forward
--- a/cranberryhill/forward/stream_version_records.h
+++ b/cranberryhill/forward/stream_version_records.h
@@ -1,9 +1,9 @@
 #ifndef CRANBERRYHILL_FORWARD_STREAM_VERSION_RECORDS_H_
 #define CRANBERRYHILL_FORWARD_STREAM_VERSION_RECORDS_H_
 
-// Keeps at which software version of its service a stream began, and decides
-// what of it is stored. Replicas of several versions may serve one service, and
-// a stream may go on only at the version that began it.
+// Keeps at which software version of its service a stream began. Replicas of
+// several versions may serve one service, and a stream may go on only at the
+// version that began it.
 
 #include <cstddef>
 #include <cstdint>
@@ -78,94 +78,13 @@
   std::deque<std::pair<absl::Time, std::string>> expiries;  // In their order.
 };
 
-/// One row of the store with the streams of one instance that began within
-/// about a second.
-struct StreamVersionRow {
-  uint64_t segment = 0;
-  std::string value;
-};
-
-/// A write that is due.
-struct StreamVersionWrite {
-  std::vector<StreamVersionRow> rows;
-  std::vector<uint64_t> removed_segments;
-  size_t records = 0;  ///< Number of records that no earlier write has stored.
-};
-
-enum class StreamVersionWriteOutcome {
-  kWritten,
-  kNotWritten,
-  kUnknown,  ///< The write may take effect now, later or never.
-};
-
-/// The streams of this instance that are stored, in segments of a second, so
-/// that a write holds no more than what began within a second. One write may be
-/// in progress. Not thread-safe.
-class StreamVersionSegments {
- public:
-  /// @param clock Must outlive this object.
-  explicit StreamVersionSegments(const Clock& clock) : clock(clock) {}
-
-  /// @return False if the record cannot be stored: its attempt id is too long
-  ///     or has characters other than printable ASCII, or too much is waiting.
-  bool Add(const StreamVersionRecord& record);
-
-  /// @return True if records have not been written yet, or old segments must be
-  ///     removed without waiting for new records.
-  bool HasWork();
-
-  /// @return The write that is due, or nothing. Requires that no write is in
-  ///     progress.
-  std::optional<StreamVersionWrite> StartWrite();
-
-  /// Records the outcome of the write in progress. A write without a known
-  /// outcome may still replace the rows, so its records are repeated in other
-  /// segments.
-  void OnWriteEnded(StreamVersionWriteOutcome outcome);
-
-  /// Has everything written again, because the store may have lost it.
-  void OnStoreRestored();
-
-  size_t record_count() const;          // NOLINT
-  uint64_t expired_unwritten() const {  // NOLINT
-    return this->expired_unwritten_count;
-  }
-
- private:
-  struct Segment {
-    uint64_t number = 0;
-    absl::Time opened_at;
-    std::vector<StreamVersionRecord> records;
-    size_t bytes = 0;
-    size_t written = 0;        // Number of records that are stored.
-    size_t being_written = 0;  // Number of records in the write in progress.
-    bool may_be_stored = false;
-    bool closed = false;
-  };
-
-  struct Removal {
-    uint64_t number = 0;
-    absl::Time due;
-  };
-
-  void CloseExpired();
-
-  const Clock& clock;
-  std::deque<Segment> segments;
-  std::vector<Removal> removals;
-  std::vector<uint64_t> removals_in_progress;
-  bool write_in_progress = false;
-  uint64_t next_number = 1;
-  uint64_t expired_unwritten_count = 0;
-};
-
-/// @return The value of a row.
-std::string EncodeStreamVersions(
-    const std::vector<StreamVersionRecord>& records);
+/// @return The value of the stored row of a stream, whose key is the attempt
+/// id.
+std::string EncodeStreamVersion(const StreamVersionRecord& record);
 
 /// @return kInvalidArgument for text that is not the value of such a row.
-Result<std::vector<StreamVersionRecord>> DecodeStreamVersions(
-    std::string_view value);
+Result<StreamVersionRecord> DecodeStreamVersion(std::string_view attempt_id,
+                                                std::string_view value);
 
 /// The stored row of a service.
 struct ServiceVersionRow {
--- a/cranberryhill/gateway/exchange_versions.cc
+++ b/cranberryhill/gateway/exchange_versions.cc
@@ -2,6 +2,7 @@
 // it. What two versions write does not fit together, and replicas do not check
 // this.
 
+#include <algorithm>
 #include <utility>
 
 #include "cranberryhill/gateway/exchange.h"
@@ -12,6 +13,11 @@
 /// Retry-After of a take-up whose version is not known. The instance may have
 /// learned it by then.
 constexpr absl::Duration kRetryAfterUnknownVersion = absl::Milliseconds(500);
+/// Share of the caller's time that the search for the version may take; the
+/// rest is for the stream.
+constexpr double kFindShare = 0.5;
+/// Callers give a stream up that has been silent for two seconds.
+constexpr absl::Duration kMaxFindTime = absl::Milliseconds(1700);
 
 }  // namespace
 
@@ -30,6 +36,7 @@
   this->phase = Phase::kFindingVersion;
   this->context.stream_versions.Find(
       this->service, this->caller_request.resumed_attempt_id,
+      std::min(kMaxFindTime, this->TimeLeft() * kFindShare),
       [weak = this->weak_from_this()](std::optional<std::string> version) {
         auto self = weak.lock();
         if (self == nullptr || self->phase != Phase::kFindingVersion)
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -50,6 +50,10 @@
 /// A replica in the same region accepts a connection within a few milliseconds.
 constexpr absl::Duration kProbeTimeout = absl::Milliseconds(250);
 
+/// Reads of stream versions that may be in progress at once. When an instance
+/// fails, each of the others is asked for a few of its streams.
+constexpr int kStreamVersionReaders = 3;
+
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -176,8 +180,7 @@
                            this->peer_link,
                            this->replica_follower,
                            this->store_contact),
-      stream_versions(this->settings.instance_id,
-                      this->MakeStreamVersionChannels(),
+      stream_versions(this->MakeStreamVersionChannels(),
                       codec,
                       this->stream_version_fleet,
                       log,
@@ -238,10 +241,15 @@
 }
 
 StoredStreamVersions::Channels Gateway::MakeStreamVersionChannels() const {
-  return {this->MakeStoreClient(), this->MakeStoreClient(),
-          std::make_unique<AsioDelayTimer>(this->io),
-          std::make_unique<AsioDelayTimer>(this->io),
-          std::make_unique<AsioDelayTimer>(this->io)};
+  StoredStreamVersions::Channels channels;
+  channels.writer = this->MakeStoreClient();
+  for (int i = 0; i < kStreamVersionReaders; ++i)
+    channels.readers.push_back(this->MakeStoreClient());
+  channels.sweeper = this->MakeStoreClient();
+  channels.write_timer = std::make_unique<AsioDelayTimer>(this->io);
+  channels.find_timer = std::make_unique<AsioDelayTimer>(this->io);
+  channels.service_row_timer = std::make_unique<AsioDelayTimer>(this->io);
+  return channels;
 }
 
 bool Gateway::ready() const {
--- a/cranberryhill/gateway/store_codec.h
+++ b/cranberryhill/gateway/store_codec.h
@@ -52,6 +52,11 @@
   virtual http1::OutgoingRequest EncodeRead(StoreTable table,
                                             std::string_view from) const = 0;
 
+  /// Encodes a read whose page begins with the row of this key, if there is
+  /// one, and holds at most one row.
+  virtual http1::OutgoingRequest EncodeReadRow(StoreTable table,
+                                               std::string_view key) const = 0;
+
   /// @param after Only changes after this version are returned.
   /// @param wait How long the store may hold the request until a change occurs.
   virtual http1::OutgoingRequest EncodeWatch(StoreTable table,
--- a/cranberryhill/gateway/stream_version_store.h
+++ b/cranberryhill/gateway/stream_version_store.h
@@ -5,12 +5,11 @@
 // those that began before all instances were restarted at once.
 //
 // While one version serves a service, a row of the control table says so, and
-// nothing is stored per stream. Otherwise each instance writes the streams that
-// begin there to rows of its own, a few times per second, and an instance that
-// is asked for a stream that it does not know reads the rows of all.
+// nothing is stored per stream. Otherwise each instance writes a row for each
+// stream that begins there, a few times per second, and an instance that is
+// asked for a stream that it does not know reads its row.
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -23,11 +22,14 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
+#include "cranberryhill/forward/stream_version_queue.h"
 #include "cranberryhill/forward/stream_version_records.h"
 #include "cranberryhill/gateway/delay_timer.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/http_caller.h"
 #include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/gateway/stream_version_finder.h"
+#include "cranberryhill/gateway/stream_version_sweeper.h"
 #include "cranberryhill/gateway/stream_versions.h"
 #include "cranberryhill/table/table_service.h"
 
@@ -64,16 +66,15 @@
   /// Calls to the store and timers for them.
   struct Channels {
     std::unique_ptr<HttpCaller> writer;
-    std::unique_ptr<HttpCaller> reader;
+    std::vector<std::unique_ptr<HttpCaller>> readers;
+    std::unique_ptr<HttpCaller> sweeper;
     std::unique_ptr<DelayTimer> write_timer;
-    std::unique_ptr<DelayTimer> read_timer;
+    std::unique_ptr<DelayTimer> find_timer;
     std::unique_ptr<DelayTimer> service_row_timer;
   };
 
-  /// @param instance Name of this instance.
   /// @param codec, fleet, log, clock, random Must outlive this object.
-  StoredStreamVersions(std::string instance,
-                       Channels channels,
+  StoredStreamVersions(Channels channels,
                        const StoreCodec& codec,
                        StreamVersionFleet& fleet,
                        EventLog& log,
@@ -85,6 +86,7 @@
                      std::string_view version) override;
   void Find(std::string_view service,
             std::string_view attempt_id,
+            absl::Duration wait,
             Callback done) override;
 
   /// Records that the registry lists a replica of this version. To be called
@@ -101,21 +103,17 @@
     return this->records_written_count;
   }
   uint64_t records_lost() const {  // NOLINT
-    return this->records_refused + this->segments.expired_unwritten();
+    return this->records_refused + this->queue.expired_unwritten();
   }
-  uint64_t reads() const { return this->read_count; }  // NOLINT
+  uint64_t reads() const { return this->finder.reads(); }  // NOLINT
   /// Streams that nobody knew.
-  uint64_t unknown() const { return this->unknown_count; }         // NOLINT
-  uint64_t store_calls() const { return this->store_call_count; }  // NOLINT
+  uint64_t unknown() const { return this->unknown_count; }  // NOLINT
+  uint64_t store_calls() const {                            // NOLINT
+    return this->write_count + this->finder.reads() +
+           this->sweeper.store_calls();
+  }
 
  private:
-  struct PendingFind {
-    std::string service;
-    std::string attempt_id;
-    absl::Time deadline;
-    Callback done;
-  };
-
   /// What this instance knows of the row of a service.
   struct ServiceRow {
     std::optional<forward::ServiceVersionRow> value;  // Nothing: no row.
@@ -136,29 +134,23 @@
 
   void WriteSoon();
   void Write();
-  void OnWritten(size_t records, size_t stale_rows, const HttpResult& answer);
+  void OnWritten(size_t records, const HttpResult& answer);
   void OnEraOf(const HttpResult& answer);
-  std::string RowKey(uint64_t segment) const;
-
-  void ContinueReading();
-  void ReadPage(const std::string& from);
-  void OnPage(const HttpResult& answer);
-  void OnReadEnded(bool complete);
-  void AnswerKnown(std::deque<PendingFind>& finds, bool all);
-  void OnUnknown(const PendingFind& find, std::string_view reason);
-  void EndExpired(std::deque<PendingFind>& finds);
-  void FindStaleRows();
-
-  const std::string own_prefix;    // Of the rows of this instance.
-  const std::string start_prefix;  // Of its rows since its start.
-  const Channels channels;
+  void OnRecordRead(std::string_view service,
+                    std::string_view attempt_id,
+                    const std::optional<forward::StreamVersionRecord>& record,
+                    const Callback& done);
+
+  const std::unique_ptr<HttpCaller> writer;
+  const std::unique_ptr<DelayTimer> write_timer;
+  const std::unique_ptr<DelayTimer> service_row_timer;
   const StoreCodec& codec;
   StreamVersionFleet& fleet;
   EventLog& log;
   const Clock& clock;
   Random& random;
   forward::RecentStreamVersions recent;
-  forward::StreamVersionSegments segments;
+  forward::StreamVersionQueue queue;
   forward::ServiceVersions service_versions;
   std::map<std::string, ServiceRow, std::less<>> service_rows;
   bool service_row_write_in_progress = false;
@@ -166,23 +158,16 @@
   bool write_in_progress = false;
   bool write_scheduled = false;
   absl::Time write_started_at = absl::InfinitePast();
-  int failed_writes = 0;                // In a row.
-  uint64_t store_era = 0;               // 0 until the store has named one.
-  std::vector<std::string> stale_rows;  // Of earlier starts, to be removed.
-  absl::Time stale_rows_due;            // When to look for them.
-
-  std::deque<PendingFind> waiting;     // For a read that has not begun.
-  std::deque<PendingFind> being_read;  // By the read in progress.
-  bool read_in_progress = false;
-  bool reads_stale_rows = false;  // The read in progress.
-  absl::Time read_started_at = absl::InfinitePast();
-  int failed_reads = 0;  // In a row.
+  int failed_writes = 0;   // In a row.
+  uint64_t store_era = 0;  // 0 until the store has named one.
+
+  StreamVersionFinder finder;
+  StreamVersionSweeper sweeper;
 
   uint64_t records_written_count = 0;
   uint64_t records_refused = 0;
-  uint64_t read_count = 0;
   uint64_t unknown_count = 0;
-  uint64_t store_call_count = 0;
+  uint64_t write_count = 0;
 };
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/stream_versions.h
+++ b/cranberryhill/gateway/stream_versions.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include "absl/time/time.h"
+
 namespace cranberryhill::gateway {
 
 /// Not thread-safe.
@@ -25,10 +27,11 @@
                              std::string_view version) = 0;
 
   /// Finds the software version at which the attempt began its stream. Calls
-  /// `done` at once or within some hundred milliseconds; with nothing if nobody
-  /// knows.
+  /// `done` at once or within `wait`; with nothing if nobody knows.
+  /// @param wait Longest time that the caller's request may wait.
   virtual void Find(std::string_view service,
                     std::string_view attempt_id,
+                    absl::Duration wait,
                     Callback done) = 0;
 };
 
--- a/cranberryhill/gateway/virtual_store_test.h
+++ b/cranberryhill/gateway/virtual_store_test.h
@@ -55,6 +55,12 @@
     request.head.target = "read";
     return request;
   }
+  http1::OutgoingRequest EncodeReadRow(StoreTable,
+                                       std::string_view) const override {
+    http1::OutgoingRequest request;
+    request.head.target = "read";
+    return request;
+  }
   http1::OutgoingRequest EncodeWatch(StoreTable,
                                      uint64_t after,
                                      absl::Duration wait) const override {
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -36,8 +36,10 @@
 }
 
 std::optional<std::string> FakeStore::Find(std::string_view table,
-                                           std::string_view key) const {
-  auto found = this->rows.find({std::string(table), "", std::string(key)});
+                                           std::string_view key,
+                                           std::string_view part) const {
+  auto found = this->rows.find(
+      {std::string(table), std::string(part), std::string(key)});
   return found == this->rows.end() ? std::nullopt : found->second.value;
 }
 
@@ -124,6 +126,24 @@
       .dump();
 }
 
+std::string FakeStore::RowPage(std::string_view table,
+                               std::string_view part,
+                               std::string_view from,
+                               std::string_view limit) const {
+  json page = json::parse(this->Page(table, part, 0, false));
+  json rows = json::array();
+  for (json& row : page["rows"]) {
+    if (row["key"].get<std::string>() >= from)
+      rows.push_back(std::move(row));
+  }
+  if (!limit.empty() && rows.size() > std::stoull(std::string(limit))) {
+    rows.erase(rows.begin() + std::stoi(std::string(limit)), rows.end());
+    page["has-more"] = true;
+  }
+  page["rows"] = std::move(rows);
+  return page.dump();
+}
+
 std::shared_ptr<http1::ActiveRequest> FakeStore::OnRequest(
     http1::IncomingRequest request,
     std::shared_ptr<http1::Responder> responder) {
@@ -135,7 +155,9 @@
   } else if (this->is_down) {
     responder->SendWhole(this->Head(503), "");
   } else if (target.starts_with(kRowsGetPath)) {
-    this->SendPage(responder, this->Page(table, part, 0, false));
+    this->SendPage(responder,
+                   this->RowPage(table, part, Parameter(target, "from"),
+                                 Parameter(target, "limit")));
   } else if (target.starts_with(kRowsFeedPath)) {
     uint64_t after = std::stoull(Parameter(target, "after"));
     auto wait = absl::Milliseconds(std::stoi(Parameter(target, "wait-ms")));
--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -61,7 +61,8 @@
   void DropHistory() { this->history_from = this->version + 1; }
 
   std::optional<std::string> Find(std::string_view table,
-                                  std::string_view key) const;
+                                  std::string_view key,
+                                  std::string_view part = "") const;
 
   /// @return The values of all rows of a table in one part of the store.
   std::vector<std::string> Values(std::string_view table,
@@ -103,6 +104,12 @@
 
   void SendPage(const std::shared_ptr<http1::Responder>& responder,
                 const std::string& page);
+  /// @param from First key of the page.
+  /// @param limit Most rows of the page; empty for all.
+  std::string RowPage(std::string_view table,
+                      std::string_view part,
+                      std::string_view from,
+                      std::string_view limit) const;
   std::string Page(std::string_view table,
                    std::string_view part,
                    uint64_t after,
