gateway: an event stream on an idempotent route awaits its replica

Callers saw their answer end after the first event when its replica was silent for a second and another replica was free.

Cause: whether a request may move was decided by MayRepeat(), which is true for idempotent routes, while only a resumable stream can go on elsewhere once an event has been relayed. The send was ended after 1 s, and the stream was cut.

Evidence: event_stream_of_an_idempotent_route_awaits_its_replica failed on (the caller got event 1 of 2) and passes now. MayGoOnElsewhere() is asked for both reasons to leave a replica, no progress and no contact.

--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -171,6 +171,7 @@
   void ArmTimer();
   void OnTimer();
   void OnDeadline();
+  bool MayGoOnElsewhere() const;
   absl::Time NextTimeoutCheck() const;
   absl::Time NextSilenceCheck() const;
   absl::Time NextCheck() const;
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -30,10 +30,19 @@
                    expected * kFirstByteExpectedMultiple});
 }
 
+/// @return True if another replica could continue the request from here.
+bool Exchange::MayGoOnElsewhere() const {
+  if (this->stream_started) {
+    return this->route.kind == forward::RequestKind::kStream &&
+           this->route.resumable;
+  }
+  return this->route.MayRepeat();
+}
+
 absl::Time Exchange::NextTimeoutCheck() const {
   absl::Time next = this->deadline;
   bool may_move = this->phase == Phase::kPrefilling ||
-                  (this->phase == Phase::kRunning && this->route.MayRepeat());
+                  (this->phase == Phase::kRunning && this->MayGoOnElsewhere());
   if (!may_move)
     return next;
   absl::Duration limit =
@@ -71,7 +80,7 @@
   if (this->phase == Phase::kPrefilling ||
       this->context.reachability.IsLost(*this->replica))
     return true;
-  return this->route.MayRepeat() &&
+  return this->MayGoOnElsewhere() &&
          this->context.retry_budget(this->service).HasRoom() &&
          this->HasAlternativeReplica();
 }
