gateway: a silent prefill engine is awaited without retry budget

Callers were refused (503, retry_budget) when their prefill engine accepted no connection for a moment and the retry budget had no room.

Cause: MayLeaveSilentReplica() allowed every prefill to be ended at once, but the send that follows a failed prefill counts against the budget.

Evidence: silent_prefill_engine_is_awaited_without_retry_budget failed on (503) and passes now: without room in the budget the engine is left only when it has been silent for longer than a sound one.

--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -74,15 +74,15 @@
 }
 
 /// @return True if ending the send at an unreachable replica costs the caller
-///     nothing: the request can go on elsewhere, has not run, or gets no answer
-///     from this replica any more.
+///     nothing: the request can go on elsewhere, or gets no answer from this
+///     replica any more.
 bool Exchange::MayLeaveSilentReplica() {
-  if (this->phase == Phase::kPrefilling ||
-      this->context.reachability.IsLost(*this->replica))
+  if (this->context.reachability.IsLost(*this->replica))
     return true;
-  return this->MayGoOnElsewhere() &&
-         this->context.retry_budget(this->service).HasRoom() &&
-         this->HasAlternativeReplica();
+  if (!this->context.retry_budget(this->service).HasRoom())
+    return false;
+  return this->phase == Phase::kPrefilling ||
+         (this->MayGoOnElsewhere() && this->HasAlternativeReplica());
 }
 
 /// Probes the replica if it has been silent for longer than expected.
