gateway: a dropped limit of connections is lifted

Callers were refused (503, no_replica) under a configuration without max-connections, as long as replicas had as many requests as an earlier configuration had allowed.

Cause: services without a limit were skipped when the shares were updated, so the share of the earlier configuration stayed.

Evidence: dropped_limit_of_connections_is_lifted failed on (the fifth request at two replicas was not sent within 10 s) and passes now.

--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -521,8 +521,11 @@
   if (this->routes == nullptr)
     return;
   for (const auto& service : this->routes->configuration().services) {
-    if (service.max_connections == 0)
+    if (service.max_connections == 0) {
+      this->replicas.SetConnectionShare(service.name,
+                                        forward::kUnlimitedConnections);
       continue;
+    }
     double connections = this->OwnShareOf(service.max_connections);
     this->replicas.SetConnectionShare(
         service.name, static_cast<int>(std::max(kMinConnections, connections)));
