gateway: a request returns to its silent replica if the move fails

Callers saw a resumable stream cut, or a 502 for an idempotent request, after their replica had been silent for 1 s (0.4 s before the first byte) and the replica to which the request was moved refused it, failed or broke off. The first replica would have gone on.

Cause: the first send is ended before the move, and a replica that was left is excluded; when no other replica may be tried, nobody is asked any more.

A request that would end unanswered is sent once more to the replica that it left for its silence, within the retry budget. That is no further replica of the route's attempts, and a stream goes on after its last event.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -131,6 +131,8 @@
     return this->Refuse("no_time_left", kDefaultRetryAfter);
   forward::PlacementChoice choice = this->ChooseReplica();
   if (choice.replica == nullptr) {
+    if (this->ReturnToSilentReplica())
+      return;
     NextOpening opening = this->FindNextOpening();
     return this->Refuse(opening.reason,
                         std::max(kDefaultRetryAfter, opening.wait));
@@ -647,6 +649,12 @@
           .Add("budget_left", budget_left)
           .Add("next", NextStepName(step)));
   this->excluded_replicas.push_back(failed->entry.id);
+  bool ends_unanswered = step == forward::NextStep::kAnswerUnknown ||
+                         step == forward::NextStep::kCutStream;
+  if (ends_unanswered && budget_left && this->ReturnToSilentReplica())
+    return;
+  if (outcome == forward::AttemptOutcome::kTimedOut)
+    this->silent_replica = failed;
   switch (step) {
     case forward::NextStep::kSendAgain:
     case forward::NextStep::kResume:
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -168,6 +168,7 @@
   void ReleaseCache();
 
   bool HasAlternativeReplica();
+  bool ReturnToSilentReplica();
   void ArmTimer();
   void OnTimer();
   void OnDeadline();
@@ -212,6 +213,8 @@
   absl::Time deadline;
   forward::AttemptPolicy attempt_policy;
   std::vector<std::string> excluded_replicas;
+  // The last replica that was left because nothing came from it.
+  std::shared_ptr<forward::Replica> silent_replica;
 
   Phase phase = Phase::kIdle;
   std::shared_ptr<forward::Replica> replica;  // Receives the send in progress.
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -149,4 +149,33 @@
       });
 }
 
+/// Sends a request that no other replica has answered to the one that it has
+/// left for its silence, which may have been that of a sound replica.
+/// @return False if it cannot be sent there.
+bool Exchange::ReturnToSilentReplica() {
+  std::shared_ptr<forward::Replica> target =
+      std::exchange(this->silent_replica, nullptr);
+  // A limited replica takes few requests, and a repeated one is not worth one
+  // of them.
+  if (target == nullptr ||
+      this->context.replica_limits.RateOf(target->entry.id) ||
+      !this->context.retry_budget(this->service).HasRoom() ||
+      this->OutlastsShutdown())
+    return false;
+  auto open_replicas = this->OpenReplicas();
+  if (std::find(open_replicas.begin(), open_replicas.end(), target) ==
+      open_replicas.end())
+    return false;
+  if (this->RefuseIfItCrashesReplicas())
+    return true;
+  std::erase(this->excluded_replicas, target->entry.id);
+  this->context.metrics.CountDecision("returned_to_silent_replica");
+  this->context.log.Write(this->MakeLogEvent("returned_to_silent_replica")
+                              .Add("replica", target->entry.id));
+  this->chosen_at = this->Now();
+  this->StartRun(std::move(target), this->caller_request.prompt.prompt_tokens,
+                 "");
+  return true;
+}
+
 }  // namespace cranberryhill::gateway
