gateway: a second send awaits the only replica that is left

Callers got a 502 when the answer of one replica broke and the only other one accepted no connection for more than 300 ms.

Cause: the time limit for a connection assumes that another replica can be tried. Without one, and once the request may have run, the request ended though a sound replica accepts connections again after a second.

The limit is 1.5 s in this case, which covers the first packet that is resent; a request that can be refused is still refused early.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -287,7 +287,8 @@
           .Add("configuration", this->routes->configuration().version));
   http1::RequestHead head =
       this->context.wire.EncodeForwardedHead(this->request.head, fields);
-  http1::SendOptions options{kConnectTimeout,
+  this->connect_timeout = this->ConnectTimeout();
+  http1::SendOptions options{this->connect_timeout,
                              this->request.head.method == "HEAD"};
   this->ArmTimer();
   auto self = this->shared_from_this();
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -168,11 +168,13 @@
   void ReleaseCache();
 
   bool HasAlternativeReplica();
+  bool HasOtherReplica();
   bool ReturnToSilentReplica();
   void ArmTimer();
   void OnTimer();
   void OnDeadline();
   bool MayGoOnElsewhere() const;
+  absl::Duration ConnectTimeout();
   absl::Time NextTimeoutCheck() const;
   absl::Time NextSilenceCheck() const;
   absl::Time NextCheck() const;
@@ -231,6 +233,7 @@
   // Software version that began the stream; unset before its first event.
   std::optional<std::string> stream_version;
   absl::Time sent_at;
+  absl::Duration connect_timeout = kConnectTimeout;  // Of this send.
   absl::Time last_progress_at;
   absl::Time silence_checked_at = absl::InfinitePast();
   absl::Duration expected_first_byte;  // Estimated when the replica was chosen.
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -134,8 +134,12 @@
   bool may_move = this->phase == Phase::kPrefilling ||
                   this->attempt_policy.replicas().size() <
                       static_cast<size_t>(this->route.max_replicas);
-  if (!may_move)
-    return false;
+  return may_move && this->HasOtherReplica();
+}
+
+/// @return True if another replica than that of the send in progress takes
+///     requests and has not failed this one.
+bool Exchange::HasOtherReplica() {
   absl::Time now = this->Now();
   auto usable_replicas = this->OpenReplicas();
   return std::any_of(
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -19,6 +19,9 @@
 /// another send would only lengthen the queue.
 constexpr double kFirstByteExpectedMultiple = 4.0;
 constexpr absl::Duration kMinFirstByteTimeout = absl::Milliseconds(300);
+/// Time limit for a connection if a request that may have run has no other
+/// replica left: the first packet that is resent, after a second, still counts.
+constexpr absl::Duration kLongestConnectTimeout = absl::Milliseconds(1500);
 /// Interval between checks whether a silent replica is unreachable.
 constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(100);
 
@@ -39,6 +42,15 @@
   return this->route.MayRepeat();
 }
 
+/// @return Time limit for opening a connection for the send that begins.
+absl::Duration Exchange::ConnectTimeout() {
+  bool may_be_refused =
+      !this->stream_started && !this->attempt_policy.MayHaveRun();
+  if (may_be_refused || this->HasOtherReplica())
+    return kConnectTimeout;
+  return kLongestConnectTimeout;
+}
+
 absl::Time Exchange::NextTimeoutCheck() const {
   absl::Time next = this->deadline;
   bool may_move = this->phase == Phase::kPrefilling ||
@@ -57,7 +69,7 @@
                                 : this->expected_first_byte;
   // Until then a connection may still be opened; if that fails, the request has
   // certainly not run.
-  absl::Time connected_at = this->sent_at + kConnectTimeout * 1.1;
+  absl::Time connected_at = this->sent_at + this->connect_timeout * 1.1;
   return std::max(
       {this->last_progress_at + expected + forward::kSilenceTolerance,
        this->silence_checked_at + kSilenceCheckInterval, connected_at});
