gateway: a request leaves its replica only with a permit for the next

Callers got a 502 when their replica was slow and the only other one was limited and took no further request.

Cause: a limited replica counted as an alternative before a permit was held. The send was ended, the permit was denied, and nothing was left.

The permit is acquired while the first send goes on; when it arrives later, the request moves then unless its replica has answered.

--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -168,7 +168,8 @@
   void ReleaseCache();
 
   bool HasAlternativeReplica();
-  bool HasOtherReplica();
+  void ReservePermit(const std::string& id);
+  std::vector<std::shared_ptr<forward::Replica>> OtherReplicas();
   bool ReturnToSilentReplica();
   void ArmTimer();
   void OnTimer();
@@ -236,6 +237,7 @@
   absl::Duration connect_timeout = kConnectTimeout;  // Of this send.
   absl::Time last_progress_at;
   absl::Time silence_checked_at = absl::InfinitePast();
+  bool move_is_due = false;  // A permit to leave the replica has arrived.
   absl::Duration expected_first_byte;  // Estimated when the replica was chosen.
   absl::Duration first_byte_timeout;   // Longest wait for the first byte.
   int prefill_attempts = 0;
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -134,25 +134,57 @@
   bool may_move = this->phase == Phase::kPrefilling ||
                   this->attempt_policy.replicas().size() <
                       static_cast<size_t>(this->route.max_replicas);
-  return may_move && this->HasOtherReplica();
+  if (!may_move)
+    return false;
+  auto others = this->OtherReplicas();
+  // A limited replica may not take the request, so its permit comes first.
+  auto is_certain = [this](const auto& other) {
+    const std::string& id = other->entry.id;
+    return !this->context.replica_limits.RateOf(id) ||
+           this->context.send_permits.HasUnused(id);
+  };
+  if (std::any_of(others.begin(), others.end(), is_certain))
+    return true;
+  if (others.empty())
+    return false;
+  this->ReservePermit(others.front()->entry.id);
+  return is_certain(others.front());
 }
 
-/// @return True if another replica than that of the send in progress takes
-///     requests and has not failed this one.
-bool Exchange::HasOtherReplica() {
-  absl::Time now = this->Now();
-  auto usable_replicas = this->OpenReplicas();
-  return std::any_of(
-      usable_replicas.begin(), usable_replicas.end(), [&](const auto& other) {
-        const std::string& id = other->entry.id;
-        return other->entry.role == this->replica->entry.role &&
-               id != this->replica->entry.id && now >= other->avoid_until &&
-               std::find(this->excluded_replicas.begin(),
-                         this->excluded_replicas.end(),
-                         id) == this->excluded_replicas.end();
+/// Acquires a permit that the request can use when it leaves its replica.
+void Exchange::ReservePermit(const std::string& id) {
+  this->context.send_permits.Acquire(
+      id, [weak = this->weak_from_this(), &context = this->context, id,
+           sent_at = this->sent_at, asked_at = this->Now()](bool granted) {
+        if (!granted)
+          return;
+        context.send_permits.Return(id);
+        auto self = weak.lock();
+        // The permit ends before the next regular check.
+        if (self != nullptr && self->connection != nullptr &&
+            self->sent_at == sent_at && self->Now() > asked_at &&
+            self->last_progress_at <= asked_at) {
+          self->move_is_due = true;
+          self->OnTimer();
+        }
       });
 }
 
+/// @return The other replicas that take requests and have not failed this one.
+std::vector<std::shared_ptr<forward::Replica>> Exchange::OtherReplicas() {
+  absl::Time now = this->Now();
+  auto replicas = this->OpenReplicas();
+  std::erase_if(replicas, [&](const auto& other) {
+    const std::string& id = other->entry.id;
+    return other->entry.role != this->replica->entry.role ||
+           id == this->replica->entry.id || now < other->avoid_until ||
+           std::find(this->excluded_replicas.begin(),
+                     this->excluded_replicas.end(),
+                     id) != this->excluded_replicas.end();
+  });
+  return replicas;
+}
+
 /// Sends a request that no other replica has answered to the one that it has
 /// left for its silence, which may have been that of a sound replica.
 /// @return False if it cannot be sent there.
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -46,7 +46,7 @@
 absl::Duration Exchange::ConnectTimeout() {
   bool may_be_refused =
       !this->stream_started && !this->attempt_policy.MayHaveRun();
-  if (may_be_refused || this->HasOtherReplica())
+  if (may_be_refused || !this->OtherReplicas().empty())
     return kConnectTimeout;
   return kLongestConnectTimeout;
 }
@@ -153,7 +153,8 @@
   if (this->connection != nullptr && now < this->deadline &&
       this->GiveUpOnUnreachableReplica())
     return;
-  if (now < this->NextTimeoutCheck())
+  bool move_is_due = std::exchange(this->move_is_due, false);
+  if (now < this->NextTimeoutCheck() && !move_is_due)
     return this->ArmTimer();
   bool deadline_passed = now >= this->deadline;
   if (!deadline_passed) {
--- a/cranberryhill/gateway/send_permits.cc
+++ b/cranberryhill/gateway/send_permits.cc
@@ -51,13 +51,17 @@
     return absl::ZeroDuration();
   absl::Time now = this->clock.Now();
   const Holding& holding = found->second;
-  bool has_unused =
-      !holding.unused_until.empty() && holding.unused_until.back() > now;
-  return has_unused
+  return this->HasUnused(replica)
              ? absl::ZeroDuration()
              : std::max(absl::ZeroDuration(), holding.closed_until - now);
 }
 
+bool SendPermits::HasUnused(std::string_view replica) const {
+  auto found = this->holdings.find(replica);
+  return found != this->holdings.end() && !found->second.unused_until.empty() &&
+         found->second.unused_until.back() > this->clock.Now();
+}
+
 void SendPermits::Acquire(std::string_view replica, Callback done) {
   if (!this->limits.RateOf(replica))
     return done(true);
--- a/cranberryhill/gateway/send_permits.h
+++ b/cranberryhill/gateway/send_permits.h
@@ -67,6 +67,9 @@
   ///     had now.
   absl::Duration TimeToOpen(std::string_view replica) const;
 
+  /// @return True if a permit for the replica has been granted and not used.
+  bool HasUnused(std::string_view replica) const;
+
   /// Asks for a permit to send one request to the replica now.
   /// @param done Called once, within a few ten milliseconds, and from within
   ///     this call where no other instance has to be asked.
