gateway: a request that may have run awaits a free connection

Callers got a 502 when the answer of one replica broke after a change of the configuration that allowed fewer connections than were in use: the other replica had requests, but no connection for this one.

Cause: a replica at its limit of connections is no candidate, and a request without a candidate ends, although it may have run and cannot be refused.

Such a request looks for a free connection every 20 ms until its deadline. A request that has not run is still refused at once.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -131,7 +131,7 @@
     return this->Refuse("no_time_left", kDefaultRetryAfter);
   forward::PlacementChoice choice = this->ChooseReplica();
   if (choice.replica == nullptr) {
-    if (this->ReturnToSilentReplica())
+    if (this->ReturnToSilentReplica() || this->AwaitFreeConnection())
       return;
     NextOpening opening = this->FindNextOpening();
     return this->Refuse(opening.reason,
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -117,6 +117,7 @@
     kIdle,
     kFindingVersion,
     kAwaitingPermit,
+    kAwaitingConnection,
     kPrefilling,
     kRunning,
     kDone
@@ -171,7 +172,10 @@
   void ReservePermit(const std::string& id);
   std::vector<std::shared_ptr<forward::Replica>> OtherReplicas();
   bool ReturnToSilentReplica();
+  bool AwaitFreeConnection();
+  void EndConnectionWait();
   void ArmTimer();
+  void ArmTimerAt(absl::Time next);
   void OnTimer();
   void OnDeadline();
   bool MayGoOnElsewhere() const;
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -19,6 +19,8 @@
 /// at this many times their slots, so that they do not fail under all of the
 /// load: as many wait as are served.
 constexpr double kMaxLoadOfOpenReplica = 2;
+/// Interval between checks whether a connection to a replica has become free.
+constexpr absl::Duration kConnectionCheckInterval = absl::Milliseconds(20);
 /// Callers that are refused until a replica opens return within this time.
 constexpr absl::Duration kReturnSpread = absl::Milliseconds(300);
 
@@ -185,6 +187,41 @@
   return replicas;
 }
 
+/// Waits for a replica that has as many requests as it allows connections, if
+/// the request may have run and thus cannot be refused.
+/// @return False if there is no such replica.
+bool Exchange::AwaitFreeConnection() {
+  if (!this->stream_started && !this->attempt_policy.MayHaveRun())
+    return false;
+  absl::Time now = this->Now();
+  auto members = this->context.replicas.Members(this->service);
+  bool are_in_use =
+      std::any_of(members.begin(), members.end(), [&](const auto& replica) {
+        return replica->outstanding >= replica->connection_share &&
+               replica->entry.role != EngineRole::kPrefill &&
+               !replica->unreachable && !replica->WantsNoRequests(now) &&
+               this->MayWriteStream(*replica) &&
+               std::find(this->excluded_replicas.begin(),
+                         this->excluded_replicas.end(),
+                         replica->entry.id) == this->excluded_replicas.end();
+      });
+  if (!are_in_use)
+    return false;
+  this->phase = Phase::kAwaitingConnection;
+  this->ArmTimerAt(now + kConnectionCheckInterval);
+  return true;
+}
+
+void Exchange::EndConnectionWait() {
+  this->phase = Phase::kIdle;
+  // Other requests may have used the room that this one had before its wait.
+  if (this->context.retry_budget(this->service).HasRoom())
+    return this->SendToNextReplica();
+  if (this->Now() < this->deadline && this->AwaitFreeConnection())
+    return;
+  this->Refuse("retry_budget", absl::ZeroDuration());
+}
+
 /// Sends a request that no other replica has answered to the one that it has
 /// left for its silence, which may have been that of a sound replica.
 /// @return False if it cannot be sent there.
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -128,7 +128,10 @@
 }
 
 void Exchange::ArmTimer() {
-  absl::Time next = this->NextCheck();
+  this->ArmTimerAt(this->NextCheck());
+}
+
+void Exchange::ArmTimerAt(absl::Time next) {
   if (next >= this->timer_expires_at)
     return;
   this->timer_expires_at = next;
@@ -149,6 +152,8 @@
   if (this->phase == Phase::kDone || this->phase == Phase::kAwaitingPermit)
     return;
   auto self = this->shared_from_this();
+  if (this->phase == Phase::kAwaitingConnection)
+    return this->EndConnectionWait();
   absl::Time now = this->Now();
   if (this->connection != nullptr && now < this->deadline &&
       this->GiveUpOnUnreachableReplica())
