soak: play releases of software versions beside instances out of step

The stand-ins and the soak played one software version only, so no stream of two versions and no take-up could be seen.

Four spare engines join at a new version under new ids; they leave again, or the old ones leave, announced or not, and return under their ids at the new version. A single engine may restart under its id at another version. Events name the version that wrote them. Meanwhile one gateway is stopped, cut off from the store and the others, or both; datagrams between gateways pass a proxy now, for which each gateway reads the proxy's addresses in the rows of the others. Engines break off streams, and replicas are silent for a second.

Callers take broken streams up again at another gateway with Last-Event-Id and Resumes. The ledger checks that no stream holds events of two versions, that events follow each other over all requests for a stream, and that streams go on at least half as often as new ones begin.

Callers reuse connections that were idle for at most four fifths of the idle limit, as the users' callers do.

The faults of a seed that were drawn before are the same as before.

--- a/programs/gateway_soak.cc
+++ b/programs/gateway_soak.cc
@@ -42,6 +42,13 @@
 /// Without any work; all requests must be served.
 constexpr absl::Duration kCalmPart = absl::Seconds(3);
 constexpr absl::Duration kAfterPlannedWork = absl::Seconds(5);
+/// Releases beside gateways that are out of step. An instance takes a version
+/// for the only one after 15 s without another, so the first release after the
+/// faults is here.
+constexpr absl::Duration kReleasePart = absl::Seconds(12);
+constexpr absl::Duration kReleaseGap = absl::Seconds(6);
+/// For which a sound replica may be silent.
+constexpr absl::Duration kSilence = absl::Seconds(1);
 /// The last requests end.
 constexpr absl::Duration kTail = absl::Seconds(7);
 constexpr std::chrono::milliseconds kTick(5);
@@ -146,10 +153,65 @@
       add({at, this->calm_from + kCalmPart / 2 - at, FaultKind::kReplicaLimited,
            limit_random.UniformInt(0, 1000)});
     }
+    this->PlanReleases(faults, add);
     std::stable_sort(this->steps.begin(), this->steps.end(),
                      [](const Step& a, const Step& b) { return a.at < b.at; });
   }
 
+  /// Drawn apart, so that the other faults of a seed stay the same.
+  template <typename Add>
+  void PlanReleases(absl::Duration faults, const Add& add) {
+    SeededRandom release_random(absl::GetFlag(FLAGS_seed) + 5);
+    auto target = [&] { return release_random.UniformInt(0, 1000); };
+    auto one_of = [&](const std::vector<FaultKind>& kinds) {
+      return kinds.at(release_random.UniformInt(0, kinds.size() - 1));
+    };
+    const std::vector<FaultKind> releases = {FaultKind::kReleaseWithdrawn,
+                                             FaultKind::kReleaseCompleted};
+    // Among the faults.
+    add({faults * 0.1, faults * 0.8, FaultKind::kStreamsBreak, 0});
+    for (double at = 0.05; at < 0.8; at += 0.3) {
+      double lasts = 0.1 + 0.15 * release_random.UniformDouble();
+      add({faults * at, faults * lasts, one_of(releases), target()});
+      FaultKind beside =
+          one_of({FaultKind::kCutOff, FaultKind::kCutOffInbound,
+                  FaultKind::kCutOffOutbound, FaultKind::kStoreLinkOutbound,
+                  FaultKind::kPauseThenCutOff, FaultKind::kReplicaReturns,
+                  FaultKind::kReplicaCuts, FaultKind::kReplicaPauses});
+      add({faults * (at + 0.05),
+           beside == FaultKind::kReplicaPauses ? kSilence : faults * lasts,
+           beside, target()});
+    }
+    // In a part of their own.
+    this->releases_end = this->calm_from + kCalmPart + kReleasePart;
+    absl::Duration from = this->calm_from + kCalmPart;
+    add({from, kReleasePart, FaultKind::kStreamsBreak, 0});
+    for (absl::Duration at = from; at < this->releases_end; at += kReleaseGap) {
+      auto seconds = [&](double shortest, double longest) {
+        return absl::Seconds(shortest + (longest - shortest) *
+                                            release_random.UniformDouble());
+      };
+      absl::Duration joins = at + seconds(0.3, 1);
+      add({at, seconds(1, 5),
+           one_of({FaultKind::kPause, FaultKind::kCutOff, FaultKind::kCutOff,
+                   FaultKind::kCutOffInbound, FaultKind::kCutOffOutbound,
+                   FaultKind::kStoreLinkSilent, FaultKind::kStoreLinkOneWay,
+                   FaultKind::kStoreLinkOutbound, FaultKind::kPauseThenCutOff,
+                   FaultKind::kPauseThenCutOff}),
+           target()});
+      add({joins, seconds(3, 4.5), one_of(releases), target()});
+      add({joins, seconds(0.5, 1.5),
+           one_of({FaultKind::kReplicaPauses, FaultKind::kReplicaCuts,
+                   FaultKind::kHangUp, FaultKind::kConfigure,
+                   FaultKind::kTerminate, FaultKind::kCallerLinkReset}),
+           target()});
+      if (release_random.UniformInt(0, 2) == 0) {
+        add({joins + absl::Seconds(4.7), seconds(0.3, 0.5),
+             FaultKind::kReplicaReturns, target()});
+      }
+    }
+  }
+
   void Tick() {
     absl::Duration now = this->clock.Now() - this->began;
     while (this->next_step < this->steps.size() &&
@@ -167,12 +229,13 @@
     }
     this->fleet.Tick();
     this->callers->Tick();
-    bool sending = now < this->calm_from + kCalmPart;
+    bool sending = now < this->releases_end;
+    absl::Duration calm_end = this->calm_from + kCalmPart;
     auto due = static_cast<int64_t>(absl::ToDoubleSeconds(now) *
                                     absl::GetFlag(FLAGS_rate));
     for (; sending && this->sent < due; ++this->sent)
-      this->callers->SendOne(now >= this->calm_from);
-    if (now > this->calm_from + kCalmPart + kTail)
+      this->callers->SendOne(now >= this->calm_from && now < calm_end);
+    if (now > this->releases_end + kTail)
       return this->io.stop();
     this->timer.expires_after(kTick);
     this->timer.async_wait([this](boost::system::error_code) { this->Tick(); });
@@ -191,6 +254,7 @@
   absl::Duration restart_all_at;
   absl::Duration planned_from;
   absl::Duration calm_from;
+  absl::Duration releases_end;
   int64_t sent = 0;
 };
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -2,10 +2,14 @@
 #define SOAK_CALLERS_H_
 
 // Callers of the gateways: an open loop of requests on connections that are
-// kept until the gateway's end closes them.
+// kept for up to four fifths of the idle limit. Streams that break off are
+// taken up again at other gateways.
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -40,8 +44,33 @@
 
  private:
   class Call;
+  struct Kind;
+  /// What the caller has of a stream.
+  struct Stream {
+    std::string id;  // Of the request that brought the first event.
+    absl::Time began;
+    int events = 0;
+    std::set<std::string> versions;
+    size_t gateway = 0;  // The last one that was asked.
+    int take_ups = 0;
+  };
+  struct IdleConnection {
+    std::shared_ptr<http1::ClientConnection> link;
+    absl::Time since;
+  };
+
+  static const std::array<Kind, 5> kKinds;
 
   std::shared_ptr<http1::ClientConnection> Acquire(size_t gateway);
+  void Send(const Kind& kind,
+            size_t gateway,
+            absl::Duration time_left,
+            bool after_recovery,
+            const Stream* taken_up);
+  void TakeUpLater(Stream stream, absl::Duration wait);
+  void TakeUp(Stream stream);
+  void ContinueStream(Call& call, const StreamPart& part);
+  void BreakSoon(const Call& call);
   void OnEnd(Call& call, http1::AnswerEnd end);
 
   boost::asio::io_context& io;
@@ -49,7 +78,7 @@
   Random& random;
   Fleet& fleet;
   Ledger& ledger;
-  std::vector<std::vector<std::shared_ptr<http1::ClientConnection>>> kept;
+  std::vector<std::vector<IdleConnection>> kept;
   std::vector<std::shared_ptr<Call>> calls;
   uint64_t next_id = 0;
 };
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -12,6 +12,7 @@
 
 #include "cranberryhill/base/hash.h"
 #include "platform/names.h"
+#include "soak/fleet_members.h"
 #include "soak/soak_address.h"
 
 namespace cranberryhill::soak {
@@ -19,7 +20,6 @@
 
 namespace asio = boost::asio;
 using nlohmann::json;
-using platform::FakeReplica;
 
 /// Time of plain work, and between two events of a stream.
 constexpr int kShortestWorkMs = 3;
@@ -43,8 +43,6 @@
 /// Entries that lapsed with the store are back this long after it.
 constexpr absl::Duration kEntriesBack = absl::Milliseconds(1500);
 constexpr std::chrono::milliseconds kLinkDelay(120);
-/// A replica that announced its leaving gets nothing new after this time.
-constexpr absl::Duration kDrainTime = absl::Seconds(3);
 /// Time to stop after SIGTERM, and what more is granted for a busy machine.
 constexpr int kShutdownSeconds = 4;
 constexpr absl::Duration kLongestStop = absl::Seconds(12);
@@ -55,6 +53,9 @@
 constexpr uint16_t kFirstPort = 20000;
 constexpr uint16_t kPortsPerGateway = 3;
 constexpr std::string_view kLongBody = "0123456789abcdef";
+constexpr std::string_view kVersionField = "event: ";
+/// An engine that breaks off streams does so after this many events.
+constexpr int kEventsBeforeCut = 2;
 
 bool Listen(http1::Server& server) {
   return Capture([&]() -> Result<bool> {
@@ -68,8 +69,14 @@
   return 3 + static_cast<int>(StableHash(id) % 10);
 }
 
-std::string EventText(std::string_view id, int number) {
-  return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+/// @param version Names the software version of the replica that writes it;
+///     left out if it is empty.
+std::string EventText(std::string_view id,
+                      int number,
+                      std::string_view version) {
+  std::string mark =
+      version.empty() ? std::string() : fmt::format("event: {}\n", version);
+  return fmt::format("id: {}\n{}data: {} {}\n\n", number, mark, id, number);
 }
 
 /// @return A head whose signature is its status, so that callers can compare.
@@ -99,11 +106,11 @@
 
 }  // namespace
 
-std::string ExpectedBody(std::string_view id, bool stream) {
+std::string ExpectedBody(std::string_view id, bool stream, int first_event) {
   std::string body;
   if (stream) {
-    for (int number = 1; number <= EventCount(id); ++number)
-      body += EventText(id, number);
+    for (int number = first_event; number <= EventCount(id); ++number)
+      body += EventText(id, number, "");
     return body;
   }
   body = fmt::format("answer to {} ", id);
@@ -112,44 +119,30 @@
   return body;
 }
 
-struct Fleet::Server {
-  enum class Mode { kOk, kErrors, kRefuses, kBreaks, kHangs };
-
-  std::string id;
-  platform::ReplicaRow row;
-  FakeReplica handler;
-  std::unique_ptr<http1::Server> server;
-  std::unique_ptr<LinkProxy> link;
-  Mode mode = Mode::kOk;
-  int orders = 0;
-  bool crashing = false;  // It has crashed, or is about to.
-  absl::Time draining_since = absl::InfiniteFuture();
-  std::vector<std::shared_ptr<http1::Responder>> unanswered;
-  std::optional<double> requests_per_s;  // Named in all answers while set.
-  absl::Time limited_since = absl::InfiniteFuture();
-  std::map<size_t, absl::Time> told;  // Gateways that got such an answer.
-  bool says_leaving = false;
-  bool closed = false;
-  absl::Time link_disturbed_at = absl::InfinitePast();
-  std::map<size_t, absl::Time> told_of_leaving;
-  struct Closing {
-    absl::Time told_at;
-    absl::Time until;
-    int early = 0;  // Arrivals before that.
-  };
-  std::map<size_t, Closing> told_to_come_back;
-};
-
-struct Fleet::Member {
-  std::string id;
-  std::unique_ptr<GatewayProcess> process;
-  std::unique_ptr<LinkProxy> callers;
-  std::unique_ptr<LinkProxy> store;
-  Disturbance disturbance;
-  absl::Time started_at;
-  bool may_end = false;  // It was killed or told to stop.
-  absl::Time told_to_stop_at = absl::InfiniteFuture();
-};
+StreamPart ParseStream(std::string_view body) {
+  StreamPart part;
+  std::string version;
+  while (!body.empty()) {
+    size_t newline = body.find('\n');
+    std::string_view line = body.substr(0, newline);
+    body.remove_prefix(line.size());
+    bool ends = newline != std::string_view::npos;
+    if (line.starts_with('e')) {
+      version = line.substr(std::min(line.size(), kVersionField.size()));
+    } else {
+      part.body.append(line);
+      part.body.append(ends ? "\n" : "");
+    }
+    if (!ends)
+      break;
+    body.remove_prefix(1);
+    if (!line.empty())
+      continue;
+    ++part.events;
+    part.versions.insert(version);
+  }
+  return part;
+}
 
 Fleet::Fleet(asio::io_context& io,
              const Clock& clock,
@@ -161,20 +154,27 @@
       random(random),
       ledger(ledger),
       options(std::move(options)),
-      store_server(io, clock, store, {}) {}
+      peers(io) {}
 
 Fleet::~Fleet() = default;
 
 bool Fleet::Start() {
-  bool started = Listen(this->store_server);
+  bool started = true;
   for (int i = 1; i <= 3; ++i)
     started = started && this->AddServer(fmt::format("desk-{}", i), kDesk, "");
   for (int i = 1; i <= 2; ++i)
     started = started && this->AddServer(fmt::format("shop-{}", i), kShop, "");
-  for (int i = 1; i <= 6; ++i) {
+  for (size_t i = 1; i <= kDrawnEngines; ++i) {
     started = started && this->AddServer(fmt::format("lm-{}", i), kEngines,
                                          i <= 4 ? "prefill" : "decode");
   }
+  this->drawn_servers = this->servers.size();
+  for (int i = 1; i <= kSpareEngines; ++i) {
+    started = started && this->AddServer(fmt::format("lm-spare-{}", i),
+                                         kEngines, "decode");
+    if (started)
+      this->MakeSpare(*this->servers.back());
+  }
   if (!started)
     return false;
   this->Configure();
@@ -182,6 +182,11 @@
     if (!this->AddMember(i))
       return false;
   }
+  for (const auto& member : this->members) {
+    if (!member->process->Start())
+      return false;
+    member->started_at = this->clock.Now();
+  }
   return true;
 }
 
@@ -192,6 +197,7 @@
   server->id = std::string(id);
   server->row.service = std::string(service);
   server->row.stage = std::string(stage);
+  server->first_stage = server->row.stage;
   server->row.slots = stage.empty() ? 6 : 24;
   server->handler.work =
       [this, raw = server.get()](
@@ -213,12 +219,20 @@
 
 bool Fleet::AddMember(size_t index) {
   auto member = std::make_unique<Member>();
-  member->id = fmt::format("entry-{}", index + 1);
+  member->id = GatewayId(index);
   auto first_port =
       static_cast<uint16_t>(kFirstPort + kPortsPerGateway * index);
   member->callers = std::make_unique<LinkProxy>(this->io, first_port);
+  member->store_view =
+      std::make_unique<StoreView>(this->store, this->peers, index);
+  member->store_server = std::make_unique<http1::Server>(
+      this->io, this->clock, *member->store_view, http1::ServerLimits{});
+  if (!Listen(*member->store_server))
+    return false;
   member->store =
-      std::make_unique<LinkProxy>(this->io, this->store_server.port());
+      std::make_unique<LinkProxy>(this->io, member->store_server->port());
+  if (!this->peers.Add(static_cast<uint16_t>(first_port + 2)))
+    return false;
   auto address = [](uint16_t port) {
     return fmt::format("{}:{}", SoakAddress().to_string(), port);
   };
@@ -239,16 +253,20 @@
   member->process = std::make_unique<GatewayProcess>(
       this->options.binary, path,
       fmt::format("{}/{}.log", this->options.directory, member->id));
-  member->started_at = this->clock.Now();
-  bool started = member->process->Start();
   this->members.push_back(std::move(member));
-  return started;
+  return true;
 }
 
 uint16_t Fleet::CallerPort(size_t gateway) const {
   return this->members.at(gateway)->callers->port();
 }
 
+bool Fleet::InTouch(size_t gateway, absl::Time from) const {
+  const Member& member = *this->members.at(gateway);
+  return this->Undisturbed(gateway, from) && member.started_at < from &&
+         member.told_to_stop_at == absl::InfiniteFuture();
+}
+
 bool Fleet::Undisturbed(size_t gateway, absl::Time from) const {
   return this->shared.CalmSince(from) &&
          this->members.at(gateway)->disturbance.CalmSince(from);
@@ -278,6 +296,7 @@
   };
   json configuration = {
       {"version", this->version},
+      {"limits", {{"idle-timeout-ms", absl::ToInt64Milliseconds(kIdleLimit)}}},
       {"routes",
        {route("look", "idempotent", kDesk),
         route("book", "non_idempotent", kDesk),
@@ -294,6 +313,8 @@
 }
 
 void Fleet::Publish(Server& server) {
+  if (!server.listed)
+    return;
   server.row.zone = StableHash(server.id) % 2 == 0 ? "a" : "b";
   this->store.Set("servers", server.id, server.row.Text());
   ++server.row.sequence;
@@ -316,6 +337,8 @@
     json report = {{"stage", server.row.stage},
                    {"busy", false},
                    {"sequence", server.orders}};
+    if (server.row.started_ms != 0)
+      report["born"] = server.row.started_ms;
     return responder->SendWhole({200, "", {}}, report.dump());
   }
   if (target == platform::kOrderPath)
@@ -483,7 +506,7 @@
   });
   this->After(kCrashTime, [this, &server] {
     server.crashing = false;
-    server.link->SetListening(true);
+    server.link->SetListening(server.running);
     --this->shared.active;
     this->shared.ended_at = this->clock.Now();
   });
@@ -500,11 +523,13 @@
                        this->clock.Now());
   ++server.orders;
   responder.SendWhole({202, "", {}}, "");
-  this->After(kOrderTime,
-              [this, &server, stage = order["stage"].get<std::string>()] {
-                server.row.stage = stage;
-                this->Publish(server);
-              });
+  this->After(kOrderTime, [this, &server, generation = server.generation,
+                           stage = order["stage"].get<std::string>()] {
+    if (server.generation != generation)
+      return;
+    server.row.stage = stage;
+    this->Publish(server);
+  });
 }
 
 void Fleet::ReadPrompt(Server& server,
@@ -532,19 +557,32 @@
   http1::AnswerHead head = this->HeadOf(server, id, 200);
   head.headers.Add("Content-Type", "text/event-stream");
   responder->BeginStream(std::move(head));
-  int last = EventCount(id);
-  bool breaks = server.mode != Server::Mode::kOk;
-  for (int number = first_event; number <= last; ++number) {
+  const SentRequest* sent = this->ledger.Find(id);
+  std::string stream_id(sent == nullptr ? id : sent->stream_id());
+  int last = EventCount(stream_id);
+  bool cuts = server.mode == Server::Mode::kCuts;
+  int stop = cuts ? std::min(last, first_event + kEventsBeforeCut - 1) : last;
+  server.answering.insert(std::string(id));
+  for (int number = first_event; number <= stop; ++number) {
+    std::string text = EventText(stream_id, number, server.row.version);
     this->After(kEventGap * (number - first_event + 1),
-                [responder, id = std::string(id), number, last, breaks] {
-                  responder->SendPart(EventText(id, number));
-                  if (number == last && !breaks)
-                    responder->EndStream();
+                [this, &server, responder, id = std::string(id), text, cuts,
+                 ends = number == stop] {
+                  responder->SendPart(text);
+                  if (!ends)
+                    return;
+                  server.answering.erase(id);
+                  if (!cuts)
+                    return responder->EndStream();
+                  this->ledger.OnBrokenOff(id);
+                  responder->Abort();
                 });
   }
   // A caller that resumes after the last event gets an empty rest.
-  if (first_event > last)
+  if (first_event > last) {
+    server.answering.erase(std::string(id));
     responder->EndStream();
+  }
 }
 
 Fleet::Disturbance* Fleet::DisturbanceOf(const Fault& fault) {
@@ -557,9 +595,21 @@
     case FaultKind::kReplicaLimited:
     case FaultKind::kReplicaSaysLeaving:
     case FaultKind::kReplicaCloses:
+    case FaultKind::kReleaseWithdrawn:
+    case FaultKind::kReleaseCompleted:
+    case FaultKind::kReplicaReturns:
+    case FaultKind::kReplicaCuts:
+    // Sound replicas may be silent for about a second.
+    case FaultKind::kReplicaPauses:
+    case FaultKind::kStreamsBreak:
       return nullptr;
     case FaultKind::kKill:
     case FaultKind::kPause:
+    case FaultKind::kCutOff:
+    case FaultKind::kCutOffInbound:
+    case FaultKind::kCutOffOutbound:
+    case FaultKind::kStoreLinkOutbound:
+    case FaultKind::kPauseThenCutOff:
     case FaultKind::kStoreLinkSilent:
     case FaultKind::kStoreLinkOneWay:
     case FaultKind::kStoreLinkReset:
@@ -587,13 +637,26 @@
 
 void Fleet::Apply(const Fault& fault, bool begins) {
   Member& member = *this->members[fault.target % this->members.size()];
-  Server& server = *this->servers[fault.target % this->servers.size()];
+  Server& server = *this->servers[fault.target % this->drawn_servers];
   switch (fault.kind) {
     case FaultKind::kKill:
     case FaultKind::kPause:
     case FaultKind::kTerminate:
     case FaultKind::kHangUp:
       return this->ApplyToProcess(member, fault.kind, begins);
+    case FaultKind::kCutOff:
+    case FaultKind::kCutOffInbound:
+    case FaultKind::kCutOffOutbound:
+    case FaultKind::kStoreLinkOutbound:
+    case FaultKind::kPauseThenCutOff:
+      return this->ApplyCut(fault, begins);
+    case FaultKind::kReleaseWithdrawn:
+    case FaultKind::kReleaseCompleted:
+    case FaultKind::kReplicaReturns:
+      return this->ApplyRelease(fault, begins);
+    case FaultKind::kStreamsBreak:
+      this->breaking_streams += begins ? 1 : -1;
+      return;
     case FaultKind::kStoreLinkSilent:
       return ApplyToLink(*member.store, LinkFault::kSilent, begins);
     case FaultKind::kStoreLinkOneWay:
@@ -663,6 +726,11 @@
     case FaultKind::kReplicaLinkDelayed:
     case FaultKind::kReplicaRepeats:
       return this->ApplyToReplicaLink(server, kind, begins);
+    case FaultKind::kReplicaPauses:
+      return this->ApplyToReplicaLink(server, FaultKind::kReplicaLinkSilent,
+                                      begins);
+    case FaultKind::kReplicaCuts:
+      return set_mode(Server::Mode::kCuts);
     case FaultKind::kReplicaErrors:
       return set_mode(Server::Mode::kErrors);
     case FaultKind::kReplicaLimited:
@@ -695,6 +763,8 @@
       }
       return;
     default:
+      if (server.retiring)
+        return;
       server.row.state = begins ? "draining" : "ready";
       server.draining_since =
           begins ? this->clock.Now() : absl::InfiniteFuture();
@@ -753,6 +823,11 @@
     auto wait = kEntriesBack * this->random.UniformDouble();
     this->After(wait, [this, &server = *server] { this->Publish(server); });
   }
+  // Entries of replicas that have left lapse.
+  this->After(kEntriesBack, [this] {
+    for (const std::string& id : this->unlisted)
+      this->store.Set("servers", id, std::nullopt);
+  });
 }
 
 void Fleet::RestartAll() {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -6,7 +6,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +20,7 @@
 #include "soak/gateway_process.h"
 #include "soak/ledger.h"
 #include "soak/link_proxy.h"
+#include "soak/peer_proxy.h"
 #include "soak/schedule.h"
 #include "standins/gateway_platform/fake_replica.h"
 #include "standins/gateway_platform/fake_store.h"
@@ -42,8 +46,22 @@
 /// An instance counts as calm when nothing was disturbed for this long.
 inline constexpr absl::Duration kCalm = absl::Seconds(4);
 
-/// @return The whole answer to a request: its body or its events.
-std::string ExpectedBody(std::string_view id, bool stream);
+/// Idle limit of callers' connections, as configured.
+inline constexpr absl::Duration kIdleLimit = absl::Seconds(15);
+
+/// @param first_event Streams begin with it.
+/// @return The whole answer to a request: its body or its events, without the
+///     versions of the replicas that wrote them.
+std::string ExpectedBody(std::string_view id, bool stream, int first_event = 1);
+
+/// A stream or a part of one, as callers got it.
+struct StreamPart {
+  std::string body;                ///< Without the versions.
+  int events = 0;                  ///< Complete ones.
+  std::set<std::string> versions;  ///< Of the replicas that wrote them.
+};
+
+StreamPart ParseStream(std::string_view body);
 
 /// Belongs to the thread of `io`.
 class Fleet {
@@ -78,10 +96,20 @@
   /// @return True while prompts with kCrashingPart are to be sent.
   bool SendsCrashingPart() const { return this->crashing_parts > 0; }
 
+  /// @return True while connections of callers break in the middle of streams.
+  bool BreaksStreams() const { return this->breaking_streams > 0; }
+
+  /// @return True when at least two engines of this version can go on with a
+  ///     stream: they serve, and have been listed for long enough to be known.
+  bool HasTwoEnginesOf(std::string_view version) const;
+
   /// @return True when neither this gateway nor anything that all of them use
   ///     was disturbed since `from`.
   bool Undisturbed(size_t gateway, absl::Time from) const;
 
+  /// @return True when the gateway was not started or told to stop either.
+  bool InTouch(size_t gateway, absl::Time from) const;
+
  private:
   struct Member;
   struct Server;
@@ -98,6 +126,7 @@
                  std::string_view service,
                  std::string_view stage);
   bool AddMember(size_t index);
+  void MakeSpare(Server& server);
   void Configure();
   void WriteConfiguration();
   void RestoreStore();
@@ -134,6 +163,14 @@
   void ApplyToReplica(Server& server, FaultKind kind, bool begins);
   void ApplyToReplicaLink(Server& server, FaultKind kind, bool begins);
   void ApplyToStore(FaultKind kind, bool begins);
+  void ApplyCut(const Fault& fault, bool begins);
+  void ApplyRelease(const Fault& fault, bool begins);
+  void StartServer(Server& server, std::string_view version);
+  void StopServer(Server& server);
+  void Retire(Server& server, bool announces);
+  void ForEngines(bool spare, const std::function<void(Server&)>& action);
+  void Unlist(Server& server);
+  void RestartServer(Server& server, std::string_view version);
   Disturbance* DisturbanceOf(const Fault& fault);
 
   boost::asio::io_context& io;
@@ -142,13 +179,19 @@
   Ledger& ledger;
   const FleetOptions options;
   platform::FakeStore store;
-  http1::Server store_server;
+  PeerProxy peers;
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<std::unique_ptr<Member>> members;
   Disturbance shared;  // Of the store and of replicas.
   int version = 0;     // Of the configuration.
   int store_outages = 0;
   int crashing_parts = 0;
+  int breaking_streams = 0;
+  size_t drawn_servers = 0;  // Those that faults choose from; the others spare.
+  int software_version = 1;  // The newest.
+  std::set<std::string> unlisted;            // Ids of replicas that have left.
+  std::optional<absl::Duration> release_at;  // Start of the one that goes on.
+  std::string released = "v1";  // The version that the engines serve.
 };
 
 }  // namespace cranberryhill::soak
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -1,6 +1,7 @@
 #include "soak/ledger.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <set>
@@ -51,6 +52,12 @@
   this->requests.find(id)->second.answers.push_back(std::move(answer));
 }
 
+void Ledger::OnBrokenOff(std::string_view id) {
+  auto found = this->requests.find(id);
+  if (found != this->requests.end())
+    found->second.broken_off = true;
+}
+
 const SentRequest* Ledger::Find(std::string_view id) const {
   auto found = this->requests.find(id);
   return found == this->requests.end() ? nullptr : &found->second.sent;
@@ -102,7 +109,8 @@
                                 answer.status, answer.signed_status));
     }
     bool must_answer = !request.arrivals.empty() || request.sent.after_recovery;
-    if (answer.undisturbed && must_answer && !answer.complete) {
+    if (answer.undisturbed && must_answer && !answer.complete &&
+        !request.broken_off) {
       out.push_back(fmt::format(
           "lost: {} got no complete answer within {} although nothing was "
           "disturbed",
@@ -216,6 +224,78 @@
   }
 }
 
+std::map<std::string, Ledger::Stream> Ledger::Streams() const {
+  std::map<std::string, Stream> streams;
+  for (const auto& [id, request] : this->requests) {
+    if (!request.sent.stream)
+      continue;
+    Stream& stream = streams[request.sent.stream_id()];
+    for (const Answer& answer : request.answers) {
+      stream.versions.insert(answer.versions.begin(), answer.versions.end());
+      if (request.sent.resumes.empty())
+        continue;
+      bool goes_on =
+          answer.events > 0 || (answer.complete && IsSuccess(answer.status));
+      stream.goes_on = stream.goes_on || goes_on;
+      if (answer.counts)
+        stream.taken_up_at = std::min(stream.taken_up_at, request.sent.at);
+    }
+  }
+  return streams;
+}
+
+void Ledger::CheckVersions(std::vector<std::string>& out) const {
+  for (const auto& [id, stream] : this->Streams()) {
+    if (stream.versions.size() > 1) {
+      out.push_back(fmt::format("order: stream {} holds events of versions {}",
+                                id, fmt::join(stream.versions, " and ")));
+    }
+  }
+}
+
+/// Compares the shares at each take-up, over all streams until then.
+/// @param out Gets a line the first time that too few go on; may be null.
+Ledger::StreamCounts Ledger::CheckTakeUps(std::vector<std::string>* out) const {
+  struct Event {
+    absl::Time at;
+    bool is_take_up;
+    bool served;
+  };
+  std::vector<Event> events;
+  for (const auto& [id, stream] : this->Streams()) {
+    if (stream.taken_up_at != absl::InfiniteFuture())
+      events.push_back({stream.taken_up_at, true, stream.goes_on});
+  }
+  for (const auto& [id, request] : this->requests) {
+    const SentRequest& sent = request.sent;
+    if (!sent.stream || !sent.resumes.empty() || sent.crashes_engine)
+      continue;
+    for (const Answer& answer : request.answers) {
+      if (answer.counts)
+        events.push_back({sent.at, false, answer.events > 0});
+    }
+  }
+  std::sort(events.begin(), events.end(),
+            [](const Event& a, const Event& b) { return a.at < b.at; });
+  StreamCounts counts;
+  bool reported = out == nullptr;
+  for (const Event& event : events) {
+    (event.is_take_up ? counts.taken_up : counts.sent) += 1;
+    if (event.served)
+      (event.is_take_up ? counts.going_on : counts.begun) += 1;
+    if (reported || counts.taken_up < this->bounds.min_take_ups ||
+        counts.going_on * counts.sent >=
+            this->bounds.going_on_part * counts.begun * counts.taken_up)
+      continue;
+    reported = true;
+    out->push_back(fmt::format(
+        "lost: {} of {} streams that were taken up again went on, {} of {} new "
+        "ones began",
+        counts.going_on, counts.taken_up, counts.begun, counts.sent));
+  }
+  return counts;
+}
+
 void Ledger::OnLimitedArrival(std::string_view replica,
                               double requests_per_s,
                               absl::Time now,
@@ -244,6 +324,8 @@
   this->CheckOrders(out);
   this->CheckRecovery(out);
   this->CheckCrashingRequests(out);
+  this->CheckVersions(out);
+  this->CheckTakeUps(&out);
   return out;
 }
 
@@ -266,8 +348,13 @@
   size_t orders = 0;
   for (const auto& [replica, list] : this->orders)
     orders += list.size();
-  return line + fmt::format(" orders={} crashes={} limited={}", orders,
-                            this->crashes.size(), this->limited_arrival_count);
+  StreamCounts streams = this->CheckTakeUps(nullptr);
+  return line + fmt::format(
+                    " orders={} crashes={} limited={} streams={}/{} "
+                    "taken_up={}/{}",
+                    orders, this->crashes.size(), this->limited_arrival_count,
+                    streams.begun, streams.sent, streams.going_on,
+                    streams.taken_up);
 }
 
 }  // namespace cranberryhill::soak
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,14 @@
   size_t gateway = 0;  ///< Index of the gateway that got it.
   /// An engine that begins to answer it crashes.
   bool crashes_engine = false;
+  bool stream = false;
+  /// The request that brought the first event of the stream, if this one takes
+  /// it up again.
+  std::string resumes = {};
+
+  const std::string& stream_id() const {  // NOLINT
+    return this->resumes.empty() ? this->id : this->resumes;
+  }
 };
 
 /// How a request ended for its caller.
@@ -47,6 +56,12 @@
   /// before the request to its end; planned work is no disturbance.
   bool undisturbed = false;
   absl::Duration took;
+  int events = 0;
+  /// Software versions of the replicas that wrote them.
+  std::set<std::string> versions = {};
+  /// The gateway was in touch all the while, and if the request takes a stream
+  /// up again, two engines of its version served.
+  bool counts = false;
 };
 
 struct LedgerBounds {
@@ -70,6 +85,10 @@
   absl::Duration limit_window = absl::Seconds(4);
   double limit_factor = 1.5;
   double limit_slack = 5;
+  /// Of this many streams that are taken up again or more, the share that goes
+  /// on is at least this part of the share of new streams that begin.
+  double min_take_ups = 12;
+  double going_on_part = 0.5;
 };
 
 /// Not thread-safe.
@@ -87,6 +106,10 @@
 
   void OnAnswer(std::string_view id, Answer answer);
 
+  /// The replica that worked on a request broke off, so it may end without an
+  /// answer.
+  void OnBrokenOff(std::string_view id);
+
   /// @return The request, or null if nobody sent it.
   const SentRequest* Find(std::string_view id) const;
 
@@ -132,6 +155,19 @@
     SentRequest sent;
     std::vector<Arrival> arrivals;
     std::vector<Answer> answers;
+    bool broken_off = false;
+  };
+  /// A stream over all requests for it.
+  struct Stream {
+    std::set<std::string> versions;
+    absl::Time taken_up_at = absl::InfiniteFuture();  ///< If that counts.
+    bool goes_on = false;
+  };
+  struct StreamCounts {
+    double begun = 0;
+    double sent = 0;
+    double going_on = 0;
+    double taken_up = 0;
   };
   struct Order {
     std::string holder;
@@ -145,6 +181,9 @@
   void CheckOrders(std::vector<std::string>& out) const;
   void CheckRecovery(std::vector<std::string>& out) const;
   void CheckCrashingRequests(std::vector<std::string>& out) const;
+  void CheckVersions(std::vector<std::string>& out) const;
+  StreamCounts CheckTakeUps(std::vector<std::string>* out) const;
+  std::map<std::string, Stream> Streams() const;
 
   const LedgerBounds bounds;
   std::map<std::string, Request, std::less<>> requests;
--- a/soak/ledger_test.cc
+++ b/soak/ledger_test.cc
@@ -21,6 +21,23 @@
     this->ledger.OnAnswer(id, {status, true, body, status, false, {}});
   }
 
+  void SendStream(const std::string& id, const std::string& resumes) {
+    SentRequest request{id, "lm", "whole", true, 2, this->now};
+    request.stream = true;
+    request.resumes = resumes;
+    this->ledger.OnSent(std::move(request));
+  }
+
+  void EndStream(const std::string& id,
+                 const std::set<std::string>& versions,
+                 int events) {
+    Answer answer{200, false, "", 0, false, {}};
+    answer.versions = versions;
+    answer.events = events;
+    answer.counts = true;
+    this->ledger.OnAnswer(id, std::move(answer));
+  }
+
   /// @return True when just one promise is broken, of this kind.
   bool BrokenIs(std::string_view kind) {
     auto all = this->ledger.Violations();
@@ -147,5 +164,46 @@
   BOOST_TEST(this->BrokenIs("budget"));
 }
 
+BOOST_FIXTURE_TEST_CASE(events_of_two_versions_in_one_answer_are_found,
+                        Fixture) {
+  this->SendStream("a", "");
+  this->EndStream("a", {"v1", "v2"}, 2);
+  BOOST_TEST(this->BrokenIs("order"));
+}
+
+BOOST_FIXTURE_TEST_CASE(stream_taken_up_at_another_version_is_found, Fixture) {
+  this->SendStream("a", "");
+  this->EndStream("a", {"v1"}, 2);
+  this->SendStream("b", "a");
+  this->EndStream("b", {"v1"}, 1);
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->SendStream("c", "a");
+  this->EndStream("c", {"v2"}, 1);
+  BOOST_TEST(this->BrokenIs("order"));
+}
+
+BOOST_FIXTURE_TEST_CASE(streams_that_do_not_go_on_are_found, Fixture) {
+  for (int i = 0; i < 12; ++i) {
+    std::string first = "first-" + std::to_string(i);
+    this->SendStream(first, "");
+    this->EndStream(first, {"v1"}, 2);
+    // Five of eleven, then five of twelve.
+    std::string next = "next-" + std::to_string(i);
+    this->SendStream(next, first);
+    this->EndStream(next, {}, i < 5 ? 1 : 0);
+    BOOST_TEST(this->ledger.Violations().empty() == (i < 11));
+  }
+  BOOST_TEST(this->BrokenIs("lost"));
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_of_a_replica_that_broke_off_may_be_cut,
+                        Fixture) {
+  this->Send("a");
+  this->Arrive("a");
+  this->ledger.OnAnswer("a", {0, false, "", 0, true, {}});
+  this->ledger.OnBrokenOff("a");
+  BOOST_TEST(this->ledger.Violations().empty());
+}
+
 }  // namespace
 }  // namespace cranberryhill::soak
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -45,6 +45,17 @@
     "replica_says_leaving",
     "replica_closes",
     "replica_repeats",
+    "cut_off",
+    "cut_off_inbound",
+    "cut_off_outbound",
+    "store_link_outbound",
+    "pause_then_cut_off",
+    "release_withdrawn",
+    "release_completed",
+    "replica_returns",
+    "replica_cuts",
+    "replica_pauses",
+    "streams_break",
 };
 
 }  // namespace
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -44,8 +44,19 @@
   kReplicaSaysLeaving,  ///< Stays ready in the store; restarts at the end.
   kReplicaCloses,       ///< Says "not run" and when to come back.
   kReplicaRepeats,      ///< Its answers come once more, late.
+  kCutOff,              ///< One gateway from the store and from the others.
+  kCutOffInbound,       ///< The same, but what it sends arrives.
+  kCutOffOutbound,      ///< The same, but it hears them.
+  kStoreLinkOutbound,   ///< Nothing reaches the store; its answers come.
+  kPauseThenCutOff,  ///< SIGSTOP; after SIGCONT it hears of nobody for a while.
+  kReleaseWithdrawn,  ///< Engines of a new version join, and leave at the end.
+  kReleaseCompleted,  ///< They join, the old ones leave, and return with it.
+  kReplicaReturns,    ///< An engine restarts under its id at another version.
+  kReplicaCuts,       ///< An engine breaks off streams after some events.
+  kReplicaPauses,     ///< A sound engine or server is silent; no disturbance.
+  kStreamsBreak,      ///< Callers' connections break in the middle of streams.
 };
-inline constexpr size_t kFaultKinds = 31;
+inline constexpr size_t kFaultKinds = 42;
 /// The kinds that DrawFaults() draws come first, so that later ones do not
 /// change what a seed means.
 inline constexpr size_t kDrawnFaultKinds = 25;
