soak: keep the port of a proxy while nothing listens on it

An engine that is down refuses connections, as its proxy closes its listener. The port now stays bound.

--- a/soak/link_proxy.cc
+++ b/soak/link_proxy.cc
@@ -180,14 +180,17 @@
 }
 
 void LinkProxy::SetListening(bool listens) {
-  if (listens == this->acceptor.is_open())
-    return;
-  if (!listens) {
-    this->acceptor.close();
+  if (std::exchange(this->listening, listens) == listens)
     return;
+  if (listens) {
+    this->acceptor.listen();
+    return this->Accept();
   }
-  this->acceptor = tcp::acceptor(this->io, this->address);
-  this->Accept();
+  // The port stays bound, so that no other socket takes it meanwhile.
+  this->acceptor.close();
+  this->acceptor.open(this->address.protocol());
+  this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  this->acceptor.bind(this->address);
 }
 
 void LinkProxy::Reset() {
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -53,6 +53,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   const boost::asio::ip::tcp::endpoint address;
   LinkState state;
+  bool listening = true;
   std::vector<std::weak_ptr<Session>> sessions;
 };
 
