gateway: take-ups go by the row of the service as the store has it now

Callers took streams up at an instance that was cut off, or had stood still, while a new software version joined, and the streams went on at another version (ORDER). The instance compared its copy of the service's row, which names the sole version, with its copy of the registry. Both were old and agreed with each other; nothing asked for their age.

Without a record in its own memory an instance now goes by the sole version only as a read of the row says that began after the take-up arrived. ServiceRowReader makes these reads, one at a time, and take-ups that arrive before a read begins share it. The stream's record is looked up too, and wins, so the finder now tells "no row" from "no answer". A copy of the row that says "several" is enough to go by the record alone. If the store does not answer in the time that the find has, the take-up is refused as not run.

A change of the row elsewhere cannot be missed, because the read begins after the stream did. The log names the reason of an unknown version, and a version that was found by the row.

--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -176,7 +176,13 @@
                    std::make_unique<AsioDelayTimer>(io),
                    clock,
                    random),
+      service_row_reader(this->MakeStoreClient(),
+                         std::make_unique<AsioDelayTimer>(io),
+                         codec,
+                         log,
+                         this->clock),
       stream_version_fleet(this->control_table,
+                           this->service_row_reader,
                            this->peer_link,
                            this->replica_follower,
                            this->store_contact),
@@ -201,6 +207,7 @@
 
 Gateway::~Gateway() {
   this->stream_versions.Stop();
+  this->service_row_reader.Stop();
 }
 
 Result<void> Gateway::Start() {
@@ -828,7 +835,8 @@
       static_cast<double>(this->replica_follower.store_calls() +
                           this->configuration_follower.store_calls() +
                           this->control_table.store_calls() +
-                          this->stream_versions.store_calls()));
+                          this->stream_versions.store_calls() +
+                          this->service_row_reader.reads()));
   this->metrics.SetGauge(
       "stream_versions_written",
       static_cast<double>(this->stream_versions.records_written()));
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -176,6 +176,7 @@
   OrderDispatcher order_dispatcher;
   PeerLink peer_link;
   SendPermits send_permits;
+  ServiceRowReader service_row_reader;
   GatewayStreamVersionFleet stream_version_fleet;
   StoredStreamVersions stream_versions;
   http1::Server caller_server;
--- a/cranberryhill/gateway/gateway_stream_version_fleet.cc
+++ b/cranberryhill/gateway/gateway_stream_version_fleet.cc
@@ -12,10 +12,12 @@
 
 GatewayStreamVersionFleet::GatewayStreamVersionFleet(
     ControlTable& control_table,
+    ServiceRowReader& row_reader,
     const PeerLink& peer_link,
     const TableFollower& replica_follower,
     const StoreContact& store_contact)
     : control_table(control_table),
+      row_reader(row_reader),
       peer_link(peer_link),
       replica_follower(replica_follower),
       store_contact(store_contact) {}
@@ -38,6 +40,13 @@
   return this->control_table.FindIndependently(key);
 }
 
+void GatewayStreamVersionFleet::ReadServiceRow(
+    std::string_view key,
+    absl::Duration wait,
+    ServiceRowReader::Callback done) {
+  this->row_reader.Read(key, wait, std::move(done));
+}
+
 void GatewayStreamVersionFleet::CommitServiceRow(Transaction transaction,
                                                  CommitCallback callback) {
   this->control_table.CommitIndependently(std::move(transaction),
--- a/cranberryhill/gateway/gateway_stream_version_fleet.h
+++ b/cranberryhill/gateway/gateway_stream_version_fleet.h
@@ -7,8 +7,10 @@
 #include <optional>
 #include <string_view>
 
+#include "absl/time/time.h"
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/peer_link.h"
+#include "cranberryhill/gateway/service_row_reader.h"
 #include "cranberryhill/gateway/store_contact.h"
 #include "cranberryhill/gateway/stream_version_store.h"
 #include "cranberryhill/gateway/table_follower.h"
@@ -20,7 +22,9 @@
  public:
   /// All references must outlive this object.
   /// @param replica_follower Follows the registry.
+  /// @param row_reader Reads rows of the control table.
   GatewayStreamVersionFleet(ControlTable& control_table,
+                            ServiceRowReader& row_reader,
                             const PeerLink& peer_link,
                             const TableFollower& replica_follower,
                             const StoreContact& store_contact);
@@ -28,12 +32,16 @@
   std::optional<size_t> InstanceCount() const override;
   bool IsRegistryCurrent() const override;
   std::optional<Row> FindServiceRow(std::string_view key) const override;
+  void ReadServiceRow(std::string_view key,
+                      absl::Duration wait,
+                      ServiceRowReader::Callback done) override;
   void CommitServiceRow(Transaction transaction,
                         CommitCallback callback) override;
   void RefreshServiceRows() override;
 
  private:
   ControlTable& control_table;
+  ServiceRowReader& row_reader;
   const PeerLink& peer_link;
   const TableFollower& replica_follower;
   const StoreContact& store_contact;
--- a/cranberryhill/gateway/stream_version_finder.cc
+++ b/cranberryhill/gateway/stream_version_finder.cc
@@ -98,7 +98,7 @@
       expired.push_back(find);
   }
   for (const auto& find : expired)
-    this->End(find, std::nullopt);
+    this->End(find, {});
 }
 
 void StreamVersionFinder::Read(size_t reader,
@@ -122,7 +122,7 @@
                                  const HttpResult& answer) {
   this->being_read[reader] = nullptr;
   this->on_answer(answer);
-  std::optional<forward::StreamVersionRecord> record;
+  StreamVersionLookup lookup;
   absl::Time now = this->clock.Now();
   bool is_final = false;
   if (answer.status == kOk) {
@@ -136,12 +136,13 @@
       });
       is_final = true;
       if (decoded.ok())
-        record = std::move(decoded.value());
+        lookup.record = std::move(decoded.value());
       else
         find->last_outcome = decoded.error().ToString();
     } else if (page.ok()) {
       find->last_outcome = "no_record";
       is_final = now >= find->written_by;
+      lookup.has_no_row = is_final;
     } else {
       find->last_outcome = page.error().ToString();
     }
@@ -153,7 +154,7 @@
   bool pending = std::find(this->finds.begin(), this->finds.end(), find) !=
                  this->finds.end();
   if (pending && is_final) {
-    this->End(find, std::move(record));
+    this->End(find, lookup);
   } else if (pending) {
     absl::Duration pause =
         std::min(kMaxPause, kFirstPause * (1 << std::min(find->looks - 1, 3)));
@@ -162,18 +163,17 @@
   this->Continue();
 }
 
-void StreamVersionFinder::End(
-    const std::shared_ptr<PendingFind>& find,
-    std::optional<forward::StreamVersionRecord> record) {
+void StreamVersionFinder::End(const std::shared_ptr<PendingFind>& find,
+                              const StreamVersionLookup& lookup) {
   std::erase(this->finds, find);
-  if (!record) {
+  if (!lookup.record) {
     this->log.Write(LogEvent("stream_version_not_found")
                         .Add("attempt", find->attempt_id)
                         .Add("reason", find->last_outcome)
                         .Add("reads", find->looks)
                         .Add("took_ms", this->clock.Now() - find->started_at));
   }
-  find->done(std::move(record));
+  find->done(lookup);
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/stream_version_finder.h
+++ b/cranberryhill/gateway/stream_version_finder.h
@@ -25,11 +25,17 @@
 
 namespace cranberryhill::gateway {
 
+/// What the store said of a stream.
+struct StreamVersionLookup {
+  std::optional<forward::StreamVersionRecord> record;
+  /// True if the store has answered that it has no row of the stream.
+  bool has_no_row = false;
+};
+
 /// Not thread-safe.
 class StreamVersionFinder {
  public:
-  using Callback =
-      std::function<void(std::optional<forward::StreamVersionRecord> record)>;
+  using Callback = std::function<void(const StreamVersionLookup& lookup)>;
   using AnswerObserver = std::function<void(const HttpResult& answer)>;
 
   /// @param readers As many reads may be in progress at once; others wait.
@@ -47,8 +53,8 @@
   /// @param wait Longest time until `done` is called.
   /// @param row_delay Longest time that a row takes to be written. A find ends
   ///     when the store has said after that time that it has no row.
-  /// @param done Called once, unless Stop() is called first; with nothing if
-  ///     the stream has no row, or the store did not answer in time.
+  /// @param done Called once, unless Stop() is called first; without a record
+  ///     if the stream has no row, or the store did not answer in time.
   void Find(std::string_view attempt_id,
             absl::Duration wait,
             absl::Duration row_delay,
@@ -78,7 +84,7 @@
               const std::shared_ptr<PendingFind>& find,
               const HttpResult& answer);
   void End(const std::shared_ptr<PendingFind>& find,
-           std::optional<forward::StreamVersionRecord> record);
+           const StreamVersionLookup& lookup);
 
   const std::vector<std::unique_ptr<HttpCaller>> readers;
   const std::unique_ptr<DelayTimer> timer;
--- a/cranberryhill/gateway/stream_version_out_of_step_test.cc
+++ b/cranberryhill/gateway/stream_version_out_of_step_test.cc
@@ -32,6 +32,8 @@
 constexpr double kTakeUpsOutOfStep = 0.4;
 /// How long replicas go on serving after they have left the registry.
 constexpr absl::Duration kDrainTime = absl::Seconds(5);
+/// What a caller's time leaves for the search.
+constexpr absl::Duration kCallersWait = absl::Milliseconds(1700);
 constexpr absl::Duration kMaxRegistryAge = absl::Seconds(3);
 constexpr absl::Duration kCallTimeout = absl::Seconds(1);
 
@@ -82,7 +84,7 @@
     for (const std::string& service : this->services)
       this->registered[service] = {"v0"};
     for (size_t i = 0; i < instances; ++i)
-      this->members.push_back(this->MakeMember(i));
+      this->members.push_back(this->MakeMember());
     this->ScheduleStream();
     this->Settle();
   }
@@ -173,7 +175,7 @@
     this->members[instance]->is_dead = true;
     this->members[instance]->versions.Stop();
     this->retired.push_back(std::move(this->members[instance]));
-    this->members[instance] = this->MakeMember(instance);
+    this->members[instance] = this->MakeMember();
     this->members[instance]->cut = cut;
   }
 
@@ -238,6 +240,7 @@
   std::optional<Versions> restored_registry;
   std::optional<size_t> out_of_step;  // The instance that take-ups prefer.
   double take_up_share = 0;
+  absl::Duration commit_time = absl::Milliseconds(7);
   double streams_per_second = kStreamsPerSecond;
   Tally at_out_of_step;  // Begun in step and taken up at that instance.
   Tally begun_out;       // Begun at that instance.
@@ -245,11 +248,14 @@
 
  private:
   struct Member : StreamVersionFleet {
-    Member(Fleet& fleet, size_t index)
+    explicit Member(Fleet& fleet)
         : fleet(fleet),
-          versions("entry-" + std::to_string(index),
-                   {this->MakeCaller(), this->MakeCaller(), this->MakeTimer(),
-                    this->MakeTimer(), this->MakeTimer()},
+          row_reader(std::make_unique<RowCaller>(*this),
+                     this->MakeTimer(),
+                     fleet.codec,
+                     fleet.log,
+                     fleet.queue.clock),
+          versions(this->MakeChannels(),
                    fleet.codec,
                    *this,
                    fleet.log,
@@ -263,6 +269,18 @@
       return std::make_unique<FrozenTimer>(*this);
     }
 
+    StoredStreamVersions::Channels MakeChannels() {
+      StoredStreamVersions::Channels channels;
+      channels.writer = this->MakeCaller();
+      for (int i = 0; i < 3; ++i)
+        channels.readers.push_back(this->MakeCaller());
+      channels.sweeper = this->MakeCaller();
+      channels.write_timer = this->MakeTimer();
+      channels.find_timer = this->MakeTimer();
+      channels.service_row_timer = this->MakeTimer();
+      return channels;
+    }
+
     /// Runs the event when the instance runs again.
     void WhenAwake(std::function<void()> event) {
       if (this->is_dead)
@@ -319,8 +337,9 @@
       this->ObserveRegistry();
     }
     void LearnRows() {
-      if (!this->is_dead && this->HearsNews())
-        this->copy = this->fleet.service_rows;
+      if (this->is_dead || !this->HearsNews())
+        return;
+      this->copy = this->fleet.service_rows;
     }
     void ObserveRegistry() {
       for (const auto& [service, registered] : this->view) {
@@ -353,6 +372,11 @@
                  ? Row{std::string(key), kAbsentVersion, ""}
                  : row->second;
     }
+    void ReadServiceRow(std::string_view key,
+                        absl::Duration wait,
+                        ServiceRowReader::Callback done) override {
+      this->row_reader.Read(key, wait, std::move(done));
+    }
     void CommitServiceRow(Transaction transaction,
                           CommitCallback callback) override {
       if (this->cut.calls) {
@@ -361,8 +385,8 @@
         });
       }
       this->fleet.queue.Schedule(
-          absl::Milliseconds(7), [this, transaction = std::move(transaction),
-                                  callback = std::move(callback)] {
+          this->fleet.commit_time, [this, transaction = std::move(transaction),
+                                    callback = std::move(callback)] {
             bool committed = this->fleet.Commit(transaction);
             if (this->cut.answers) {
               return this->After(kCallTimeout, [callback] {
@@ -398,6 +422,7 @@
     bool has_registry = false;
     Versions view;
     std::optional<std::map<std::string, Row>> copy;
+    ServiceRowReader row_reader;
     StoredStreamVersions versions;
   };
 
@@ -441,6 +466,45 @@
     uint64_t current = 0;
   };
 
+  /// Reads rows of services.
+  class RowCaller : public HttpCaller {
+   public:
+    explicit RowCaller(Member& member) : member(member) {}
+
+    void Call(const http1::OutgoingRequest& request,
+              absl::Duration timeout,
+              Callback done) override {
+      uint64_t call = ++this->current;
+      auto finish = [this, call,
+                     done = std::move(done)](const HttpResult& answer) {
+        this->member.WhenAwake([this, call, done, answer] {
+          if (call != this->current)
+            return;
+          ++this->current;
+          done(answer);
+        });
+      };
+      Fleet& fleet = this->member.fleet;
+      fleet.queue.Schedule(timeout, [finish] { finish({0, "", "timeout"}); });
+      if (this->member.cut.calls)
+        return;
+      std::string key = request.head.target.substr(4);
+      fleet.queue.Schedule(absl::Milliseconds(2), [this, &fleet, key, finish] {
+        HttpResult answer = fleet.ReadServiceRow(key);
+        if (!this->member.cut.answers)
+          fleet.queue.Schedule(absl::Milliseconds(2),
+                               [finish, answer] { finish(answer); });
+      });
+    }
+    void Cancel() override { ++this->current; }
+    bool IsReceiving() const override { return false; }
+    size_t received_bytes() const override { return 0; }
+
+   private:
+    Member& member;
+    uint64_t current = 0;
+  };
+
   /// Fires when its instance runs.
   class FrozenTimer : public DelayTimer {
    public:
@@ -479,8 +543,8 @@
         });
   }
 
-  std::unique_ptr<Member> MakeMember(size_t index) {
-    auto member = std::make_unique<Member>(*this, index);
+  std::unique_ptr<Member> MakeMember() {
+    auto member = std::make_unique<Member>(*this);
     member->LearnSoon(absl::Milliseconds(10), absl::Milliseconds(300));
     Member& started = *member;
     started.After(absl::Milliseconds(this->random.UniformInt(5, 250)),
@@ -503,6 +567,17 @@
     }
   }
 
+  HttpResult ReadServiceRow(const std::string& key) {
+    this->service_row_reads.push_back(this->queue.clock.Now());
+    nlohmann::json rows = nlohmann::json::array();
+    auto row = this->service_rows.find(key);
+    if (row != this->service_rows.end())
+      rows.push_back({key, row->second.value, row->second.version});
+    HttpResult answer{200, nlohmann::json({rows, false, 0}).dump(), ""};
+    answer.headers.Add("era", std::to_string(this->store.era));
+    return answer;
+  }
+
   bool Commit(const Transaction& transaction) {
     this->service_row_writes.push_back(this->queue.clock.Now());
     const RowPut& put = transaction.puts[0];
@@ -576,7 +651,7 @@
     Member& member = *this->members[instance];
     member.WhenAwake([=, &member, &tally] {
       member.versions.Find(
-          service, attempt,
+          service, attempt, kCallersWait,
           [version, &tally](const std::optional<std::string>& found) {
             if (!found)
               ++tally.unknown;
--- a/cranberryhill/gateway/stream_version_store.cc
+++ b/cranberryhill/gateway/stream_version_store.cc
@@ -106,32 +106,102 @@
                                 Callback done) {
   if (this->recent.Contains(service, attempt_id))
     return done(this->recent.Find(service, attempt_id));
-  if (auto version = this->SoleVersion(service))
-    return done(std::move(version));
+  absl::Time deadline = this->clock.Now() + wait;
+  ServiceRow* row = this->UpdateServiceRow(service);
+  bool goes_by_record = row != nullptr && !(row->value && row->value->sole);
+  if (goes_by_record) {
+    return this->FindRecord(std::string(service), std::string(attempt_id),
+                            deadline, std::nullopt, std::move(done));
+  }
+  // Another instance may have changed the row a moment ago, and this one may
+  // not have run or been reached since.
+  this->fleet.ReadServiceRow(
+      ServiceRowKey(service), wait,
+      [this, service = std::string(service),
+       attempt_id = std::string(attempt_id), deadline, done = std::move(done)](
+          const std::optional<ServiceRowReading>& reading) {
+        if (!reading) {
+          this->OnUnknown(service, attempt_id, "service_row_not_read");
+          return done(std::nullopt);
+        }
+        this->FindRecord(service, attempt_id, deadline,
+                         this->SoleVersionOf(service, *reading), done);
+      });
+}
+
+/// Looks the stream's record up.
+/// @param sole_version Of the streams without a record; nothing if it is not
+///     known.
+void StoredStreamVersions::FindRecord(const std::string& service,
+                                      const std::string& attempt_id,
+                                      absl::Time deadline,
+                                      std::optional<std::string> sole_version,
+                                      Callback done) {
+  // Nobody can have recorded a stream that cannot be named.
   if (attempt_id.empty()) {
-    ++this->unknown_count;
-    return done(std::nullopt);
+    return this->OnRecordRead(service, attempt_id, sole_version,
+                              {std::nullopt, true}, done);
   }
+  absl::Duration row_delay =
+      sole_version ? absl::ZeroDuration() : this->Interval() + kWriteSlack;
   this->finder.Find(
-      attempt_id, wait, this->Interval() + kWriteSlack,
-      [this, service = std::string(service),
-       attempt_id = std::string(attempt_id), done = std::move(done)](
-          const std::optional<forward::StreamVersionRecord>& record) {
-        this->OnRecordRead(service, attempt_id, record, done);
+      attempt_id, deadline - this->clock.Now(), row_delay,
+      [this, service, attempt_id, sole_version = std::move(sole_version),
+       done = std::move(done)](const StreamVersionLookup& lookup) {
+        this->OnRecordRead(service, attempt_id, sole_version, lookup, done);
       });
 }
 
 void StoredStreamVersions::OnRecordRead(
-    std::string_view service,
-    std::string_view attempt_id,
-    const std::optional<forward::StreamVersionRecord>& record,
+    const std::string& service,
+    const std::string& attempt_id,
+    const std::optional<std::string>& sole_version,
+    const StreamVersionLookup& lookup,
     const Callback& done) {
-  if (record)
-    this->recent.AddRead(*record);
-  auto version = this->recent.Find(service, attempt_id);
-  if (!version)
-    ++this->unknown_count;
-  done(std::move(version));
+  if (lookup.record)
+    this->recent.AddRead(*lookup.record);
+  if (this->recent.Contains(service, attempt_id))
+    return done(this->recent.Find(service, attempt_id));
+  if (lookup.has_no_row && sole_version) {
+    this->log.Write(LogEvent("stream_version_by_service_row")
+                        .Add("service", service)
+                        .Add("attempt", attempt_id)
+                        .Add("version", *sole_version));
+    return done(sole_version);
+  }
+  this->OnUnknown(service, attempt_id,
+                  lookup.has_no_row ? "no_record" : "record_not_read");
+  done(std::nullopt);
+}
+
+void StoredStreamVersions::OnUnknown(std::string_view service,
+                                     std::string_view attempt_id,
+                                     std::string_view reason) {
+  ++this->unknown_count;
+  this->log.Write(LogEvent("stream_version_unknown")
+                      .Add("service", service)
+                      .Add("attempt", attempt_id)
+                      .Add("reason", reason));
+}
+
+/// @return The version of the streams that have no record, by what the store
+///     said; nothing if the registry, as it is known here, contradicts it.
+std::optional<std::string> StoredStreamVersions::SoleVersionOf(
+    std::string_view service,
+    const ServiceRowReading& reading) {
+  if (!reading.value)
+    return std::nullopt;
+  auto row =
+      Capture([&] { return forward::DecodeServiceVersion(*reading.value); });
+  // UpdateServiceRow() logs a row that cannot be read.
+  if (!row.ok() || !row.value().sole)
+    return std::nullopt;
+  std::vector<std::string> versions =
+      this->service_versions.VersionsOf(service);
+  bool is_contradicted = std::any_of(
+      versions.begin(), versions.end(),
+      [&](const auto& version) { return version != *row.value().sole; });
+  return is_contradicted ? std::nullopt : row.value().sole;
 }
 
 /// Takes over what the local copy of the control table says.
@@ -175,12 +245,17 @@
   return &row;
 }
 
-/// @return The version of all streams of the service that have no record of
-///     their own, if the registry and the row agree on it.
+/// @return True if the row names the only version.
+bool StoredStreamVersions::IsTrusted(const ServiceRow& row) const {
+  return row.value && row.value->sole;
+}
+
+/// @return The version at which streams need no record, if the registry and the
+///     row agree on it as far as this instance knows.
 std::optional<std::string> StoredStreamVersions::SoleVersion(
     std::string_view service) {
   ServiceRow* row = this->UpdateServiceRow(service);
-  if (row == nullptr || !row->value || !row->value->sole)
+  if (row == nullptr || !this->IsTrusted(*row))
     return std::nullopt;
   std::vector<std::string> versions =
       this->service_versions.VersionsOf(service);
--- a/cranberryhill/gateway/stream_version_store.h
+++ b/cranberryhill/gateway/stream_version_store.h
@@ -27,6 +27,7 @@
 #include "cranberryhill/gateway/delay_timer.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/http_caller.h"
+#include "cranberryhill/gateway/service_row_reader.h"
 #include "cranberryhill/gateway/store_codec.h"
 #include "cranberryhill/gateway/stream_version_finder.h"
 #include "cranberryhill/gateway/stream_version_sweeper.h"
@@ -52,6 +53,12 @@
   ///     Nothing if the local copy of the rows may be out of date.
   virtual std::optional<Row> FindServiceRow(std::string_view key) const = 0;
 
+  /// Reads the row with this key from the store.
+  /// @param wait Longest time until `done` is called.
+  virtual void ReadServiceRow(std::string_view key,
+                              absl::Duration wait,
+                              ServiceRowReader::Callback done) = 0;
+
   /// Checks and writes one row.
   virtual void CommitServiceRow(Transaction transaction,
                                 CommitCallback callback) = 0;
@@ -125,6 +132,7 @@
 
   absl::Duration Interval() const;
   ServiceRow* UpdateServiceRow(std::string_view service);
+  bool IsTrusted(const ServiceRow& row) const;
   std::optional<std::string> SoleVersion(std::string_view service);
   void Check(std::string_view service);
   void OnVersionsMixed(std::string_view service);
@@ -136,10 +144,21 @@
   void Write();
   void OnWritten(size_t records, const HttpResult& answer);
   void OnEraOf(const HttpResult& answer);
-  void OnRecordRead(std::string_view service,
-                    std::string_view attempt_id,
-                    const std::optional<forward::StreamVersionRecord>& record,
+  std::optional<std::string> SoleVersionOf(std::string_view service,
+                                           const ServiceRowReading& reading);
+  void FindRecord(const std::string& service,
+                  const std::string& attempt_id,
+                  absl::Time deadline,
+                  std::optional<std::string> sole_version,
+                  Callback done);
+  void OnRecordRead(const std::string& service,
+                    const std::string& attempt_id,
+                    const std::optional<std::string>& sole_version,
+                    const StreamVersionLookup& lookup,
                     const Callback& done);
+  void OnUnknown(std::string_view service,
+                 std::string_view attempt_id,
+                 std::string_view reason);
 
   const std::unique_ptr<HttpCaller> writer;
   const std::unique_ptr<DelayTimer> write_timer;
--- a/cranberryhill/gateway/stream_version_store_fleet_test.cc
+++ b/cranberryhill/gateway/stream_version_store_fleet_test.cc
@@ -171,6 +171,7 @@
   Tally newer;
   absl::Duration longest_find;
   size_t service_row_writes = 0;
+  size_t service_row_reads = 0;
   size_t taken_up = 0;
 
  private:
@@ -231,8 +232,9 @@
       });
     }
     void CopyRowsIn(absl::Duration wait) {
-      this->After(wait, [this] { this->copy = this->fleet.service_rows; });
+      this->After(wait, [this] { this->CopyRows(); });
     }
+    void CopyRows() { this->copy = this->fleet.service_rows; }
 
     std::optional<size_t> InstanceCount() const override {
       return this->copy ? std::optional(this->fleet.size) : std::nullopt;
@@ -246,13 +248,28 @@
                  ? Row{std::string(key), kAbsentVersion, ""}
                  : row->second;
     }
+    void ReadServiceRow(std::string_view key,
+                        absl::Duration wait,
+                        ServiceRowReader::Callback done) override {
+      ++this->fleet.service_row_reads;
+      if (this->fleet.store.is_silent)
+        return this->After(wait, [done] { done(std::nullopt); });
+      this->After(absl::Milliseconds(4), [this, key = std::string(key), done] {
+        ServiceRowReading reading;
+        reading.era = this->fleet.store.era;
+        auto row = this->fleet.service_rows.find(key);
+        if (row != this->fleet.service_rows.end())
+          reading.value = row->second.value;
+        done(reading);
+      });
+    }
     void CommitServiceRow(Transaction transaction,
                           CommitCallback callback) override {
       this->fleet.queue.Schedule(
           absl::Milliseconds(7), [this, transaction = std::move(transaction),
                                   callback = std::move(callback)] {
             bool committed = this->fleet.Commit(transaction);
-            this->copy = this->fleet.service_rows;
+            this->CopyRows();
             if (!this->dead)
               callback(
                   {committed ? CommitState::kCommitted : CommitState::kConflict,
--- a/cranberryhill/gateway/stream_version_store_test.cc
+++ b/cranberryhill/gateway/stream_version_store_test.cc
@@ -24,6 +24,11 @@
   std::optional<Row> FindServiceRow(std::string_view) const override {
     return std::nullopt;
   }
+  void ReadServiceRow(std::string_view,
+                      absl::Duration,
+                      ServiceRowReader::Callback done) override {
+    done(std::nullopt);
+  }
   void CommitServiceRow(Transaction, CommitCallback callback) override {
     callback({CommitState::kUnavailable, ""});
   }
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -56,7 +56,7 @@
 http1::AnswerHead FakeStore::Head(int status) const {
   http1::AnswerHead head;
   head.status = status;
-  head.headers.Add(kStoreEra, std::to_string(this->era));
+  head.headers.Add(kStoreEra, std::to_string(this->store_era));
   return head;
 }
 
@@ -69,7 +69,7 @@
   this->rows = this->copied_rows;
   this->version = this->copied_version;
   this->history_from = 0;
-  ++this->era;
+  ++this->store_era;
   for (Watch& watch : std::exchange(this->watches, {}))
     watch.responder->Abort();
 }
@@ -163,7 +163,7 @@
     auto wait = absl::Milliseconds(std::stoi(Parameter(target, "wait-ms")));
     if (after + 1 < this->history_from || after > this->version)
       responder->SendWhole(this->Head(410), "");
-    else if (wait == absl::ZeroDuration())
+    else if (wait == absl::ZeroDuration() && !this->holds_watches)
       this->SendPage(responder, this->Page(table, part, after, true));
     else
       this->watches.push_back({table, part, after, wait, std::move(responder)});
@@ -219,6 +219,8 @@
 }
 
 void FakeStore::AnswerWatches() {
+  if (this->holds_watches)
+    return;
   std::vector<Watch> open = std::move(this->watches);
   this->watches.clear();
   for (Watch& watch : open) {
--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -36,6 +36,12 @@
   /// meanwhile are never answered.
   void SetSilent(bool silent);
 
+  /// Answers no watches while true, so that those who watch keep old copies.
+  void HoldWatches(bool hold) {
+    this->holds_watches = hold;
+    this->AnswerWatches();
+  }
+
   /// Holds back what lies beyond the first `bytes` of each page while set, as a
   /// slow link does; sends the rest when cleared.
   void HoldPagesAfter(std::optional<size_t> bytes);
@@ -60,6 +66,8 @@
   /// Forgets what changed before now.
   void DropHistory() { this->history_from = this->version + 1; }
 
+  uint64_t era() const { return this->store_era; }  // NOLINT
+
   std::optional<std::string> Find(std::string_view table,
                                   std::string_view key,
                                   std::string_view part = "") const;
@@ -126,7 +134,7 @@
   Rows rows;
   Rows copied_rows;
   uint64_t copied_version = 0;
-  uint64_t era = 1;
+  uint64_t store_era = 1;
   std::vector<Watch> watches;
   std::vector<std::shared_ptr<http1::Responder>> unanswered;
   std::vector<HeldPage> held_pages;
@@ -134,6 +142,7 @@
   uint64_t version = 0;
   uint64_t history_from = 0;
   bool is_down = false;
+  bool holds_watches = false;
   bool is_silent = false;
   bool loses_answers = false;
 };
