gateway: new streams begin at the sole version that the service's row names

An instance began streams at a new software version as soon as it knew a replica of it, before the service's row said that there are several.

While the row, as the instance knows it, names a sole version, a stream that may be resumed begins there if any of its replicas may be asked. An instance that knows no replica of the sole version, such as one in a zone that is cut off, serves all the same, stores the record, and logs stream_began_beside_sole_version.

--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -134,7 +134,9 @@
   void BindToSentVersion();
   bool MayWriteStream(const forward::Replica& replica) const;
   bool IsOfUsableVersion(const forward::Replica& replica) const;
+  bool MayBeginStream(const forward::Replica& replica) const;
   std::vector<std::shared_ptr<forward::Replica>> UsableReplicas();
+  bool IsExcluded(const forward::Replica& replica) const;
   std::vector<std::shared_ptr<forward::Replica>> OpenReplicas();
   /// Why no replica takes a request, and when one may.
   struct NextOpening {
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -74,15 +74,33 @@
 }
 
 /// @return The usable replicas, for a stream that has begun only those of its
-///     software version.
+///     software version, and for a new one those of a version that it may begin
+///     at, if there are any.
 std::vector<std::shared_ptr<forward::Replica>> Exchange::UsableReplicas() {
   auto replicas = this->context.replicas.Usable(this->service);
   std::erase_if(replicas, [this](const auto& replica) {
     return !this->IsOfUsableVersion(*replica);
   });
+  auto may_not_begin = [this](const auto& replica) {
+    return !this->MayBeginStream(*replica);
+  };
+  // An instance that is cut off from the store serves what it can.
+  bool has_choice =
+      std::any_of(replicas.begin(), replicas.end(), [&](const auto& replica) {
+        return replica->entry.role != EngineRole::kPrefill &&
+               !may_not_begin(replica) && !this->IsExcluded(*replica);
+      });
+  if (has_choice)
+    std::erase_if(replicas, may_not_begin);
   return replicas;
 }
 
+bool Exchange::IsExcluded(const forward::Replica& replica) const {
+  return std::find(this->excluded_replicas.begin(),
+                   this->excluded_replicas.end(),
+                   replica.entry.id) != this->excluded_replicas.end();
+}
+
 /// @return The usable replicas without those that take no request now: limited
 ///     ones, and while others of the service are closed, those that have as
 ///     much to do as they can serve.
--- a/cranberryhill/gateway/exchange_versions.cc
+++ b/cranberryhill/gateway/exchange_versions.cc
@@ -68,6 +68,13 @@
 void Exchange::BindToSentVersion() {
   this->stream_version = this->sent_version;
   StreamVersions& versions = this->context.stream_versions;
+  if (this->route.resumable && !this->IsTakeUp() &&
+      !versions.MayBegin(this->service, this->sent_version)) {
+    this->context.log.Write(
+        this->MakeLogEvent("stream_began_beside_sole_version")
+            .Add("service", this->service)
+            .Add("software_version", this->sent_version));
+  }
   versions.OnStreamBegan(this->service, this->caller_request.attempt_id,
                          this->sent_version);
   // The caller may name either attempt when it takes the stream up again.
@@ -84,6 +91,16 @@
          replica.entry.software_version == *this->stream_version;
 }
 
+/// @return True if a stream that begins at this replica can be taken up at any
+///     instance. A prefill engine begins none.
+bool Exchange::MayBeginStream(const forward::Replica& replica) const {
+  return this->stream_version || !this->route.resumable ||
+         this->route.kind != forward::RequestKind::kStream ||
+         replica.entry.role == EngineRole::kPrefill ||
+         this->context.stream_versions.MayBegin(this->service,
+                                                replica.entry.software_version);
+}
+
 /// @return True if the replica may take part in serving the request. A prefill
 ///     engine writes no events, so it may be of any version.
 bool Exchange::IsOfUsableVersion(const forward::Replica& replica) const {
--- a/cranberryhill/gateway/stream_version_out_of_step_test.cc
+++ b/cranberryhill/gateway/stream_version_out_of_step_test.cc
@@ -614,6 +614,15 @@
     }
     if (served.empty())
       return std::nullopt;
+    std::vector<std::string> allowed;
+    for (const std::string& version : served) {
+      if (member.versions.MayBegin(service, version))
+        allowed.push_back(version);
+    }
+    if (allowed.empty())
+      ++this->begun_against_row;
+    else
+      served = std::move(allowed);
     return served[this->random.UniformInt(0, served.size() - 1)];
   }
 
@@ -751,6 +760,19 @@
   PlayFreeze(instances, absl::ZeroDuration(), "news first");
 }
 
+// Guards against streams that begin at a new version before the row says that
+// there are several.
+BOOST_DATA_TEST_CASE(slow_write_of_the_row_joins_no_versions,
+                     data::make(kFleetSizes),
+                     instances) {
+  Fleet fleet(instances);
+  fleet.commit_time = absl::Milliseconds(800);
+  fleet.PlayReleases([&](size_t instance, absl::Duration duration) {
+    fleet.Freeze(instance, absl::Milliseconds(300), duration);
+  });
+  fleet.Check("slow write of the row");
+}
+
 // Guards against a second new version that is taken for the first one.
 BOOST_DATA_TEST_CASE(three_versions_are_not_joined_at_a_cut_instance,
                      data::make(kFleetSizes),
--- a/cranberryhill/gateway/stream_version_store.cc
+++ b/cranberryhill/gateway/stream_version_store.cc
@@ -100,6 +100,15 @@
   this->WriteSoon();
 }
 
+bool StoredStreamVersions::MayBegin(std::string_view service,
+                                    std::string_view version) {
+  this->UpdateServiceRow(service);
+  auto known = this->service_rows.find(service);
+  if (known == this->service_rows.end() || !this->IsTrusted(known->second))
+    return true;
+  return known->second.value->sole == version;
+}
+
 void StoredStreamVersions::Find(std::string_view service,
                                 std::string_view attempt_id,
                                 absl::Duration wait,
--- a/cranberryhill/gateway/stream_version_store.h
+++ b/cranberryhill/gateway/stream_version_store.h
@@ -91,6 +91,7 @@
   void OnStreamBegan(std::string_view service,
                      std::string_view attempt_id,
                      std::string_view version) override;
+  bool MayBegin(std::string_view service, std::string_view version) override;
   void Find(std::string_view service,
             std::string_view attempt_id,
             absl::Duration wait,
--- a/cranberryhill/gateway/stream_versions.h
+++ b/cranberryhill/gateway/stream_versions.h
@@ -26,6 +26,11 @@
                              std::string_view attempt_id,
                              std::string_view version) = 0;
 
+  /// @return True if a stream that begins at a replica of this version can be
+  ///     told from those of other versions by all instances. Otherwise another
+  ///     version is to be preferred for it.
+  virtual bool MayBegin(std::string_view service, std::string_view version) = 0;
+
   /// Finds the software version at which the attempt began its stream. Calls
   /// `done` at once or within `wait`; with nothing if nobody knows.
   /// @param wait Longest time that the caller's request may wait.
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -168,6 +168,8 @@
     else
       this->watches.push_back({table, part, after, wait, std::move(responder)});
     this->AnswerWatches();
+  } else if (this->refuses_writes) {
+    responder->SendWhole(this->Head(503), "");
   } else {
     this->Write(request.body, *responder);
   }
--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -42,6 +42,9 @@
     this->AnswerWatches();
   }
 
+  /// Answers all writes with 503 while true.
+  void SetRefusesWrites(bool refuses) { this->refuses_writes = refuses; }
+
   /// Holds back what lies beyond the first `bytes` of each page while set, as a
   /// slow link does; sends the rest when cleared.
   void HoldPagesAfter(std::optional<size_t> bytes);
@@ -143,6 +146,7 @@
   uint64_t history_from = 0;
   bool is_down = false;
   bool holds_watches = false;
+  bool refuses_writes = false;
   bool is_silent = false;
   bool loses_answers = false;
 };
