--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -131,6 +131,8 @@
     return this->Refuse("no_time_left", kDefaultRetryAfter);
   forward::PlacementChoice choice = this->ChooseReplica();
   if (choice.replica == nullptr) {
+    if (this->ReturnToSilentReplica() || this->AwaitFreeConnection())
+      return;
     NextOpening opening = this->FindNextOpening();
     return this->Refuse(opening.reason,
                         std::max(kDefaultRetryAfter, opening.wait));
@@ -285,7 +287,8 @@
           .Add("configuration", this->routes->configuration().version));
   http1::RequestHead head =
       this->context.wire.EncodeForwardedHead(this->request.head, fields);
-  http1::SendOptions options{kConnectTimeout,
+  this->connect_timeout = this->ConnectTimeout();
+  http1::SendOptions options{this->connect_timeout,
                              this->request.head.method == "HEAD"};
   this->ArmTimer();
   auto self = this->shared_from_this();
@@ -647,6 +650,12 @@
           .Add("budget_left", budget_left)
           .Add("next", NextStepName(step)));
   this->excluded_replicas.push_back(failed->entry.id);
+  bool ends_unanswered = step == forward::NextStep::kAnswerUnknown ||
+                         step == forward::NextStep::kCutStream;
+  if (ends_unanswered && budget_left && this->ReturnToSilentReplica())
+    return;
+  if (outcome == forward::AttemptOutcome::kTimedOut)
+    this->silent_replica = failed;
   switch (step) {
     case forward::NextStep::kSendAgain:
     case forward::NextStep::kResume:
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -117,6 +117,7 @@
     kIdle,
     kFindingVersion,
     kAwaitingPermit,
+    kAwaitingConnection,
     kPrefilling,
     kRunning,
     kDone
@@ -168,9 +169,17 @@
   void ReleaseCache();
 
   bool HasAlternativeReplica();
+  void ReservePermit(const std::string& id);
+  std::vector<std::shared_ptr<forward::Replica>> OtherReplicas();
+  bool ReturnToSilentReplica();
+  bool AwaitFreeConnection();
+  void EndConnectionWait();
   void ArmTimer();
+  void ArmTimerAt(absl::Time next);
   void OnTimer();
   void OnDeadline();
+  bool MayGoOnElsewhere() const;
+  absl::Duration ConnectTimeout();
   absl::Time NextTimeoutCheck() const;
   absl::Time NextSilenceCheck() const;
   absl::Time NextCheck() const;
@@ -211,6 +220,8 @@
   absl::Time deadline;
   forward::AttemptPolicy attempt_policy;
   std::vector<std::string> excluded_replicas;
+  // The last replica that was left because nothing came from it.
+  std::shared_ptr<forward::Replica> silent_replica;
 
   Phase phase = Phase::kIdle;
   std::shared_ptr<forward::Replica> replica;  // Receives the send in progress.
@@ -227,8 +238,10 @@
   // Software version that began the stream; unset before its first event.
   std::optional<std::string> stream_version;
   absl::Time sent_at;
+  absl::Duration connect_timeout = kConnectTimeout;  // Of this send.
   absl::Time last_progress_at;
   absl::Time silence_checked_at = absl::InfinitePast();
+  bool move_is_due = false;  // A permit to leave the replica has arrived.
   absl::Duration expected_first_byte;  // Estimated when the replica was chosen.
   absl::Duration first_byte_timeout;   // Longest wait for the first byte.
   int prefill_attempts = 0;
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -19,6 +19,8 @@
 /// at this many times their slots, so that they do not fail under all of the
 /// load: as many wait as are served.
 constexpr double kMaxLoadOfOpenReplica = 2;
+/// Interval between checks whether a connection to a replica has become free.
+constexpr absl::Duration kConnectionCheckInterval = absl::Milliseconds(20);
 /// Callers that are refused until a replica opens return within this time.
 constexpr absl::Duration kReturnSpread = absl::Milliseconds(300);
 
@@ -29,8 +31,9 @@
       this->OpenReplicas();
   absl::Time now = this->Now();
   if (!this->is_engine_service)
-    return this->context.placement.ChooseServer(usable_replicas, now,
-                                                this->excluded_replicas);
+    return this->context.placement.ChooseServer(
+        usable_replicas, this->context.random.UniformInt(0, UINT64_MAX), now,
+        this->excluded_replicas);
   absl::Duration elapsed = now - this->request.arrived;
   forward::LatencyLimits limits{
       this->route.target_latency - elapsed,
@@ -136,17 +139,117 @@
                       static_cast<size_t>(this->route.max_replicas);
   if (!may_move)
     return false;
+  auto others = this->OtherReplicas();
+  // A limited replica may not take the request, so its permit comes first.
+  auto is_certain = [this](const auto& other) {
+    const std::string& id = other->entry.id;
+    return !this->context.replica_limits.RateOf(id) ||
+           this->context.send_permits.HasUnused(id);
+  };
+  if (std::any_of(others.begin(), others.end(), is_certain))
+    return true;
+  if (others.empty())
+    return false;
+  this->ReservePermit(others.front()->entry.id);
+  return is_certain(others.front());
+}
+
+/// Acquires a permit that the request can use when it leaves its replica.
+void Exchange::ReservePermit(const std::string& id) {
+  this->context.send_permits.Acquire(
+      id, [weak = this->weak_from_this(), &context = this->context, id,
+           sent_at = this->sent_at, asked_at = this->Now()](bool granted) {
+        if (!granted)
+          return;
+        context.send_permits.Return(id);
+        auto self = weak.lock();
+        // The permit ends before the next regular check.
+        if (self != nullptr && self->connection != nullptr &&
+            self->sent_at == sent_at && self->Now() > asked_at &&
+            self->last_progress_at <= asked_at) {
+          self->move_is_due = true;
+          self->OnTimer();
+        }
+      });
+}
+
+/// @return The other replicas that take requests and have not failed this one.
+std::vector<std::shared_ptr<forward::Replica>> Exchange::OtherReplicas() {
   absl::Time now = this->Now();
-  auto usable_replicas = this->OpenReplicas();
-  return std::any_of(
-      usable_replicas.begin(), usable_replicas.end(), [&](const auto& other) {
-        const std::string& id = other->entry.id;
-        return other->entry.role == this->replica->entry.role &&
-               id != this->replica->entry.id && now >= other->avoid_until &&
+  auto replicas = this->OpenReplicas();
+  std::erase_if(replicas, [&](const auto& other) {
+    const std::string& id = other->entry.id;
+    return other->entry.role != this->replica->entry.role ||
+           id == this->replica->entry.id || now < other->avoid_until ||
+           std::find(this->excluded_replicas.begin(),
+                     this->excluded_replicas.end(),
+                     id) != this->excluded_replicas.end();
+  });
+  return replicas;
+}
+
+/// Waits for a replica that has as many requests as it allows connections, if
+/// the request may have run and thus cannot be refused.
+/// @return False if there is no such replica.
+bool Exchange::AwaitFreeConnection() {
+  if (!this->stream_started && !this->attempt_policy.MayHaveRun())
+    return false;
+  absl::Time now = this->Now();
+  auto members = this->context.replicas.Members(this->service);
+  bool are_in_use =
+      std::any_of(members.begin(), members.end(), [&](const auto& replica) {
+        return replica->outstanding >= replica->connection_share &&
+               replica->entry.role != EngineRole::kPrefill &&
+               !replica->unreachable && !replica->WantsNoRequests(now) &&
+               this->MayWriteStream(*replica) &&
                std::find(this->excluded_replicas.begin(),
                          this->excluded_replicas.end(),
-                         id) == this->excluded_replicas.end();
+                         replica->entry.id) == this->excluded_replicas.end();
       });
+  if (!are_in_use)
+    return false;
+  this->phase = Phase::kAwaitingConnection;
+  this->ArmTimerAt(now + kConnectionCheckInterval);
+  return true;
+}
+
+void Exchange::EndConnectionWait() {
+  this->phase = Phase::kIdle;
+  // Other requests may have used the room that this one had before its wait.
+  if (this->context.retry_budget(this->service).HasRoom())
+    return this->SendToNextReplica();
+  if (this->Now() < this->deadline && this->AwaitFreeConnection())
+    return;
+  this->Refuse("retry_budget", absl::ZeroDuration());
+}
+
+/// Sends a request that no other replica has answered to the one that it has
+/// left for its silence, which may have been that of a sound replica.
+/// @return False if it cannot be sent there.
+bool Exchange::ReturnToSilentReplica() {
+  std::shared_ptr<forward::Replica> target =
+      std::exchange(this->silent_replica, nullptr);
+  // A limited replica takes few requests, and a repeated one is not worth one
+  // of them.
+  if (target == nullptr ||
+      this->context.replica_limits.RateOf(target->entry.id) ||
+      !this->context.retry_budget(this->service).HasRoom() ||
+      this->OutlastsShutdown())
+    return false;
+  auto open_replicas = this->OpenReplicas();
+  if (std::find(open_replicas.begin(), open_replicas.end(), target) ==
+      open_replicas.end())
+    return false;
+  if (this->RefuseIfItCrashesReplicas())
+    return true;
+  std::erase(this->excluded_replicas, target->entry.id);
+  this->context.metrics.CountDecision("returned_to_silent_replica");
+  this->context.log.Write(this->MakeLogEvent("returned_to_silent_replica")
+                              .Add("replica", target->entry.id));
+  this->chosen_at = this->Now();
+  this->StartRun(std::move(target), this->caller_request.prompt.prompt_tokens,
+                 "");
+  return true;
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -19,6 +19,9 @@
 /// another send would only lengthen the queue.
 constexpr double kFirstByteExpectedMultiple = 4.0;
 constexpr absl::Duration kMinFirstByteTimeout = absl::Milliseconds(300);
+/// Time limit for a connection if a request that may have run has no other
+/// replica left: the first packet that is resent, after a second, still counts.
+constexpr absl::Duration kLongestConnectTimeout = absl::Milliseconds(1500);
 /// Interval between checks whether a silent replica is unreachable.
 constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(100);
 
@@ -30,10 +33,28 @@
                    expected * kFirstByteExpectedMultiple});
 }
 
+/// @return True if another replica could continue the request from here.
+bool Exchange::MayGoOnElsewhere() const {
+  if (this->stream_started) {
+    return this->route.kind == forward::RequestKind::kStream &&
+           this->route.resumable;
+  }
+  return this->route.MayRepeat();
+}
+
+/// @return Time limit for opening a connection for the send that begins.
+absl::Duration Exchange::ConnectTimeout() {
+  bool may_be_refused =
+      !this->stream_started && !this->attempt_policy.MayHaveRun();
+  if (may_be_refused || !this->OtherReplicas().empty())
+    return kConnectTimeout;
+  return kLongestConnectTimeout;
+}
+
 absl::Time Exchange::NextTimeoutCheck() const {
   absl::Time next = this->deadline;
   bool may_move = this->phase == Phase::kPrefilling ||
-                  (this->phase == Phase::kRunning && this->route.MayRepeat());
+                  (this->phase == Phase::kRunning && this->MayGoOnElsewhere());
   if (!may_move)
     return next;
   absl::Duration limit =
@@ -48,7 +69,7 @@
                                 : this->expected_first_byte;
   // Until then a connection may still be opened; if that fails, the request has
   // certainly not run.
-  absl::Time connected_at = this->sent_at + kConnectTimeout * 1.1;
+  absl::Time connected_at = this->sent_at + this->connect_timeout * 1.1;
   return std::max(
       {this->last_progress_at + expected + forward::kSilenceTolerance,
        this->silence_checked_at + kSilenceCheckInterval, connected_at});
@@ -65,15 +86,15 @@
 }
 
 /// @return True if ending the send at an unreachable replica costs the caller
-///     nothing: the request can go on elsewhere, has not run, or gets no answer
-///     from this replica any more.
+///     nothing: the request can go on elsewhere, or gets no answer from this
+///     replica any more.
 bool Exchange::MayLeaveSilentReplica() {
-  if (this->phase == Phase::kPrefilling ||
-      this->context.reachability.IsLost(*this->replica))
+  if (this->context.reachability.IsLost(*this->replica))
     return true;
-  return this->route.MayRepeat() &&
-         this->context.retry_budget(this->service).HasRoom() &&
-         this->HasAlternativeReplica();
+  if (!this->context.retry_budget(this->service).HasRoom())
+    return false;
+  return this->phase == Phase::kPrefilling ||
+         (this->MayGoOnElsewhere() && this->HasAlternativeReplica());
 }
 
 /// Probes the replica if it has been silent for longer than expected.
@@ -107,7 +128,10 @@
 }
 
 void Exchange::ArmTimer() {
-  absl::Time next = this->NextCheck();
+  this->ArmTimerAt(this->NextCheck());
+}
+
+void Exchange::ArmTimerAt(absl::Time next) {
   if (next >= this->timer_expires_at)
     return;
   this->timer_expires_at = next;
@@ -128,11 +152,14 @@
   if (this->phase == Phase::kDone || this->phase == Phase::kAwaitingPermit)
     return;
   auto self = this->shared_from_this();
+  if (this->phase == Phase::kAwaitingConnection)
+    return this->EndConnectionWait();
   absl::Time now = this->Now();
   if (this->connection != nullptr && now < this->deadline &&
       this->GiveUpOnUnreachableReplica())
     return;
-  if (now < this->NextTimeoutCheck())
+  bool move_is_due = std::exchange(this->move_is_due, false);
+  if (now < this->NextTimeoutCheck() && !move_is_due)
     return this->ArmTimer();
   bool deadline_passed = now >= this->deadline;
   if (!deadline_passed) {
