gateway: the time limit of a read is taken before its find is moved

The arguments of a call are evaluated in no certain order, so the deadline could be read from a pointer that the callback's capture had moved from. clang-tidy (bugprone-use-after-move) found it; no run showed it.

--- a/cranberryhill/gateway/stream_version_finder.cc
+++ b/cranberryhill/gateway/stream_version_finder.cc
@@ -110,8 +110,9 @@
   ++this->read_count;
   http1::OutgoingRequest request =
       this->codec.EncodeReadRow(StoreTable::kStreamVersions, find->attempt_id);
+  absl::Duration timeout = std::min(kReadTimeout, find->deadline - now);
   this->readers[reader]->Call(
-      request, std::min(kReadTimeout, find->deadline - now),
+      request, timeout,
       [this, reader, find = std::move(find)](const HttpResult& answer) {
         this->OnRead(reader, find, answer);
       });
