--- a/cranberryhill/gateway/stream_version_sweeper.cc
+++ b/cranberryhill/gateway/stream_version_sweeper.cc
@@ -128,10 +128,9 @@
   this->earlier_version = this->has_rows
                               ? std::exchange(this->version, std::nullopt)
                               : std::nullopt;
+  this->ScheduleNext();
   if (this->earlier_version)
-    this->due = this->clock.Now() + kMaxRowAge;
-  else
-    this->ScheduleNext();
+    this->due = std::max(*this->due, this->clock.Now() + kMaxRowAge);
 }
 
 }  // namespace cranberryhill::gateway
