gateway: a take-up goes to the service that its stream began at

What callers saw: on a route that is split over two services, a stream that broke off was refused when it was taken up, if the other service was drawn.

Cause: the service was drawn at random for each request, also for one that resumes a stream. It is now drawn by a hash of the attempt that began the stream, which the request names.

Evidence: in take_up_on_a_split_route_goes_to_the_streams_service 8 of 12 take-ups were refused without the change, none with it. A change of the weights between the two requests can still move the stream.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cranberryhill/base/hash.h"
 #include "cranberryhill/gateway/send_and_forget.h"
 
 namespace cranberryhill::gateway {
@@ -78,8 +79,11 @@
                                      this->request.body)),
       attempt_policy(route),
       timer(context.io) {
-  this->service = std::string(forward::PickService(
-      route, this->context.random.UniformInt(0, UINT64_MAX)));
+  // A request that resumes a stream goes to the service that began it.
+  const std::string& stream = this->caller_request.resumed_attempt_id.empty()
+                                  ? this->caller_request.attempt_id
+                                  : this->caller_request.resumed_attempt_id;
+  this->service = std::string(forward::PickService(route, StableHash(stream)));
   const forward::ServiceConfig* config =
       this->routes->FindService(this->service);
   this->is_engine_service = config != nullptr && config->engine.has_value();
