--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -150,9 +150,11 @@
   const std::string& target = request.head.target;
   std::string table = Parameter(target, "table");
   std::string part = Parameter(target, "part");
+  bool is_write =
+      !target.starts_with(kRowsGetPath) && !target.starts_with(kRowsFeedPath);
   if (this->is_silent) {
     this->unanswered.push_back(std::move(responder));
-  } else if (this->is_down) {
+  } else if (this->is_down || (this->refuses_writes && is_write)) {
     responder->SendWhole(this->Head(503), "");
   } else if (target.starts_with(kRowsGetPath)) {
     this->SendPage(responder,
@@ -168,8 +170,6 @@
     else
       this->watches.push_back({table, part, after, wait, std::move(responder)});
     this->AnswerWatches();
-  } else if (this->refuses_writes) {
-    responder->SendWhole(this->Head(503), "");
   } else {
     this->Write(request.body, *responder);
   }
