--- a/cranberryhill/gateway/stream_version_finder.cc
+++ b/cranberryhill/gateway/stream_version_finder.cc
@@ -160,6 +160,9 @@
     absl::Duration pause =
         std::min(kMaxPause, kFirstPause * (1 << std::min(find->looks - 1, 3)));
     find->look_at = now + pause * (0.75 + 0.5 * this->random.UniformDouble());
+    // The read after which the row is not expected any more is not put off.
+    if (now < find->written_by)
+      find->look_at = std::min(find->look_at, find->written_by);
   }
   this->Continue();
 }
