gateway: a request leaves its replica when another one has taken it

The send was given up first; whether another one may begin was decided afterwards, in several places that ended the request.

Each send is an object of its own now (ReplicaSend). A request without progress seeks a successor and listens to the former send until the successor has an event or 300 ms after its run was sent, as a refusal comes at once. All paths that find no successor go through EndUnanswered(), which stays with the former send.

--- a/cranberryhill/forward/attempt_policy.cc
+++ b/cranberryhill/forward/attempt_policy.cc
@@ -50,14 +50,17 @@
              this->sent_to.end();
 }
 
+void AttemptPolicy::OnGivenUp(AttemptOutcome outcome) {
+  if (outcome != AttemptOutcome::kNotSent && outcome != AttemptOutcome::kNotRun)
+    this->may_have_run = true;
+}
+
 NextStep AttemptPolicy::DecideNextStep(AttemptOutcome outcome,
                                        AnswerProgress progress,
                                        bool budget_left) {
   if (outcome == AttemptOutcome::kNotSent && !this->sent_to.empty())
     this->sent_to.pop_back();
-  bool possibly_run =
-      outcome != AttemptOutcome::kNotSent && outcome != AttemptOutcome::kNotRun;
-  this->may_have_run = this->may_have_run || possibly_run;
+  this->OnGivenUp(outcome);
   bool may_send_again = budget_left && this->MayUseAnotherReplica() &&
                         (!this->may_have_run || this->may_repeat);
   if (progress == AnswerProgress::kStreamStarted)
--- a/cranberryhill/forward/attempt_policy.h
+++ b/cranberryhill/forward/attempt_policy.h
@@ -71,6 +71,10 @@
                           AnswerProgress progress,
                           bool budget_left);
 
+  /// Records that an attempt has ended beside a later one, which decides what
+  /// follows.
+  void OnGivenUp(AttemptOutcome outcome);
+
   /// @return True when the request may have run in one of its attempts.
   bool MayHaveRun() const { return this->may_have_run; }
 
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -4,6 +4,10 @@
 // Handles one request of a caller, from the last byte of the request to the
 // last byte of its answer. Sends it to replicas as decided by Placement and
 // AttemptPolicy and relays the answer.
+//
+// A send that makes no progress is not given up until another replica has taken
+// the request. Until then the request listens to both and goes on with the one
+// that makes progress first.
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -22,7 +26,6 @@
 #include "cranberryhill/forward/attempt_policy.h"
 #include "cranberryhill/forward/configuration.h"
 #include "cranberryhill/forward/engine_speed.h"
-#include "cranberryhill/forward/event_splitter.h"
 #include "cranberryhill/forward/peer_load_sync.h"
 #include "cranberryhill/forward/placement.h"
 #include "cranberryhill/forward/prompt_part_quarantine.h"
@@ -35,6 +38,7 @@
 #include "cranberryhill/gateway/connection_pool.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/metrics.h"
+#include "cranberryhill/gateway/replica_send.h"
 #include "cranberryhill/gateway/send_permits.h"
 #include "cranberryhill/gateway/shutdown_admission.h"
 #include "cranberryhill/gateway/stream_versions.h"
@@ -85,7 +89,7 @@
 };
 
 class Exchange : public http1::ActiveRequest,
-                 public http1::AnswerHandler,
+                 public ReplicaSend::Observer,
                  public std::enable_shared_from_this<Exchange> {
  public:
   /// @param routes The routes in force when the request arrived.
@@ -106,17 +110,33 @@
   void OnCallerCaughtUp() override;
   void OnShutdownEnds() override;
 
-  http1::AnswerMatch Match(const http1::AnswerHead& head) override;
-  void OnHead(http1::AnswerHead head) override;
-  void OnBody(std::string_view data) override;
-  void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
+  http1::AnswerMatch MatchAnswer(const http1::AnswerHead& head,
+                                 ReplicaAnswerInfo& info) override;
+  void OnSendHead(ReplicaSend& send) override;
+  void OnSendBody(ReplicaSend& send, std::string_view data) override;
+  void OnSendEnd(ReplicaSend& send,
+                 http1::AnswerEnd end,
+                 std::string_view reason) override;
 
  private:
   /// Time limit for opening a connection to a replica. A replica in the same
   /// region accepts one within a few milliseconds. If a packet is lost, it is
   /// resent only after a second, so trying another replica is faster.
   static constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
+  /// A request is sent to a replica only if at least this much time is left.
+  static constexpr absl::Duration kMinTimeForSend = absl::Milliseconds(30);
+  /// Maximum number of prefills of one request on separate prefill engines; the
+  /// second one follows a failure.
+  static constexpr int kMaxPrefillAttempts = 2;
+  /// Retry-After of refusals for which no better time is known. Replicas that
+  /// crash or are replaced are back after a second or more.
+  static constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
+  /// A former send is listened to for this long after the run at the next
+  /// replica was sent, which refuses it at once if at all. Two replicas must
+  /// not work on a stream for more than 400 ms.
+  static constexpr absl::Duration kHandoverTime = absl::Milliseconds(300);
 
+  /// What the request does apart from listening to the former send.
   enum class Phase {
     kIdle,
     kFindingVersion,
@@ -127,88 +147,120 @@
     kDone
   };
 
-  void SendToNextReplica();
-  void SendTo(const forward::PlacementChoice& choice);
-  void RunWithCache();
-  void AwaitPermit(const forward::Replica& target,
-                   std::function<void(bool granted)> next);
-  bool IsTakeUp() const;
-  bool HasBegun() const;
-  void FindStreamVersion();
-  void OnStreamVersionFound(std::optional<std::string> version);
-  void BindToSentVersion();
-  bool MayWriteStream(const forward::Replica& replica) const;
-  bool IsOfUsableVersion(const forward::Replica& replica) const;
-  bool MayBeginStream(const forward::Replica& replica) const;
-  std::vector<std::shared_ptr<forward::Replica>> UsableReplicas();
-  std::vector<std::shared_ptr<forward::Replica>> OpenReplicasInHeardZones();
-  bool CanRun(const forward::Replica& replica) const;
-  bool IsExcluded(const forward::Replica& replica) const;
-  std::vector<std::shared_ptr<forward::Replica>> OpenReplicas();
+  /// What the choice of a replica has decided about the next send.
+  struct Choice {
+    absl::Time made_at;
+    absl::Duration expected_first_byte;
+    absl::Duration first_byte_timeout;
+    forward::PrefillLane lane = forward::PrefillLane::kOnTime;
+  };
+
   /// Why no replica takes a request, and when one may.
   struct NextOpening {
     std::string_view reason;
     absl::Duration wait;  ///< Zero if no time is known.
   };
 
-  NextOpening FindNextOpening();
-  bool IsOverloaded(const forward::Replica& replica) const;
+  // exchange.cc: sends.
+  void SendToNextReplica();
+  void SendTo(const forward::PlacementChoice& choice);
   void StartPrefill(const forward::PlacementChoice& choice);
+  void RunWithCache();
   void StartRun(std::shared_ptr<forward::Replica> replica,
                 double prefill_tokens,
                 std::string cache_source);
   void Send(std::shared_ptr<forward::Replica> replica,
             double prefill_tokens,
             const ForwardFields& fields);
-  void EndSend();
+  int Priority() const;
 
+  // exchange_choice.cc: where a request may be sent.
+  forward::PlacementChoice ChooseReplica();
+  void AwaitPermit(const forward::Replica& target,
+                   std::function<void(bool granted)> next);
+  std::vector<std::shared_ptr<forward::Replica>> UsableReplicas();
+  std::vector<std::shared_ptr<forward::Replica>> OpenReplicasInHeardZones();
+  bool CanRun(const forward::Replica& replica) const;
+  bool IsExcluded(const forward::Replica& replica) const;
+  std::vector<std::shared_ptr<forward::Replica>> OpenReplicas();
+  NextOpening FindNextOpening();
+  bool IsOverloaded(const forward::Replica& replica) const;
+  bool HasAlternativeReplica();
+  void ReservePermit(const std::string& id);
+  std::vector<std::shared_ptr<forward::Replica>> OtherReplicas(
+      const forward::Replica& than);
+  bool AwaitFreeConnection();
+  void EndConnectionWait();
+
+  // exchange_versions.cc: software versions of streams.
+  bool IsTakeUp() const;
+  bool HasBegun() const;
+  void FindStreamVersion();
+  void OnStreamVersionFound(std::optional<std::string> version);
+  void BindToSentVersion(const ReplicaSend& send);
+  bool MayWriteStream(const forward::Replica& replica) const;
+  bool IsOfUsableVersion(const forward::Replica& replica) const;
+  bool MayBeginStream(const forward::Replica& replica) const;
+
+  // exchange_answer.cc: what arrives from replicas.
   void OnPrefillEnd(http1::AnswerEnd end, std::string_view reason);
   void OnRunEnd(http1::AnswerEnd end, std::string_view reason);
-  forward::AttemptOutcome Classify(http1::AnswerEnd end) const;
+  bool IsCompleteStream(const ReplicaSend& send, http1::AnswerEnd end) const;
+  bool IsRelayable(const ReplicaSend& send, http1::AnswerEnd end) const;
+  static forward::AttemptOutcome Classify(const ReplicaSend& send,
+                                          http1::AnswerEnd end);
   void OnSendFailed(forward::AttemptOutcome outcome, std::string_view reason);
+  void RecordFailure(const ReplicaSend& send, forward::AttemptOutcome outcome);
   bool RunOnOtherReplicaOrWithoutCache(
       const std::shared_ptr<forward::Replica>& refused);
-  void RelayEvents(std::string_view data);
-  void RelayStreamHead();
-  bool KeepOrGiveUp(size_t bytes);
-  bool HasTooLargeBody() const;
-  void OnAnswerTooLarge(bool replica_is_at_fault);
-  void LearnFromHead();
-  void LearnLimit();
-  void LearnFromFirstEvent();
-  absl::Duration TookAtUsualSpeed(const forward::Replica& replica) const;
+  void RelayEvents(ReplicaSend& send, std::string_view data);
+  void RelayStreamHead(const ReplicaSend& send);
+  bool KeepOrGiveUp(ReplicaSend& send, size_t bytes);
+  bool HasTooLargeBody(const ReplicaSend& send) const;
+  void OnAnswerTooLarge(ReplicaSend& send, bool replica_is_at_fault);
+  void LearnFromFirstEvent(const ReplicaSend& send);
+  absl::Duration TookAtUsualSpeed(const ReplicaSend& send) const;
+  void RecordPossibleCrash(const ReplicaSend& send,
+                           forward::AttemptOutcome outcome);
   void ReleaseCache();
 
-  bool HasAlternativeReplica();
-  void ReservePermit(const std::string& id);
-  std::vector<std::shared_ptr<forward::Replica>> OtherReplicas();
+  // exchange_notices.cc: what replicas say about themselves.
+  void LearnFromHead(const ReplicaSend& send);
+  void LearnLimit(const ReplicaSend& send);
+
+  // exchange_handover.cc: from one replica to another.
+  void SeekSuccessor(std::string_view reason);
+  void GoOnWith(const ReplicaSend& send);
+  void StayWithFormer(std::string_view reason);
+  void OnFormerEnd(http1::AnswerEnd end, std::string_view reason);
+  void GiveUpFormer(std::string_view reason);
+  void EndCurrent();
+  void EndFormer();
   bool ReturnToSilentReplica();
-  bool AwaitFreeConnection();
-  void EndConnectionWait();
+
+  // exchange_timing.cc: how long a request waits for its replica.
   void ArmTimer();
   void ArmTimerAt(absl::Time next);
   void OnTimer();
-  void OnDeadline();
   bool MayGoOnElsewhere() const;
-  absl::Duration ConnectTimeout();
+  absl::Duration ConnectTimeout(const forward::Replica& target);
   absl::Time NextTimeoutCheck() const;
   absl::Time NextSilenceCheck() const;
   absl::Time NextCheck() const;
   bool GiveUpOnUnreachableReplica();
-  absl::Duration ReplicaSilence() const;
   bool MayLeaveSilentReplica();
-  forward::PlacementChoice ChooseReplica();
-  bool RefuseIfItCrashesReplicas();
-  bool OutlastsShutdown() const;
-  void RecordPossibleCrash(const std::shared_ptr<forward::Replica>& failed,
-                           forward::AttemptOutcome outcome);
-  int Priority() const;
+  void EndSendWithoutProgress(std::string_view reason);
   absl::Duration FirstByteTimeout(absl::Duration expected) const;
 
-  void Refuse(std::string_view reason, absl::Duration retry_after);
-  void RelayWholeAnswer();
-  void AnswerWithError(int status, std::string_view reason);
-  void AbortStream(std::string_view reason);
+  // exchange_end.cc: how a request ends.
+  bool RefuseIfItCrashesReplicas();
+  bool OutlastsShutdown() const;
+  void EndUnanswered(std::string_view reason, absl::Duration retry_after);
+  void RelayWholeAnswer(ReplicaSend& send);
+  void OnDeadline();
+  void EndNow(int status,
+              std::string_view reason,
+              std::optional<absl::Duration> retry_after);
   void Finish(std::string_view outcome, std::string_view reason, int status);
 
   absl::Time Now() const { return this->context.clock.Now(); }
@@ -232,46 +284,33 @@
   forward::AttemptPolicy attempt_policy;
   std::vector<std::string> excluded_replicas;
   std::vector<std::string> prompt_read_by;  // Ids of replicas that have it.
-  // The last replica that was left because nothing came from it.
-  std::shared_ptr<forward::Replica> silent_replica;
+  // Have carried this request.
+  std::vector<std::weak_ptr<http1::ClientConnection>> used_connections;
 
   Phase phase = Phase::kIdle;
-  std::shared_ptr<forward::Replica> replica;  // Receives the send in progress.
-  std::shared_ptr<http1::ClientConnection> connection;
-  // Have carried this request in this or an earlier send.
-  std::vector<std::weak_ptr<http1::ClientConnection>> used_connections;
-  double queued_tokens = 0;  // Added to the replica's queue by this send.
-  forward::PrefillWork prefill_work;  // Of this send, when it was sent.
-  bool uses_cache_source = false;     // The send refers to a transferred cache.
-  absl::Time chosen_at;               // When the replica was chosen.
-  forward::PrefillLane lane = forward::PrefillLane::kOnTime;
-  // Software version of the replica when the request was sent.
-  std::string sent_version;
-  // Software version that began the stream; unset before its first event.
-  std::optional<std::string> stream_version;
-  absl::Time sent_at;
-  absl::Duration connect_timeout = kConnectTimeout;  // Of this send.
-  absl::Time last_progress_at;
-  absl::Time silence_checked_at = absl::InfinitePast();
+  Choice choice;
+  std::shared_ptr<ReplicaSend> current;  // Null while none is in progress.
+  // Has made no progress and is listened to until `current` is accepted.
+  std::shared_ptr<ReplicaSend> former;
+  absl::Time former_ends_at = absl::InfiniteFuture();
+  // The last replica that was left because nothing came from it.
+  std::shared_ptr<forward::Replica> silent_replica;
+  // Counts the returns to the former send. Permits that were asked for before
+  // are not used.
+  int returns = 0;
   bool move_is_due = false;  // A permit to leave the replica has arrived.
-  absl::Duration expected_first_byte;  // Estimated when the replica was chosen.
-  absl::Duration first_byte_timeout;   // Longest wait for the first byte.
+
   int prefill_attempts = 0;
   int denied_permits = 0;
   bool tried_uncached = false;  // A run without the cache was tried.
   std::string cache_handle;     // Set until a run has used the cache.
   std::shared_ptr<forward::Replica> cache_owner;
 
-  http1::AnswerHead answer_head;
-  ReplicaAnswerInfo answer_info;
-  std::string answer_body;
-  ByteAccount::Reservation kept_bytes;  // Of this send's answer.
-  bool has_head = false;
-  bool relaying_events = false;  // Events are passed on to the caller.
-  bool paused = false;  // The caller has to read before more is relayed.
+  // Software version that began the stream; unset before its first event.
+  std::optional<std::string> stream_version;
   bool stream_started = false;
-  bool send_has_event = false;  // A whole event of this send has arrived.
-  forward::EventSplitter event_splitter;
+  std::optional<std::string> last_event_id;  // Of the events passed on.
+  int64_t event_count = 0;
   boost::asio::steady_timer timer;
   absl::Time timer_expires_at = absl::InfiniteFuture();
 };
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -57,9 +57,11 @@
     return next(true);
   this->phase = Phase::kAwaitingPermit;
   auto on_reply = [weak = this->weak_from_this(), &context = this->context, id,
+                   returns = this->returns,
                    next = std::move(next)](bool granted) {
     auto self = weak.lock();
-    if (self == nullptr || self->phase == Phase::kDone) {
+    if (self == nullptr || self->phase == Phase::kDone ||
+        self->returns != returns) {
       if (granted)
         context.send_permits.Return(id);
       return;
@@ -193,7 +195,7 @@
                       static_cast<size_t>(this->route.max_replicas);
   if (!may_move)
     return false;
-  auto others = this->OtherReplicas();
+  auto others = this->OtherReplicas(*this->current->Target());
   // A limited replica may not take the request, so its permit comes first.
   auto is_certain = [this](const auto& other) {
     const std::string& id = other->entry.id;
@@ -212,29 +214,32 @@
 void Exchange::ReservePermit(const std::string& id) {
   this->context.send_permits.Acquire(
       id, [weak = this->weak_from_this(), &context = this->context, id,
-           sent_at = this->sent_at, asked_at = this->Now()](bool granted) {
+           send = std::weak_ptr<ReplicaSend>(this->current),
+           asked_at = this->Now()](bool granted) {
         if (!granted)
           return;
         context.send_permits.Return(id);
         auto self = weak.lock();
         // The permit ends before the next regular check.
-        if (self != nullptr && self->connection != nullptr &&
-            self->sent_at == sent_at && self->Now() > asked_at &&
-            self->last_progress_at <= asked_at) {
+        if (self != nullptr && self->current != nullptr &&
+            self->current == send.lock() && self->Now() > asked_at &&
+            self->current->LastProgressAt() <= asked_at) {
           self->move_is_due = true;
           self->OnTimer();
         }
       });
 }
 
-/// @return The other replicas that take requests and have not failed this one.
-std::vector<std::shared_ptr<forward::Replica>> Exchange::OtherReplicas() {
+/// @return The other replicas of the same role that take requests and have not
+///     failed this one.
+std::vector<std::shared_ptr<forward::Replica>> Exchange::OtherReplicas(
+    const forward::Replica& than) {
   absl::Time now = this->Now();
   auto replicas = this->OpenReplicas();
   std::erase_if(replicas, [&](const auto& other) {
     const std::string& id = other->entry.id;
-    return other->entry.role != this->replica->entry.role ||
-           id == this->replica->entry.id || now < other->avoid_until ||
+    return other->entry.role != than.entry.role || id == than.entry.id ||
+           now < other->avoid_until ||
            std::find(this->excluded_replicas.begin(),
                      this->excluded_replicas.end(),
                      id) != this->excluded_replicas.end();
@@ -274,38 +279,7 @@
     return this->SendToNextReplica();
   if (this->Now() < this->deadline && this->AwaitFreeConnection())
     return;
-  this->Refuse("retry_budget", absl::ZeroDuration());
-}
-
-/// Sends a request that no other replica has answered to the one that it has
-/// left for its silence, which may have been that of a sound replica.
-/// @return False if it cannot be sent there.
-bool Exchange::ReturnToSilentReplica() {
-  std::shared_ptr<forward::Replica> target =
-      std::exchange(this->silent_replica, nullptr);
-  // A limited replica takes few requests, and a repeated one is not worth one
-  // of them.
-  if (target == nullptr ||
-      this->context.replica_limits.RateOf(target->entry.id) ||
-      !this->context.retry_budget(this->service).HasRoom() ||
-      this->OutlastsShutdown())
-    return false;
-  auto open_replicas = this->OpenReplicas();
-  if (std::find(open_replicas.begin(), open_replicas.end(), target) ==
-      open_replicas.end())
-    return false;
-  if (this->RefuseIfItCrashesReplicas())
-    return true;
-  std::erase(this->excluded_replicas, target->entry.id);
-  this->context.metrics.CountDecision("returned_to_silent_replica");
-  this->context.log.Write(this->MakeLogEvent("returned_to_silent_replica")
-                              .Add("replica", target->entry.id));
-  this->chosen_at = this->Now();
-  if (this->HasBegun())
-    this->lane = forward::PrefillLane::kResumed;
-  this->StartRun(std::move(target), this->caller_request.prompt.prompt_tokens,
-                 "");
-  return true;
+  this->EndUnanswered("retry_budget", absl::ZeroDuration());
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -43,93 +43,96 @@
 }
 
 /// @return Time limit for opening a connection for the send that begins.
-absl::Duration Exchange::ConnectTimeout() {
+absl::Duration Exchange::ConnectTimeout(const forward::Replica& target) {
   bool may_be_refused =
       !this->stream_started && !this->attempt_policy.MayHaveRun();
-  if (may_be_refused || !this->OtherReplicas().empty())
+  if (may_be_refused || this->former != nullptr ||
+      !this->OtherReplicas(target).empty())
     return kConnectTimeout;
   return kLongestConnectTimeout;
 }
 
+/// @return When the send in progress has made no progress for too long.
 absl::Time Exchange::NextTimeoutCheck() const {
   absl::Time next = this->deadline;
   bool may_move = this->phase == Phase::kPrefilling ||
                   (this->phase == Phase::kRunning && this->MayGoOnElsewhere());
   if (!may_move)
     return next;
-  absl::Duration limit =
-      this->stream_started ? kStreamStallTimeout : this->first_byte_timeout;
-  return std::min(next, this->last_progress_at + limit);
+  absl::Duration limit = this->stream_started
+                             ? kStreamStallTimeout
+                             : this->current->Plan().first_byte_timeout;
+  return std::min(next, this->current->LastProgressAt() + limit);
 }
 
 /// @return When to check whether the replica has gone silent.
 absl::Time Exchange::NextSilenceCheck() const {
-  absl::Duration expected = this->has_head || this->stream_started
+  const ReplicaSend& send = *this->current;
+  absl::Duration expected = send.HasHead() || this->stream_started
                                 ? absl::ZeroDuration()
-                                : this->expected_first_byte;
+                                : send.Plan().expected_first_byte;
   // Until then a connection may still be opened; if that fails, the request has
   // certainly not run.
-  absl::Time connected_at = this->sent_at + this->connect_timeout * 1.1;
+  absl::Time connected_at = send.SentAt() + send.Plan().connect_timeout * 1.1;
   return std::max(
-      {this->last_progress_at + expected + forward::kSilenceTolerance,
-       this->silence_checked_at + kSilenceCheckInterval, connected_at});
+      {send.LastProgressAt() + expected + forward::kSilenceTolerance,
+       send.SilenceCheckedAt() + kSilenceCheckInterval, connected_at});
 }
 
 absl::Time Exchange::NextCheck() const {
-  // Nothing is read from the replica, so its silence says nothing.
-  if (this->paused)
-    return this->deadline;
-  return std::min(this->NextTimeoutCheck(), this->NextSilenceCheck());
-}
-
-/// @return Time since the replica last sent something on any connection, or
-///     since this send began if that is less.
-absl::Duration Exchange::ReplicaSilence() const {
-  return this->Now() - std::max(this->sent_at, this->replica->heard_at);
+  absl::Time next = this->deadline;
+  if (this->former != nullptr)
+    next = std::min(next, this->former_ends_at);
+  // Nothing is read from the replica of a paused send, so its silence says
+  // nothing.
+  if (this->current == nullptr || this->current->IsPaused())
+    return next;
+  return std::min({next, this->NextTimeoutCheck(), this->NextSilenceCheck()});
 }
 
-/// @return True if ending the send at an unreachable replica costs the caller
-///     nothing: the request can go on elsewhere, or gets no answer from this
-///     replica any more.
+/// @return True if the request may leave an unreachable replica: it can go on
+///     elsewhere, or gets no answer from this replica any more.
 bool Exchange::MayLeaveSilentReplica() {
-  if (this->context.reachability.IsLost(*this->replica))
-    return true;
-  if (!this->context.retry_budget(this->service).HasRoom())
-    return false;
-  return this->phase == Phase::kPrefilling ||
-         (this->MayGoOnElsewhere() && this->HasAlternativeReplica());
+  return this->context.retry_budget(this->service).HasRoom() &&
+         (this->phase == Phase::kPrefilling ||
+          (this->MayGoOnElsewhere() && this->HasAlternativeReplica()));
 }
 
 /// Probes the replica if it has been silent for longer than expected.
-/// @return True if it is unreachable and the send has been ended.
+/// @return True if it is unreachable and another replica has been sought.
 bool Exchange::GiveUpOnUnreachableReplica() {
-  absl::Time now = this->Now();
-  if (now < this->NextSilenceCheck())
+  if (this->Now() < this->NextSilenceCheck())
     return false;
-  this->silence_checked_at = now;
-  if (!this->replica->unreachable) {
-    if (this->context.reachability.ShouldProbe(*this->replica,
-                                               this->last_progress_at))
-      this->context.probe(this->replica);
+  this->current->RecordSilenceCheck();
+  const std::shared_ptr<forward::Replica>& replica = this->current->Target();
+  if (!replica->unreachable) {
+    if (this->context.reachability.ShouldProbe(*replica,
+                                               this->current->LastProgressAt()))
+      this->context.probe(replica);
     return false;
   }
+  constexpr std::string_view kReason = "replica unreachable";
+  bool is_lost = this->context.reachability.IsLost(*replica);
+  if (is_lost || this->former != nullptr) {
+    this->EndSendWithoutProgress(kReason);
+    return true;
+  }
   if (!this->MayLeaveSilentReplica()) {
-    if (this->context.reachability.ShouldProbeForLoss(*this->replica))
-      this->context.probe(this->replica);
+    if (this->context.reachability.ShouldProbeForLoss(*replica))
+      this->context.probe(replica);
     return false;
   }
-  this->connection->Cancel();
-  constexpr std::string_view kReason = "replica unreachable";
-  if (this->phase == Phase::kPrefilling) {
-    this->has_head = false;
-    this->answer_info = {};
-    this->OnPrefillEnd(http1::AnswerEnd::kBroken, kReason);
-  } else {
-    this->OnSendFailed(forward::AttemptOutcome::kTimedOut, kReason);
-  }
+  this->SeekSuccessor(kReason);
   return true;
 }
 
+/// Ends the send in progress, from which no answer is expected any more.
+void Exchange::EndSendWithoutProgress(std::string_view reason) {
+  if (this->current->Plan().prefill_only)
+    return this->OnPrefillEnd(http1::AnswerEnd::kBroken, reason);
+  this->OnSendFailed(forward::AttemptOutcome::kTimedOut, reason);
+}
+
 void Exchange::ArmTimer() {
   this->ArmTimerAt(this->NextCheck());
 }
@@ -151,42 +154,36 @@
 }
 
 void Exchange::OnTimer() {
-  // The next send arms the timer again.
-  if (this->phase == Phase::kDone || this->phase == Phase::kAwaitingPermit)
+  if (this->phase == Phase::kDone)
     return;
   auto self = this->shared_from_this();
+  absl::Time now = this->Now();
+  bool has_send = this->current != nullptr || this->former != nullptr;
+  if (has_send && now >= this->deadline)
+    return this->OnDeadline();
   if (this->phase == Phase::kAwaitingConnection)
     return this->EndConnectionWait();
-  absl::Time now = this->Now();
-  if (this->paused && now < this->deadline)
+  if (this->former != nullptr && now >= this->former_ends_at)
+    this->GiveUpFormer("successor_runs");
+  // The next send arms the timer again.
+  if (this->current == nullptr)
+    return;
+  if (this->current->IsPaused())
     return this->ArmTimer();
-  if (this->connection != nullptr && now < this->deadline &&
-      this->GiveUpOnUnreachableReplica())
+  if (this->GiveUpOnUnreachableReplica())
     return;
   bool move_is_due = std::exchange(this->move_is_due, false);
   if (now < this->NextTimeoutCheck() && !move_is_due)
     return this->ArmTimer();
-  bool deadline_passed = now >= this->deadline;
-  if (!deadline_passed) {
-    forward::WindowedRetryBudget& retry_budget =
-        this->context.retry_budget(this->service);
-    if (!retry_budget.HasRoom() || !this->HasAlternativeReplica()) {
-      // The retry budget is used up or there is no other replica, so the
-      // request keeps waiting for its current replica.
-      this->last_progress_at = now;
-      return this->ArmTimer();
-    }
-  }
-  if (this->connection != nullptr)
-    this->connection->Cancel();
-  if (deadline_passed)
-    return this->OnDeadline();
-  if (this->phase == Phase::kPrefilling) {
-    this->has_head = false;
-    this->answer_info = {};
-    return this->OnPrefillEnd(http1::AnswerEnd::kBroken, "no progress");
+  // A prefill beside a former send is ended, as there is no third send.
+  if (this->former != nullptr)
+    return this->EndSendWithoutProgress("no progress");
+  if (!this->context.retry_budget(this->service).HasRoom() ||
+      !this->HasAlternativeReplica()) {
+    this->current->RecordProgress();
+    return this->ArmTimer();
   }
-  this->OnSendFailed(forward::AttemptOutcome::kTimedOut, "no progress");
+  this->SeekSuccessor("no progress");
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/exchange_versions.cc
+++ b/cranberryhill/gateway/exchange_versions.cc
@@ -57,7 +57,8 @@
       .Add("took_ms", this->Now() - this->request.arrived);
   this->context.log.Write(event);
   if (!version)
-    return this->Refuse("stream_version_unknown", kRetryAfterUnknownVersion);
+    return this->EndUnanswered("stream_version_unknown",
+                               kRetryAfterUnknownVersion);
   this->stream_version = std::move(version);
   this->SendToNextReplica();
 }
@@ -65,23 +66,23 @@
 /// Binds the stream to the version that the replica's entry had when the
 /// request was sent. To be called before the first event of this answer is
 /// relayed.
-void Exchange::BindToSentVersion() {
-  this->stream_version = this->sent_version;
+void Exchange::BindToSentVersion(const ReplicaSend& send) {
+  this->stream_version = send.SoftwareVersion();
   StreamVersions& versions = this->context.stream_versions;
   if (this->route.resumable && !this->IsTakeUp() &&
-      !versions.MayBegin(this->service, this->sent_version)) {
+      !versions.MayBegin(this->service, send.SoftwareVersion())) {
     this->context.log.Write(
         this->MakeLogEvent("stream_began_beside_sole_version")
             .Add("service", this->service)
-            .Add("software_version", this->sent_version));
+            .Add("software_version", send.SoftwareVersion()));
   }
   versions.OnStreamBegan(this->service, this->caller_request.attempt_id,
-                         this->sent_version);
+                         send.SoftwareVersion());
   // The caller may name either attempt when it takes the stream up again.
   if (this->IsTakeUp() && !this->caller_request.resumed_attempt_id.empty()) {
     versions.OnStreamBegan(this->service,
                            this->caller_request.resumed_attempt_id,
-                           this->sent_version);
+                           send.SoftwareVersion());
   }
 }
 
--- /dev/null
+++ b/cranberryhill/gateway/replica_send.h
@@ -0,0 +1,156 @@
+#ifndef CRANBERRYHILL_GATEWAY_REPLICA_SEND_H_
+#define CRANBERRYHILL_GATEWAY_REPLICA_SEND_H_
+
+// One send of a request to one replica: its part of the replica's counters, its
+// connection, and what has arrived of the answer. A request owns its sends, so
+// that it can listen to one of them until another has taken its place.
+//
+//   auto send = std::make_shared<ReplicaSend>(plan, resources, observer);
+//   send->Start(bytes, options);
+//   ...the observer is told of the answer...
+//   send->End();
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/byte_account.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/forward/engine_speed.h"
+#include "cranberryhill/forward/event_splitter.h"
+#include "cranberryhill/forward/replica_set.h"
+#include "cranberryhill/gateway/connection_pool.h"
+#include "cranberryhill/gateway/wire_format.h"
+#include "cranberryhill/http1/client.h"
+
+namespace cranberryhill::gateway {
+
+/// What is decided when a request is sent.
+struct SendPlan {
+  std::shared_ptr<forward::Replica> replica;
+  bool prefill_only = false;
+  bool uses_cache_source = false;  ///< Refers to a transferred cache.
+  forward::PrefillLane lane = forward::PrefillLane::kOnTime;
+  double queued_tokens = 0;  ///< Added to the replica's queue.
+  forward::PrefillWork prefill_work;
+  absl::Time chosen_at;  ///< When the replica was chosen.
+  absl::Duration expected_first_byte;
+  absl::Duration first_byte_timeout;  ///< Longest wait for the first byte.
+  absl::Duration connect_timeout;
+};
+
+/// Not thread-safe.
+class ReplicaSend : public http1::AnswerHandler,
+                    public std::enable_shared_from_this<ReplicaSend> {
+ public:
+  /// The request to which a send belongs. May end the send in any call.
+  class Observer {
+   public:
+    virtual ~Observer() = default;
+
+    /// Decides whether an answer belongs to this request.
+    /// @param info Receives what the head says.
+    virtual http1::AnswerMatch MatchAnswer(const http1::AnswerHead& head,
+                                           ReplicaAnswerInfo& info) = 0;
+    virtual void OnSendHead(ReplicaSend& send) = 0;
+    virtual void OnSendBody(ReplicaSend& send, std::string_view data) = 0;
+    virtual void OnSendEnd(ReplicaSend& send,
+                           http1::AnswerEnd end,
+                           std::string_view reason) = 0;
+  };
+
+  struct Resources {
+    std::shared_ptr<http1::ClientConnection> connection;
+    ByteAccount::Reservation kept_bytes;  ///< For what is kept of the answer.
+    ConnectionPool& connection_pool;
+    const Clock& clock;
+  };
+
+  /// Counts the request as outstanding at the replica.
+  /// @param observer Must live until End().
+  ReplicaSend(SendPlan plan, Resources resources, Observer& observer);
+
+  /// @param request Head and body.
+  void Start(std::string request, http1::SendOptions options);
+
+  /// Removes the send from the replica's counters. The connection is returned
+  /// to the pool if its answer is complete, and reset otherwise. The observer
+  /// is not called again. A second call has no effect.
+  void End();
+
+  http1::AnswerMatch Match(const http1::AnswerHead& head) override;
+  void OnHead(http1::AnswerHead head) override;
+  void OnBody(std::string_view data) override;
+  void OnEnd(http1::AnswerEnd end, std::string_view reason) override;
+
+  const SendPlan& Plan() const { return this->plan; }
+  const std::shared_ptr<forward::Replica>& Target() const {
+    return this->plan.replica;
+  }
+  /// @return The software version that the replica's entry named at the start.
+  const std::string& SoftwareVersion() const { return this->software_version; }
+  absl::Time SentAt() const { return this->sent_at; }
+
+  bool HasHead() const { return this->has_head; }
+  const http1::AnswerHead& Head() const { return this->head; }
+  const ReplicaAnswerInfo& Info() const { return this->info; }
+  std::string& Body() { return this->body; }
+  ByteAccount::Reservation& KeptBytes() { return this->kept_bytes; }
+  forward::EventSplitter& Events() { return this->events; }
+  const forward::EventSplitter& Events() const { return this->events; }
+
+  /// Whether the body consists of events that are passed on to the caller.
+  bool RelaysEvents() const { return this->relays_events; }
+  void SetRelaysEvents(bool relays) { this->relays_events = relays; }
+
+  /// Records that a whole event has arrived, before which the prompt has been
+  /// prefilled.
+  /// @return True for the first one.
+  bool RecordEvent();
+  bool HasEvent() const { return this->has_event; }
+
+  void RecordProgress() { this->last_progress_at = this->clock.Now(); }
+  absl::Time LastProgressAt() const { return this->last_progress_at; }
+  void RecordSilenceCheck() { this->silence_checked_at = this->clock.Now(); }
+  absl::Time SilenceCheckedAt() const { return this->silence_checked_at; }
+
+  /// Stops reading the answer until Resume().
+  void Pause();
+  void Resume();
+  bool IsPaused() const { return this->paused; }
+
+  /// @return Time since the replica last sent something on any connection, or
+  ///     since the start if that is less.
+  absl::Duration ReplicaSilence() const;
+
+ private:
+  void RemoveQueuedTokens();
+
+  const SendPlan plan;
+  const std::string software_version;
+  std::shared_ptr<http1::ClientConnection> connection;  // Null after End().
+  ConnectionPool& connection_pool;
+  const Clock& clock;
+  Observer& observer;
+  const absl::Time sent_at;
+  absl::Time last_progress_at;
+  absl::Time silence_checked_at = absl::InfinitePast();
+  double queued_tokens;
+
+  http1::AnswerHead head;
+  ReplicaAnswerInfo info;
+  std::string body;
+  ByteAccount::Reservation kept_bytes;
+  forward::EventSplitter events;
+  bool has_head = false;
+  bool relays_events = false;
+  bool has_event = false;
+  bool paused = false;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_REPLICA_SEND_H_
