forward, gateway: streams that have begun go on at engines of their version

The four decode engines of the old version had left within a second; twelve others were ready, all of them prefill engines. Roles were counted for the service, and a leaving engine got nothing, not even the streams that only it could continue.

- A leaving replica, or one that has just left the registry, gets streams that no other replica can continue, for half of the drain time from when the instance learned of it (new setting drain_ms).
- While several versions serve, each one with two or more engines keeps one or two decode engines, whatever the number of engines does meanwhile.
- New streams do not begin at a version with a single decode engine left if another version has more.
- stream_version_has_no_replica logs what is left of the version.

--- a/cranberryhill/forward/replica_notices.cc
+++ b/cranberryhill/forward/replica_notices.cc
@@ -23,6 +23,8 @@
 
 bool ReplicaNotices::RecordLeaving(Replica& replica, absl::Time heard_at) {
   replica.leaving_heard_at = std::max(replica.leaving_heard_at, heard_at);
+  if (!replica.IsLeaving())
+    replica.BeginLeaving(heard_at);
   return !std::exchange(replica.says_leaving, true);
 }
 
@@ -78,6 +80,7 @@
         now - replica->leaving_heard_at >= kLongestLeaving) {
       replica->says_leaving = false;
       replica->told_of_leaving = false;
+      replica->continues_streams_until = absl::InfinitePast();
       ended.push_back({replica, /*was_leaving=*/true});
     }
     if (replica->turned_away && now >= replica->closed_until) {
--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -89,6 +89,17 @@
   return EndpointText(this->entry.endpoint);
 }
 
+void Replica::BeginLeaving(absl::Time learned_at) {
+  this->continues_streams_until = learned_at + this->leaving_allowance;
+}
+
+bool Replica::ContinuesStreams(absl::Time now) const {
+  return (this->IsLeaving() || !this->registered) &&
+         now < this->continues_streams_until && !this->IsClosed(now) &&
+         !this->unreachable && this->role_changing_until <= now &&
+         this->outstanding < this->connection_share;
+}
+
 bool Replica::TakesRequests(absl::Time now) const {
   if (this->WantsNoRequests(now))
     return false;
@@ -112,6 +123,13 @@
         capacity == this->cache_capacity_by_service.end() ? kDefaultCacheTokens
                                                           : capacity->second);
   }
+  replica->leaving_allowance = this->leaving_allowance;
+  // Of a process that is new to this instance nobody knows since when it
+  // leaves.
+  if (same_process && entry.leaving && !replica->IsLeaving())
+    replica->BeginLeaving(this->clock.Now());
+  if (!entry.leaving && !replica->says_leaving)
+    replica->continues_streams_until = absl::InfinitePast();
   auto share = this->connection_share_by_service.find(entry.service);
   if (share != this->connection_share_by_service.end())
     replica->connection_share = share->second;
@@ -146,6 +164,8 @@
     return;
   found->second->registered = false;
   found->second->removed_at = this->clock.Now();
+  if (!found->second->IsLeaving())
+    found->second->BeginLeaving(found->second->removed_at);
 }
 
 void ReplicaSet::Reset(const std::vector<ReplicaEntry>& entries) {
@@ -254,6 +274,23 @@
   return members;
 }
 
+std::vector<std::shared_ptr<Replica>> ReplicaSet::UsableWhileLeaving(
+    std::string_view service) const {
+  absl::Time now = this->clock.Now();
+  std::vector<std::shared_ptr<Replica>> leaving;
+  for (const auto& [id, replica] : this->by_id) {
+    if (replica->entry.service == service && replica->ContinuesStreams(now))
+      leaving.push_back(replica);
+  }
+  return leaving;
+}
+
+void ReplicaSet::SetLeavingAllowance(absl::Duration allowance) {
+  this->leaving_allowance = allowance;
+  for (auto& [id, replica] : this->by_id)
+    replica->leaving_allowance = allowance;
+}
+
 std::shared_ptr<Replica> ReplicaSet::Find(std::string_view id) const {
   auto found = this->by_id.find(id);
   if (found == this->by_id.end() || !found->second->registered)
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -82,6 +82,10 @@
 
 inline constexpr int kUnlimitedConnections = std::numeric_limits<int>::max();
 
+/// Below the 2 s after which leaving replicas must not receive new requests;
+/// the rest is for the time in which the news travels.
+inline constexpr absl::Duration kDefaultLeavingAllowance = absl::Seconds(1);
+
 /// A replica with this instance's observations of it.
 struct Replica {
   ReplicaEntry entry;
@@ -122,6 +126,11 @@
   bool says_leaving = false;
   bool told_of_leaving = false;  ///< In an answer to this instance.
   absl::Time leaving_heard_at = absl::InfinitePast();
+  /// Until this time a replica that leaves may get streams that no other
+  /// replica can continue. In the past if nobody knows since when it leaves.
+  absl::Time continues_streams_until = absl::InfinitePast();
+  /// How long it may, from the time at which this instance learned of it.
+  absl::Duration leaving_allowance = kDefaultLeavingAllowance;
   /// The replica wants no request of this instance before this time.
   absl::Time closed_until = absl::InfinitePast();
   bool turned_away = false;  ///< The end of this time has not been noticed yet.
@@ -147,6 +156,15 @@
     return this->IsLeaving() || this->IsClosed(now);
   }
 
+  /// Records that the replica leaves.
+  /// @param learned_at When this instance, or a peer, learned of it.
+  void BeginLeaving(absl::Time learned_at);
+
+  /// @return True if the replica leaves, or has left the registry, and may
+  /// still
+  ///     get streams that no other replica can continue.
+  bool ContinuesStreams(absl::Time now) const;
+
   /// @return True if the replica may receive one more request of this instance.
   ///     For some time after it was closed, it gets few at the same time.
   bool TakesRequests(absl::Time now) const;
@@ -209,6 +227,15 @@
   ///     other.
   std::vector<std::shared_ptr<Replica>> Usable(std::string_view service);
 
+  /// @return The replicas of a service that are leaving or have just left the
+  ///     registry and still serve, for streams that no other one can continue.
+  std::vector<std::shared_ptr<Replica>> UsableWhileLeaving(
+      std::string_view service) const;
+
+  /// Sets for how long replicas that leave may get such streams, from the time
+  /// at which this instance learns of it.
+  void SetLeavingAllowance(absl::Duration allowance);
+
   /// @return The replica with this id if it is registered, or null.
   std::shared_ptr<Replica> Find(std::string_view id) const;
 
@@ -255,6 +282,7 @@
   std::map<std::string, std::shared_ptr<Replica>, std::less<>> by_id;
   // Capacities in tokens.
   absl::flat_hash_map<std::string, int64_t> cache_capacity_by_service;
+  absl::Duration leaving_allowance = kDefaultLeavingAllowance;
   absl::flat_hash_map<std::string, int> connection_share_by_service;
   absl::Time registry_reconnected_at = absl::InfinitePast();
   // Entries of the registry's older copy that differ from what is known.
--- a/cranberryhill/forward/role_balancer.cc
+++ b/cranberryhill/forward/role_balancer.cc
@@ -35,6 +35,9 @@
 /// requests are running, at most this share of the engines changes at the same
 /// time.
 constexpr double kMaxChangingShare = 0.34;
+/// Decode engines that a version keeps beside others, so that it has one when
+/// another one leaves.
+constexpr size_t kDecodeEnginesPerVersion = 2;
 
 }  // namespace
 
@@ -52,6 +55,36 @@
   return std::clamp(std::max(wanted_decode, zones), size_t{1}, engines - 1);
 }
 
+size_t RoleBalancer::Counts::MinDecodeOf(std::string_view version) const {
+  if (this->versions.size() < 2)
+    return 0;
+  const VersionCounts& counts = this->versions.at(version);
+  return std::min(kDecodeEnginesPerVersion,
+                  (counts.decode_engines + counts.prefill_engines) / 2);
+}
+
+size_t RoleBalancer::Counts::WantedDecode() const {
+  size_t minimum = 0;
+  for (const auto& [version, counts] : this->versions)
+    minimum += this->MinDecodeOf(version);
+  return std::max(
+      minimum, WantedDecodeEngines(this->decode_engines + this->prefill_engines,
+                                   this->zones, this->slots));
+}
+
+std::optional<std::string_view> RoleBalancer::Counts::LackingVersion() const {
+  std::optional<std::string_view> lacking;
+  size_t most = 0;
+  for (const auto& [version, counts] : this->versions) {
+    size_t wanted = this->MinDecodeOf(version);
+    if (counts.decode_engines + most < wanted && counts.prefill_engines > 0) {
+      most = wanted - counts.decode_engines;
+      lacking = version;
+    }
+  }
+  return lacking;
+}
+
 EngineRole RoleBalancer::RoleAfterOrders(const Replica& engine) const {
   auto found = this->pending_orders.find(engine.entry.id);
   if (found != this->pending_orders.end())
@@ -76,10 +109,16 @@
       continue;
     counts.slots = std::min(counts.slots, std::max(1, engine->entry.slots));
     zones.insert(engine->entry.availability_zone);
-    if (this->RoleAfterOrders(*engine) == EngineRole::kPrefill)
+    VersionCounts& version = counts.versions[engine->entry.software_version];
+    if (this->RoleAfterOrders(*engine) == EngineRole::kPrefill) {
       ++counts.prefill_engines;
-    else
+      ++version.prefill_engines;
+    } else {
       ++counts.decode_engines;
+      ++version.decode_engines;
+      if (!this->pending_orders.contains(engine->entry.id))
+        ++version.ready_decode_engines;
+    }
   }
   counts.zones = zones.size();
   return counts;
@@ -103,8 +142,15 @@
   this->EraseSettledOrders(engines);
   Counts counts = this->CountEngines(engines);
   size_t engine_count = counts.decode_engines + counts.prefill_engines;
+  bool version_lacks = counts.LackingVersion().has_value();
   bool balanced =
-      engine_count < 2 || counts.decode_engines == counts.WantedDecode();
+      engine_count < 2 ||
+      (!version_lacks && counts.decode_engines == counts.WantedDecode());
+  // A release changes the number of engines all the time, so this one does not
+  // wait until it is steady.
+  this->version_lacks_since =
+      version_lacks ? std::min(this->version_lacks_since, this->clock.Now())
+                    : absl::InfiniteFuture();
   // While the registry is still being filled, its size says little about the
   // final number of engines.
   if (balanced || engine_count != this->last_engine_count)
@@ -120,10 +166,15 @@
     std::span<const std::shared_ptr<Replica>> engines) {
   if (!this->NeedsChange(engines))
     return std::nullopt;
+  Counts counts = this->CountEngines(engines);
+  auto lacking = counts.LackingVersion();
   // Without a decode engine no request can be served.
-  bool urgent = this->CountEngines(engines).decode_engines == 0;
-  if (this->clock.Now() - this->unbalanced_since <
-      (urgent ? kUrgentSettleTime : kSettleTime))
+  bool urgent = counts.decode_engines == 0;
+  absl::Time now = this->clock.Now();
+  bool version_is_due =
+      lacking && now - this->version_lacks_since >= kUrgentSettleTime;
+  if (!version_is_due &&
+      now - this->unbalanced_since < (urgent ? kUrgentSettleTime : kSettleTime))
     return std::nullopt;
   bool idle = std::all_of(engines.begin(), engines.end(), [](const auto& e) {
     return e->outstanding == 0 && e->peer_outstanding == 0;
@@ -132,8 +183,8 @@
       std::max(1.0, kMaxChangingShare * static_cast<double>(engines.size())));
   if (!idle && this->pending_orders.size() >= limit)
     return std::nullopt;
-  Counts counts = this->CountEngines(engines);
-  bool to_prefill = counts.decode_engines > counts.WantedDecode();
+  bool to_prefill =
+      !version_is_due && counts.decode_engines > counts.WantedDecode();
   EngineRole from = to_prefill ? EngineRole::kDecode : EngineRole::kPrefill;
   std::map<std::string_view, int> decode_engines_by_zone;
   for (const auto& engine : engines) {
@@ -157,6 +208,12 @@
         this->pending_orders.contains(engine->entry.id) ||
         !this->IsCapacity(*engine))
       continue;
+    const std::string& version = engine->entry.software_version;
+    bool is_needed_there =
+        to_prefill && counts.versions[version].ready_decode_engines <=
+                          counts.MinDecodeOf(version);
+    if (is_needed_there || (version_is_due && version != *lacking))
+      continue;
     if (best == nullptr || rank(*engine) < rank(*best))
       best = engine.get();
   }
--- a/cranberryhill/forward/role_balancer.h
+++ b/cranberryhill/forward/role_balancer.h
@@ -7,13 +7,20 @@
 // engine prefills about three times as fast as an engine that decodes at the
 // same time.
 //
+// While engines of several software versions serve, each version with two or
+// more engines keeps some that decode: a stream can go on only at the version
+// that began it.
+//
 //   RoleBalancer balancer(clock);
 //   if (auto change = balancer.NextChange(engines)) ...order it...
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -66,16 +73,23 @@
     EngineRole role;
     absl::Time ordered_at;
   };
+  struct VersionCounts {
+    size_t decode_engines = 0;
+    size_t ready_decode_engines = 0;  // Of these, those that decode already.
+    size_t prefill_engines = 0;
+  };
   struct Counts {
     size_t decode_engines = 0;
     size_t prefill_engines = 0;
     size_t zones = 0;
     int slots = 1;  // Smallest number of slots of any engine.
+    std::map<std::string_view, VersionCounts> versions;
 
-    size_t WantedDecode() const {
-      return WantedDecodeEngines(this->decode_engines + this->prefill_engines,
-                                 this->zones, this->slots);
-    }
+    size_t MinDecodeOf(std::string_view version) const;
+    size_t WantedDecode() const;
+    /// @return The version that lacks most of its decode engines, of those that
+    ///     have prefill engines left; nothing if each has enough.
+    std::optional<std::string_view> LackingVersion() const;
   };
 
   EngineRole RoleAfterOrders(const Replica& engine) const;
@@ -87,6 +101,7 @@
   absl::flat_hash_map<std::string, PendingOrder> pending_orders;
   size_t last_engine_count = 0;
   absl::Time unbalanced_since = absl::InfiniteFuture();
+  absl::Time version_lacks_since = absl::InfiniteFuture();
 };
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/role_balancer_test.cc
+++ b/cranberryhill/forward/role_balancer_test.cc
@@ -1,5 +1,6 @@
 #include "cranberryhill/forward/role_balancer.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 
@@ -9,13 +10,35 @@
 namespace {
 
 struct Fixture {
-  void Add(int count, const std::string& zone, EngineRole role) {
+  void Add(int count,
+           const std::string& zone,
+           EngineRole role,
+           const std::string& version = "v1") {
     for (int i = 0; i < count; ++i) {
-      this->replicas.Apply(
-          MakeEntry("e" + std::to_string(this->next_id++), zone, role));
+      ReplicaEntry entry =
+          MakeEntry("e" + std::to_string(this->next_id++), zone, role);
+      entry.software_version = version;
+      this->replicas.Apply(entry);
     }
   }
 
+  /// @return The number of decode engines of a version after these changes.
+  int CountDecode(const std::string& version,
+                  const std::vector<RoleChange>& changes) {
+    std::map<std::string, EngineRole> roles;
+    for (const auto& engine : this->Engines()) {
+      if (engine->entry.software_version == version)
+        roles[engine->entry.id] = *engine->entry.role;
+    }
+    for (const RoleChange& change : changes) {
+      if (roles.contains(change.replica))
+        roles[change.replica] = change.role;
+    }
+    return static_cast<int>(std::count_if(
+        roles.begin(), roles.end(),
+        [](const auto& item) { return item.second == EngineRole::kDecode; }));
+  }
+
   std::vector<std::shared_ptr<Replica>> Engines() {
     return this->replicas.Members("service");
   }
@@ -133,6 +156,43 @@
   BOOST_TEST(this->balancer.NextChange(this->Engines()).has_value());
 }
 
+// Guards against streams that cannot go on at their version because enough
+// engines of another version decode.
+BOOST_FIXTURE_TEST_CASE(each_version_gets_decode_engines, Fixture) {
+  this->Add(4, "a", EngineRole::kPrefill, "v1");
+  this->Add(4, "a", EngineRole::kDecode, "v2");
+  this->WaitUntilSteady();
+  std::vector<RoleChange> changes = this->OrderAll();
+  BOOST_TEST(this->CountDecode("v1", changes) == 2);
+  BOOST_TEST(this->CountDecode("v2", changes) == 2);
+}
+
+// Guards against an order that takes the last decode engines of a version.
+BOOST_FIXTURE_TEST_CASE(decode_engines_of_a_small_version_are_kept, Fixture) {
+  this->Add(2, "a", EngineRole::kDecode, "v1");
+  this->Add(2, "a", EngineRole::kPrefill, "v1");
+  this->Add(12, "a", EngineRole::kDecode, "v2");
+  this->WaitUntilSteady();
+  std::vector<RoleChange> changes = this->OrderAll();
+  BOOST_TEST(changes.size() == 10U);
+  BOOST_TEST(this->CountDecode("v1", changes) == 2);
+  BOOST_TEST(this->CountDecode("v2", changes) == 2);
+}
+
+// Guards against a version without decode engines for as long as a release
+// changes the number of engines.
+BOOST_FIXTURE_TEST_CASE(release_does_not_delay_decode_engines_of_a_version,
+                        Fixture) {
+  this->Add(6, "a", EngineRole::kPrefill, "v1");
+  std::vector<RoleChange> changes;
+  for (int i = 0; i < 4 && changes.empty(); ++i) {
+    this->Add(1, "a", EngineRole::kDecode, "v2");
+    changes = this->OrderAll();
+    this->clock.Advance(absl::Milliseconds(300));
+  }
+  BOOST_TEST(this->CountDecode("v1", changes) == 2);
+}
+
 // Guards against a service without a decode engine, and against decode engines
 // that have too few slots in total.
 BOOST_AUTO_TEST_CASE(at_least_one_engine_of_each_role) {
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -84,6 +84,8 @@
     if (this->former == nullptr &&
         (this->ReturnToSilentReplica() || this->AwaitFreeConnection()))
       return;
+    if (this->stream_version)
+      this->LogVersionCapacity();
     NextOpening opening = this->FindNextOpening();
     return this->EndUnanswered(opening.reason,
                                std::max(kDefaultRetryAfter, opening.wait));
@@ -126,8 +128,7 @@
       return this->SendToNextReplica();
     const forward::Replica& chosen =
         may_prefill ? *choice.prefill_engine : *choice.replica;
-    if (chosen.WantsNoRequests(this->Now()) ||
-        !this->MayWriteStream(*choice.replica)) {
+    if (!this->TakesRequest(chosen) || !this->MayWriteStream(*choice.replica)) {
       this->context.send_permits.Return(id);
       return this->SendToNextReplica();
     }
@@ -228,7 +229,7 @@
   this->AwaitPermit(*decode_engine, [this, decode_engine](bool granted) {
     if (!granted)
       return this->RunWithCache();
-    if (decode_engine->WantsNoRequests(this->Now()) ||
+    if (!this->TakesRequest(*decode_engine) ||
         !this->MayWriteStream(*decode_engine)) {
       this->context.send_permits.Return(decode_engine->entry.id);
       return this->RunWithCache();
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -182,6 +182,7 @@
   std::vector<std::shared_ptr<forward::Replica>> OpenReplicasInHeardZones();
   bool CanRun(const forward::Replica& replica) const;
   bool IsExcluded(const forward::Replica& replica) const;
+  bool TakesRequest(const forward::Replica& replica) const;
   std::vector<std::shared_ptr<forward::Replica>> OpenReplicas();
   NextOpening FindNextOpening();
   bool IsOverloaded(const forward::Replica& replica) const;
@@ -201,6 +202,7 @@
   bool MayWriteStream(const forward::Replica& replica) const;
   bool IsOfUsableVersion(const forward::Replica& replica) const;
   bool MayBeginStream(const forward::Replica& replica) const;
+  void LogVersionCapacity() const;
 
   // exchange_answer.cc: what arrives from replicas.
   void OnPrefillEnd(http1::AnswerEnd end, std::string_view reason);
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -462,8 +462,7 @@
   }
   this->ReleaseCache();
   if (std::exchange(this->tried_uncached, true) || is_limited(refused) ||
-      refused->WantsNoRequests(this->Now()) ||
-      !this->MayWriteStream(*refused) ||
+      !this->TakesRequest(*refused) || !this->MayWriteStream(*refused) ||
       !this->attempt_policy.MaySendTo(refused->entry.id))
     return false;
   this->prefill_attempts = kMaxPrefillAttempts;
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cranberryhill/forward/lasting_versions.h"
 #include "cranberryhill/gateway/exchange.h"
 
 namespace cranberryhill::gateway {
@@ -98,9 +99,32 @@
       });
   if (has_choice)
     std::erase_if(replicas, may_not_begin);
+  if (!this->stream_version) {
+    if (this->route.resumable && this->is_engine_service)
+      forward::KeepLastingVersions(replicas);
+    return replicas;
+  }
+  bool can_go_on =
+      std::any_of(replicas.begin(), replicas.end(),
+                  [&](const auto& replica) { return this->CanRun(*replica); });
+  if (can_go_on)
+    return replicas;
+  // Those that leave serve on for a while, and their version may have no other.
+  for (const auto& replica :
+       this->context.replicas.UsableWhileLeaving(this->service)) {
+    if (this->MayWriteStream(*replica) && this->CanRun(*replica))
+      replicas.push_back(replica);
+  }
   return replicas;
 }
 
+/// @return True if the replica, as it is known now, may get this request.
+bool Exchange::TakesRequest(const forward::Replica& replica) const {
+  absl::Time now = this->Now();
+  return !replica.WantsNoRequests(now) ||
+         (this->stream_version && replica.ContinuesStreams(now));
+}
+
 /// @return The open replicas. Those in availability zones that may be cut off
 ///     are left out if one in another zone can run the request.
 std::vector<std::shared_ptr<forward::Replica>>
--- a/cranberryhill/gateway/exchange_versions.cc
+++ b/cranberryhill/gateway/exchange_versions.cc
@@ -102,6 +102,28 @@
                                                 replica.entry.software_version);
 }
 
+/// Logs which replicas of the stream's version are left when none can go on
+/// with it.
+void Exchange::LogVersionCapacity() const {
+  int64_t staying_decode = 0;
+  int64_t leaving_decode = 0;
+  int64_t prefill = 0;
+  for (const auto& replica : this->context.replicas.Registered()) {
+    if (replica->entry.service != this->service ||
+        !this->MayWriteStream(*replica))
+      continue;
+    if (replica->entry.role == EngineRole::kPrefill)
+      ++prefill;
+    else
+      ++(replica->IsLeaving() ? leaving_decode : staying_decode);
+  }
+  this->context.log.Write(this->MakeLogEvent("stream_version_has_no_replica")
+                              .Add("software_version", *this->stream_version)
+                              .Add("staying_decode_engines", staying_decode)
+                              .Add("leaving_decode_engines", leaving_decode)
+                              .Add("prefill_engines", prefill));
+}
+
 /// @return True if the replica may take part in serving the request. A prefill
 ///     engine writes no events, so it may be of any version.
 bool Exchange::IsOfUsableVersion(const forward::Replica& replica) const {
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -65,6 +65,11 @@
 /// Retry-After of a request whose body found no room.
 constexpr absl::Duration kRetryAfterNoRoom = absl::Milliseconds(500);
 
+/// Part of the drain time in which a leaving replica may get streams that no
+/// other one can continue. The rest is for the time in which the news that it
+/// leaves, and then the request, travels.
+constexpr double kLeavingAllowanceShare = 0.5;
+
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -219,6 +224,8 @@
       metrics_server(io, clock, this->control_pages, {}),
       maintenance_timer(io),
       shutdown_timer(io) {
+  this->replicas.SetLeavingAllowance(this->settings.drain_time *
+                                     kLeavingAllowanceShare);
   this->readiness_pages.Add(readiness_path,
                             [this] { return this->MakeReadinessPage(); });
   this->control_pages.Add("/status", [this] { return this->MakeStatusPage(); });
@@ -705,6 +712,9 @@
 void Gateway::Reload(const GatewaySettings& settings) {
   this->settings.retry_bounds = settings.retry_bounds;
   this->settings.retry_slack = settings.retry_slack;
+  this->settings.drain_time = settings.drain_time;
+  this->replicas.SetLeavingAllowance(settings.drain_time *
+                                     kLeavingAllowanceShare);
   this->UpdateRetryBudgets();
   this->log.Write(LogEvent("settings_reloaded")
                       .Add("retry_ratio", settings.retry_bounds.ratio));
--- a/cranberryhill/gateway/settings.cc
+++ b/cranberryhill/gateway/settings.cc
@@ -56,6 +56,10 @@
       reader.Int("lease_ms", {1, 3'600'000},
                  absl::ToInt64Milliseconds(settings.order_handover_gap)));
   settings.order_handover_gap = absl::Milliseconds(lease_ms);
+  BOOST_LEAF_AUTO(drain_ms,
+                  reader.Int("drain_ms", {0, 3'600'000},
+                             absl::ToInt64Milliseconds(settings.drain_time)));
+  settings.drain_time = absl::Milliseconds(drain_ms);
   BOOST_LEAF_ASSIGN(
       settings.retry_bounds.ratio,
       reader.Double("retry_ratio", {0, 1}, settings.retry_bounds.ratio));
--- a/cranberryhill/gateway/settings.h
+++ b/cranberryhill/gateway/settings.h
@@ -29,6 +29,8 @@
   absl::Duration shutdown_time = absl::Seconds(8);
   /// Minimum time between the orders of two lease holders.
   absl::Duration order_handover_gap = absl::Seconds(3);
+  /// Time for which replicas serve after they have said that they leave.
+  absl::Duration drain_time = absl::Seconds(2);
   forward::RetryBudgetLimits retry_bounds;
   /// Retries allowed per window in addition to the ratio, divided among all
   /// instances.
