forward: a leaving replica whose address another one has gets no streams

Streams that only a leaving replica can continue could be sent to the address of one that has just left the registry when another replica had taken it over. The registry's word goes first.

--- a/cranberryhill/forward/replica_set.cc
+++ b/cranberryhill/forward/replica_set.cc
@@ -279,12 +279,23 @@
   absl::Time now = this->clock.Now();
   std::vector<std::shared_ptr<Replica>> leaving;
   for (const auto& [id, replica] : this->by_id) {
-    if (replica->entry.service == service && replica->ContinuesStreams(now))
+    if (replica->entry.service == service && replica->ContinuesStreams(now) &&
+        !this->IsSuperseded(*replica))
       leaving.push_back(replica);
   }
   return leaving;
 }
 
+/// @return True if the registry lists another replica at the same address.
+bool ReplicaSet::IsSuperseded(const Replica& replica) const {
+  return std::any_of(this->by_id.begin(), this->by_id.end(),
+                     [&](const auto& item) {
+                       const Replica& other = *item.second;
+                       return &other != &replica && other.registered &&
+                              other.entry.endpoint == replica.entry.endpoint;
+                     });
+}
+
 void ReplicaSet::SetLeavingAllowance(absl::Duration allowance) {
   this->leaving_allowance = allowance;
   for (auto& [id, replica] : this->by_id)
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -276,6 +276,7 @@
  private:
   void EraseExpired();
   bool IsOutdated(const ReplicaEntry& entry) const;
+  bool IsSuperseded(const Replica& replica) const;
 
   const Clock& clock;
   // In the order of ids, which is the same in every process.
--- a/cranberryhill/forward/version_capacity_fleet_test.cc
+++ b/cranberryhill/forward/version_capacity_fleet_test.cc
@@ -90,6 +90,7 @@
         std::string(1, static_cast<char>('a' + this->entries.size() % kZones)),
         role);
     entry.software_version = version;
+    entry.endpoint.port = static_cast<uint16_t>(9000 + this->entries.size());
     this->entries.push_back(entry);
     this->replicas.Apply(entry);
   }
