forward: a return to a replica that does not connect counts no other one less

AttemptPolicy took the last replica back when a send had not connected, also after a return to an earlier one, so that a third replica could get the request (BUDGET).

--- a/cranberryhill/forward/attempt_policy.cc
+++ b/cranberryhill/forward/attempt_policy.cc
@@ -39,8 +39,9 @@
 }
 
 void AttemptPolicy::OnSent(std::string_view replica_id) {
-  if (std::find(this->sent_to.begin(), this->sent_to.end(), replica_id) ==
-      this->sent_to.end())
+  this->last_is_new = std::find(this->sent_to.begin(), this->sent_to.end(),
+                                replica_id) == this->sent_to.end();
+  if (this->last_is_new)
     this->sent_to.emplace_back(replica_id);
 }
 
@@ -58,7 +59,7 @@
 NextStep AttemptPolicy::DecideNextStep(AttemptOutcome outcome,
                                        AnswerProgress progress,
                                        bool budget_left) {
-  if (outcome == AttemptOutcome::kNotSent && !this->sent_to.empty())
+  if (outcome == AttemptOutcome::kNotSent && this->last_is_new)
     this->sent_to.pop_back();
   this->OnGivenUp(outcome);
   bool may_send_again = budget_left && this->MayUseAnotherReplica() &&
--- a/cranberryhill/forward/attempt_policy.h
+++ b/cranberryhill/forward/attempt_policy.h
@@ -92,6 +92,7 @@
   const bool may_resume;
   const int max_replicas;
   std::vector<std::string> sent_to;
+  bool last_is_new = false;  // The last send was the first to its replica.
   bool may_have_run = false;
 };
 
