gateway: a former send outlasts a connection that is not opened

Beside a former send the connection to the successor had 300 ms, as long as the former send was listened to; a successor without power cost the stream both. A request for a leaving replica could arrive after its drain time, since its packet was resent after a second. And a replica that was silent for longer than most sound ones was not returned to.

--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -44,10 +44,14 @@
 
 /// @return Time limit for opening a connection for the send that begins.
 absl::Duration Exchange::ConnectTimeout(const forward::Replica& target) {
+  // The former send must outlast a connection that is not opened.
+  if (this->former != nullptr)
+    return kHandoverTime / 2;
   bool may_be_refused =
       !this->stream_started && !this->attempt_policy.MayHaveRun();
-  if (may_be_refused || this->former != nullptr ||
-      !this->OtherReplicas(target).empty())
+  // A request must not reach a leaving replica late.
+  bool is_leaving = target.IsLeaving() || !target.registered;
+  if (may_be_refused || is_leaving || !this->OtherReplicas(target).empty())
     return kConnectTimeout;
   return kLongestConnectTimeout;
 }
@@ -130,6 +134,7 @@
 void Exchange::EndSendWithoutProgress(std::string_view reason) {
   if (this->current->Plan().prefill_only)
     return this->OnPrefillEnd(http1::AnswerEnd::kBroken, reason);
+  this->silent_replica = this->current->Target();
   this->OnSendFailed(forward::AttemptOutcome::kTimedOut, reason);
 }
 
