--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -453,6 +453,8 @@
   switch (step) {
     case forward::NextStep::kSendAgain:
     case forward::NextStep::kResume:
+      if (outcome == forward::AttemptOutcome::kTimedOut)
+        this->silent_replica = failed;
       return this->SendToNextReplica();
     case forward::NextStep::kRefuse:
       return this->EndUnanswered("not_run_by_replica", kDefaultRetryAfter);
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -134,7 +134,6 @@
 void Exchange::EndSendWithoutProgress(std::string_view reason) {
   if (this->current->Plan().prefill_only)
     return this->OnPrefillEnd(http1::AnswerEnd::kBroken, reason);
-  this->silent_replica = this->current->Target();
   this->OnSendFailed(forward::AttemptOutcome::kTimedOut, reason);
 }
 
