standins: the fake store decodes the keys that it is asked for

The soak has rows of three services; a read of the row of one of them got another one, because the key was compared in its percent-encoded form.

--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -12,6 +12,20 @@
 
 using nlohmann::json;
 
+std::string PercentDecode(std::string_view text) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%' || i + 2 >= text.size()) {
+      decoded.push_back(text[i]);
+      continue;
+    }
+    decoded.push_back(static_cast<char>(
+        std::stoi(std::string(text.substr(i + 1, 2)), nullptr, 16)));
+    i += 2;
+  }
+  return decoded;
+}
+
 /// @return The value of a query parameter, or nothing.
 std::string Parameter(std::string_view target, std::string_view name) {
   std::string key = std::string(name) + "=";
@@ -19,7 +33,7 @@
   if (at == std::string_view::npos)
     return {};
   std::string_view value = target.substr(at + key.size());
-  return std::string(value.substr(0, value.find('&')));
+  return PercentDecode(value.substr(0, value.find('&')));
 }
 
 }  // namespace
