forward: the first row of a service is written at once on stores that count from one

Until the row of a service names its base, each stream has a record of its own. The row was written at once in era 1 only, and after 15 s otherwise. The test of a restored store plays era 3; eras 1 and 2 may be those of a store that was never restored.

If a store that counts from zero is restored to a copy that is older than the first row, the row is written anew; it names the same base unless a version that comes before it in order has joined since.

--- a/cranberryhill/forward/stream_version_records.cc
+++ b/cranberryhill/forward/stream_version_records.cc
@@ -16,9 +16,9 @@
 /// All versions that the registry lists are observed several times in this
 /// time.
 constexpr absl::Duration kObservationInterval = absl::Milliseconds(600);
-/// Of a store that has never been restored. A row that is missing there has
-/// never been written.
-constexpr uint64_t kFirstStoreEra = 1;
+/// Eras up to this one may be those of a store that was never restored, as some
+/// stores count from one. A row that is missing there was never written.
+constexpr uint64_t kLastFirstStoreEra = 2;
 
 std::string KeyOf(std::string_view service, std::string_view attempt_id) {
   std::string key(service);
@@ -185,7 +185,7 @@
     return may_confirm ? std::optional(ServiceVersionRow{row->base, era})
                        : std::nullopt;
   }
-  bool is_first_row = row == nullptr && era == kFirstStoreEra;
+  bool is_first_row = row == nullptr && era <= kLastFirstStoreEra;
   return is_first_row || is_settled
              ? std::optional(ServiceVersionRow{versions.front(), era})
              : std::nullopt;
