Retries of a restarted fleet stay within the budget

Cause: the budget lived in the process. A new process had its whole slack at once, the share of a fleet of six as long as it knew no peers, and could spend the ratio of the requests of a window that its predecessor had spent already. Class: a fact that outlives a process is kept in the process.

Change: a request earns credit when it arrives, slack is earned over time, and what is kept is limited by the requests of the window before. What a process spends in a window was earned in it or kept at its start, so the sum over all processes that ever lived stays within the bound, without messages between them. The slack is zero until the number of instances is known, and it has no minimum per instance any more, which 370 instances would have exceeded. The credit is on the status page and in cranberryhill_retry_credit.

The test that leaves one retry sets a slack of which one is kept; the slack of 0 that it set before left one only by the minimum per instance.

--- a/cranberryhill/forward/windowed_retry_budget.cc
+++ b/cranberryhill/forward/windowed_retry_budget.cc
@@ -1,40 +1,65 @@
 #include "cranberryhill/forward/windowed_retry_budget.h"
 
+#include <algorithm>
+
 namespace cranberryhill::forward {
 namespace {
 
-// Share of RetryBudgetLimits::ratio that is used. The rest is kept in reserve,
-// because requests leave a window before the retries that they allowed do, and
-// because retries are counted when they are sent while the bound applies to the
-// times at which they arrive. With 0.9, a generated sequence of events exceeded
-// the bound by 2%.
-constexpr double kUsedBudgetShare = 0.8;
+// A window may see what was kept at its start and what is earned in it. The two
+// shares of RetryBudgetLimits::ratio add up to less than one, because retries
+// are counted when they are decided on while the bound applies to the times at
+// which they arrive.
+constexpr double kEarnedShare = 0.55;
+constexpr double kKeptShare = 0.4;
+// The same for RetryBudgetLimits::instance_slack, which is earned over time.
+constexpr double kEarnedSlackShare = 0.5;
+constexpr double kKeptSlackShare = 0.5;
 
 }  // namespace
 
-void WindowedRetryBudget::RemoveExpired() {
-  absl::Time window_start = this->clock.Now() - this->limits.window;
-  while (!this->requests.empty() && this->requests.front() < window_start)
+void WindowedRetryBudget::Update() {
+  absl::Time now = this->clock.Now();
+  while (!this->requests.empty() &&
+         this->requests.front() <= now - this->limits.window)
     this->requests.pop_front();
-  while (!this->retries.empty() && this->retries.front() < window_start)
-    this->retries.pop_front();
+  this->credit +=
+      kEarnedSlackShare * this->limits.instance_slack *
+      absl::FDivDuration(now - this->updated_at, this->limits.window);
+  this->updated_at = now;
+  double most_kept = kKeptShare * this->limits.ratio *
+                         static_cast<double>(this->requests.size()) +
+                     kKeptSlackShare * this->limits.instance_slack;
+  this->credit = std::min(this->credit, most_kept);
 }
 
 void WindowedRetryBudget::OnRequest() {
-  this->RemoveExpired();
   this->requests.push_back(this->clock.Now());
+  this->credit += kEarnedShare * this->limits.ratio;
+  this->Update();
 }
 
 void WindowedRetryBudget::OnRetry() {
-  this->retries.push_back(this->clock.Now());
+  this->Update();
+  this->credit -= 1;
+}
+
+void WindowedRetryBudget::OnRetryCancelled() {
+  this->credit += 1;
+  this->Update();
+}
+
+void WindowedRetryBudget::SetLimits(RetryBudgetLimits limits) {
+  this->Update();
+  this->limits = limits;
+}
+
+double WindowedRetryBudget::Credit() {
+  this->Update();
+  return this->credit;
 }
 
 bool WindowedRetryBudget::HasRoom(int count) {
-  this->RemoveExpired();
-  double allowed = this->limits.ratio * kUsedBudgetShare *
-                       static_cast<double>(this->requests.size()) +
-                   this->limits.instance_slack;
-  return static_cast<double>(this->retries.size()) + count <= allowed;
+  return this->Credit() >= count;
 }
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/windowed_retry_budget.h
+++ b/cranberryhill/forward/windowed_retry_budget.h
@@ -1,9 +1,14 @@
 #ifndef CRANBERRYHILL_FORWARD_WINDOWED_RETRY_BUDGET_H_
 #define CRANBERRYHILL_FORWARD_WINDOWED_RETRY_BUDGET_H_
 
-// Bounds the retries of a service within every window of time. Each instance is
-// bounded by the number of its own requests, so the retries of all instances
-// together stay within the shared bound without messages between them.
+// Bounds the retries of a service within every window of time. The bound holds
+// for the sum over all processes that lived in the window, without messages
+// between them and without anything that outlives a process:
+//
+// - A request earns credit when it arrives. A process that has just started has
+//   none, so it cannot spend again what its predecessor has spent.
+// - Credit that is kept is limited by the requests of the window before, so
+//   what a process spends in a window was earned in it or in the window before.
 //
 //   WindowedRetryBudget budget(clock, limits);
 //   budget.OnRequest();
@@ -30,7 +35,7 @@
  public:
   /// @param clock Must outlive this object.
   WindowedRetryBudget(const Clock& clock, RetryBudgetLimits limits)
-      : clock(clock), limits(limits) {}
+      : clock(clock), limits(limits), updated_at(clock.Now()) {}
 
   /// Counts the first attempt of a request.
   void OnRequest();
@@ -38,18 +43,27 @@
   /// @return True when the budget allows `count` more retries.
   bool HasRoom(int count = 1);
 
-  /// Counts a retry.
+  /// Counts a retry, when it is decided on. Others could use the same room if
+  /// it were counted when it is sent.
   void OnRetry();
 
-  void SetLimits(RetryBudgetLimits limits) { this->limits = limits; }
+  /// Takes back a retry that was counted a moment ago and is not sent.
+  void OnRetryCancelled();
+
+  void SetLimits(RetryBudgetLimits limits);
+
+  /// @return The retries that may be sent now; negative after more were counted
+  ///     than there was room for.
+  double Credit();
 
  private:
-  void RemoveExpired();
+  void Update();
 
   const Clock& clock;
   RetryBudgetLimits limits;
-  std::deque<absl::Time> requests;
-  std::deque<absl::Time> retries;
+  double credit = 0;
+  absl::Time updated_at;
+  std::deque<absl::Time> requests;  // Of the last window.
 };
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/windowed_retry_budget_test.cc
+++ b/cranberryhill/forward/windowed_retry_budget_test.cc
@@ -51,7 +51,9 @@
 // Guards against starting two retries when the budget allows only one.
 BOOST_AUTO_TEST_CASE(budget_for_two_retries_is_checked_together) {
   ManualClock clock;
-  WindowedRetryBudget budget(clock, {0.2, absl::Seconds(10), 2});
+  // Half of the slack is kept.
+  WindowedRetryBudget budget(clock, {0.2, absl::Seconds(10), 4});
+  clock.Advance(absl::Seconds(11));
   BOOST_TEST(budget.HasRoom(2));
   budget.OnRetry();
   BOOST_TEST(budget.HasRoom());
@@ -60,5 +62,28 @@
   BOOST_TEST(budget.HasRoom(2));
 }
 
+// Guards against a process that begins with the slack that its predecessor has
+// spent a moment before.
+BOOST_AUTO_TEST_CASE(process_that_has_just_started_has_no_slack) {
+  ManualClock clock;
+  WindowedRetryBudget budget(clock, {0.2, absl::Seconds(10), 50});
+  BOOST_TEST(!budget.HasRoom());
+  clock.Advance(absl::Seconds(1));
+  BOOST_TEST(budget.HasRoom(2));
+  BOOST_TEST(!budget.HasRoom(4));
+}
+
+// Guards against a retry that is lost to the budget though it was not sent.
+BOOST_AUTO_TEST_CASE(cancelled_retry_makes_room_again) {
+  ManualClock clock;
+  WindowedRetryBudget budget(clock, {0.2, absl::Seconds(10), 2});
+  clock.Advance(absl::Seconds(11));
+  budget.OnRetry();
+  BOOST_TEST(!budget.HasRoom());
+  budget.OnRetryCancelled();
+  BOOST_TEST(budget.HasRoom());
+  BOOST_TEST(!budget.HasRoom(2));
+}
+
 }  // namespace
 }  // namespace cranberryhill::forward
--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/gateway/control_table.cc
@@ -192,6 +192,9 @@
     this->cached_rows.clear();
   for (const StoreRow& row : rows)
     this->Apply({row.key, row.version, row.value});
+  // An empty table has been read, too.
+  if (this->on_change)
+    this->on_change("");
 }
 
 void ControlTable::OnChanges(StoreTable /*table*/,
--- a/cranberryhill/gateway/control_table.h
+++ b/cranberryhill/gateway/control_table.h
@@ -24,7 +24,8 @@
 /// Not thread-safe.
 class ControlTable : public TableService, public TableObserver {
  public:
-  /// Called with the key of each row that has changed.
+  /// Called with the key of each row that has changed, and with an empty one
+  /// when the whole table has been read.
   using OnChange = std::function<void(std::string_view key)>;
 
   /// @param codec, log, clock, random Must outlive this object.
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cranberryhill/forward/fleet_share.h"
 #include "cranberryhill/gateway/serial_http_client.h"
 #include "cranberryhill/http1/socket_options.h"
 
@@ -31,13 +32,6 @@
 /// replicas; a retry may reach an instance that is ready.
 constexpr absl::Duration kRetryAfterNotReady = absl::Milliseconds(300);
 
-/// The retry slack and the connections to a replica are divided by the number
-/// of known instances times this factor, which allows for instances that have
-/// started and are not known yet. The slack is divided by at least
-/// kMinInstances, because few instances are known while the control table is
-/// being read.
-constexpr double kUnknownInstancesFactor = 1.3;
-constexpr double kMinInstances = 6;
 /// Minimum number of connections to one replica per instance: with one, a
 /// waiting request would block all others.
 constexpr double kMinConnections = 2;
@@ -504,6 +498,8 @@
       this->replicas.SetCacheCapacity(service.name,
                                       service.engine->kv_capacity_tokens);
     }
+    // Begins to earn its slack, which needs no requests.
+    this->RetryBudgetFor(service.name);
   }
   this->routes = std::make_shared<const forward::RouteTable>(configuration);
   this->UpdateConnectionShares();
@@ -551,16 +547,18 @@
                       .Add("row_version", row.version));
 }
 
-double Gateway::OwnShareOf(double fleet_total) const {
-  auto instances = static_cast<double>(this->peer_link.peer_count() + 1);
-  return fleet_total / (instances * kUnknownInstancesFactor);
+size_t Gateway::KnownInstances() const {
+  return this->peer_link.peer_count() + 1;
 }
 
 forward::RetryBudgetLimits Gateway::OwnRetryBounds() const {
+  bool has_peers = this->settings.peer_address.port != 0;
+  std::optional<size_t> instances;
+  if (!has_peers || this->control_table.loaded())
+    instances = this->KnownInstances();
   forward::RetryBudgetLimits bounds = this->settings.retry_bounds;
   bounds.instance_slack =
-      std::clamp(this->OwnShareOf(this->settings.retry_slack), 1.0,
-                 std::max(1.0, this->settings.retry_slack / kMinInstances));
+      forward::RetrySlackOfInstance(this->settings.retry_slack, instances);
   return bounds;
 }
 
@@ -578,7 +576,8 @@
                                         forward::kUnlimitedConnections);
       continue;
     }
-    double connections = this->OwnShareOf(service.max_connections);
+    double connections = forward::ShareOfInstance(service.max_connections,
+                                                  this->KnownInstances());
     this->replicas.SetConnectionShare(
         service.name, static_cast<int>(std::max(kMinConnections, connections)));
   }
@@ -827,6 +826,8 @@
         {"first_event_ms", speed.first_event.intercept},
         {"first_event_ms_per_1000_tokens", speed.first_event.slope}};
   }
+  for (const auto& [service, retry_budget] : this->retry_budgets)
+    page["retry_credit"][service] = retry_budget->Credit();
   page["store"] = {
       {"contact_age_ms", absl::ToInt64Milliseconds(this->store_contact.Age())},
       {"own_calls_fail", this->store_contact.lost()},
@@ -894,6 +895,8 @@
       "orders", static_cast<double>(this->order_dispatcher.orders_sent()));
   this->metrics.SetGauge("peers",
                          static_cast<double>(this->peer_load_sync.peers()));
+  for (const auto& [service, retry_budget] : this->retry_budgets)
+    this->metrics.SetRetryCredit(service, retry_budget->Credit());
   for (const std::string& service : this->engine_speeds.Services()) {
     const forward::EngineSpeed& speed = this->engine_speeds.SpeedOf(service);
     this->metrics.SetEngineSpeed(service, "prefill_ms",
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -89,6 +89,11 @@
 
   bool ready() const;  // NOLINT
 
+  /// @return How many retries this instance may send to a service now.
+  double RetryCredit(std::string_view service) {
+    return this->RetryBudgetFor(service).Credit();
+  }
+
   std::shared_ptr<http1::ActiveRequest> OnRequest(
       http1::IncomingRequest request,
       std::shared_ptr<http1::Responder> responder) override;
@@ -122,7 +127,7 @@
   void ApplyConfiguration(const StoreRow& row);
   void ApplyReplica(const StoreRow& row);
   std::optional<forward::ReplicaEntry> DecodeReplicaRow(const StoreRow& row);
-  double OwnShareOf(double fleet_total) const;
+  size_t KnownInstances() const;
   forward::RetryBudgetLimits OwnRetryBounds() const;
   void UpdateRetryBudgets();
   void UpdateConnectionShares();
--- a/cranberryhill/gateway/metrics.cc
+++ b/cranberryhill/gateway/metrics.cc
@@ -54,6 +54,10 @@
                         .Name("cranberryhill_engine_speed")
                         .Help("Learned figures of the engines of a service")
                         .Register(this->registry)),
+      retry_credits(prometheus::BuildGauge()
+                        .Name("cranberryhill_retry_credit")
+                        .Help("Retries that a service may send now")
+                        .Register(this->registry)),
       first_byte(AddHistogram(this->registry,
                               "cranberryhill_first_byte_seconds",
                               "From the request to the first byte answered")),
@@ -101,6 +105,10 @@
       .Set(value);
 }
 
+void GatewayMetrics::SetRetryCredit(std::string_view service, double credit) {
+  this->retry_credits.Add({{"service", std::string(service)}}).Set(credit);
+}
+
 std::string GatewayMetrics::Render() const {
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
--- a/cranberryhill/gateway/metrics.h
+++ b/cranberryhill/gateway/metrics.h
@@ -40,6 +40,9 @@
                       std::string_view figure,
                       double value);
 
+  /// Sets how many retries a service may send now.
+  void SetRetryCredit(std::string_view service, double credit);
+
   /// @return All metrics in the Prometheus text format.
   std::string Render() const;
 
@@ -49,6 +52,7 @@
   prometheus::Family<prometheus::Counter>& decisions;
   prometheus::Family<prometheus::Gauge>& gauges;
   prometheus::Family<prometheus::Gauge>& engine_speeds;
+  prometheus::Family<prometheus::Gauge>& retry_credits;
   prometheus::Histogram& first_byte;
   prometheus::Histogram& whole_answer;
   prometheus::Histogram& first_byte_error;
