gateway: a retry is counted when it is decided on

Cause: the budget was asked when a request left its replica and counted when the run was sent, a prefill or a permit later. Class: a check and the act that it allows are apart.

Change: a request reserves its next retry when it is decided on. A reserved retry that is not sent is given back.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -116,7 +116,7 @@
   bool may_prefill = choice.prefill_engine != nullptr &&
                      (this->prefill_attempts == 0 ||
                       (this->prefill_attempts < kMaxPrefillAttempts &&
-                       this->context.retry_budget(this->service).HasRoom(2)));
+                       this->HasRoomForRetries(2)));
   const forward::Replica& target =
       may_prefill ? *choice.prefill_engine : *choice.replica;
   bool is_retry = may_prefill ? this->prefill_attempts > 0
@@ -133,8 +133,7 @@
       return this->SendToNextReplica();
     }
     // Other requests may have used the room that this one had before its wait.
-    if (is_retry && may_wait &&
-        !this->context.retry_budget(this->service).HasRoom()) {
+    if (is_retry && may_wait && !this->HasRoomForRetries()) {
       this->context.send_permits.Return(id);
       this->ReleaseCache();
       return this->EndUnanswered("retry_budget", kDefaultRetryAfter);
@@ -147,6 +146,34 @@
   });
 }
 
+/// @return True if the budget allows so many retries, the reserved one
+/// included.
+bool Exchange::HasRoomForRetries(int count) {
+  int more = count - (this->has_reserved_retry ? 1 : 0);
+  return more <= 0 || this->context.retry_budget(this->service).HasRoom(more);
+}
+
+/// Counts the next retry now.
+/// @return False if the budget has no room.
+bool Exchange::ReserveRetry() {
+  if (!this->HasRoomForRetries())
+    return false;
+  if (!std::exchange(this->has_reserved_retry, true))
+    this->context.retry_budget(this->service).OnRetry();
+  return true;
+}
+
+/// Counts a retry that is being sent, unless it was reserved.
+void Exchange::OnRetrySent() {
+  if (!std::exchange(this->has_reserved_retry, false))
+    this->context.retry_budget(this->service).OnRetry();
+}
+
+void Exchange::CancelReservedRetry() {
+  if (std::exchange(this->has_reserved_retry, false))
+    this->context.retry_budget(this->service).OnRetryCancelled();
+}
+
 /// @return True if the caller has events of this stream already.
 bool Exchange::HasBegun() const {
   return this->stream_started ||
@@ -167,7 +194,10 @@
 
 void Exchange::StartPrefill(const forward::PlacementChoice& choice) {
   if (this->prefill_attempts++ > 0)
-    this->context.retry_budget(this->service).OnRetry();
+    this->OnRetrySent();
+  // The run that follows.
+  if (!this->attempt_policy.replicas().empty())
+    this->ReserveRetry();
   this->phase = Phase::kPrefilling;
   this->context.metrics.CountDecision("prompt_read");
   ForwardFields fields;
@@ -192,7 +222,7 @@
     this->EndFormer();
   this->former_ends_at = this->Now() + kHandoverTime;
   if (!this->attempt_policy.replicas().empty())
-    this->context.retry_budget(this->service).OnRetry();
+    this->OnRetrySent();
   this->attempt_policy.OnSent(replica->entry.id);
   ForwardFields fields;
   fields.time_left = this->TimeLeft();
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -173,6 +173,10 @@
             double prefill_tokens,
             const ForwardFields& fields);
   int Priority() const;
+  bool HasRoomForRetries(int count = 1);
+  bool ReserveRetry();
+  void OnRetrySent();
+  void CancelReservedRetry();
 
   // exchange_choice.cc: where a request may be sent.
   forward::PlacementChoice ChooseReplica();
@@ -307,6 +311,9 @@
   int returns = 0;
   bool move_is_due = false;  // A permit to leave the replica has arrived.
 
+  // The budget has counted the next send that is a retry. It may wait for a
+  // prefill or a permit, and others must not use the same room meanwhile.
+  bool has_reserved_retry = false;
   int prefill_attempts = 0;
   int denied_permits = 0;
   bool tried_uncached = false;  // A run without the cache was tried.
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -416,13 +416,11 @@
   this->RecordFailure(*send, outcome);
   this->EndCurrent();
 
-  forward::WindowedRetryBudget& retry_budget =
-      this->context.retry_budget(this->service);
   // A request whose first send never reached a replica does not use the retry
   // budget when it is sent to another one.
   bool next_send_uses_budget = outcome != forward::AttemptOutcome::kNotSent ||
                                this->attempt_policy.replicas().size() > 1;
-  bool budget_left = (!next_send_uses_budget || retry_budget.HasRoom()) &&
+  bool budget_left = (!next_send_uses_budget || this->HasRoomForRetries()) &&
                      this->TimeLeft() > kMinTimeForSend;
   bool had_cache = !this->cache_handle.empty();
   if (had_cache && outcome == forward::AttemptOutcome::kNotRun && budget_left &&
@@ -455,6 +453,8 @@
     case forward::NextStep::kResume:
       if (outcome == forward::AttemptOutcome::kTimedOut)
         this->silent_replica = failed;
+      if (next_send_uses_budget)
+        this->ReserveRetry();
       return this->SendToNextReplica();
     case forward::NextStep::kRefuse:
       return this->EndUnanswered("not_run_by_replica", kDefaultRetryAfter);
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -298,8 +298,7 @@
 
 void Exchange::EndConnectionWait() {
   this->phase = Phase::kIdle;
-  // Other requests may have used the room that this one had before its wait.
-  if (this->context.retry_budget(this->service).HasRoom())
+  if (this->ReserveRetry())
     return this->SendToNextReplica();
   if (this->Now() < this->deadline && this->AwaitFreeConnection())
     return;
--- a/cranberryhill/gateway/exchange_end.cc
+++ b/cranberryhill/gateway/exchange_end.cc
@@ -128,6 +128,7 @@
   this->EndCurrent();
   this->EndFormer();
   this->ReleaseCache();
+  this->CancelReservedRetry();
   absl::Duration took = this->Now() - this->request.arrived;
   this->context.metrics.CountOutcome(outcome);
   this->context.metrics.ObserveWholeAnswer(took);
--- a/cranberryhill/gateway/exchange_handover.cc
+++ b/cranberryhill/gateway/exchange_handover.cc
@@ -27,6 +27,7 @@
           .Add("took_ms", this->Now() - this->current->SentAt())
           .Add("replica_silent_ms", this->current->ReplicaSilence())
           .Add("events", this->event_count));
+  this->ReserveRetry();
   this->context.replicas.OnFailure(*left);
   this->excluded_replicas.push_back(left->entry.id);
   this->former = std::move(this->current);
@@ -54,6 +55,7 @@
           .Add("events", this->event_count));
   this->EndCurrent();
   this->ReleaseCache();
+  this->CancelReservedRetry();
   ++this->returns;
   this->current = std::move(this->former);
   std::erase(this->excluded_replicas, this->current->Target()->entry.id);
@@ -128,8 +130,7 @@
   // of them.
   if (target == nullptr || this->TimeLeft() < kMinTimeForSend ||
       this->context.replica_limits.RateOf(target->entry.id) ||
-      !this->context.retry_budget(this->service).HasRoom() ||
-      this->OutlastsShutdown())
+      !this->HasRoomForRetries() || this->OutlastsShutdown())
     return false;
   auto open_replicas = this->OpenReplicas();
   if (std::find(open_replicas.begin(), open_replicas.end(), target) ==
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -97,7 +97,7 @@
 /// @return True if the request may leave an unreachable replica: it can go on
 ///     elsewhere, or gets no answer from this replica any more.
 bool Exchange::MayLeaveSilentReplica() {
-  return this->context.retry_budget(this->service).HasRoom() &&
+  return this->HasRoomForRetries() &&
          (this->phase == Phase::kPrefilling ||
           (this->MayGoOnElsewhere() && this->HasAlternativeReplica()));
 }
@@ -182,8 +182,7 @@
   // A prefill beside a former send is ended, as there is no third send.
   if (this->former != nullptr)
     return this->EndSendWithoutProgress("no progress");
-  if (!this->context.retry_budget(this->service).HasRoom() ||
-      !this->HasAlternativeReplica()) {
+  if (!this->HasRoomForRetries() || !this->HasAlternativeReplica()) {
     this->current->RecordProgress();
     return this->ArmTimer();
   }
