Streams at other versions are not begun without their record

Cause: decision 0019 lets the absence of a record mean the base, but nothing kept to it: a first event waited for 0.8 s and was then passed on, and two failed writes released all that waited. Class: the absence of a fact is read as a fact.

Change: an event of another version is kept until its record is stored. If the record certainly is not stored, the request is run at the base instead, as a retry; it waits if the store may have it. Only where no replica of the base is listed may a stream begin without a record: a take-up then finds none either.

streams_begun_unrecorded is now stream_versions_late; its test is unchanged but for the name.

--- a/cranberryhill/forward/stream_version_queue.cc
+++ b/cranberryhill/forward/stream_version_queue.cc
@@ -57,6 +57,19 @@
              : std::optional(known->second->record.version);
 }
 
+bool StreamVersionQueue::Withdraw(std::string_view attempt_id) {
+  auto known = this->by_attempt.find(std::string(attempt_id));
+  if (known == this->by_attempt.end())
+    return true;
+  Stream& stream = *known->second;
+  if (stream.state != State::kWaiting || stream.may_be_stored)
+    return false;
+  stream.state = State::kWithdrawn;
+  --this->waiting;
+  this->by_attempt.erase(known);
+  return true;
+}
+
 bool StreamVersionQueue::IsWritten(const StreamVersionRecord& record) const {
   auto known = this->by_attempt.find(record.attempt_id);
   return known != this->by_attempt.end() && known->second->record == record &&
@@ -159,7 +172,9 @@
       --this->waiting;
       ++this->expired_unwritten_count;
     }
-    this->by_attempt.erase(oldest.record.attempt_id);
+    // The attempt may have been added again after it was withdrawn.
+    if (oldest.state != State::kWithdrawn)
+      this->by_attempt.erase(oldest.record.attempt_id);
     if (oldest.may_be_stored)
       this->removals.push_back({std::move(oldest.record.attempt_id), now});
     this->streams.pop_front();
--- a/cranberryhill/forward/stream_version_queue.h
+++ b/cranberryhill/forward/stream_version_queue.h
@@ -55,6 +55,11 @@
   /// @return The version that is stored or waits to be stored for the attempt.
   std::optional<std::string> VersionOf(std::string_view attempt_id) const;
 
+  /// Drops what is kept of an attempt, if the store has no row of it and gets
+  /// none by a write that has been made.
+  /// @return False if the store has, or may get, a row.
+  bool Withdraw(std::string_view attempt_id);
+
   /// @return True if the store has the record.
   bool IsWritten(const StreamVersionRecord& record) const;
 
@@ -79,7 +84,7 @@
   }
 
  private:
-  enum class State { kWaiting, kBeingWritten, kWritten };
+  enum class State { kWaiting, kBeingWritten, kWritten, kWithdrawn };
 
   struct Stream {
     StreamVersionRecord record;
--- a/cranberryhill/forward/stream_version_queue_test.cc
+++ b/cranberryhill/forward/stream_version_queue_test.cc
@@ -234,5 +234,27 @@
   BOOST_TEST(held);
 }
 
+// Guards against a stream that begins elsewhere without a record while the
+// store has, or may get, the record of its first choice.
+BOOST_FIXTURE_TEST_CASE(record_that_may_be_stored_is_not_withdrawn, Fixture) {
+  StreamVersionRecord record = MakeRecord(1, "v2");
+  BOOST_TEST(this->queue.Withdraw(record.attempt_id));
+  BOOST_TEST(this->queue.Add(record));
+  BOOST_TEST_REQUIRE(this->queue.StartWrite().has_value());
+  BOOST_TEST(!this->queue.Withdraw(record.attempt_id));
+  this->queue.OnWriteEnded(StreamVersionWriteOutcome::kNotWritten);
+  BOOST_TEST(this->queue.Withdraw(record.attempt_id));
+  BOOST_TEST(!this->queue.VersionOf(record.attempt_id).has_value());
+  BOOST_TEST(!this->queue.HasWork());
+  for (auto outcome : {StreamVersionWriteOutcome::kWritten,
+                       StreamVersionWriteOutcome::kUnknown}) {
+    StreamVersionQueue other(this->clock);
+    BOOST_TEST(other.Add(record));
+    BOOST_TEST_REQUIRE(other.StartWrite().has_value());
+    other.OnWriteEnded(outcome);
+    BOOST_TEST(!other.Withdraw(record.attempt_id));
+  }
+}
+
 }  // namespace
 }  // namespace cranberryhill::forward
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -202,7 +202,11 @@
   bool HasBegun() const;
   void FindStreamVersion();
   void OnStreamVersionFound(std::optional<std::string> version);
+  bool BeginsStream() const;
   void PrepareVersion(const std::shared_ptr<ReplicaSend>& send);
+  void OnNotRecorded(const ReplicaSend& send);
+  bool BeginAtRecordlessVersion();
+  void RetryRecords();
   void BindToSentVersion(const ReplicaSend& send);
   bool MayWriteStream(const forward::Replica& replica) const;
   bool IsOfUsableVersion(const forward::Replica& replica) const;
@@ -322,6 +326,9 @@
 
   // Software version that began the stream; unset before its first event.
   std::optional<std::string> stream_version;
+  // The record of the version of a send was not stored in time.
+  bool record_is_late = false;
+  absl::Time record_retry_at = absl::InfiniteFuture();
   bool stream_started = false;
   std::optional<std::string> last_event_id;  // Of the events passed on.
   int64_t event_count = 0;
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -137,11 +137,15 @@
   this->PassEventsOn(send, events, count);
 }
 
-/// Lets the events of a send pass.
-/// @param recorded False if its software version could not be recorded in time.
+/// Lets the events of a send pass, unless its software version must be recorded
+/// first.
+/// @param recorded False if it could not be recorded in time.
 void Exchange::OnPrepared(ReplicaSend& send, bool recorded) {
   auto self = this->shared_from_this();
   auto kept = send.shared_from_this();
+  if (!recorded && !this->context.stream_versions.MayBeginUnrecorded(
+                       this->service, send.SoftwareVersion()))
+    return this->OnNotRecorded(send);
   send.SetPrepared(true);
   std::string events = send.TakeHeldEvents();
   if (events.empty() || &send != this->current.get())
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -84,7 +84,7 @@
 }
 
 absl::Time Exchange::NextCheck() const {
-  absl::Time next = this->deadline;
+  absl::Time next = std::min(this->deadline, this->record_retry_at);
   if (this->former != nullptr)
     next = std::min(next, this->former_ends_at);
   // Nothing is read from the replica of a paused send, so its silence says
@@ -167,6 +167,11 @@
     return this->OnDeadline();
   if (this->phase == Phase::kAwaitingConnection)
     return this->EndConnectionWait();
+  if (now >= this->record_retry_at) {
+    this->RetryRecords();
+    if (this->phase == Phase::kDone)
+      return;
+  }
   if (this->former != nullptr && now >= this->former_ends_at)
     this->GiveUpFormer("successor_runs");
   // The next send arms the timer again.
--- a/cranberryhill/gateway/exchange_versions.cc
+++ b/cranberryhill/gateway/exchange_versions.cc
@@ -19,6 +19,8 @@
 constexpr double kFindShare = 0.5;
 /// Callers give a stream up that has been silent for two seconds.
 constexpr absl::Duration kMaxFindTime = absl::Milliseconds(1700);
+/// While events wait for a record that was not stored in time.
+constexpr absl::Duration kRecordRetryInterval = absl::Milliseconds(100);
 
 }  // namespace
 
@@ -64,12 +66,17 @@
   this->SendToNextReplica();
 }
 
+/// @return True if the next first event decides at which version the stream
+///     goes on.
+bool Exchange::BeginsStream() const {
+  return this->route.kind == forward::RequestKind::kStream &&
+         this->route.resumable && !this->stream_version;
+}
+
 /// Has the version recorded at which the stream may begin with this send. Its
 /// first event is held back until then.
 void Exchange::PrepareVersion(const std::shared_ptr<ReplicaSend>& send) {
-  bool begins_stream = this->route.kind == forward::RequestKind::kStream &&
-                       this->route.resumable && !this->stream_version;
-  if (!begins_stream)
+  if (!this->BeginsStream())
     return;
   int preparation = send->AwaitPreparation();
   this->context.stream_versions.Prepare(
@@ -85,6 +92,70 @@
       });
 }
 
+/// Keeps the events of a send whose version could not be recorded. Without a
+/// record, a take-up elsewhere would go on at the base version.
+void Exchange::OnNotRecorded(const ReplicaSend& send) {
+  bool is_known = std::exchange(this->record_is_late, true);
+  if (!is_known) {
+    this->context.metrics.CountDecision("stream_awaits_record");
+    this->context.log.Write(this->MakeLogEvent("stream_awaits_record")
+                                .Add("replica", send.Target()->entry.id)
+                                .Add("software_version", send.SoftwareVersion())
+                                .Add("took_ms", this->Now() - send.SentAt()));
+  }
+  // The send may not have started yet, so it is not ended here.
+  this->record_retry_at =
+      this->Now() + (is_known ? kRecordRetryInterval : absl::ZeroDuration());
+  this->ArmTimer();
+}
+
+/// Ends the send in progress and runs the request at a version that needs no
+/// record.
+/// @return False if that is not possible, or the record may be stored yet.
+bool Exchange::BeginAtRecordlessVersion() {
+  if (this->current == nullptr || this->current->IsPrepared() ||
+      this->former != nullptr || !this->HasRoomForRetries() ||
+      this->TimeLeft() < kMinTimeForSend)
+    return false;
+  std::string id = this->current->Target()->entry.id;
+  auto replicas = this->UsableReplicas();
+  bool has_target =
+      std::any_of(replicas.begin(), replicas.end(), [&](const auto& replica) {
+        return replica->entry.id != id && this->CanRun(*replica) &&
+               this->NeedsNoRecord(*replica);
+      });
+  if (!has_target ||
+      !this->context.stream_versions.Withdraw(this->caller_request.attempt_id))
+    return false;
+  this->context.metrics.CountDecision("stream_moved_to_base");
+  this->context.log.Write(
+      this->MakeLogEvent("stream_moved_to_base")
+          .Add("replica", id)
+          .Add("software_version", this->current->SoftwareVersion())
+          .Add("held_events", this->held_event_count)
+          .Add("took_ms", this->Now() - this->current->SentAt()));
+  this->ReserveRetry();
+  this->attempt_policy.OnGivenUp(forward::AttemptOutcome::kTimedOut);
+  this->excluded_replicas.push_back(std::move(id));
+  this->EndCurrent();
+  this->ReleaseCache();
+  this->SendToNextReplica();
+  return true;
+}
+
+/// Begins the stream at another version, or asks again for the records that the
+/// sends in progress wait for.
+void Exchange::RetryRecords() {
+  this->record_retry_at = absl::InfiniteFuture();
+  if (!this->BeginsStream() || this->BeginAtRecordlessVersion())
+    return;
+  for (const auto& send : {this->current, this->former}) {
+    if (send != nullptr && !send->Plan().prefill_only && !send->IsPrepared() &&
+        this->phase != Phase::kDone)
+      this->PrepareVersion(send);
+  }
+}
+
 /// Binds the stream to the version that the replica's entry had when the
 /// request was sent. To be called before the first event of this answer is
 /// relayed.
@@ -132,7 +203,7 @@
   }
   // A record costs a call to the store. While it takes none, a stream that
   // needs one could not be taken up.
-  bool prefers_them = can_record
+  bool prefers_them = can_record && !this->record_is_late
                           ? forward::HaveRoom(without_record, this->Now())
                           : !without_record.empty();
   if (prefers_them)
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -885,8 +885,8 @@
       "stream_versions_lost",
       static_cast<double>(this->stream_versions.records_lost()));
   this->metrics.SetGauge(
-      "streams_begun_unrecorded",
-      static_cast<double>(this->stream_versions.begun_unrecorded()));
+      "stream_versions_late",
+      static_cast<double>(this->stream_versions.records_late()));
   this->metrics.SetGauge("stream_version_reads",
                          static_cast<double>(this->stream_versions.reads()));
   this->metrics.SetGauge("stream_versions_unknown",
--- a/cranberryhill/gateway/stream_version_out_of_step_test.cc
+++ b/cranberryhill/gateway/stream_version_out_of_step_test.cc
@@ -211,12 +211,12 @@
     BOOST_TEST_MESSAGE(
         name << ", " << this->size << " instances: at the one out of step "
              << this->at_out_of_step << "; begun there " << this->begun_out
-             << "; all in step " << this->in_step << "; at versions that the "
-             << "store has no record of " << this->begun_unrecorded
-             << "; store calls: reads " << this->store.reads.size() << " ("
-             << most(this->store.reads) << "/s at most), writes "
-             << this->store.writes.size() << " (" << most(this->store.writes)
-             << "/s), writes of service rows "
+             << "; all in step " << this->in_step << "; not recorded in time "
+             << this->late_records << ", of these moved to the base "
+             << this->moved_to_base << "; store calls: reads "
+             << this->store.reads.size() << " (" << most(this->store.reads)
+             << "/s at most), writes " << this->store.writes.size() << " ("
+             << most(this->store.writes) << "/s), writes of service rows "
              << this->service_row_writes.size() << " ("
              << most(this->service_row_writes) << "/s), reads of service rows "
              << this->service_row_reads.size() << " ("
@@ -645,11 +645,32 @@
     member.versions.Prepare(
         service, attempt, *version,
         [=, this, &member, version = *version](bool recorded) {
-          this->begun_unrecorded += recorded ? 0 : 1;
-          this->OnFirstEvent(instance, member, service, attempt, version);
+          this->late_records += recorded ? 0 : 1;
+          if (recorded || member.versions.MayBeginUnrecorded(service, version))
+            return this->OnFirstEvent(instance, member, service, attempt,
+                                      version);
+          this->MoveToBase(instance, member, service, attempt);
         });
   }
 
+  /// Runs a stream at the base, as the gateway does if no row of the stream is
+  /// stored. Otherwise its first event is kept until the caller gives up.
+  void MoveToBase(size_t instance,
+                  Member& member,
+                  const std::string& service,
+                  const std::string& attempt) {
+    auto base = this->ChooseVersion(member, service, true);
+    if (!base || !member.versions.Withdraw(attempt))
+      return;
+    ++this->moved_to_base;
+    member.versions.Prepare(service, attempt, *base,
+                            [=, this, &member, version = *base](bool recorded) {
+                              BOOST_TEST(recorded);
+                              this->OnFirstEvent(instance, member, service,
+                                                 attempt, version);
+                            });
+  }
+
   void OnFirstEvent(size_t instance,
                     Member& member,
                     const std::string& service,
@@ -697,7 +718,8 @@
   std::map<std::string, absl::Time> gone_at;  // When a version serves no more.
   uint64_t attempts = 0;
   uint64_t row_version = 0;
-  size_t begun_unrecorded = 0;
+  size_t late_records = 0;
+  size_t moved_to_base = 0;
   std::vector<absl::Time> take_ups;
   std::vector<absl::Time> service_row_writes;
   std::vector<absl::Time> service_row_reads;
@@ -791,6 +813,25 @@
   fleet.Check("slow write of the row");
 }
 
+// Guards against first events that are passed on without a record when the
+// store fails after their run was sent: a take-up takes them for the base's.
+BOOST_DATA_TEST_CASE(short_outages_of_the_store_join_no_versions,
+                     data::make(kFleetSizes) * data::make({false, true}),
+                     instances,
+                     is_silent) {
+  Fleet fleet(instances);
+  bool& is_away = is_silent ? fleet.store.is_silent : fleet.store.is_down;
+  fleet.PlayReleases([&](size_t, absl::Duration duration) {
+    constexpr absl::Duration kOutage = absl::Milliseconds(900);
+    for (absl::Duration at = absl::Seconds(1.1);
+         at < duration + absl::Seconds(2); at += absl::Seconds(2)) {
+      fleet.queue.Schedule(at, [&is_away] { is_away = true; });
+      fleet.queue.Schedule(at + kOutage, [&is_away] { is_away = false; });
+    }
+  });
+  fleet.Check("short outages of the store");
+}
+
 // Guards against a second new version that is taken for the first one.
 BOOST_DATA_TEST_CASE(three_versions_are_not_joined_at_a_cut_instance,
                      data::make(kFleetSizes),
--- a/cranberryhill/gateway/stream_version_store.cc
+++ b/cranberryhill/gateway/stream_version_store.cc
@@ -93,25 +93,26 @@
                                    std::string_view attempt_id,
                                    std::string_view version,
                                    std::function<void(bool prepared)> done) {
-  // Nobody can name a stream without an id. An attempt that has been recorded
-  // at another version keeps a record, also at the base.
-  bool needs_record =
-      !attempt_id.empty() && (this->BaseVersion(service) != version ||
-                              this->queue.VersionOf(attempt_id).has_value());
+  // Nobody can name a stream without an id, and take-ups of one that cannot be
+  // stored are refused while there is a choice of versions. An attempt that has
+  // been recorded at another version keeps a record, also at the base.
+  bool needs_record = forward::StreamVersionQueue::CanStore(attempt_id) &&
+                      (this->BaseVersion(service) != version ||
+                       this->queue.VersionOf(attempt_id).has_value());
   if (!needs_record)
     return done(true);
   forward::StreamVersionRecord record{
       std::string(service), std::string(attempt_id), std::string(version)};
   if (!this->queue.Add(record)) {
     ++this->records_refused;
-    ++this->records_late;
+    ++this->late_count;
     return done(false);
   }
   if (this->queue.IsWritten(record))
     return done(true);
   this->WriteSoon();
   if (!this->CanRecord()) {
-    ++this->records_late;
+    ++this->late_count;
     return done(false);
   }
   this->pending_streams.push_back({std::move(record),
@@ -128,6 +129,23 @@
       {std::string(service), std::string(attempt_id), std::string(version)});
 }
 
+bool StoredStreamVersions::MayBeginUnrecorded(std::string_view service,
+                                              std::string_view version) {
+  auto base = this->BaseVersion(service);
+  if (!base)
+    return this->IsOnlyVersion(service, version);
+  // Where the base has gone, a take-up that takes the stream for one of the
+  // base finds no replica.
+  return *base == version || !this->service_versions.IsListed(service, *base);
+}
+
+bool StoredStreamVersions::Withdraw(std::string_view attempt_id) {
+  std::erase_if(this->pending_streams, [&](const PendingStream& stream) {
+    return stream.record.attempt_id == attempt_id;
+  });
+  return this->queue.Withdraw(attempt_id);
+}
+
 bool StoredStreamVersions::NeedsNoRecord(std::string_view service,
                                          std::string_view version) {
   auto base = this->BaseVersion(service);
@@ -472,7 +490,7 @@
     bool is_written = this->queue.IsWritten(stream.record);
     if (!is_written && can_record && now < stream.deadline)
       return false;
-    this->records_late += is_written ? 0 : 1;
+    this->late_count += is_written ? 0 : 1;
     ready.emplace_back(std::move(stream.done), is_written);
     return true;
   });
--- a/cranberryhill/gateway/stream_version_store.h
+++ b/cranberryhill/gateway/stream_version_store.h
@@ -100,6 +100,9 @@
                std::string_view attempt_id,
                std::string_view version,
                std::function<void(bool prepared)> done) override;
+  bool MayBeginUnrecorded(std::string_view service,
+                          std::string_view version) override;
+  bool Withdraw(std::string_view attempt_id) override;
   bool NeedsNoRecord(std::string_view service,
                      std::string_view version) override;
   bool CanRecord() const override;
@@ -124,8 +127,8 @@
   uint64_t records_lost() const {  // NOLINT
     return this->records_refused + this->queue.expired_unwritten();
   }
-  uint64_t begun_unrecorded() const { return this->records_late; }  // NOLINT
-  uint64_t reads() const { return this->finder.reads(); }           // NOLINT
+  uint64_t records_late() const { return this->late_count; }  // NOLINT
+  uint64_t reads() const { return this->finder.reads(); }     // NOLINT
   /// Streams that nobody knew.
   uint64_t unknown() const { return this->unknown_count; }  // NOLINT
   uint64_t store_calls() const {                            // NOLINT
@@ -212,7 +215,7 @@
 
   uint64_t records_written_count = 0;
   uint64_t records_refused = 0;
-  uint64_t records_late = 0;  // Streams that began before they were stored.
+  uint64_t late_count = 0;  // Not stored within the time that events wait.
   uint64_t unknown_count = 0;
   uint64_t write_count = 0;
 };
--- a/cranberryhill/gateway/stream_version_store_test.cc
+++ b/cranberryhill/gateway/stream_version_store_test.cc
@@ -116,7 +116,7 @@
     this->versions.Tick();
   }
   BOOST_TEST(!prepared.value_or(true));
-  BOOST_TEST(this->versions.begun_unrecorded() == 1U);
+  BOOST_TEST(this->versions.records_late() == 1U);
 }
 
 }  // namespace
--- a/cranberryhill/gateway/stream_versions.h
+++ b/cranberryhill/gateway/stream_versions.h
@@ -30,6 +30,15 @@
                        std::string_view version,
                        std::function<void(bool prepared)> done) = 0;
 
+  /// @return True if a stream may begin at this version without a record: no
+  ///     take-up can go on at another one for want of it.
+  virtual bool MayBeginUnrecorded(std::string_view service,
+                                  std::string_view version) = 0;
+
+  /// Drops a record that was asked for.
+  /// @return True if the store has no record of the attempt, and gets none.
+  virtual bool Withdraw(std::string_view attempt_id) = 0;
+
   /// Remembers that the first event of a stream came from a replica of this
   /// version.
   virtual void OnStreamBegan(std::string_view service,
