gateway: a replica that has woken up keeps its stream

Its replica had been silent for 1.4 s and was heard again 50 ms before the request left it.

Cause: a former send was ended 300 ms after the run at the next replica was sent, as if that had accepted it; it refused the run 2 ms later. Class: time that has passed is read as an event.

Change: a replica that goes on with a request that was open during a long silence has woken up. When neither send has made progress in the handover time, the former one is kept if its replica has woken up since, and the other one is ended. Once per event only, since a send may be stuck on its own.

stream_stays_with_its_replica_that_has_woken_up: with the fault put back the stream is cut after one event; it is complete now.

--- a/cranberryhill/forward/reachability.cc
+++ b/cranberryhill/forward/reachability.cc
@@ -7,6 +7,10 @@
 namespace cranberryhill::forward {
 namespace {
 
+/// A replica that has answered nothing for this long and then goes on with an
+/// open request has slept: its other open requests go on, too.
+constexpr absl::Duration kShortestSleep = absl::Milliseconds(500);
+
 /// A replica that accepted a probe but stays silent is probed again after this
 /// time.
 constexpr absl::Duration kProbeInterval = absl::Seconds(1);
@@ -34,6 +38,17 @@
   replica.failed_probes = 0;
 }
 
+void Reachability::OnAnswerPart(Replica& replica, absl::Time sent_at) {
+  absl::Time now = this->clock.Now();
+  // A request that is sent later may be on a new connection, which says nothing
+  // about those that have gone silent.
+  bool was_open = sent_at <= replica.answered_at;
+  if (was_open && now - replica.answered_at >= kShortestSleep)
+    replica.woke_at = now;
+  replica.answered_at = now;
+  this->OnHeard(replica);
+}
+
 bool Reachability::ShouldProbe(const Replica& replica,
                                absl::Time waiting_since) const {
   absl::Time now = this->clock.Now();
--- a/cranberryhill/forward/reachability.h
+++ b/cranberryhill/forward/reachability.h
@@ -41,6 +41,10 @@
   /// Records that the replica sent something on any connection.
   void OnHeard(Replica& replica);
 
+  /// Records that a part of an answer came from the replica.
+  /// @param sent_at When the request was sent.
+  void OnAnswerPart(Replica& replica, absl::Time sent_at);
+
   /// @param waiting_since When the request was sent, or its last progress.
   /// @return True when a request that has waited too long is a reason to probe
   ///     the replica now: nothing was heard from it since, and it was not
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -114,6 +114,10 @@
   absl::Time role_changing_until = absl::InfinitePast();
   /// When the replica last sent something on any connection.
   absl::Time heard_at = absl::InfinitePast();
+  /// When a part of an answer last came, and when one last came after a long
+  /// silence to a request that was open all the while. See Reachability.
+  absl::Time answered_at = absl::InfinitePast();
+  absl::Time woke_at = absl::InfinitePast();
   /// The replica does not accept connections: it has lost power, or the network
   /// between it and this instance is down. See Reachability.
   bool unreachable = false;
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -132,8 +132,8 @@
   /// crash or are replaced are back after a second or more.
   static constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
   /// A former send is listened to for this long after the run at the next
-  /// replica was sent, which refuses it at once if at all. Two replicas must
-  /// not work on a stream for more than 400 ms.
+  /// replica was sent. Two replicas must not work on a stream for more than
+  /// 400 ms.
   static constexpr absl::Duration kHandoverTime = absl::Milliseconds(300);
 
   /// What the request does apart from listening to the former send.
@@ -248,6 +248,7 @@
   void GoOnWith(const ReplicaSend& send);
   void StayWithFormer(std::string_view reason);
   void OnFormerEnd(http1::AnswerEnd end, std::string_view reason);
+  void EndHandover();
   void GiveUpFormer(std::string_view reason);
   void EndCurrent();
   void EndFormer();
@@ -310,6 +311,9 @@
   absl::Time former_ends_at = absl::InfiniteFuture();
   // The last replica that was left because nothing came from it.
   std::shared_ptr<forward::Replica> silent_replica;
+  // Number of events at which a former send was last kept because its replica
+  // had woken up. Kept once only: the send may be stuck on its own.
+  int64_t kept_after_events = -1;
   // Counts the returns to the former send. Permits that were asked for before
   // are not used.
   int returns = 0;
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -69,7 +69,7 @@
 
 void Exchange::OnSendHead(ReplicaSend& send) {
   auto self = this->shared_from_this();
-  this->context.reachability.OnHeard(*send.Target());
+  this->context.reachability.OnAnswerPart(*send.Target(), send.SentAt());
   if (send.Info().load)
     this->context.replicas.OnLoadReport(*send.Target(), *send.Info().load);
   this->LearnFromHead(send);
@@ -105,7 +105,7 @@
 
 void Exchange::OnSendBody(ReplicaSend& send, std::string_view data) {
   auto self = this->shared_from_this();
-  this->context.reachability.OnHeard(*send.Target());
+  this->context.reachability.OnAnswerPart(*send.Target(), send.SentAt());
   if (send.RelaysEvents())
     return this->RelayEvents(send, data);
   send.RecordProgress();
--- a/cranberryhill/gateway/exchange_handover.cc
+++ b/cranberryhill/gateway/exchange_handover.cc
@@ -94,6 +94,17 @@
   this->EndFormer();
 }
 
+/// Ends one of two sends when neither has made progress. The former replica
+/// certainly has the request, so it keeps it if it has woken up meanwhile.
+void Exchange::EndHandover() {
+  const ReplicaSend& send = *this->former;
+  if (send.Target()->woke_at <= send.LastProgressAt() ||
+      this->kept_after_events == this->event_count)
+    return this->GiveUpFormer("no_sign");
+  this->kept_after_events = this->event_count;
+  this->StayWithFormer("replica_woke");
+}
+
 /// Ends the former send, at which the request may have run.
 void Exchange::GiveUpFormer(std::string_view reason) {
   this->context.log.Write(
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -173,7 +173,7 @@
       return;
   }
   if (this->former != nullptr && now >= this->former_ends_at)
-    this->GiveUpFormer("successor_runs");
+    this->EndHandover();
   // The next send arms the timer again.
   if (this->current == nullptr)
     return;
