gateway: a stream waits for a retry to return to its replica

Cause: the return to a silent replica was given up for good when there was no room in the budget at that moment. Class: a shortage that passes is read as an end.

Change: a stream that has begun waits until the budget has room or its time is over. Requests without an event are still answered at once: their callers can come back.

stream_waits_for_a_retry_to_return_to_its_replica: cut with the fault put back (2 failures), complete now.

--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -142,6 +142,7 @@
     kFindingVersion,
     kAwaitingPermit,
     kAwaitingConnection,
+    kAwaitingRetry,
     kPrefilling,
     kRunning,
     kDone
--- a/cranberryhill/gateway/exchange_handover.cc
+++ b/cranberryhill/gateway/exchange_handover.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kOk = 200;
+/// Interval between checks whether the budget has room for a retry.
+constexpr absl::Duration kRetryCheckInterval = absl::Milliseconds(20);
 
 }  // namespace
 
@@ -132,7 +134,8 @@
 }
 
 /// Sends a request that no other replica has answered to the one that it has
-/// left for its silence, which may have been that of a sound replica.
+/// left for its silence, which may have been that of a sound replica. A stream
+/// that has begun waits until the retry budget has room.
 /// @return False if it cannot be sent there.
 bool Exchange::ReturnToSilentReplica() {
   std::shared_ptr<forward::Replica> target =
@@ -141,12 +144,21 @@
   // of them.
   if (target == nullptr || this->TimeLeft() < kMinTimeForSend ||
       this->context.replica_limits.RateOf(target->entry.id) ||
-      !this->HasRoomForRetries() || this->OutlastsShutdown())
+      this->OutlastsShutdown())
     return false;
   auto open_replicas = this->OpenReplicas();
   if (std::find(open_replicas.begin(), open_replicas.end(), target) ==
       open_replicas.end())
     return false;
+  if (!this->HasRoomForRetries()) {
+    // A stream that has begun would be cut, though its replica may be sound.
+    if (!this->stream_started)
+      return false;
+    this->silent_replica = std::move(target);
+    this->phase = Phase::kAwaitingRetry;
+    this->ArmTimerAt(this->Now() + kRetryCheckInterval);
+    return true;
+  }
   if (this->RefuseIfItCrashesReplicas())
     return true;
   std::erase(this->excluded_replicas, target->entry.id);
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -167,6 +167,8 @@
     return this->OnDeadline();
   if (this->phase == Phase::kAwaitingConnection)
     return this->EndConnectionWait();
+  if (this->phase == Phase::kAwaitingRetry)
+    return this->EndUnanswered("retry_budget", absl::ZeroDuration());
   if (now >= this->record_retry_at) {
     this->RetryRecords();
     if (this->phase == Phase::kDone)
