gateway: a stream goes on at the process that the registry names

An engine had restarted under its id at another version; instances sent to the new process by their old entry and took its events for those of the old one.

Cause: a replica was known by its id, and answers do not name their process. Class: an id is read as a process.

Change: before a resumable stream is run on a connection for the first time, the engine is asked for its report on the same connection, which names the start of the process. A connection never changes from one process to another. A process other than the registered one gets nothing, and its entry is not used until it changes. An engine that does not say when it started is used as before. The time left is now written when such a request is sent, not before connecting.

The engines of the soak name their start from the beginning.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -319,14 +319,50 @@
           .Add("load_age_ms", this->Now() - target.load_received_at)
           .Add("left_ms", fields.time_left)
           .Add("configuration", this->routes->configuration().version));
-  http1::RequestHead head =
-      this->context.wire.EncodeForwardedHead(this->request.head, fields);
   http1::SendOptions options{plan.connect_timeout,
                              this->request.head.method == "HEAD"};
   this->ArmTimer();
   auto self = this->shared_from_this();
-  this->current->Start(http1::SerializeRequest(head, this->request.body),
-                       options);
+  auto make_request = [this, fields] {
+    ForwardFields current = fields;
+    // Connecting and asking who answers may have taken some time.
+    current.time_left = std::min(fields.time_left, this->TimeLeft());
+    return http1::SerializeRequest(
+        this->context.wire.EncodeForwardedHead(this->request.head, current),
+        this->request.body);
+  };
+  bool needs_process = !plan.prefill_only && this->is_engine_service &&
+                       this->route.kind == forward::RequestKind::kStream &&
+                       this->route.resumable && target.entry.started_ms != 0;
+  if (!needs_process)
+    return this->current->Start(make_request(), options);
+  this->current->StartAtProcess(this->MakeProcessQuery(target), make_request,
+                                options);
+}
+
+/// @return A query whose answer tells whether the process that the registry
+///     names is at the other end. The version of its software decides where the
+///     stream may go on.
+ReplicaSend::ProcessQuery Exchange::MakeProcessQuery(
+    const forward::Replica& target) {
+  http1::OutgoingRequest report =
+      this->context.wire.EncodeReportRequest(target.Address());
+  auto is_other = [this, id = target.entry.id,
+                   started_ms =
+                       target.entry.started_ms](std::string_view body) {
+    auto status =
+        Capture([&] { return this->context.wire.DecodeReport(body); });
+    if (!status.ok() || status.value().started_ms == 0 ||
+        status.value().started_ms == started_ms)
+      return false;
+    this->context.metrics.CountDecision("replica_process_differs");
+    this->context.log.Write(this->MakeLogEvent("replica_process_differs")
+                                .Add("replica", id)
+                                .Add("registered_start_ms", started_ms)
+                                .Add("start_ms", status.value().started_ms));
+    return true;
+  };
+  return {http1::SerializeRequest(report.head, report.body), is_other};
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -173,6 +173,7 @@
   void Send(std::shared_ptr<forward::Replica> replica,
             double prefill_tokens,
             const ForwardFields& fields);
+  ReplicaSend::ProcessQuery MakeProcessQuery(const forward::Replica& target);
   int Priority() const;
   bool HasRoomForRetries(int count = 1);
   bool ReserveRetry();
--- a/cranberryhill/gateway/replica_send.cc
+++ b/cranberryhill/gateway/replica_send.cc
@@ -4,6 +4,55 @@
 #include <utility>
 
 namespace cranberryhill::gateway {
+namespace {
+
+constexpr int kOk = 200;
+/// The longest answer of a process that says who it is.
+constexpr size_t kMaxReportBytes = 64 * 1024;
+
+}  // namespace
+
+/// Receives what a process says of itself.
+class ReplicaSend::ProcessCheck : public http1::AnswerHandler {
+ public:
+  ProcessCheck(ReplicaSend& send,
+               ProcessQuery query,
+               std::function<std::string()> make_request,
+               http1::SendOptions options)
+      : send(send),
+        query(std::move(query)),
+        make_request(std::move(make_request)),
+        options(options) {}
+
+  http1::AnswerMatch Match(const http1::AnswerHead&) override {
+    return http1::AnswerMatch::kOwn;
+  }
+  void OnHead(http1::AnswerHead head) override { this->head = std::move(head); }
+  void OnBody(std::string_view data) override {
+    if (this->body.size() + data.size() > kMaxReportBytes)
+      this->is_too_long = true;
+    else
+      this->body.append(data);
+  }
+  void OnEnd(http1::AnswerEnd end, std::string_view reason) override {
+    if (end != http1::AnswerEnd::kComplete)
+      return this->send.OnProcessChecked(false, reason);
+    // Some servers do not say who they are.
+    bool is_other = this->head.status == kOk && !this->is_too_long &&
+                    this->query.is_other_process(this->body);
+    if (is_other)
+      this->send.info.wrong_instance = true;
+    this->send.OnProcessChecked(!is_other, "another process answers");
+  }
+
+  ReplicaSend& send;
+  const ProcessQuery query;
+  const std::function<std::string()> make_request;
+  const http1::SendOptions options;
+  http1::AnswerHead head;
+  std::string body;
+  bool is_too_long = false;
+};
 
 ReplicaSend::ReplicaSend(SendPlan plan, Resources resources, Observer& observer)
     : plan(std::move(plan)),
@@ -24,6 +73,35 @@
   this->connection->Send(std::move(request), options, *this);
 }
 
+ReplicaSend::~ReplicaSend() = default;
+
+void ReplicaSend::StartAtProcess(ProcessQuery query,
+                                 std::function<std::string()> make_request,
+                                 http1::SendOptions options) {
+  if (this->connection->IsPeerVerified())
+    return this->Start(make_request(), options);
+  std::string request = query.request;
+  this->process_check = std::make_unique<ProcessCheck>(
+      *this, std::move(query), std::move(make_request), options);
+  http1::SendOptions query_options = options;
+  query_options.head_request = false;
+  this->connection->Send(std::move(request), query_options,
+                         *this->process_check);
+}
+
+void ReplicaSend::OnProcessChecked(bool may_run, std::string_view reason) {
+  auto self = this->shared_from_this();
+  if (!may_run || !this->connection->Reusable()) {
+    // Nothing of the request itself was sent.
+    this->connection->Cancel();
+    return this->OnEnd(http1::AnswerEnd::kNotConnected, reason);
+  }
+  this->connection->SetPeerVerified();
+  this->RecordProgress();
+  this->Start(this->process_check->make_request(),
+              this->process_check->options);
+}
+
 void ReplicaSend::End() {
   if (this->connection == nullptr)
     return;
--- a/cranberryhill/gateway/replica_send.h
+++ b/cranberryhill/gateway/replica_send.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -74,10 +75,28 @@
   /// Counts the request as outstanding at the replica.
   /// @param observer Must live until End().
   ReplicaSend(SendPlan plan, Resources resources, Observer& observer);
+  ~ReplicaSend() override;
+
+  /// Asks a process who it is.
+  struct ProcessQuery {
+    std::string request;  ///< Head and body.
+    /// @return True if the body of the answer says that it comes from another
+    ///     process than the one that is meant.
+    std::function<bool(std::string_view body)> is_other_process;
+  };
 
   /// @param request Head and body.
   void Start(std::string request, http1::SendOptions options);
 
+  /// Asks the process at the other end of the connection who it is, unless it
+  /// was asked before, and starts if it is not another one. A replica may
+  /// restart under its id, with other software, before the registry says so.
+  /// Ends as not connected otherwise.
+  /// @param make_request Makes the request, head and body, when it is sent.
+  void StartAtProcess(ProcessQuery query,
+                      std::function<std::string()> make_request,
+                      http1::SendOptions options);
+
   /// Removes the send from the replica's counters. The connection is returned
   /// to the pool if its answer is complete, and reset otherwise. The observer
   /// is not called again. A second call has no effect.
@@ -151,7 +170,10 @@
   absl::Duration ReplicaSilence() const;
 
  private:
+  class ProcessCheck;
+
   void RemoveQueuedTokens();
+  void OnProcessChecked(bool may_run, std::string_view reason);
 
   const SendPlan plan;
   const std::string software_version;
@@ -175,6 +197,7 @@
   bool paused = false;
   bool prepared = true;
   int preparation = 0;
+  std::unique_ptr<ProcessCheck> process_check;
   std::string held_events;
   std::optional<std::pair<http1::AnswerEnd, std::string>> held_end;
 };
--- a/cranberryhill/gateway/wire_format.h
+++ b/cranberryhill/gateway/wire_format.h
@@ -66,6 +66,7 @@
   std::optional<EngineRole> role;
   bool busy = false;            ///< True while the engine carries out an order.
   int64_t accepted_orders = 0;  ///< Since the engine started.
+  int64_t started_ms = 0;  ///< Start time of the process; 0 if it names none.
 };
 
 /// An order to an engine to change its role.
--- a/cranberryhill/http1/client.h
+++ b/cranberryhill/http1/client.h
@@ -85,6 +85,11 @@
   /// @return True when the connection is open, idle and clean.
   bool Reusable() const;
 
+  /// Records that the owner has asked which process is at the other end. A
+  /// connection never changes from one process to another.
+  void SetPeerVerified() { this->peer_verified = true; }
+  bool IsPeerVerified() const { return this->peer_verified; }
+
   /// @return How long the server keeps the connection open without requests,
   ///     by its last answer.
   absl::Duration idle_limit() const { return this->idle_time; }  // NOLINT
@@ -124,6 +129,7 @@
   bool paused = false;
   bool written = false;
   bool clean = true;
+  bool peer_verified = false;
 };
 
 }  // namespace cranberryhill::http1
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -199,6 +199,7 @@
   server->row.stage = std::string(stage);
   server->first_stage = server->row.stage;
   server->row.slots = stage.empty() ? 6 : 24;
+  server->row.started_ms = 1;
   server->handler.work =
       [this, raw = server.get()](
           const http1::IncomingRequest& request,
