gateway: a stream without a record moves to a known base only

While no base is known, as after the store went back to an older copy, any version counted as one that needs no record, so a stream could be run again at a version whose record was not stored either. Eight checks of row_of_a_restored_store_joins_no_versions had found it in the simulation, which makes the same choice; they pass now.

--- a/cranberryhill/gateway/exchange_versions.cc
+++ b/cranberryhill/gateway/exchange_versions.cc
@@ -122,7 +122,8 @@
   bool has_target =
       std::any_of(replicas.begin(), replicas.end(), [&](const auto& replica) {
         return replica->entry.id != id && this->CanRun(*replica) &&
-               this->NeedsNoRecord(*replica);
+               this->context.stream_versions.MayBeginUnrecorded(
+                   this->service, replica->entry.software_version);
       });
   if (!has_target ||
       !this->context.stream_versions.Withdraw(this->caller_request.attempt_id))
--- a/cranberryhill/gateway/stream_version_out_of_step_test.cc
+++ b/cranberryhill/gateway/stream_version_out_of_step_test.cc
@@ -660,7 +660,8 @@
                   const std::string& service,
                   const std::string& attempt) {
     auto base = this->ChooseVersion(member, service, true);
-    if (!base || !member.versions.Withdraw(attempt))
+    if (!base || !member.versions.MayBeginUnrecorded(service, *base) ||
+        !member.versions.Withdraw(attempt))
       return;
     ++this->moved_to_base;
     member.versions.Prepare(service, attempt, *base,
