gateway: findings of the review about streams without a record

By reading, each could still join two versions or end a sound answer (ORDER, LOST): a former send was prepared again and replaced the stored version of the send that went on; a base whose entries had lapsed for a moment, or that a process had not observed because it stood still, counted as gone; held events were given up for a run that was then refused as too late.

Now only the send in progress is prepared again, a version is gone when an instance that was awake has not seen it for 3 s, and the next run is chosen before the held one is ended. stream_versions_late counts each record once.

gateway_test and the tests of streams of adapter_test pass; the sequences themselves have no test of their own.

--- a/cranberryhill/forward/stream_version_records.cc
+++ b/cranberryhill/forward/stream_version_records.cc
@@ -16,6 +16,9 @@
 /// All versions that the registry lists are observed several times in this
 /// time.
 constexpr absl::Duration kObservationInterval = absl::Milliseconds(600);
+/// Entries that lapsed during an outage of the registry are back within two
+/// seconds of its end.
+constexpr absl::Duration kGoneAfter = absl::Seconds(3);
 /// Eras up to this one may be those of a store that was never restored, as some
 /// stores count from one. A row that is missing there was never written.
 constexpr uint64_t kLastFirstStoreEra = 2;
@@ -149,6 +152,16 @@
          this->clock.Now() - last_seen->second <= kObservationInterval;
 }
 
+bool ServiceVersions::IsGone(std::string_view service,
+                             std::string_view version) const {
+  auto versions = this->seen.find(service);
+  if (versions == this->seen.end())
+    return false;
+  auto last_seen = versions->second.find(std::string(version));
+  return last_seen == versions->second.end() ||
+         this->clock.Now() - last_seen->second >= kGoneAfter;
+}
+
 std::vector<std::string> ServiceVersions::Services() const {
   std::vector<std::string> services;
   for (const auto& [service, versions] : this->seen)
--- a/cranberryhill/forward/stream_version_records.h
+++ b/cranberryhill/forward/stream_version_records.h
@@ -123,6 +123,11 @@
   ///     knows.
   bool IsListed(std::string_view service, std::string_view version) const;
 
+  /// @return True if the registry, as far as this instance knows, has not
+  ///     listed the version for so long that its entries have not only lapsed
+  ///     for a moment.
+  bool IsGone(std::string_view service, std::string_view version) const;
+
   std::vector<std::string> Services() const;
 
   /// Decides what the stored row of a service must say. Another version becomes
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -90,13 +90,7 @@
     return this->EndUnanswered(opening.reason,
                                std::max(kDefaultRetryAfter, opening.wait));
   }
-  // Callers of streams give up before their deadline if no event arrives.
-  absl::Duration useful_time = left;
-  if (this->is_engine_service && !this->stream_started) {
-    useful_time =
-        std::min(useful_time, this->route.CallerEventTimeout() -
-                                  (this->Now() - this->request.arrived));
-  }
+  absl::Duration useful_time = this->UsefulTime();
   if (choice.expected_first_byte > useful_time) {
     return this->EndUnanswered(
         "expected_too_late",
@@ -108,6 +102,16 @@
   this->SendTo(choice);
 }
 
+/// @return The time in which the first byte of an answer is of use.
+absl::Duration Exchange::UsefulTime() const {
+  absl::Duration left = this->TimeLeft();
+  // Callers of streams give up before their deadline if no event arrives.
+  if (!this->is_engine_service || this->stream_started)
+    return left;
+  return std::min(left, this->route.CallerEventTimeout() -
+                            (this->Now() - this->request.arrived));
+}
+
 /// Sends the request as chosen, or chooses again if a limited replica takes no
 /// further request now.
 void Exchange::SendTo(const forward::PlacementChoice& choice) {
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -164,6 +164,7 @@
 
   // exchange.cc: sends.
   void SendToNextReplica();
+  absl::Duration UsefulTime() const;
   void SendTo(const forward::PlacementChoice& choice);
   void StartPrefill(const forward::PlacementChoice& choice);
   void RunWithCache();
@@ -208,7 +209,7 @@
   void PrepareVersion(const std::shared_ptr<ReplicaSend>& send);
   void OnNotRecorded(const ReplicaSend& send);
   bool BeginAtRecordlessVersion();
-  void RetryRecords();
+  void RetryRecord();
   void BindToSentVersion(const ReplicaSend& send);
   bool MayWriteStream(const forward::Replica& replica) const;
   bool IsOfUsableVersion(const forward::Replica& replica) const;
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -170,7 +170,7 @@
   if (this->phase == Phase::kAwaitingRetry)
     return this->EndUnanswered("retry_budget", absl::ZeroDuration());
   if (now >= this->record_retry_at) {
-    this->RetryRecords();
+    this->RetryRecord();
     if (this->phase == Phase::kDone)
       return;
   }
--- a/cranberryhill/gateway/exchange_versions.cc
+++ b/cranberryhill/gateway/exchange_versions.cc
@@ -117,17 +117,19 @@
       this->former != nullptr || !this->HasRoomForRetries() ||
       this->TimeLeft() < kMinTimeForSend)
     return false;
+  // The held events are given up only for a run that is in time.
   std::string id = this->current->Target()->entry.id;
-  auto replicas = this->UsableReplicas();
-  bool has_target =
-      std::any_of(replicas.begin(), replicas.end(), [&](const auto& replica) {
-        return replica->entry.id != id && this->CanRun(*replica) &&
-               this->context.stream_versions.MayBeginUnrecorded(
-                   this->service, replica->entry.software_version);
-      });
-  if (!has_target ||
-      !this->context.stream_versions.Withdraw(this->caller_request.attempt_id))
+  this->excluded_replicas.push_back(id);
+  forward::PlacementChoice choice = this->ChooseReplica();
+  bool has_target = choice.replica != nullptr &&
+                    choice.expected_first_byte <= this->UsefulTime() &&
+                    this->context.stream_versions.MayBeginUnrecorded(
+                        this->service, choice.replica->entry.software_version);
+  if (!has_target || !this->context.stream_versions.Withdraw(
+                         this->caller_request.attempt_id)) {
+    this->excluded_replicas.pop_back();
     return false;
+  }
   this->context.metrics.CountDecision("stream_moved_to_base");
   this->context.log.Write(
       this->MakeLogEvent("stream_moved_to_base")
@@ -137,24 +139,23 @@
           .Add("took_ms", this->Now() - this->current->SentAt()));
   this->ReserveRetry();
   this->attempt_policy.OnGivenUp(forward::AttemptOutcome::kTimedOut);
-  this->excluded_replicas.push_back(std::move(id));
   this->EndCurrent();
   this->ReleaseCache();
   this->SendToNextReplica();
   return true;
 }
 
-/// Begins the stream at another version, or asks again for the records that the
-/// sends in progress wait for.
-void Exchange::RetryRecords() {
+/// Begins the stream at another version, or asks again for the record that the
+/// send in progress waits for.
+void Exchange::RetryRecord() {
   this->record_retry_at = absl::InfiniteFuture();
   if (!this->BeginsStream() || this->BeginAtRecordlessVersion())
     return;
-  for (const auto& send : {this->current, this->former}) {
-    if (send != nullptr && !send->Plan().prefill_only && !send->IsPrepared() &&
-        this->phase != Phase::kDone)
-      this->PrepareVersion(send);
-  }
+  // A former send is prepared again if the request returns to it. Until then
+  // its record must not replace that of the send that may go on.
+  auto send = this->current;
+  if (send != nullptr && !send->Plan().prefill_only && !send->IsPrepared())
+    this->PrepareVersion(send);
 }
 
 /// Binds the stream to the version that the replica's entry had when the
--- a/cranberryhill/gateway/stream_version_store.cc
+++ b/cranberryhill/gateway/stream_version_store.cc
@@ -38,6 +38,12 @@
 constexpr absl::Duration kFirstRowSpread = absl::Milliseconds(5);
 constexpr absl::Duration kServiceRowRetry = absl::Milliseconds(150);
 
+/// An instance that did not tick for this long has stood still. It takes a
+/// version for gone only when it has been awake for as long as entries of the
+/// registry may lapse.
+constexpr absl::Duration kStandstill = absl::Seconds(1);
+constexpr absl::Duration kLongestLapse = absl::Seconds(3);
+
 constexpr int kOk = 200;
 
 std::string ServiceRowKey(std::string_view service) {
@@ -60,6 +66,8 @@
       log(log),
       clock(clock),
       random(random),
+      ticked_at(clock.Now()),
+      awake_since(clock.Now()),
       recent(kMaxRecentStreams, clock),
       queue(clock),
       service_versions(clock),
@@ -111,10 +119,8 @@
   if (this->queue.IsWritten(record))
     return done(true);
   this->WriteSoon();
-  if (!this->CanRecord()) {
-    ++this->late_count;
+  if (!this->CanRecord())
     return done(false);
-  }
   this->pending_streams.push_back({std::move(record),
                                    this->clock.Now() + kMaxPrepareTime,
                                    std::move(done)});
@@ -136,7 +142,9 @@
     return this->IsOnlyVersion(service, version);
   // Where the base has gone, a take-up that takes the stream for one of the
   // base finds no replica.
-  return *base == version || !this->service_versions.IsListed(service, *base);
+  return *base == version ||
+         (this->clock.Now() - this->awake_since >= kLongestLapse &&
+          this->service_versions.IsGone(service, *base));
 }
 
 bool StoredStreamVersions::Withdraw(std::string_view attempt_id) {
@@ -327,6 +335,10 @@
 }
 
 void StoredStreamVersions::Tick() {
+  // What was observed before the process stood still says nothing about now.
+  absl::Time now = this->clock.Now();
+  if (now - std::exchange(this->ticked_at, now) >= kStandstill)
+    this->awake_since = now;
   if (!this->fleet.IsRegistryCurrent())
     this->service_versions.OnRegistryOutdated();
   for (const std::string& service : this->service_versions.Services())
--- a/cranberryhill/gateway/stream_version_store.h
+++ b/cranberryhill/gateway/stream_version_store.h
@@ -197,6 +197,8 @@
   EventLog& log;
   const Clock& clock;
   Random& random;
+  absl::Time ticked_at;
+  absl::Time awake_since;
   forward::RecentStreamVersions recent;
   forward::StreamVersionQueue queue;
   forward::ServiceVersions service_versions;
