gateway: findings of the review about processes of replicas

By reading: a broken connection of the question was taken for a refused one, which confirms crashes; any answer that names no start, a 503 too, counted as the right process; the handover time ran while nothing had been sent to the successor; the run was sent whenever the question was answered, also to a replica that had begun to leave; and an engine with another process was shut out for all requests.

Now only a readable start, or a server that never names one, lets the run pass; the request is checked once more before it is sent, and the handover time begins then; a successor that has not been sent anything is left before the former one; and only resumable streams avoid an engine whose process differs from its entry.

--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -123,6 +123,9 @@
   bool unreachable = false;
   absl::Time unreachable_since;  ///< Start of the first probe that failed.
   bool probing = false;          ///< A probe connection is being opened.
+  /// Another process than the registered one answers under this id, so the
+  /// version of its software is not known.
+  bool process_differs = false;
   absl::Time probed_at = absl::InfinitePast();
   int failed_probes = 0;  ///< In a row.
   /// The replica has said in an answer, to this instance or to a peer, that it
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -335,13 +335,23 @@
         this->context.wire.EncodeForwardedHead(this->request.head, current),
         this->request.body);
   };
-  bool needs_process = !plan.prefill_only && this->is_engine_service &&
-                       this->route.kind == forward::RequestKind::kStream &&
-                       this->route.resumable && target.entry.started_ms != 0;
+  bool needs_process = !plan.prefill_only && this->NeedsRegisteredProcess() &&
+                       target.entry.started_ms != 0;
   if (!needs_process)
     return this->current->Start(make_request(), options);
-  this->current->StartAtProcess(this->MakeProcessQuery(target), make_request,
-                                options);
+  std::string id = target.entry.id;
+  bool asks = this->current->StartAtProcess(this->MakeProcessQuery(target),
+                                            make_request, options);
+  // The question counts as a request to a limited replica.
+  if (asks)
+    this->context.send_permits.OnSentWithoutPermit(id);
+}
+
+/// @return True if the software version of the replica that runs the request
+///     matters, because another one may have to go on with it.
+bool Exchange::NeedsRegisteredProcess() const {
+  return this->is_engine_service && this->route.resumable &&
+         this->route.kind == forward::RequestKind::kStream;
 }
 
 /// @return A query whose answer tells whether the process that the registry
@@ -351,22 +361,39 @@
     const forward::Replica& target) {
   http1::OutgoingRequest report =
       this->context.wire.EncodeReportRequest(target.Address());
-  auto is_other = [this, id = target.entry.id,
-                   started_ms =
-                       target.entry.started_ms](std::string_view body) {
-    auto status =
-        Capture([&] { return this->context.wire.DecodeReport(body); });
-    if (!status.ok() || status.value().started_ms == 0 ||
-        status.value().started_ms == started_ms)
-      return false;
-    this->context.metrics.CountDecision("replica_process_differs");
-    this->context.log.Write(this->MakeLogEvent("replica_process_differs")
-                                .Add("replica", id)
-                                .Add("registered_start_ms", started_ms)
-                                .Add("start_ms", status.value().started_ms));
-    return true;
-  };
-  return {http1::SerializeRequest(report.head, report.body), is_other};
+  auto may_be_expected =
+      [this, replica = this->current->Target()](std::string_view body) {
+        auto status =
+            Capture([&] { return this->context.wire.DecodeReport(body); });
+        int64_t registered = replica->entry.started_ms;
+        int64_t found = status.ok() ? status.value().started_ms : 0;
+        // Some engines do not say when they started.
+        if (status.ok() && (found == 0 || found == registered))
+          return true;
+        replica->process_differs = status.ok();
+        this->context.metrics.CountDecision("replica_process_differs");
+        this->context.log.Write(
+            this->MakeLogEvent("replica_process_differs")
+                .Add("replica", replica->entry.id)
+                .Add("registered_start_ms", registered)
+                .Add("start_ms", found)
+                .Add("reason", status.ok() ? "" : status.error().ToString()));
+        return false;
+      };
+  return {http1::SerializeRequest(report.head, report.body), may_be_expected};
+}
+
+/// Called when a run of a stream is sent, later than it was decided on.
+bool Exchange::MaySend(ReplicaSend& send) {
+  const forward::Replica& target = *send.Target();
+  if (&send != this->current.get() || !this->TakesRequest(target) ||
+      !this->MayWriteStream(target) || this->TimeLeft() < kMinTimeForSend)
+    return false;
+  if (this->former != nullptr) {
+    this->former_ends_at = this->Now() + kHandoverTime;
+    this->ArmTimer();
+  }
+  return true;
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -117,6 +117,7 @@
   void OnSendEnd(ReplicaSend& send,
                  http1::AnswerEnd end,
                  std::string_view reason) override;
+  bool MaySend(ReplicaSend& send) override;
 
  private:
   /// Time limit for opening a connection to a replica. A replica in the same
@@ -174,6 +175,7 @@
   void Send(std::shared_ptr<forward::Replica> replica,
             double prefill_tokens,
             const ForwardFields& fields);
+  bool NeedsRegisteredProcess() const;
   ReplicaSend::ProcessQuery MakeProcessQuery(const forward::Replica& target);
   int Priority() const;
   bool HasRoomForRetries(int count = 1);
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -325,8 +325,11 @@
 void Exchange::RecordPossibleCrash(const ReplicaSend& send,
                                    forward::AttemptOutcome outcome) {
   const std::shared_ptr<forward::Replica>& failed = send.Target();
-  if (outcome == forward::AttemptOutcome::kNotSent)
-    return this->context.on_refused_connection(*failed);
+  if (outcome == forward::AttemptOutcome::kNotSent) {
+    if (!send.WasConnected())
+      this->context.on_refused_connection(*failed);
+    return;
+  }
   if (outcome != forward::AttemptOutcome::kBroken)
     return;
   bool had_begun =
@@ -405,7 +408,7 @@
     this->context.replicas.OnWrongInstance(failed);
   else if (outcome == forward::AttemptOutcome::kNotRun)
     this->context.replicas.OnRejected(failed);
-  else if (outcome == forward::AttemptOutcome::kNotSent)
+  else if (outcome == forward::AttemptOutcome::kNotSent && !send.WasConnected())
     this->context.replicas.OnUnreachable(failed);
   else
     this->context.replicas.OnFailure(failed);
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/gateway/exchange_choice.cc
@@ -85,8 +85,11 @@
 ///     at, if there are any.
 std::vector<std::shared_ptr<forward::Replica>> Exchange::UsableReplicas() {
   auto replicas = this->context.replicas.Usable(this->service);
-  std::erase_if(replicas, [this](const auto& replica) {
-    return !this->IsOfUsableVersion(*replica);
+  bool needs_process = this->NeedsRegisteredProcess();
+  std::erase_if(replicas, [&](const auto& replica) {
+    return !this->IsOfUsableVersion(*replica) ||
+           (needs_process && replica->process_differs &&
+            replica->entry.role != EngineRole::kPrefill);
   });
   if (!this->stream_version) {
     if (this->route.resumable && this->is_engine_service)
--- a/cranberryhill/gateway/exchange_handover.cc
+++ b/cranberryhill/gateway/exchange_handover.cc
@@ -100,6 +100,9 @@
 /// certainly has the request, so it keeps it if it has woken up meanwhile.
 void Exchange::EndHandover() {
   const ReplicaSend& send = *this->former;
+  // The next replica has not been sent anything yet.
+  if (this->current != nullptr && !this->current->HasSentRequest())
+    return this->EndSendWithoutProgress("successor_not_reached");
   if (send.Target()->woke_at <= send.LastProgressAt() ||
       this->kept_after_events == this->event_count)
     return this->GiveUpFormer("no_sign");
@@ -115,7 +118,8 @@
           .Add("reason", reason)
           .Add("replica_silent_ms", this->former->ReplicaSilence()));
   if (!this->former->Plan().prefill_only) {
-    this->attempt_policy.OnGivenUp(forward::AttemptOutcome::kTimedOut);
+    if (this->former->HasSentRequest())
+      this->attempt_policy.OnGivenUp(forward::AttemptOutcome::kTimedOut);
     this->silent_replica = this->former->Target();
   }
   this->EndFormer();
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -134,7 +134,10 @@
 void Exchange::EndSendWithoutProgress(std::string_view reason) {
   if (this->current->Plan().prefill_only)
     return this->OnPrefillEnd(http1::AnswerEnd::kBroken, reason);
-  this->OnSendFailed(forward::AttemptOutcome::kTimedOut, reason);
+  this->OnSendFailed(this->current->HasSentRequest()
+                         ? forward::AttemptOutcome::kTimedOut
+                         : forward::AttemptOutcome::kNotSent,
+                     reason);
 }
 
 void Exchange::ArmTimer() {
--- a/cranberryhill/gateway/replica_send.cc
+++ b/cranberryhill/gateway/replica_send.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 /// The longest answer of a process that says who it is.
 constexpr size_t kMaxReportBytes = 64 * 1024;
 
@@ -35,14 +36,15 @@
       this->body.append(data);
   }
   void OnEnd(http1::AnswerEnd end, std::string_view reason) override {
-    if (end != http1::AnswerEnd::kComplete)
-      return this->send.OnProcessChecked(false, reason);
-    // Some servers do not say who they are.
-    bool is_other = this->head.status == kOk && !this->is_too_long &&
-                    this->query.is_other_process(this->body);
-    if (is_other)
-      this->send.info.wrong_instance = true;
-    this->send.OnProcessChecked(!is_other, "another process answers");
+    if (end == http1::AnswerEnd::kNotConnected)
+      return this->send.OnProcessUnknown(end, reason);
+    if (end == http1::AnswerEnd::kBroken)
+      return this->send.OnProcessUnknown(end, "closed before the request");
+    bool names_nobody = this->head.status == kNotFound;
+    if (!names_nobody && (this->head.status != kOk || this->is_too_long ||
+                          !this->query.may_be_expected(this->body)))
+      return this->send.OnProcessUnknown(end, "not the registered process");
+    this->send.OnProcessKnown();
   }
 
   ReplicaSend& send;
@@ -70,16 +72,19 @@
 }
 
 void ReplicaSend::Start(std::string request, http1::SendOptions options) {
+  this->request_sent = true;
   this->connection->Send(std::move(request), options, *this);
 }
 
 ReplicaSend::~ReplicaSend() = default;
 
-void ReplicaSend::StartAtProcess(ProcessQuery query,
+bool ReplicaSend::StartAtProcess(ProcessQuery query,
                                  std::function<std::string()> make_request,
                                  http1::SendOptions options) {
-  if (this->connection->IsPeerVerified())
-    return this->Start(make_request(), options);
+  if (this->connection->IsPeerVerified()) {
+    this->Start(make_request(), options);
+    return false;
+  }
   std::string request = query.request;
   this->process_check = std::make_unique<ProcessCheck>(
       *this, std::move(query), std::move(make_request), options);
@@ -87,17 +92,27 @@
   query_options.head_request = false;
   this->connection->Send(std::move(request), query_options,
                          *this->process_check);
+  return true;
+}
+
+void ReplicaSend::OnProcessUnknown(http1::AnswerEnd end,
+                                   std::string_view reason) {
+  this->connected = end != http1::AnswerEnd::kNotConnected;
+  // Nothing of the request itself was sent.
+  this->connection->Cancel();
+  this->OnEnd(http1::AnswerEnd::kNotConnected, reason);
 }
 
-void ReplicaSend::OnProcessChecked(bool may_run, std::string_view reason) {
+void ReplicaSend::OnProcessKnown() {
   auto self = this->shared_from_this();
-  if (!may_run || !this->connection->Reusable()) {
-    // Nothing of the request itself was sent.
-    this->connection->Cancel();
-    return this->OnEnd(http1::AnswerEnd::kNotConnected, reason);
-  }
+  this->connected = true;
   this->connection->SetPeerVerified();
-  this->RecordProgress();
+  if (!this->observer.MaySend(*this))
+    return this->OnEnd(http1::AnswerEnd::kNotConnected, "no longer wanted");
+  // Some answers say that their connection is closed. The process has just said
+  // who it is.
+  if (!this->connection->Reusable())
+    this->connection = this->connection_pool.Acquire(*this->plan.replica);
   this->Start(this->process_check->make_request(),
               this->process_check->options);
 }
--- a/cranberryhill/gateway/replica_send.h
+++ b/cranberryhill/gateway/replica_send.h
@@ -63,6 +63,10 @@
     virtual void OnSendEnd(ReplicaSend& send,
                            http1::AnswerEnd end,
                            std::string_view reason) = 0;
+    /// Called before the request goes to a process that has been asked who it
+    /// is, which may have taken a while.
+    /// @return False if the request is not to be sent there any more.
+    virtual bool MaySend(ReplicaSend& send) = 0;
   };
 
   struct Resources {
@@ -80,9 +84,9 @@
   /// Asks a process who it is.
   struct ProcessQuery {
     std::string request;  ///< Head and body.
-    /// @return True if the body of the answer says that it comes from another
-    ///     process than the one that is meant.
-    std::function<bool(std::string_view body)> is_other_process;
+    /// @return False if the body of the answer cannot be read, or says that it
+    ///     comes from another process than the one that is meant.
+    std::function<bool(std::string_view body)> may_be_expected;
   };
 
   /// @param request Head and body.
@@ -93,7 +97,8 @@
   /// restart under its id, with other software, before the registry says so.
   /// Ends as not connected otherwise.
   /// @param make_request Makes the request, head and body, when it is sent.
-  void StartAtProcess(ProcessQuery query,
+  /// @return True if the process is asked.
+  bool StartAtProcess(ProcessQuery query,
                       std::function<std::string()> make_request,
                       http1::SendOptions options);
 
@@ -115,6 +120,12 @@
   const std::string& SoftwareVersion() const { return this->software_version; }
   absl::Time SentAt() const { return this->sent_at; }
 
+  /// @return True if a part of the request may have reached the replica.
+  bool HasSentRequest() const { return this->request_sent; }
+  /// @return True if the replica accepted the connection of a send that ended
+  ///     as not connected.
+  bool WasConnected() const { return this->connected; }
+
   bool HasHead() const { return this->has_head; }
   const http1::AnswerHead& Head() const { return this->head; }
   const ReplicaAnswerInfo& Info() const { return this->info; }
@@ -173,7 +184,8 @@
   class ProcessCheck;
 
   void RemoveQueuedTokens();
-  void OnProcessChecked(bool may_run, std::string_view reason);
+  void OnProcessKnown();
+  void OnProcessUnknown(http1::AnswerEnd end, std::string_view reason);
 
   const SendPlan plan;
   const std::string software_version;
@@ -191,6 +203,8 @@
   std::string body;
   ByteAccount::Reservation kept_bytes;
   forward::EventSplitter events;
+  bool request_sent = false;
+  bool connected = false;
   bool has_head = false;
   bool relays_events = false;
   bool has_event = false;
