--- a/cranberryhill/gateway/exchange_handover.cc
+++ b/cranberryhill/gateway/exchange_handover.cc
@@ -139,7 +139,8 @@
 
 /// Sends a request that no other replica has answered to the one that it has
 /// left for its silence, which may have been that of a sound replica. A stream
-/// that has begun waits until the retry budget has room.
+/// that has begun waits until the retry budget has room and the replica takes
+/// requests again.
 /// @return False if it cannot be sent there.
 bool Exchange::ReturnToSilentReplica() {
   std::shared_ptr<forward::Replica> target =
@@ -151,10 +152,13 @@
       this->OutlastsShutdown())
     return false;
   auto open_replicas = this->OpenReplicas();
-  if (std::find(open_replicas.begin(), open_replicas.end(), target) ==
-      open_replicas.end())
+  bool is_open = std::find(open_replicas.begin(), open_replicas.end(),
+                           target) != open_replicas.end();
+  bool may_open = target->registered && !target->IsLeaving() &&
+                  !this->context.reachability.IsLost(*target);
+  if (!is_open && !may_open)
     return false;
-  if (!this->HasRoomForRetries()) {
+  if (!is_open || !this->HasRoomForRetries()) {
     // A stream that has begun would be cut, though its replica may be sound.
     if (!this->stream_started)
       return false;
