gateway: a run that reached no replica is given back to the retry budget

A repeated run whose connection was refused, or whose replica turned out to be another process, was counted, and the next one again, so requests could end for want of a retry that nobody had sent.

--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -225,7 +225,8 @@
   if (this->former != nullptr && this->former->Plan().prefill_only)
     this->EndFormer();
   this->former_ends_at = this->Now() + kHandoverTime;
-  if (!this->attempt_policy.replicas().empty())
+  this->run_is_retry = !this->attempt_policy.replicas().empty();
+  if (this->run_is_retry)
     this->OnRetrySent();
   this->attempt_policy.OnSent(replica->entry.id);
   ForwardFields fields;
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -327,6 +327,7 @@
   // The budget has counted the next send that is a retry. It may wait for a
   // prefill or a permit, and others must not use the same room meanwhile.
   bool has_reserved_retry = false;
+  bool run_is_retry = false;  // The budget has counted the run in progress.
   int prefill_attempts = 0;
   int denied_permits = 0;
   bool tried_uncached = false;  // A run without the cache was tried.
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -422,6 +422,10 @@
   absl::Duration replica_silence = send->ReplicaSilence();
   this->RecordFailure(*send, outcome);
   this->EndCurrent();
+  // The run has not reached a replica.
+  bool was_counted = std::exchange(this->run_is_retry, false);
+  if (was_counted && outcome == forward::AttemptOutcome::kNotSent)
+    this->context.retry_budget(this->service).OnRetryCancelled();
 
   // A request whose first send never reached a replica does not use the retry
   // budget when it is sent to another one.
