--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -319,6 +319,7 @@
   // Number of events at which a former send was last kept because its replica
   // had woken up. Kept once only: the send may be stuck on its own.
   int64_t kept_after_events = -1;
+  absl::Time kept_until = absl::InfiniteFuture();  // Without an event.
   // Counts the returns to the former send. Permits that were asked for before
   // are not used.
   int returns = 0;
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -178,6 +178,7 @@
   if (send.Events().last_event_id())
     this->last_event_id = send.Events().last_event_id();
   this->event_count += count;
+  this->kept_until = absl::InfiniteFuture();
   this->responder->SendPart(events);
   // The caller may have been given up meanwhile.
   if (this->phase == Phase::kRunning && this->responder->IsBacklogged())
--- a/cranberryhill/gateway/exchange_handover.cc
+++ b/cranberryhill/gateway/exchange_handover.cc
@@ -20,6 +20,7 @@
 void Exchange::SeekSuccessor(std::string_view reason) {
   const std::shared_ptr<forward::Replica>& left = this->current->Target();
   this->move_is_due = false;
+  this->kept_until = absl::InfiniteFuture();
   this->context.metrics.CountDecision("successor_sought");
   this->context.log.Write(
       this->MakeLogEvent("successor_sought")
@@ -107,6 +108,7 @@
       this->kept_after_events == this->event_count)
     return this->GiveUpFormer("no_sign");
   this->kept_after_events = this->event_count;
+  this->kept_until = this->Now() + kHandoverTime;
   this->StayWithFormer("replica_woke");
 }
 
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -66,7 +66,8 @@
   absl::Duration limit = this->stream_started
                              ? kStreamStallTimeout
                              : this->current->Plan().first_byte_timeout;
-  return std::min(next, this->current->LastProgressAt() + limit);
+  return std::min(
+      {next, this->current->LastProgressAt() + limit, this->kept_until});
 }
 
 /// @return When to check whether the replica has gone silent.
