--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -190,6 +190,7 @@
   bool move_is_due = std::exchange(this->move_is_due, false);
   if (now < this->NextTimeoutCheck() && !move_is_due)
     return this->ArmTimer();
+  this->kept_until = absl::InfiniteFuture();
   // A prefill beside a former send is ended, as there is no third send.
   if (this->former != nullptr)
     return this->EndSendWithoutProgress("no progress");
