gateway: requests that crash replicas stay quarantined over a restart of all

Cause: quarantines were kept in memory and told to peers only. Class: what a process knew is forgotten with it.

Change: an instance that quarantines a request, or learns of one that is not in the store yet, writes it to a row of the control table, by compare-and-set and after a random pause of up to 50 ms per instance. The row holds the newest 64 entries with their end by the steady clock of the store, which pages of rows name; the stand-in of the store names it now, too. Instances take the row over when they have read the table and when it changes. A failed write is repeated after a pause of 1 to 16 s. Rows of another format are logged and left alone.

--- a/cranberryhill/gateway/control_table.h
+++ b/cranberryhill/gateway/control_table.h
@@ -1,9 +1,10 @@
 #ifndef CRANBERRYHILL_GATEWAY_CONTROL_TABLE_H_
 #define CRANBERRYHILL_GATEWAY_CONTROL_TABLE_H_
 
-// The gateway's own rows in the store: the addresses of the instances and the
-// lease for engine orders. Reads are answered from a local copy of the table.
-// This is safe because every write is conditional on the version that was read.
+// The gateway's own rows in the store: the addresses of the instances, the
+// lease for engine orders, the versions of services and what is quarantined.
+// Reads are answered from a local copy of the table. This is safe because every
+// write is conditional on the version that was read.
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -50,6 +51,12 @@
   /// @return The era of the rows; 0 until the store has named one.
   uint64_t era() const { return this->follower.Progress().era; }  // NOLINT
 
+  /// @return The reading of the store's steady clock; nothing until it is
+  /// known.
+  std::optional<absl::Time> StoreTime() const {
+    return this->follower.StoreTime();
+  }
+
   /// @return True once the whole table has been read.
   bool loaded() const { return this->follower.has_snapshot(); }  // NOLINT
 
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -212,6 +212,13 @@
                       log,
                       clock,
                       random),
+      quarantines(this->control_table,
+                  this->peer_link,
+                  this->crash_quarantine,
+                  std::make_unique<AsioDelayTimer>(io),
+                  log,
+                  clock,
+                  random),
       caller_server(io, clock, *this, {}, &this->body_bytes),
       readiness_server(io, clock, this->readiness_pages, {}),
       control_server(io, clock, this->control_pages, {}),
@@ -588,6 +595,7 @@
   this->store_contact.SetKnownPeers(this->peer_link.peer_count());
   this->UpdateConnectionShares();
   this->UpdateRetryBudgets();
+  this->quarantines.ReadRows();
 }
 
 void Gateway::Probe(const std::shared_ptr<forward::Replica>& replica) {
@@ -701,6 +709,7 @@
     this->ProbeUnreachable();
     this->EndNotices();
     this->UpdateStreamVersions();
+    this->quarantines.Tick();
     if (this->ready())
       this->order_dispatcher.Tick(*this->routes, this->peer_load_sync.Rank());
     this->CheckShutdown();
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -40,6 +40,7 @@
 #include "cranberryhill/gateway/delay_timer.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/exchange.h"
+#include "cranberryhill/gateway/gateway_quarantines.h"
 #include "cranberryhill/gateway/gateway_stream_version_fleet.h"
 #include "cranberryhill/gateway/http_caller.h"
 #include "cranberryhill/gateway/metrics.h"
@@ -187,6 +188,7 @@
   ServiceRowReader service_row_reader;
   GatewayStreamVersionFleet stream_version_fleet;
   StoredStreamVersions stream_versions;
+  GatewayQuarantines quarantines;
   http1::Server caller_server;
   StatusPages readiness_pages;
   StatusPages control_pages;
--- /dev/null
+++ b/cranberryhill/gateway/gateway_quarantines.cc
@@ -0,0 +1,74 @@
+#include "cranberryhill/gateway/gateway_quarantines.h"
+
+#include <utility>
+
+namespace cranberryhill::gateway {
+
+std::vector<QuarantinedItem> RequestQuarantineList::Items() const {
+  std::vector<QuarantinedItem> items;
+  for (const QuarantinedRequest& request :
+       this->quarantine.Quarantined(this->clock.Now()))
+    items.push_back({request.fingerprint, request.remaining});
+  return items;
+}
+
+void RequestQuarantineList::Restore(const QuarantinedItem& item) {
+  this->quarantine.Restore({item.id, item.remaining}, this->clock.Now());
+}
+
+GatewayQuarantines::GatewayQuarantines(
+    ControlTable& control_table,
+    const PeerLink& peer_link,
+    CrashQuarantine& crash_quarantine,
+    std::unique_ptr<DelayTimer> request_timer,
+    EventLog& log,
+    const Clock& clock,
+    Random& random)
+    : control_table(control_table),
+      peer_link(peer_link),
+      request_list(crash_quarantine, clock),
+      requests("quarantine/requests",
+               this->request_list,
+               *this,
+               std::move(request_timer),
+               log,
+               clock,
+               random) {}
+
+void GatewayQuarantines::ReadRows() {
+  this->requests.ReadRow();
+}
+
+void GatewayQuarantines::Tick() {
+  this->requests.Tick();
+}
+
+std::optional<size_t> GatewayQuarantines::InstanceCount() const {
+  if (!this->control_table.loaded())
+    return std::nullopt;
+  return this->peer_link.peer_count() + 1;
+}
+
+std::optional<Row> GatewayQuarantines::FindRow(std::string_view key) const {
+  return this->control_table.FindIndependently(key);
+}
+
+uint64_t GatewayQuarantines::StoreEra() const {
+  return this->control_table.era();
+}
+
+std::optional<absl::Time> GatewayQuarantines::StoreTime() const {
+  return this->control_table.StoreTime();
+}
+
+void GatewayQuarantines::CommitRow(Transaction transaction,
+                                   CommitCallback callback) {
+  this->control_table.CommitIndependently(std::move(transaction),
+                                          std::move(callback));
+}
+
+void GatewayQuarantines::RefreshRows() {
+  this->control_table.Refresh();
+}
+
+}  // namespace cranberryhill::gateway
--- /dev/null
+++ b/cranberryhill/gateway/gateway_quarantines.h
@@ -0,0 +1,76 @@
+#ifndef CRANBERRYHILL_GATEWAY_GATEWAY_QUARANTINES_H_
+#define CRANBERRYHILL_GATEWAY_GATEWAY_QUARANTINES_H_
+
+// The quarantines of a gateway instance that outlast a restart of all
+// instances.
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
+#include "cranberryhill/base/random.h"
+#include "cranberryhill/gateway/control_table.h"
+#include "cranberryhill/gateway/delay_timer.h"
+#include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/gateway/peer_link.h"
+#include "cranberryhill/gateway/quarantine_store.h"
+#include "cranberryhill/request/crash_quarantine.h"
+
+namespace cranberryhill::gateway {
+
+/// Requests that crash replicas.
+class RequestQuarantineList : public QuarantineList {
+ public:
+  /// @param quarantine, clock Must outlive this object.
+  RequestQuarantineList(CrashQuarantine& quarantine, const Clock& clock)
+      : quarantine(quarantine), clock(clock) {}
+
+  std::vector<QuarantinedItem> Items() const override;
+  void Restore(const QuarantinedItem& item) override;
+
+ private:
+  CrashQuarantine& quarantine;
+  const Clock& clock;
+};
+
+/// Not thread-safe.
+class GatewayQuarantines : public QuarantineFleet {
+ public:
+  /// @param request_timer Used for writes.
+  /// All references must outlive this object.
+  GatewayQuarantines(ControlTable& control_table,
+                     const PeerLink& peer_link,
+                     CrashQuarantine& crash_quarantine,
+                     std::unique_ptr<DelayTimer> request_timer,
+                     EventLog& log,
+                     const Clock& clock,
+                     Random& random);
+
+  /// Takes over what the rows say.
+  void ReadRows();
+
+  /// Writes what the rows lack. To be called some times a second.
+  void Tick();
+
+  std::optional<size_t> InstanceCount() const override;
+  std::optional<Row> FindRow(std::string_view key) const override;
+  uint64_t StoreEra() const override;
+  std::optional<absl::Time> StoreTime() const override;
+  void CommitRow(Transaction transaction, CommitCallback callback) override;
+  void RefreshRows() override;
+
+ private:
+  ControlTable& control_table;
+  const PeerLink& peer_link;
+  RequestQuarantineList request_list;
+  QuarantineStore requests;
+};
+
+}  // namespace cranberryhill::gateway
+
+#endif  // CRANBERRYHILL_GATEWAY_GATEWAY_QUARANTINES_H_
--- a/cranberryhill/gateway/store_codec.h
+++ b/cranberryhill/gateway/store_codec.h
@@ -53,6 +53,9 @@
   std::vector<StoreRow> rows;
   uint64_t version = 0;  ///< Version of the store when the page was read.
   bool has_more = false;
+  /// Steady clock of the store when the page was read; nothing if the page does
+  /// not name it.
+  std::optional<absl::Time> store_time;
 };
 
 class StoreCodec {
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/gateway/table_follower.cc
@@ -142,6 +142,7 @@
   auto page = Capture([&] { return this->codec.DecodePage(answer.body); });
   if (!page.ok())
     return this->OnFailed({0, "", page.error().ToString()});
+  this->OnTimeOf(page.value());
   // The long poll starts from the version of the first page, which is the
   // oldest, so that it returns all changes made while the pages were read.
   if (this->rows.empty())
@@ -311,6 +312,7 @@
   if (!page.ok())
     return this->OnFailed({0, "", page.error().ToString()});
   this->OnAnswered();
+  this->OnTimeOf(page.value());
   uint64_t complete_after = this->Progress().complete_after;
   std::vector<StoreRow> newer =
       this->versions.OnPolled(page.value().version, page.value().rows);
@@ -324,6 +326,11 @@
   this->ContinueAfter(PollingPolicyFor(this->table).pause);
 }
 
+void TableFollower::OnTimeOf(const StorePage& page) {
+  if (page.store_time)
+    this->store_time_offset = *page.store_time - this->clock.Now();
+}
+
 void TableFollower::OnAnswered() {
   absl::Duration outage = this->TimeSinceAnswer();
   this->answered_at = this->clock.Now();
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/gateway/table_follower.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -127,6 +128,14 @@
     return this->clock.Now() - this->answered_at;
   }
 
+  /// @return The reading of the store's steady clock, by its last page and the
+  ///     time since then; nothing until a page has named it.
+  std::optional<absl::Time> StoreTime() const {
+    return this->store_time_offset
+               ? std::optional(this->clock.Now() + *this->store_time_offset)
+               : std::nullopt;
+  }
+
   /// @return How long peers have been known to have rows that are missing here.
   absl::Duration TimeBehindPeers() const;
 
@@ -144,6 +153,7 @@
   void Watch();
   void OnWatchAnswer(HttpResult answer);
   bool OnEraOf(const HttpResult& answer);
+  void OnTimeOf(const StorePage& page);
   void ReadSnapshotSoon(absl::Duration longest_pause);
   void OnAnswered();
   void OnFailed(const HttpResult& answer);
@@ -181,6 +191,8 @@
   uint64_t call_count = 0;
   absl::Time behind_since = absl::InfiniteFuture();
   absl::Time answered_at;
+  // Of the store's clock from the clock of this instance.
+  std::optional<absl::Duration> store_time_offset;
 };
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/request/crash_quarantine.cc
+++ b/cranberryhill/request/crash_quarantine.cc
@@ -29,6 +29,7 @@
   Record& record = this->records[fingerprint];
   record.crashes = std::max(record.crashes, crashes);
   record.last_seen_at = now;
+  record.own = false;
 }
 
 void CrashQuarantine::RemoveOldest() {
@@ -55,6 +56,7 @@
     uint8_t crashes =
         status == CrashStatus::kClean ? kSuspectCrashes : kQuarantineCrashes;
     this->RecordCrashes(stream.fingerprint, crashes, now);
+    this->records[stream.fingerprint].own = true;
     ++changed_streams;
   }
   return changed_streams;
@@ -94,6 +96,31 @@
   return entries;
 }
 
+std::vector<QuarantinedRequest> CrashQuarantine::Quarantined(
+    absl::Time now) const {
+  std::vector<QuarantinedRequest> quarantined;
+  for (const auto& [fingerprint, record] : this->records) {
+    absl::Duration remaining =
+        record.last_seen_at + this->policy.retention - now;
+    if (record.crashes >= kQuarantineCrashes &&
+        remaining > absl::ZeroDuration())
+      quarantined.push_back({fingerprint, remaining});
+  }
+  return quarantined;
+}
+
+void CrashQuarantine::Restore(const QuarantinedRequest& request,
+                              absl::Time now) {
+  absl::Time last_seen_at = now - this->policy.retention +
+                            std::min(request.remaining, this->policy.retention);
+  auto found = this->records.find(request.fingerprint);
+  bool is_newer_here = found != this->records.end() && found->second.own &&
+                       found->second.crashes >= kQuarantineCrashes &&
+                       found->second.last_seen_at >= last_seen_at;
+  if (!is_newer_here)
+    this->RecordCrashes(request.fingerprint, kQuarantineCrashes, last_seen_at);
+}
+
 void CrashQuarantine::OnRanAlone(uint64_t fingerprint) {
   auto found = this->records.find(fingerprint);
   if (found != this->records.end() &&
--- a/cranberryhill/request/crash_quarantine.h
+++ b/cranberryhill/request/crash_quarantine.h
@@ -49,6 +49,12 @@
   uint8_t crashes = 0;
 };
 
+/// A quarantined fingerprint, as it is kept over a restart of all instances.
+struct QuarantinedRequest {
+  uint64_t fingerprint = 0;
+  absl::Duration remaining;  ///< Time until it is clean again.
+};
+
 /// Records the fingerprints of requests that may have crashed engines. Not
 /// thread-safe.
 class CrashQuarantine : public CrashStatusSource {
@@ -70,6 +76,15 @@
   ///     the newest first.
   std::vector<CrashEntry> Entries(size_t limit, absl::Time now) const;
 
+  /// @return All quarantined fingerprints, in no order.
+  std::vector<QuarantinedRequest> Quarantined(absl::Time now) const;
+
+  /// Quarantines a fingerprint that instances had quarantined before. What is
+  /// known from peers ends at the given time too, as they do not say when the
+  /// crashes were.
+  /// @param request More than the usual time counts as the usual time.
+  void Restore(const QuarantinedRequest& request, absl::Time now);
+
   /// Makes a suspect fingerprint clean, as its request ran alone without a
   /// crash.
   void OnRanAlone(uint64_t fingerprint);
@@ -85,6 +100,7 @@
   struct Record {
     uint8_t crashes = 0;
     absl::Time last_seen_at;
+    bool own = false;  // This instance has seen the last crash itself.
   };
 
   void RecordCrashes(uint64_t fingerprint, uint8_t crashes, absl::Time now);
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -136,7 +136,7 @@
   return json{{"rows", list},
               {"has-more", false},
               {"row-version", this->version},
-              {"now-ms", 1}}
+              {"now-ms", absl::ToUnixMillis(this->clock.Now())}}
       .dump();
 }
 
--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "cranberryhill/base/clock.h"
 #include "cranberryhill/http1/server.h"
 
 namespace cranberryhill::platform {
@@ -132,6 +133,8 @@
 
   using Rows = std::map<RowKey, Row>;
 
+  BootClock clock;
+
   http1::AnswerHead Head(int status) const;
 
   Rows rows;
