soak: check that replicas are not handed more time than is left

No check of the soak read X-Deadline-Remaining-Ms at the replicas, so a gateway that sends a request once more with its caller's whole time broke no promise there (rule BUDGET).

Change: the ledger counts requests whose header ends over 0.5 s after their caller's time, and those that arrive once more over 0.5 s after their first arrival. More than 20 and more than a fifth of these may not be of the first kind. Only gateways and links without disturbance for 4 s count; stricter than the rule in that first arrivals are compared with the caller's clock too.

The last line of a run gives beyond_time=BEYOND/COUNTED, and retries=SHARE: the most extra sends of a window as a part of what was allowed.

more_time_than_is_left_is_found: the case for the check.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -207,7 +207,8 @@
       gateway,
       crashes_engine,
       kind.stream,
-      resumes};
+      resumes,
+      time_left};
   this->ledger.OnSent(std::move(sent));
   if (kind.stream) {
     uint64_t shared = this->random.UniformInt(1, 20);
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "cranberryhill/base/hash.h"
 #include "platform/names.h"
 #include "soak/fleet_members.h"
@@ -359,6 +360,7 @@
   if (sent != nullptr) {
     this->RecordLimitedArrival(server, *sent);
     this->CheckNotices(server, *sent);
+    this->RecordTimeLeft(server, *sent, headers);
   }
   refuses = refuses || server.closed;
   if (refuses || !reads_only)
@@ -484,6 +486,22 @@
   }
 }
 
+/// Counts only what gateways without disturbance sent over sound links: other
+/// requests may have been held up on their way.
+void Fleet::RecordTimeLeft(const Server& server,
+                           const SentRequest& sent,
+                           const http1::HeaderList& headers) {
+  absl::Time now = this->clock.Now();
+  std::optional<absl::Duration> time_left;
+  int64_t ms = 0;
+  if (auto text = headers.Find(platform::kTimeLeftMs);
+      text && absl::SimpleAtoi(std::string(*text), &ms))
+    time_left = absl::Milliseconds(ms);
+  this->ledger.OnTimeLeft(sent.id, now, time_left,
+                          this->IsCalm(*this->members[sent.gateway]) &&
+                              now - server.link_disturbed_at > kCalm);
+}
+
 bool Fleet::IsCalm(const Member& member) const {
   absl::Time now = this->clock.Now();
   return now - member.started_at > kCalm &&
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -147,6 +147,9 @@
                   const Member& member,
                   absl::Time told_at) const;
   void CheckNotices(Server& server, const SentRequest& sent);
+  void RecordTimeLeft(const Server& server,
+                      const SentRequest& sent,
+                      const http1::HeaderList& headers);
   void Run(Server& server,
            std::string_view id,
            int first_event,
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -48,6 +48,26 @@
   found->second.arrivals.push_back({std::string(replica), now, runs});
 }
 
+void Ledger::OnTimeLeft(std::string_view id,
+                        absl::Time now,
+                        std::optional<absl::Duration> time_left,
+                        bool counts) {
+  auto found = this->requests.find(id);
+  if (found == this->requests.end())
+    return;
+  Request& request = found->second;
+  request.arrived_at = std::min(request.arrived_at, now);
+  if (!counts)
+    return;
+  absl::Duration slack = this->bounds.time_left_slack;
+  const SentRequest& sent = request.sent;
+  bool beyond =
+      !time_left || now + *time_left > sent.at + sent.time_left + slack;
+  request.beyond_time = request.beyond_time || beyond;
+  request.time_left_counts =
+      request.time_left_counts || beyond || now - request.arrived_at > slack;
+}
+
 void Ledger::OnAnswer(std::string_view id, Answer answer) {
   this->requests.find(id)->second.answers.push_back(std::move(answer));
 }
@@ -119,7 +139,9 @@
   }
 }
 
-void Ledger::CheckRetries(std::vector<std::string>& out) const {
+/// @param out Gets a line for each service that got too many; may be null.
+/// @return The most extra sends of a window, as a part of what was allowed.
+double Ledger::CheckRetries(std::vector<std::string>* out) const {
   struct Service {
     std::vector<absl::Time> requests;
     std::vector<absl::Time> extras;
@@ -139,12 +161,14 @@
     if (static_cast<int>(replicas.size()) > request.sent.max_replicas)
       ++over_attempts;
   }
-  if (over_attempts > this->bounds.over_attempts) {
-    out.push_back(fmt::format(
+  if (out != nullptr && over_attempts > this->bounds.over_attempts) {
+    out->push_back(fmt::format(
         "budget: {} requests ran on more replicas than their route allows",
         over_attempts));
   }
+  double most = 0;
   for (auto& [name, service] : services) {
+    bool reported = out == nullptr;
     std::sort(service.requests.begin(), service.requests.end());
     std::sort(service.extras.begin(), service.extras.end());
     absl::Duration window = this->bounds.retry_window;
@@ -156,14 +180,15 @@
            CountIn(service.requests, from - window / 2, from + window / 2)});
       double allowed =
           this->bounds.retry_ratio * requests + this->bounds.retry_slack;
-      if (extras > allowed) {
-        out.push_back(fmt::format(
+      most = std::max(most, extras / allowed);
+      if (extras > allowed && !std::exchange(reported, true)) {
+        out->push_back(fmt::format(
             "budget: {} got {} extra sends for {} requests in one window", name,
             extras, requests));
-        break;
       }
     }
   }
+  return most;
 }
 
 void Ledger::CheckOrders(std::vector<std::string>& out) const {
@@ -190,6 +215,26 @@
   }
 }
 
+Ledger::TimeLeftCounts Ledger::CountTimeLeft() const {
+  TimeLeftCounts counts;
+  for (const auto& [id, request] : this->requests) {
+    counts.counted += request.time_left_counts ? 1 : 0;
+    counts.beyond += request.beyond_time ? 1 : 0;
+  }
+  return counts;
+}
+
+void Ledger::CheckTimeLeft(std::vector<std::string>& out) const {
+  TimeLeftCounts counts = this->CountTimeLeft();
+  if (counts.beyond > this->bounds.beyond_time &&
+      counts.beyond > this->bounds.beyond_time_share * counts.counted) {
+    out.push_back(
+        fmt::format("budget: {} of {} counted requests reached replicas with "
+                    "more time than their callers had left",
+                    counts.beyond, counts.counted));
+  }
+}
+
 void Ledger::CheckRecovery(std::vector<std::string>& out) const {
   double sent = 0;
   double served = 0;
@@ -320,8 +365,9 @@
   std::vector<std::string> out = this->seen;
   for (const auto& [id, request] : this->requests)
     this->CheckRequest(request, out);
-  this->CheckRetries(out);
+  this->CheckRetries(&out);
   this->CheckOrders(out);
+  this->CheckTimeLeft(out);
   this->CheckRecovery(out);
   this->CheckCrashingRequests(out);
   this->CheckVersions(out);
@@ -349,12 +395,14 @@
   for (const auto& [replica, list] : this->orders)
     orders += list.size();
   StreamCounts streams = this->CheckTakeUps(nullptr);
+  TimeLeftCounts time_left = this->CountTimeLeft();
   return line + fmt::format(
                     " orders={} crashes={} limited={} streams={}/{} "
-                    "taken_up={}/{}",
+                    "taken_up={}/{} retries={:.2f} beyond_time={}/{}",
                     orders, this->crashes.size(), this->limited_arrival_count,
                     streams.begun, streams.sent, streams.going_on,
-                    streams.taken_up);
+                    streams.taken_up, this->CheckRetries(nullptr),
+                    time_left.beyond, time_left.counted);
 }
 
 }  // namespace cranberryhill::soak
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -39,6 +40,7 @@
   /// The request that brought the first event of the stream, if this one takes
   /// it up again.
   std::string resumes = {};
+  absl::Duration time_left = absl::InfiniteDuration();
 
   const std::string& stream_id() const {  // NOLINT
     return this->resumes.empty() ? this->id : this->resumes;
@@ -85,6 +87,13 @@
   absl::Duration limit_window = absl::Seconds(4);
   double limit_factor = 1.5;
   double limit_slack = 5;
+  /// A request that is handed to a replica with a deadline this long after its
+  /// caller's, or that comes once more this long after its first arrival, is
+  /// counted. More than a number and more than a share of these may not have
+  /// such a deadline.
+  absl::Duration time_left_slack = absl::Milliseconds(500);
+  double beyond_time = 20;
+  double beyond_time_share = 0.2;
   /// Of this many streams that are taken up again or more, the share that goes
   /// on is at least this part of the share of new streams that begin.
   double min_take_ups = 12;
@@ -104,6 +113,14 @@
                  absl::Time now,
                  bool runs);
 
+  /// A request reached a replica.
+  /// @param time_left Without a value if it does not say how much it has left.
+  /// @param counts Its gateway and its link were not disturbed lately.
+  void OnTimeLeft(std::string_view id,
+                  absl::Time now,
+                  std::optional<absl::Duration> time_left,
+                  bool counts);
+
   void OnAnswer(std::string_view id, Answer answer);
 
   /// The replica that worked on a request broke off, so it may end without an
@@ -156,6 +173,9 @@
     std::vector<Arrival> arrivals;
     std::vector<Answer> answers;
     bool broken_off = false;
+    absl::Time arrived_at = absl::InfiniteFuture();  ///< First.
+    bool time_left_counts = false;
+    bool beyond_time = false;
   };
   /// A stream over all requests for it.
   struct Stream {
@@ -169,6 +189,11 @@
     double going_on = 0;
     double taken_up = 0;
   };
+  /// Requests whose time left is judged.
+  struct TimeLeftCounts {
+    double counted = 0;
+    double beyond = 0;
+  };
   struct Order {
     std::string holder;
     uint64_t fencing_token = 0;
@@ -177,8 +202,10 @@
 
   void CheckRequest(const Request& request,
                     std::vector<std::string>& out) const;
-  void CheckRetries(std::vector<std::string>& out) const;
+  double CheckRetries(std::vector<std::string>* out) const;
   void CheckOrders(std::vector<std::string>& out) const;
+  TimeLeftCounts CountTimeLeft() const;
+  void CheckTimeLeft(std::vector<std::string>& out) const;
   void CheckRecovery(std::vector<std::string>& out) const;
   void CheckCrashingRequests(std::vector<std::string>& out) const;
   void CheckVersions(std::vector<std::string>& out) const;
--- a/soak/ledger_test.cc
+++ b/soak/ledger_test.cc
@@ -150,6 +150,45 @@
   BOOST_TEST(this->BrokenIs("budget"));
 }
 
+BOOST_FIXTURE_TEST_CASE(more_time_than_is_left_is_found, Fixture) {
+  auto send = [this](int number) {
+    std::string id = "r" + std::to_string(number);
+    SentRequest request{id, "desk", "whole", true, 2, this->now};
+    request.time_left = absl::Seconds(4);
+    this->ledger.OnSent(std::move(request));
+    return id;
+  };
+  absl::Time first = this->now + absl::Milliseconds(100);
+  absl::Time second = this->now + absl::Seconds(1);
+  constexpr absl::Duration kLeft = absl::Milliseconds(3900);
+  // Sent once more late, which counts, with the time that is left and a little.
+  for (int i = 0; i < 84; ++i) {
+    std::string id = send(i);
+    this->ledger.OnTimeLeft(id, first, kLeft, true);
+    this->ledger.OnTimeLeft(id, second, absl::Milliseconds(3500), true);
+  }
+  // Sent once more early: not counted.
+  for (int i = 84; i < 200; ++i) {
+    std::string id = send(i);
+    this->ledger.OnTimeLeft(id, first, kLeft, true);
+    this->ledger.OnTimeLeft(id, first, kLeft, true);
+  }
+  // Beyond it at first, when sent once more, or without a word of it.
+  for (int i = 200; i < 221; ++i) {
+    std::string id = send(i);
+    this->ledger.OnTimeLeft(id, first, kLeft, true);
+    this->ledger.OnTimeLeft(id, second, absl::Milliseconds(3501), i != 220);
+  }
+  std::string id = send(221);
+  this->ledger.OnTimeLeft(id, second, kLeft, false);
+  BOOST_TEST(this->ledger.Violations().empty());
+  // The 21st of 105 counted ones is a fifth, the 22nd of 106 is more.
+  this->ledger.OnTimeLeft(send(222), first, absl::Milliseconds(4401), true);
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->ledger.OnTimeLeft(send(223), first, std::nullopt, true);
+  BOOST_TEST(this->BrokenIs("budget"));
+}
+
 BOOST_FIXTURE_TEST_CASE(late_requests_that_crash_engines_are_found, Fixture) {
   for (int i = 0; i < 5; ++i)
     this->ledger.OnEngineCrash(this->now);
