soak: prompts that are read again are extra sends

The ledger did not see calls that only have a prompt read. By the users' rule only the first of a request is no extra send; a stream that is run once more has its prompt read once more, so the soak saw half of the extra sends of such a stream (rule BUDGET).

prompts_that_are_read_again_are_extra_sends: the case for the check.

--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -365,6 +365,8 @@
   refuses = refuses || server.closed;
   if (refuses || !reads_only)
     this->ledger.OnArrival(id, server.id, this->clock.Now(), !refuses);
+  else
+    this->ledger.OnPromptRead(id, this->clock.Now());
   if (server.closed)
     return responder->SendWhole(this->ClosedHead(server, id), "");
   if (refuses) {
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -48,6 +48,12 @@
   found->second.arrivals.push_back({std::string(replica), now, runs});
 }
 
+void Ledger::OnPromptRead(std::string_view id, absl::Time now) {
+  auto found = this->requests.find(id);
+  if (found != this->requests.end())
+    found->second.prompt_reads.push_back(now);
+}
+
 void Ledger::OnTimeLeft(std::string_view id,
                         absl::Time now,
                         std::optional<absl::Duration> time_left,
@@ -151,6 +157,8 @@
   for (const auto& [id, request] : this->requests) {
     Service& service = services[request.sent.service];
     service.requests.push_back(request.sent.at);
+    for (size_t i = 1; i < request.prompt_reads.size(); ++i)
+      service.extras.push_back(request.prompt_reads[i]);
     std::set<std::string> replicas;
     for (size_t i = 0; i < request.arrivals.size(); ++i) {
       if (i > 0)
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -113,6 +113,10 @@
                  absl::Time now,
                  bool runs);
 
+  /// A replica reads the prompt of a request and does no more. Calls of this
+  /// kind beyond the first one are extra sends.
+  void OnPromptRead(std::string_view id, absl::Time now);
+
   /// A request reached a replica.
   /// @param time_left Without a value if it does not say how much it has left.
   /// @param counts Its gateway and its link were not disturbed lately.
@@ -171,6 +175,7 @@
   struct Request {
     SentRequest sent;
     std::vector<Arrival> arrivals;
+    std::vector<absl::Time> prompt_reads;
     std::vector<Answer> answers;
     bool broken_off = false;
     absl::Time arrived_at = absl::InfiniteFuture();  ///< First.
--- a/soak/ledger_test.cc
+++ b/soak/ledger_test.cc
@@ -150,6 +150,20 @@
   BOOST_TEST(this->BrokenIs("budget"));
 }
 
+BOOST_FIXTURE_TEST_CASE(prompts_that_are_read_again_are_extra_sends, Fixture) {
+  for (int i = 0; i < 100; ++i) {
+    std::string id = "r" + std::to_string(i);
+    this->Send(id, true);
+    this->ledger.OnPromptRead(id, this->now);
+    if (i < 20)
+      this->ledger.OnPromptRead(id, this->now);
+    this->Arrive(id);
+  }
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->ledger.OnPromptRead("r50", this->now);
+  BOOST_TEST(this->BrokenIs("budget"));
+}
+
 BOOST_FIXTURE_TEST_CASE(more_time_than_is_left_is_found, Fixture) {
   auto send = [this](int number) {
     std::string id = "r" + std::to_string(number);
