soak: all gateways restart together while most requests fail

The users saw BUDGET broken with real processes; the soak restarted all gateways at most once in a run, and its requests seldom failed while it did.

Change: a last part of 15 s. For 12 s the replicas of the desk service or the engines fail four in five requests, by an error or a broken connection, and after 2.5 s series of SIGKILL, SIGTERM and SIGHUP to all gateways and to single ones overlap, each 2 to 9 s apart. All requests for the service may be repeated, so that more retries are wanted than the budget allows.

Drawn apart, so that the other faults of a seed stay the same. A run takes 75 s.

--- a/programs/gateway_soak.cc
+++ b/programs/gateway_soak.cc
@@ -47,6 +47,16 @@
 /// faults is here.
 constexpr absl::Duration kReleasePart = absl::Seconds(12);
 constexpr absl::Duration kReleaseGap = absl::Seconds(6);
+/// Gateways are restarted together while a service fails: a little longer than
+/// the window of the retry budget, so that one window holds several restarts.
+constexpr absl::Duration kRestartPart = absl::Seconds(12);
+/// Before it, while the other service works on requests for a while and then
+/// fails; no gateway is disturbed.
+constexpr absl::Duration kLateFailures = absl::Seconds(3);
+constexpr absl::Duration kRestartLength = absl::Milliseconds(100);
+/// Before the first restart, in which the processes spend the retries that the
+/// requests before this part allow.
+constexpr absl::Duration kBeforeRestarts = absl::Milliseconds(2500);
 /// For which a sound replica may be silent.
 constexpr absl::Duration kSilence = absl::Seconds(1);
 /// The last requests end.
@@ -154,6 +164,7 @@
            limit_random.UniformInt(0, 1000)});
     }
     this->PlanReleases(faults, add);
+    this->PlanRestarts(add);
     std::stable_sort(this->steps.begin(), this->steps.end(),
                      [](const Step& a, const Step& b) { return a.at < b.at; });
   }
@@ -212,6 +223,34 @@
     }
   }
 
+  /// Drawn apart, so that the other faults of a seed stay the same.
+  template <typename Add>
+  void PlanRestarts(const Add& add) {
+    SeededRandom restart_random(absl::GetFlag(FLAGS_seed) + 6);
+    absl::Duration from = this->releases_end + kLateFailures;
+    this->restarts_end = from + kRestartPart;
+    size_t target = restart_random.UniformInt(0, 3);
+    add({from, kRestartPart, FaultKind::kServiceFails, target});
+    add({this->releases_end, kLateFailures + kBeforeRestarts,
+         FaultKind::kServiceFailsLate, target + 1});
+    auto series = [&](FaultKind kind, double shortest_s, double longest_s) {
+      absl::Duration gap =
+          absl::Seconds(shortest_s + (longest_s - shortest_s) *
+                                         restart_random.UniformDouble());
+      absl::Duration at =
+          from + kBeforeRestarts +
+          std::min(gap, kBeforeRestarts) * restart_random.UniformDouble();
+      for (; at < this->restarts_end; at += gap)
+        add({at, kRestartLength, kind, restart_random.UniformInt(0, 1000)});
+    };
+    series(FaultKind::kKillAll, 2, 9);
+    series(FaultKind::kTerminateAll, 4, 9);
+    series(FaultKind::kHangUpAll, 2, 9);
+    for (FaultKind kind :
+         {FaultKind::kKill, FaultKind::kTerminate, FaultKind::kHangUp})
+      series(kind, 2, 6);
+  }
+
   void Tick() {
     absl::Duration now = this->clock.Now() - this->began;
     while (this->next_step < this->steps.size() &&
@@ -229,13 +268,13 @@
     }
     this->fleet.Tick();
     this->callers->Tick();
-    bool sending = now < this->releases_end;
+    bool sending = now < this->restarts_end;
     absl::Duration calm_end = this->calm_from + kCalmPart;
     auto due = static_cast<int64_t>(absl::ToDoubleSeconds(now) *
                                     absl::GetFlag(FLAGS_rate));
     for (; sending && this->sent < due; ++this->sent)
       this->callers->SendOne(now >= this->calm_from && now < calm_end);
-    if (now > this->releases_end + kTail)
+    if (now > this->restarts_end + kTail)
       return this->io.stop();
     this->timer.expires_after(kTick);
     this->timer.async_wait([this](boost::system::error_code) { this->Tick(); });
@@ -255,6 +294,7 @@
   absl::Duration planned_from;
   absl::Duration calm_from;
   absl::Duration releases_end;
+  absl::Duration restarts_end;
   int64_t sent = 0;
 };
 
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -155,9 +155,16 @@
 }
 
 void Callers::SendOne(bool after_recovery) {
-  const Kind& kind = kKinds.at(this->random.UniformInt(0, kKinds.size() - 1));
+  const Kind* kind = &kKinds.at(this->random.UniformInt(0, kKinds.size() - 1));
+  // All requests for a service that fails may be repeated, so that more retries
+  // are wanted than the budget allows.
+  if (this->fleet.Fails(kind->service)) {
+    kind = std::find_if(kKinds.begin(), kKinds.end(), [kind](const Kind& k) {
+      return k.service == kind->service && k.may_repeat;
+    });
+  }
   size_t gateway = this->random.UniformInt(0, this->fleet.gateways() - 1);
-  this->Send(kind, gateway, kTimeLeft, after_recovery, nullptr);
+  this->Send(*kind, gateway, kTimeLeft, after_recovery, nullptr);
 }
 
 /// @param taken_up Null if the request is new.
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -392,6 +392,8 @@
     return server.unanswered.push_back(responder);
   if (reads_only)
     return this->ReadPrompt(server, id, *responder);
+  if (this->EndsInFailure(server, id, responder))
+    return;
   auto source = headers.Find(platform::kCacheSource);
   if (source && !source->ends_with("/cache-" + id)) {
     this->ledger.OnViolation(fmt::format(
@@ -623,6 +625,8 @@
     // Sound replicas may be silent for about a second.
     case FaultKind::kReplicaPauses:
     case FaultKind::kStreamsBreak:
+    case FaultKind::kTerminateAll:
+    case FaultKind::kHangUpAll:
       return nullptr;
     case FaultKind::kKill:
     case FaultKind::kPause:
@@ -678,6 +682,13 @@
     case FaultKind::kStreamsBreak:
       this->breaking_streams += begins ? 1 : -1;
       return;
+    case FaultKind::kServiceFails:
+    case FaultKind::kServiceFailsLate:
+      return this->ApplyToService(fault, begins);
+    case FaultKind::kKillAll:
+    case FaultKind::kTerminateAll:
+    case FaultKind::kHangUpAll:
+      return begins ? this->ApplyToAll(fault.kind) : void();
     case FaultKind::kStoreLinkSilent:
       return ApplyToLink(*member.store, LinkFault::kSilent, begins);
     case FaultKind::kStoreLinkOneWay:
@@ -851,14 +862,6 @@
   });
 }
 
-void Fleet::RestartAll() {
-  for (const auto& member : this->members) {
-    member->may_end = true;
-    member->disturbance.ended_at = this->clock.Now();
-    member->process->Signal(SIGKILL);
-  }
-}
-
 void Fleet::Tick() {
   absl::Time now = this->clock.Now();
   this->store.EndOldWatches(now);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -81,7 +81,7 @@
   void Begin(const Fault& fault);
   void End(const Fault& fault);
 
-  /// Kills all gateways at once and starts them again.
+  /// Kills all gateways at once; Tick() starts them again.
   void RestartAll();
 
   /// Starts gateways that have ended and reports those that ended by
@@ -99,6 +99,11 @@
   /// @return True while connections of callers break in the middle of streams.
   bool BreaksStreams() const { return this->breaking_streams > 0; }
 
+  /// @return True while the replicas of this service fail many requests.
+  bool Fails(std::string_view service) const {
+    return this->failing_services.contains(service);
+  }
+
   /// @return True when at least two engines of this version can go on with a
   ///     stream: they serve, and have been listed for long enough to be known.
   bool HasTwoEnginesOf(std::string_view version) const;
@@ -166,6 +171,11 @@
   void ApplyToReplica(Server& server, FaultKind kind, bool begins);
   void ApplyToReplicaLink(Server& server, FaultKind kind, bool begins);
   void ApplyToStore(FaultKind kind, bool begins);
+  void ApplyToAll(FaultKind kind);
+  void ApplyToService(const Fault& fault, bool begins);
+  bool EndsInFailure(Server& server,
+                     std::string_view id,
+                     const std::shared_ptr<http1::Responder>& responder);
   void ApplyCut(const Fault& fault, bool begins);
   void ApplyRelease(const Fault& fault, bool begins);
   void StartServer(Server& server, std::string_view version);
@@ -190,6 +200,7 @@
   int store_outages = 0;
   int crashing_parts = 0;
   int breaking_streams = 0;
+  std::set<std::string_view> failing_services;
   size_t drawn_servers = 0;  // Those that faults choose from; the others spare.
   int software_version = 1;  // The newest.
   std::set<std::string> unlisted;            // Ids of replicas that have left.
--- a/soak/fleet_members.h
+++ b/soak/fleet_members.h
@@ -29,6 +29,8 @@
   std::unique_ptr<http1::Server> server;
   std::unique_ptr<LinkProxy> link;
   Mode mode = Mode::kOk;
+  std::optional<Mode> fails;  // How runs end while its service fails.
+  bool fails_late = false;
   int orders = 0;
   bool crashing = false;  // It has crashed, or is about to.
   bool spare = false;     // Runs only during a release.
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -56,6 +56,11 @@
     "replica_cuts",
     "replica_pauses",
     "streams_break",
+    "service_fails",
+    "service_fails_late",
+    "kill_all",
+    "terminate_all",
+    "hang_up_all",
 };
 
 }  // namespace
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -55,8 +55,13 @@
   kReplicaCuts,       ///< An engine breaks off streams after some events.
   kReplicaPauses,     ///< A sound engine or server is silent; no disturbance.
   kStreamsBreak,      ///< Callers' connections break in the middle of streams.
+  kServiceFails,      ///< All replicas of a service fail most requests.
+  kServiceFailsLate,  ///< They work on some for a while, and then fail.
+  kKillAll,           ///< SIGKILL of all gateways, which start again at once.
+  kTerminateAll,
+  kHangUpAll,
 };
-inline constexpr size_t kFaultKinds = 42;
+inline constexpr size_t kFaultKinds = 47;
 /// The kinds that DrawFaults() draws come first, so that later ones do not
 /// change what a seed means.
 inline constexpr size_t kDrawnFaultKinds = 25;
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the fault soak of the gateway: first the seeds that ever failed, then
-# the seeds FIRST to LAST, JOBS at a time (60 s each). Settings files and logs
+# the seeds FIRST to LAST, JOBS at a time (75 s each). Settings files and logs
 # stay in DIRECTORY/SEED. Fails when any seed broke a promise.
 #
 #   tools/soak.sh FIRST LAST [JOBS] [DIRECTORY]
