--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "cranberryhill/base/hash.h"
 #include "platform/names.h"
 #include "soak/fleet_members.h"
@@ -359,10 +360,13 @@
   if (sent != nullptr) {
     this->RecordLimitedArrival(server, *sent);
     this->CheckNotices(server, *sent);
+    this->RecordTimeLeft(server, *sent, headers);
   }
   refuses = refuses || server.closed;
   if (refuses || !reads_only)
     this->ledger.OnArrival(id, server.id, this->clock.Now(), !refuses);
+  else
+    this->ledger.OnPromptRead(id, this->clock.Now());
   if (server.closed)
     return responder->SendWhole(this->ClosedHead(server, id), "");
   if (refuses) {
@@ -388,6 +392,8 @@
     return server.unanswered.push_back(responder);
   if (reads_only)
     return this->ReadPrompt(server, id, *responder);
+  if (this->EndsInFailure(server, id, responder))
+    return;
   auto source = headers.Find(platform::kCacheSource);
   if (source && !source->ends_with("/cache-" + id)) {
     this->ledger.OnViolation(fmt::format(
@@ -484,6 +490,22 @@
   }
 }
 
+/// Counts only what gateways without disturbance sent over sound links: other
+/// requests may have been held up on their way.
+void Fleet::RecordTimeLeft(const Server& server,
+                           const SentRequest& sent,
+                           const http1::HeaderList& headers) {
+  absl::Time now = this->clock.Now();
+  std::optional<absl::Duration> time_left;
+  int64_t ms = 0;
+  if (auto text = headers.Find(platform::kTimeLeftMs);
+      text && absl::SimpleAtoi(std::string(*text), &ms))
+    time_left = absl::Milliseconds(ms);
+  this->ledger.OnTimeLeft(sent.id, now, time_left,
+                          this->IsCalm(*this->members[sent.gateway]) &&
+                              now - server.link_disturbed_at > kCalm);
+}
+
 bool Fleet::IsCalm(const Member& member) const {
   absl::Time now = this->clock.Now();
   return now - member.started_at > kCalm &&
@@ -603,6 +625,8 @@
     // Sound replicas may be silent for about a second.
     case FaultKind::kReplicaPauses:
     case FaultKind::kStreamsBreak:
+    case FaultKind::kTerminateAll:
+    case FaultKind::kHangUpAll:
       return nullptr;
     case FaultKind::kKill:
     case FaultKind::kPause:
@@ -658,6 +682,13 @@
     case FaultKind::kStreamsBreak:
       this->breaking_streams += begins ? 1 : -1;
       return;
+    case FaultKind::kServiceFails:
+    case FaultKind::kServiceFailsLate:
+      return this->ApplyToService(fault, begins);
+    case FaultKind::kKillAll:
+    case FaultKind::kTerminateAll:
+    case FaultKind::kHangUpAll:
+      return begins ? this->ApplyToAll(fault.kind) : void();
     case FaultKind::kStoreLinkSilent:
       return ApplyToLink(*member.store, LinkFault::kSilent, begins);
     case FaultKind::kStoreLinkOneWay:
@@ -831,14 +862,6 @@
   });
 }
 
-void Fleet::RestartAll() {
-  for (const auto& member : this->members) {
-    member->may_end = true;
-    member->disturbance.ended_at = this->clock.Now();
-    member->process->Signal(SIGKILL);
-  }
-}
-
 void Fleet::Tick() {
   absl::Time now = this->clock.Now();
   this->store.EndOldWatches(now);
