--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -94,6 +94,9 @@
     return this->RetryBudgetFor(service).Credit();
   }
 
+  /// @return Number of other instances from which messages arrive.
+  size_t LivePeers() const { return this->peer_load_sync.peers(); }
+
   std::shared_ptr<http1::ActiveRequest> OnRequest(
       http1::IncomingRequest request,
       std::shared_ptr<http1::Responder> responder) override;
