gateway: requests go through a peer when no replica can be reached

An instance that was cut off from all replicas refused each request, although other instances reached them: it had no other way than its own connections, and nothing told it or its peers that it was cut off.

Each gateway now accepts requests of its peers by TCP at its peer address. A request that has reached no replica is sent to a peer at once if all replicas of its service are unreachable or have refused connections, and before it would be refused if connections to half of them fail. RelayPeers chooses the peer; messages to peers name the zone and the services that cannot be reached. The retry budget counts the request at the peer.

--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -161,7 +161,8 @@
                    EncodePromptParts(message.prompt_parts),
                    EncodeLimits(message.replica_limits),
                    EncodedAge(message.may_poll_in),
-                   EncodeLeaving(message.leaving_replicas)}),
+                   EncodeLeaving(message.leaving_replicas),
+                   message.availability_zone, message.cut_off_services}),
       bytes);
   return bytes;
 }
@@ -218,6 +219,12 @@
     message.replica_limits = DecodeLimits(fields.at(15));
     message.may_poll_in = DecodedAge(fields.at(16).get<int64_t>());
     message.leaving_replicas = DecodeLeaving(fields.at(17));
+    // Messages of processes that were started before these fields existed lack
+    // them.
+    if (fields.size() > 19) {
+      message.availability_zone = fields.at(18).get<std::string>();
+      message.cut_off_services = fields.at(19).get<std::vector<std::string>>();
+    }
     return message;
   } catch (const json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, "load message", "",
--- a/cranberryhill/forward/peer_load_sync.h
+++ b/cranberryhill/forward/peer_load_sync.h
@@ -81,6 +81,11 @@
   std::vector<ReplicaLimitReport> replica_limits = {};
   /// Replicas that have told this instance that they are leaving.
   std::vector<LeavingReport> leaving_replicas = {};
+  /// Where the instance runs.
+  std::string availability_zone = {};
+  /// Services for which the instance takes no requests of peers, because it
+  /// reaches none of their replicas or is about to end.
+  std::vector<std::string> cut_off_services = {};
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
--- a/cranberryhill/forward/reachability.cc
+++ b/cranberryhill/forward/reachability.cc
@@ -29,6 +29,27 @@
 /// Replicas of a silent zone that are probed at the same time. One that answers
 /// clears the whole zone, so the number does not grow with the zone.
 constexpr size_t kZoneProbes = 2;
+/// A single failed connection says nothing about other replicas.
+constexpr int kMinFailedConnections = 2;
+/// Connections that fail while others live on say for this long that new ones
+/// fail.
+constexpr absl::Duration kConnectFailureMemory = absl::Seconds(3);
+/// Replicas of a service that is cut off are probed at this interval, so many
+/// at a time.
+constexpr absl::Duration kCutOffProbeInterval = absl::Milliseconds(500);
+constexpr size_t kCutOffProbes = 2;
+
+bool CanRun(const Replica& replica) {
+  return replica.entry.role != EngineRole::kPrefill;
+}
+
+/// @return True if nothing was heard from the replica since a connection to it
+///     could not be opened. A refusal of a probe counts as heard.
+bool CannotConnect(const Replica& replica) {
+  return replica.unreachable ||
+         (replica.connect_failed_at != absl::InfinitePast() &&
+          replica.connect_failed_at >= replica.heard_at);
+}
 
 }  // namespace
 
@@ -159,6 +180,80 @@
   return targets;
 }
 
+void Reachability::OnConnectFailed(Replica& replica) {
+  replica.connect_failed_at = this->clock.Now();
+}
+
+bool Reachability::IsCutOff(
+    std::span<const std::shared_ptr<Replica>> members) const {
+  bool any = false;
+  for (const auto& replica : members) {
+    if (!CanRun(*replica))
+      continue;
+    if (!CannotConnect(*replica))
+      return false;
+    any = true;
+  }
+  return any;
+}
+
+bool Reachability::FailsToConnect(
+    std::span<const std::shared_ptr<Replica>> members) const {
+  absl::Time now = this->clock.Now();
+  size_t all = 0;
+  size_t failing = 0;
+  for (const auto& replica : members) {
+    if (!CanRun(*replica))
+      continue;
+    ++all;
+    if (CannotConnect(*replica) ||
+        now - replica->connect_failed_at < kConnectFailureMemory)
+      ++failing;
+  }
+  return failing > 0 && 2 * failing >= all;
+}
+
+std::vector<std::shared_ptr<Replica>> Reachability::CutOffSuspects(
+    std::span<const std::shared_ptr<Replica>> members) const {
+  absl::Time now = this->clock.Now();
+  absl::Time first_failed_at = absl::InfiniteFuture();
+  absl::Time heard_at = absl::InfinitePast();
+  int failed = 0;
+  std::vector<std::shared_ptr<Replica>> suspects;
+  for (const auto& replica : members) {
+    heard_at = std::max(heard_at, replica->heard_at);
+    if (now - replica->connect_failed_at < kConnectFailureMemory) {
+      ++failed;
+      first_failed_at = std::min(first_failed_at, replica->connect_failed_at);
+    }
+    if (!replica->unreachable && now - replica->probed_at >= kProbeInterval)
+      suspects.push_back(replica);
+  }
+  bool is_suspected =
+      failed >= kMinFailedConnections && heard_at <= first_failed_at;
+  return is_suspected ? suspects : std::vector<std::shared_ptr<Replica>>{};
+}
+
+std::vector<std::shared_ptr<Replica>> Reachability::CutOffProbeTargets(
+    std::span<const std::shared_ptr<Replica>> members,
+    uint64_t random_value) const {
+  if (!this->IsCutOff(members))
+    return {};
+  absl::Time now = this->clock.Now();
+  std::vector<std::shared_ptr<Replica>> targets;
+  for (const auto& replica : members) {
+    if (!CanRun(*replica))
+      continue;
+    if (now - replica->probed_at < kCutOffProbeInterval)
+      return {};
+    targets.push_back(replica);
+  }
+  auto first = static_cast<ptrdiff_t>(random_value % targets.size());
+  std::rotate(targets.begin(), targets.begin() + first, targets.end());
+  targets.resize(std::min(targets.size(), kCutOffProbes));
+  return targets;
+}
+
 std::vector<std::string> Reachability::Unreachable(
     std::span<const std::shared_ptr<Replica>> replicas) const {
   std::vector<std::string> ids;
--- a/cranberryhill/forward/reachability.h
+++ b/cranberryhill/forward/reachability.h
@@ -88,6 +88,33 @@
       std::string_view zone,
       uint64_t random_value) const;
 
+  /// Records that a connection to the replica could not be opened.
+  void OnConnectFailed(Replica& replica);
+
+  /// @param members All replicas of a service.
+  /// @return True if this instance reaches none of those that can run requests:
+  ///     each is unreachable, or a connection to it failed and nothing was
+  ///     heard from it since.
+  bool IsCutOff(std::span<const std::shared_ptr<Replica>> members) const;
+
+  /// @return True if that holds for half of them, or connections to them failed
+  ///     a moment ago although others are still open.
+  bool FailsToConnect(std::span<const std::shared_ptr<Replica>> members) const;
+
+  /// @return Those of `members` to be probed now because this instance may be
+  ///     cut off from all of them: connections to some failed, and nothing was
+  ///     heard from any since.
+  std::vector<std::shared_ptr<Replica>> CutOffSuspects(
+      std::span<const std::shared_ptr<Replica>> members) const;
+
+  /// Chooses replicas of a service from which this instance is cut off, whose
+  /// answer to a probe shows that it is not any more.
+  /// @param random_value Changes from call to call.
+  /// @return Few replicas, and none while earlier probes are recent.
+  std::vector<std::shared_ptr<Replica>> CutOffProbeTargets(
+      std::span<const std::shared_ptr<Replica>> members,
+      uint64_t random_value) const;
+
   /// @return The ids of those of `replicas` that are unreachable, for peers.
   std::vector<std::string> Unreachable(
       std::span<const std::shared_ptr<Replica>> replicas) const;
--- a/cranberryhill/forward/reachability_test.cc
+++ b/cranberryhill/forward/reachability_test.cc
@@ -236,5 +236,69 @@
   BOOST_TEST(!this->reachability.ProbeTargets(members, "a", 7).empty());
 }
 
+struct CutOffFixture : Fixture {
+  CutOffFixture() {
+    this->replicas.Apply(MakeEntry("y", "b", EngineRole::kDecode));
+    this->replicas.Apply(MakeEntry("z", "b", EngineRole::kPrefill));
+    this->clock.Advance(absl::Seconds(5));
+    this->other = this->replicas.Find("y");
+  }
+
+  std::vector<std::shared_ptr<Replica>> Members() const {
+    return this->replicas.Members("service");
+  }
+
+  std::shared_ptr<Replica> other;
+};
+
+// Guards against an instance that does not notice that it reaches no replica,
+// and against one that takes the failure of some for that of all.
+BOOST_FIXTURE_TEST_CASE(cut_off_when_no_replica_that_runs_can_be_reached,
+                        CutOffFixture) {
+  BOOST_TEST(!this->reachability.IsCutOff({}));
+  BOOST_TEST(!this->reachability.IsCutOff(this->Members()));
+  this->reachability.OnConnectFailed(*this->engine);
+  BOOST_TEST(!this->reachability.IsCutOff(this->Members()));
+  BOOST_TEST(this->reachability.FailsToConnect(this->Members()));
+  BOOST_TEST(this->reachability.CutOffSuspects(this->Members()).empty());
+  this->reachability.OnConnectFailed(*this->other);
+  BOOST_TEST(this->reachability.IsCutOff(this->Members()));
+  BOOST_TEST(this->reachability.CutOffSuspects(this->Members()).size() == 3U);
+  this->clock.Advance(absl::Milliseconds(1));
+  this->reachability.OnHeard(*this->other);
+  BOOST_TEST(!this->reachability.IsCutOff(this->Members()));
+  BOOST_TEST(this->reachability.CutOffSuspects(this->Members()).empty());
+}
+
+// Guards against a cut that is taken to last because no request shows its end,
+// and against probes without pause.
+BOOST_FIXTURE_TEST_CASE(cut_off_replicas_are_probed_at_intervals,
+                        CutOffFixture) {
+  this->reachability.OnConnectFailed(*this->engine);
+  BOOST_TEST(this->reachability.CutOffProbeTargets(this->Members(), 1).empty());
+  this->reachability.OnConnectFailed(*this->other);
+  auto targets = this->reachability.CutOffProbeTargets(this->Members(), 1);
+  BOOST_TEST(targets.size() == 2U);
+  this->reachability.OnProbeStarted(*targets.front());
+  BOOST_TEST(this->reachability.CutOffProbeTargets(this->Members(), 1).empty());
+  this->clock.Advance(absl::Milliseconds(500));
+  BOOST_TEST(
+      !this->reachability.CutOffProbeTargets(this->Members(), 1).empty());
+}
+
+// Guards against refusals of requests that find no open connection while others
+// of this instance live on.
+BOOST_FIXTURE_TEST_CASE(new_connections_fail_beside_open_ones, CutOffFixture) {
+  this->reachability.OnConnectFailed(*this->engine);
+  this->reachability.OnConnectFailed(*this->other);
+  this->clock.Advance(absl::Milliseconds(100));
+  this->reachability.OnHeard(*this->engine);
+  this->reachability.OnHeard(*this->other);
+  BOOST_TEST(!this->reachability.IsCutOff(this->Members()));
+  BOOST_TEST(this->reachability.FailsToConnect(this->Members()));
+  this->clock.Advance(absl::Seconds(3));
+  BOOST_TEST(!this->reachability.FailsToConnect(this->Members()));
+}
+
 }  // namespace
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -125,6 +125,8 @@
   bool probing = false;          ///< A probe connection is being opened.
   absl::Time probed_at = absl::InfinitePast();
   int failed_probes = 0;  ///< In a row.
+  /// When a connection to the replica last could not be opened.
+  absl::Time connect_failed_at = absl::InfinitePast();
   /// The replica has said in an answer, to this instance or to a peer, that it
   /// is leaving. See ReplicaNotices.
   bool says_leaving = false;
--- a/cranberryhill/forward/windowed_retry_budget.cc
+++ b/cranberryhill/forward/windowed_retry_budget.cc
@@ -32,10 +32,22 @@
   this->credit = std::min(this->credit, most_kept);
 }
 
-void WindowedRetryBudget::OnRequest() {
-  this->requests.push_back(this->clock.Now());
+absl::Time WindowedRetryBudget::OnRequest() {
+  absl::Time now = this->clock.Now();
+  this->requests.push_back(now);
   this->credit += kEarnedShare * this->limits.ratio;
   this->Update();
+  return now;
+}
+
+void WindowedRetryBudget::OnRequestMoved(absl::Time counted_at) {
+  auto counted = std::lower_bound(this->requests.begin(), this->requests.end(),
+                                  counted_at);
+  if (counted != this->requests.end() && *counted == counted_at)
+    this->requests.erase(counted);
+  // The credit may have been spent already; it is earned again by others.
+  this->credit -= kEarnedShare * this->limits.ratio;
+  this->Update();
 }
 
 void WindowedRetryBudget::OnRetry() {
--- a/cranberryhill/forward/windowed_retry_budget.h
+++ b/cranberryhill/forward/windowed_retry_budget.h
@@ -38,7 +38,13 @@
       : clock(clock), limits(limits), updated_at(clock.Now()) {}
 
   /// Counts the first attempt of a request.
-  void OnRequest();
+  /// @return When it was counted.
+  absl::Time OnRequest();
+
+  /// Takes back a request that another instance counts, with the credit that it
+  /// has earned.
+  /// @param counted_at From OnRequest().
+  void OnRequestMoved(absl::Time counted_at);
 
   /// @return True when the budget allows `count` more retries.
   bool HasRoom(int count = 1);
--- a/cranberryhill/forward/windowed_retry_budget_test.cc
+++ b/cranberryhill/forward/windowed_retry_budget_test.cc
@@ -85,5 +85,29 @@
   BOOST_TEST(!budget.HasRoom(2));
 }
 
+// Guards against a request that goes through a second instance and earns credit
+// at both.
+BOOST_AUTO_TEST_CASE(moved_request_earns_nothing) {
+  ManualClock clock;
+  WindowedRetryBudget budget(clock, {0.2, absl::Seconds(10), 0});
+  for (int i = 0; i < 100; ++i) {
+    clock.Advance(absl::Milliseconds(50));
+    budget.OnRequestMoved(budget.OnRequest());
+  }
+  BOOST_TEST(budget.Credit() <= 0);
+  // What was earned by others before stays, as far as it may be kept.
+  for (int i = 0; i < 100; ++i) {
+    clock.Advance(absl::Milliseconds(1));
+    budget.OnRequest();
+  }
+  double credit = budget.Credit();
+  BOOST_TEST(credit > 1);
+  absl::Time counted_at = budget.OnRequest();
+  clock.Advance(absl::Milliseconds(1));
+  budget.OnRequestMoved(counted_at);
+  BOOST_TEST(budget.Credit() <= credit);
+  BOOST_TEST(budget.Credit() > credit - 0.2);
+}
+
 }  // namespace
 }  // namespace cranberryhill::forward
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -27,12 +27,14 @@
                    const forward::Route& route,
                    http1::IncomingRequest request,
                    CallerRequest caller_request,
+                   RequestOrigin origin,
                    std::shared_ptr<http1::Responder> responder)
     : context(context),
       routes(std::move(routes)),
       route(route),
       request(std::move(request)),
       caller_request(std::move(caller_request)),
+      origin(origin),
       responder(std::move(responder)),
       fingerprint(RequestFingerprint(this->caller_request.host,
                                      this->request.head.target,
@@ -64,10 +66,12 @@
 }
 
 void Exchange::Start() {
-  this->context.retry_budget(this->service).OnRequest();
-  if (this->IsTakeUp())
-    return this->FindStreamVersion();
-  this->SendToNextReplica();
+  this->counted_at = this->context.retry_budget(this->service).OnRequest();
+  if (!this->IsTakeUp())
+    return this->SendToNextReplica();
+  // The peer finds the version of the stream.
+  if (!this->RelayIfCutOff())
+    this->FindStreamVersion();
 }
 
 void Exchange::SendToNextReplica() {
@@ -79,6 +83,8 @@
   absl::Duration left = this->TimeLeft();
   if (left < kMinTimeForSend)
     return this->EndUnanswered("no_time_left", kDefaultRetryAfter);
+  if (this->RelayIfCutOff())
+    return;
   forward::PlacementChoice choice = this->ChooseReplica();
   if (choice.replica == nullptr) {
     if (this->former == nullptr &&
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -30,6 +30,7 @@
 #include "cranberryhill/forward/placement.h"
 #include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/reachability.h"
+#include "cranberryhill/forward/relay_peers.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
 #include "cranberryhill/forward/replica_limits.h"
 #include "cranberryhill/forward/replica_notices.h"
@@ -38,6 +39,7 @@
 #include "cranberryhill/gateway/connection_pool.h"
 #include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/metrics.h"
+#include "cranberryhill/gateway/peer_relay.h"
 #include "cranberryhill/gateway/replica_send.h"
 #include "cranberryhill/gateway/send_permits.h"
 #include "cranberryhill/gateway/shutdown_admission.h"
@@ -52,6 +54,9 @@
 /// can take them at once.
 inline constexpr absl::Duration kRetryAfterShutdown = absl::Milliseconds(100);
 
+/// Where a request came from.
+enum class RequestOrigin { kCaller, kPeer };
+
 /// State shared by all exchanges of a gateway. All members must outlive the
 /// exchanges.
 struct ExchangeContext {
@@ -86,10 +91,18 @@
   std::function<void(const std::shared_ptr<forward::Replica>&)> probe;
   /// Called when a replica refuses connections, which may confirm a crash.
   std::function<void(const forward::Replica&)> on_refused_connection;
+  forward::RelayPeers& relay_peers;
+  /// @return The address at which a peer accepts the requests of its peers.
+  std::function<std::optional<boost::asio::ip::tcp::endpoint>(
+      std::string_view instance)>
+      relay_endpoint;
+  /// Called when a connection to a replica could not be opened.
+  std::function<void(forward::Replica&)> on_connect_failed;
 };
 
 class Exchange : public http1::ActiveRequest,
                  public ReplicaSend::Observer,
+                 public PeerRelay::Observer,
                  public std::enable_shared_from_this<Exchange> {
  public:
   /// @param routes The routes in force when the request arrived.
@@ -100,6 +113,7 @@
            const forward::Route& route,
            http1::IncomingRequest request,
            CallerRequest caller_request,
+           RequestOrigin origin,
            std::shared_ptr<http1::Responder> responder);
   ~Exchange() override;
 
@@ -118,6 +132,12 @@
                  http1::AnswerEnd end,
                  std::string_view reason) override;
 
+  void OnRelayHead(PeerRelay& relay) override;
+  void OnRelayBody(PeerRelay& relay, std::string_view data) override;
+  void OnRelayEnd(PeerRelay& relay,
+                  http1::AnswerEnd end,
+                  std::string_view reason) override;
+
  private:
   /// Time limit for opening a connection to a replica. A replica in the same
   /// region accepts one within a few milliseconds. If a packet is lost, it is
@@ -145,6 +165,7 @@
     kAwaitingRetry,
     kPrefilling,
     kRunning,
+    kRelaying,
     kDone
   };
 
@@ -270,6 +291,17 @@
   void EndSendWithoutProgress(std::string_view reason);
   absl::Duration FirstByteTimeout(absl::Duration expected) const;
 
+  // exchange_relay.cc: through another instance.
+  bool MayRelay() const;
+  bool RelayIfCutOff();
+  bool RelayInsteadOfRefusal(std::string_view reason,
+                             absl::Duration retry_after);
+  bool Relay(std::string_view reason, absl::Duration retry_after);
+  void OnRelayFailed(const PeerRelay& ended,
+                     http1::AnswerEnd end,
+                     std::string_view reason);
+  void OnRelayTimer();
+
   // exchange_end.cc: how a request ends.
   bool RefuseIfItCrashesReplicas();
   bool OutlastsShutdown() const;
@@ -294,6 +326,7 @@
   const forward::Route& route;
   http1::IncomingRequest request;
   const CallerRequest caller_request;
+  const RequestOrigin origin;
   std::shared_ptr<http1::Responder> responder;
   const uint64_t fingerprint;
   std::string service;
@@ -330,6 +363,13 @@
   std::string cache_handle;     // Set until a run has used the cache.
   std::shared_ptr<forward::Replica> cache_owner;
 
+  absl::Time counted_at;             // From the retry budget.
+  bool may_be_relayed = true;        // False if each instance would refuse it.
+  std::shared_ptr<PeerRelay> relay;  // Null while none is in progress.
+  std::vector<std::string> relayed_to;  // Names of instances.
+  std::string relay_reason;
+  absl::Duration relay_retry_after;
+
   // Software version that began the stream; unset before its first event.
   std::optional<std::string> stream_version;
   // The record of the version of a send was not stored in time.
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -185,6 +185,8 @@
 }
 
 void Exchange::OnCallerCaughtUp() {
+  if (this->relay != nullptr)
+    return this->relay->Resume();
   if (this->current == nullptr || !this->current->IsPaused() ||
       !this->current->IsPrepared())
     return;
@@ -325,8 +327,12 @@
 void Exchange::RecordPossibleCrash(const ReplicaSend& send,
                                    forward::AttemptOutcome outcome) {
   const std::shared_ptr<forward::Replica>& failed = send.Target();
-  if (outcome == forward::AttemptOutcome::kNotSent)
-    return this->context.on_refused_connection(*failed);
+  if (outcome == forward::AttemptOutcome::kNotSent) {
+    this->context.on_refused_connection(*failed);
+    if (!send.Info().wrong_instance)
+      this->context.on_connect_failed(*failed);
+    return;
+  }
   if (outcome != forward::AttemptOutcome::kBroken)
     return;
   bool had_begun =
--- a/cranberryhill/gateway/exchange_end.cc
+++ b/cranberryhill/gateway/exchange_end.cc
@@ -30,6 +30,7 @@
       this->caller_request.prompt);
   if (!crashes && !part_crashes)
     return false;
+  this->may_be_relayed = false;
   this->EndUnanswered(
       crashes ? "crashes_replicas" : "prompt_part_crashes_replicas",
       kRetryAfterCrashes);
@@ -55,6 +56,8 @@
     return;
   if (this->attempt_policy.MayHaveRun())
     return this->EndNow(kBadGateway, reason, std::nullopt);
+  if (this->RelayInsteadOfRefusal(reason, retry_after))
+    return;
   this->EndNow(kUnavailable, reason, retry_after);
 }
 
@@ -85,7 +88,8 @@
   auto self = this->shared_from_this();
   bool runs_at_former =
       this->former != nullptr && !this->former->Plan().prefill_only;
-  bool certainly_not_run = this->phase != Phase::kRunning && !runs_at_former &&
+  bool certainly_not_run = this->phase != Phase::kRunning &&
+                           this->phase != Phase::kRelaying && !runs_at_former &&
                            !this->attempt_policy.MayHaveRun();
   if (certainly_not_run)
     return this->EndNow(kUnavailable, "shutdown", kRetryAfterShutdown);
@@ -127,6 +131,11 @@
   this->timer.cancel();
   this->EndCurrent();
   this->EndFormer();
+  if (this->relay != nullptr)
+    this->relay->End();
+  // Another instance may get the request, and counts it then.
+  if (this->origin == RequestOrigin::kPeer && outcome == "refused")
+    this->context.retry_budget(this->service).OnRequestMoved(this->counted_at);
   this->ReleaseCache();
   this->CancelReservedRetry();
   absl::Duration took = this->Now() - this->request.arrived;
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -161,6 +161,8 @@
   if (this->phase == Phase::kDone)
     return;
   auto self = this->shared_from_this();
+  if (this->phase == Phase::kRelaying)
+    return this->OnRelayTimer();
   absl::Time now = this->Now();
   bool has_send = this->current != nullptr || this->former != nullptr;
   if (has_send && now >= this->deadline)
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -64,6 +64,9 @@
 /// leaves, and then the request, travels.
 constexpr double kLeavingAllowanceShare = 0.5;
 
+/// For what an instance adds to the head of a request that it relays.
+constexpr uint32_t kRelayHeaderBytes = 64;
+
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -87,6 +90,7 @@
     : io(io),
       clock(clock),
       log(log),
+      random(random),
       settings(std::move(settings)),
       wire(wire),
       codec(codec),
@@ -107,6 +111,7 @@
       engine_speeds(clock),
       placement(this->settings.availability_zone, this->engine_speeds),
       reachability(clock),
+      relay_peers(this->settings.availability_zone, clock),
       connection_pool(io, clock),
       shutdown_admission(clock),
       exchange_context{
@@ -140,6 +145,13 @@
           },
           [this](const forward::Replica& replica) {
             this->OnRefusedConnection(replica);
+          },
+          this->relay_peers,
+          [this](std::string_view instance) {
+            return this->peer_link.RelayEndpoint(instance);
+          },
+          [this](forward::Replica& replica) {
+            this->OnConnectFailed(replica);
           }},
       store_contact(clock),
       configuration_follower(StoreTable::kConfiguration,
@@ -213,6 +225,8 @@
                       clock,
                       random),
       caller_server(io, clock, *this, {}, &this->body_bytes),
+      relay_handler(*this),
+      relay_server(io, clock, this->relay_handler, {}, &this->body_bytes),
       readiness_server(io, clock, this->readiness_pages, {}),
       control_server(io, clock, this->control_pages, {}),
       metrics_server(io, clock, this->control_pages, {}),
@@ -256,6 +270,8 @@
   this->replica_follower.Start();
   if (this->settings.peer_address.port != 0) {
     BOOST_LEAF_CHECK(this->peer_link.Start());
+    BOOST_LEAF_CHECK(this->relay_server.Listen(
+        this->settings.peer_address.ip, this->settings.peer_address.port));
     this->control_table.SetOnChange(
         [this](std::string_view) { this->OnControlTableChanged(); });
     this->control_table.Start();
@@ -289,6 +305,14 @@
 std::shared_ptr<http1::ActiveRequest> Gateway::OnRequest(
     http1::IncomingRequest request,
     std::shared_ptr<http1::Responder> responder) {
+  return this->HandleRequest(std::move(request), std::move(responder),
+                             RequestOrigin::kCaller);
+}
+
+std::shared_ptr<http1::ActiveRequest> Gateway::HandleRequest(
+    http1::IncomingRequest request,
+    std::shared_ptr<http1::Responder> responder,
+    RequestOrigin origin) {
   auto caller_request =
       Capture([&] { return this->wire.DecodeCallerRequest(request.head); });
   if (!caller_request.ok()) {
@@ -322,9 +346,15 @@
                          "");
     return nullptr;
   }
+  if (origin == RequestOrigin::kPeer) {
+    this->metrics.CountDecision("relayed_request");
+    this->log.Write(LogEvent("relayed_request")
+                        .Add("request", caller_request.value().attempt_id)
+                        .Add("route", route->name));
+  }
   auto exchange = std::make_shared<Exchange>(
       this->exchange_context, this->routes, *route, std::move(request),
-      std::move(caller_request.value()), std::move(responder));
+      std::move(caller_request.value()), origin, std::move(responder));
   exchange->Start();
   return exchange;
 }
@@ -489,10 +519,14 @@
   auto configuration = std::make_shared<const forward::Configuration>(
       std::move(decoded.value()));
   const forward::CallerLimits& limits = configuration->limits;
-  this->caller_server.SetLimits(
-      {{limits.max_header_bytes, limits.max_body_bytes},
-       limits.receive_timeout,
-       limits.idle_timeout});
+  http1::ServerLimits server_limits{
+      {limits.max_header_bytes, limits.max_body_bytes},
+      limits.receive_timeout,
+      limits.idle_timeout};
+  this->caller_server.SetLimits(server_limits);
+  // The caller may not have named the time left.
+  server_limits.request.header_bytes += kRelayHeaderBytes;
+  this->relay_server.SetLimits(server_limits);
   for (const forward::ServiceConfig& service : configuration->services) {
     if (service.engine && service.engine->kv_capacity_tokens > 0) {
       this->replicas.SetCacheCapacity(service.name,
@@ -601,9 +635,21 @@
 void Gateway::OnProbeEnded(const std::shared_ptr<forward::Replica>& replica,
                            ProbeResult result) {
   bool was_unreachable = replica->unreachable;
+  const std::string& service = replica->entry.service;
+  bool was_cut_off =
+      this->reachability.IsCutOff(this->replicas.Members(service));
   this->reachability.OnProbeEnded(*replica, result != ProbeResult::kSilent);
-  if (result == ProbeResult::kRefused)
+  if (result == ProbeResult::kRefused) {
     this->OnRefusedConnection(*replica);
+    this->reachability.OnConnectFailed(*replica);
+  }
+  if (was_cut_off && result == ProbeResult::kAccepted) {
+    // One replica would get all requests until the others have been probed.
+    for (const auto& member : this->replicas.Members(service)) {
+      if (member != replica)
+        this->Probe(member);
+    }
+  }
   if (replica->unreachable == was_unreachable)
     return;
   this->log.Write(LogEvent(replica->unreachable ? "replica_unreachable"
@@ -645,6 +691,69 @@
   }
 }
 
+std::vector<std::string> Gateway::CutOffServices() const {
+  std::vector<std::string> services;
+  if (this->routes == nullptr)
+    return services;
+  for (const auto& service : this->routes->configuration().services) {
+    if (this->reachability.IsCutOff(this->replicas.Members(service.name)))
+      services.push_back(service.name);
+  }
+  return services;
+}
+
+void Gateway::OnConnectFailed(forward::Replica& replica) {
+  this->reachability.OnConnectFailed(replica);
+  for (const auto& suspect : this->reachability.CutOffSuspects(
+           this->replicas.Members(replica.entry.service)))
+    this->Probe(suspect);
+}
+
+/// Finds out whether services can be reached again, also if no request comes.
+void Gateway::ProbeCutOffServices() {
+  for (const std::string& service : this->CutOffServices()) {
+    for (const auto& replica : this->reachability.CutOffProbeTargets(
+             this->replicas.Members(service),
+             this->random.UniformInt(0, UINT64_MAX)))
+      this->Probe(replica);
+  }
+}
+
+void Gateway::UpdateCutOffServices() {
+  auto contains = [](const std::vector<std::string>& services,
+                     const std::string& service) {
+    return std::find(services.begin(), services.end(), service) !=
+           services.end();
+  };
+  std::vector<std::string> before =
+      std::exchange(this->cut_off_services, this->CutOffServices());
+  for (const std::string& service : this->cut_off_services) {
+    if (!contains(before, service))
+      this->log.Write(LogEvent("cut_off_from_service").Add("service", service));
+  }
+  for (const std::string& service : before) {
+    if (!contains(this->cut_off_services, service))
+      this->log.Write(
+          LogEvent("service_reached_again").Add("service", service));
+  }
+}
+
+void Gateway::DescribeReach(forward::LoadMessage& message) const {
+  message.availability_zone = this->settings.availability_zone;
+  if (this->ready() || this->routes == nullptr) {
+    message.cut_off_services = this->CutOffServices();
+    return;
+  }
+  // Requests of peers could outlast this instance.
+  for (const auto& service : this->routes->configuration().services)
+    message.cut_off_services.push_back(service.name);
+}
+
+void Gateway::OnPeerReach(const forward::LoadMessage& message) {
+  this->relay_peers.OnMessage(message.instance, message.availability_zone,
+                              message.cut_off_services);
+}
+
 void Gateway::EndNotices() {
   for (const forward::EndedNotice& ended :
        this->replica_notices.EndExpired(this->replicas.Registered())) {
@@ -699,6 +808,8 @@
     this->send_permits.Prune();
     this->replicas.SettleAfterRestore();
     this->ProbeUnreachable();
+    this->ProbeCutOffServices();
+    this->UpdateCutOffServices();
     this->EndNotices();
     this->UpdateStreamVersions();
     if (this->ready())
@@ -728,6 +839,7 @@
       absl::ZeroDuration(), this->settings.shutdown_time - kShutdownMargin);
   this->shutdown_admission.Begin(time_for_requests);
   this->caller_server.CloseAfterAnswers();
+  this->relay_server.CloseAfterAnswers();
   this->log.Write(
       LogEvent("stopping")
           .Add("active_requests",
@@ -741,14 +853,20 @@
     return;
   absl::Duration elapsed = this->clock.Now() - this->shutdown_started_at;
   if (elapsed >= kIdleCloseDelay &&
-      !std::exchange(this->idle_connections_closed, true))
+      !std::exchange(this->idle_connections_closed, true)) {
     this->caller_server.CloseWhenIdle();
+    this->relay_server.CloseWhenIdle();
+  }
   if (elapsed < kLoadBalancerNoticeTime)
     return;
   this->caller_server.StopAccepting();
+  this->relay_server.StopAccepting();
   // A request that arrived later could be cut by the end of the process.
   this->caller_server.CloseWhenIdle();
-  if (this->caller_server.OpenConnections() == 0)
+  this->relay_server.CloseWhenIdle();
+  if (this->caller_server.OpenConnections() +
+          this->relay_server.OpenConnections() ==
+      0)
     this->ReportStopped();
 }
 
@@ -756,11 +874,15 @@
 void Gateway::EndRequests() {
   if (!this->shutdown_done)
     return;
-  this->caller_server.StopAccepting();
-  this->caller_server.CloseWhenIdle();
-  size_t active = this->caller_server.ActiveRequests();
-  size_t incomplete = this->caller_server.EndRequests(
-      this->wire.MakeGatewayAnswer(kUnavailable, kRetryAfterShutdown));
+  size_t active = 0;
+  size_t incomplete = 0;
+  for (http1::Server* server : {&this->caller_server, &this->relay_server}) {
+    server->StopAccepting();
+    server->CloseWhenIdle();
+    active += server->ActiveRequests();
+    incomplete += server->EndRequests(
+        this->wire.MakeGatewayAnswer(kUnavailable, kRetryAfterShutdown));
+  }
   for (size_t i = 0; i < incomplete; ++i)
     this->metrics.CountOutcome("refused");
   this->log.Write(LogEvent("requests_ended_by_shutdown")
@@ -796,6 +918,8 @@
   page["registry_age_ms"] =
       absl::ToInt64Milliseconds(this->store_contact.Age());
   page["active_requests"] = this->caller_server.ActiveRequests();
+  page["requests_of_peers"] = this->relay_server.ActiveRequests();
+  page["cut_off_services"] = this->CutOffServices();
   absl::Time now = this->clock.Now();
   for (const auto& replica : this->replicas.Registered()) {
     page["replicas"].push_back(
@@ -865,6 +989,8 @@
   }
   this->metrics.SetGauge("leaving_replicas", static_cast<double>(says_leaving));
   this->metrics.SetGauge("closed_replicas", static_cast<double>(closed));
+  this->metrics.SetGauge("cut_off_services",
+                         static_cast<double>(this->CutOffServices().size()));
   this->metrics.SetGauge("send_permits_granted",
                          static_cast<double>(this->send_permits.granted()));
   this->metrics.SetGauge("send_permits_denied",
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -29,6 +30,7 @@
 #include "cranberryhill/forward/placement.h"
 #include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/reachability.h"
+#include "cranberryhill/forward/relay_peers.h"
 #include "cranberryhill/forward/replica_crash_quarantine.h"
 #include "cranberryhill/forward/replica_limits.h"
 #include "cranberryhill/forward/replica_notices.h"
@@ -123,8 +125,40 @@
   void OnPeerPermit(const PermitMessage& message) override;
   std::vector<std::string> UnreachableReplicas() const override;
   void OnPeerUnreachable(std::span<const std::string> ids) override;
+  void DescribeReach(forward::LoadMessage& message) const override;
+  void OnPeerReach(const forward::LoadMessage& message) override;
 
  private:
+  /// Takes the requests that other instances relay.
+  class RelayHandler : public http1::RequestHandler {
+   public:
+    explicit RelayHandler(Gateway& gateway) : gateway(gateway) {}
+
+    std::shared_ptr<http1::ActiveRequest> OnRequest(
+        http1::IncomingRequest request,
+        std::shared_ptr<http1::Responder> responder) override {
+      return this->gateway.HandleRequest(
+          std::move(request), std::move(responder), RequestOrigin::kPeer);
+    }
+    void OnMalformed(int status, std::string_view reason) override {
+      this->gateway.OnMalformed(status, reason);
+    }
+    http1::AnswerHead OnNoRoomForBody() override {
+      return this->gateway.OnNoRoomForBody();
+    }
+
+   private:
+    Gateway& gateway;
+  };
+
+  std::shared_ptr<http1::ActiveRequest> HandleRequest(
+      http1::IncomingRequest request,
+      std::shared_ptr<http1::Responder> responder,
+      RequestOrigin origin);
+  std::vector<std::string> CutOffServices() const;
+  void OnConnectFailed(forward::Replica& replica);
+  void ProbeCutOffServices();
+  void UpdateCutOffServices();
   std::unique_ptr<HttpCaller> MakeStoreClient() const;
   StoredStreamVersions::Channels MakeStreamVersionChannels() const;
   void ApplyConfiguration(const StoreRow& row);
@@ -156,6 +190,7 @@
   boost::asio::io_context& io;
   const Clock& clock;
   EventLog& log;
+  Random& random;
   GatewaySettings settings;
   const WireFormat& wire;
   const StoreCodec& codec;
@@ -172,6 +207,7 @@
   forward::EngineSpeedModels engine_speeds;
   forward::Placement placement;
   forward::Reachability reachability;
+  forward::RelayPeers relay_peers;
   ConnectionPool connection_pool;
   ShutdownAdmission shutdown_admission;
   GatewayMetrics metrics;
@@ -191,6 +227,9 @@
   GatewayStreamVersionFleet stream_version_fleet;
   StoredStreamVersions stream_versions;
   http1::Server caller_server;
+  RelayHandler relay_handler;
+  http1::Server relay_server;
+  std::vector<std::string> cut_off_services;  // As last logged.
   StatusPages readiness_pages;
   StatusPages control_pages;
   http1::Server readiness_server;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -199,6 +199,7 @@
   if (!message.partial) {
     this->MergePromptParts(message);
     this->delegate.OnPeerStoreContact(message);
+    this->delegate.OnPeerReach(message);
   }
   this->delegate.OnPeerUnreachable(message.unreachable_replicas);
 }
@@ -250,6 +251,15 @@
   return this->peer_load_sync.LiveShare();
 }
 
+std::optional<asio::ip::tcp::endpoint> PeerLink::RelayEndpoint(
+    std::string_view instance) const {
+  // Datagrams are sent from the address at which requests are accepted.
+  auto found = this->endpoint_by_instance.find(instance);
+  if (found == this->endpoint_by_instance.end())
+    return std::nullopt;
+  return asio::ip::tcp::endpoint(found->second.address(), found->second.port());
+}
+
 void PeerLink::SendPermitMessage(std::string_view instance,
                                  const PermitMessage& message) {
   auto found = this->endpoint_by_instance.find(instance);
@@ -306,6 +316,7 @@
       this->replica_notices.OwnReports(this->replicas.Registered());
   this->delegate.DescribeStoreContact(message);
   message.unreachable_replicas = this->delegate.UnreachableReplicas();
+  this->delegate.DescribeReach(message);
   bool idle = message.engine_loads.empty() && message.cached_prefixes.empty() &&
               message.engines_changing_role.empty();
   this->idle_updates = idle ? this->idle_updates + 1 : 0;
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -6,11 +6,13 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -55,6 +57,12 @@
   /// @return The replicas that this instance cannot reach.
   virtual std::vector<std::string> UnreachableReplicas() const = 0;
 
+  /// Fills in where this instance runs and which services it cannot reach.
+  virtual void DescribeReach(forward::LoadMessage& message) const = 0;
+
+  /// Called with a full message of a peer.
+  virtual void OnPeerReach(const forward::LoadMessage& message) = 0;
+
   /// Called with the replicas that a peer cannot reach.
   virtual void OnPeerUnreachable(std::span<const std::string> ids) = 0;
 };
@@ -103,6 +111,11 @@
   void SendPermitMessage(std::string_view instance,
                          const PermitMessage& message) override;
 
+  /// @return The address at which the live instance accepts the requests of its
+  ///     peers, if it is known.
+  std::optional<boost::asio::ip::tcp::endpoint> RelayEndpoint(
+      std::string_view instance) const;
+
   size_t peer_count() const { return this->peer_endpoints.size(); }  // NOLINT
 
  private:
--- a/cranberryhill/gateway/wire_format.h
+++ b/cranberryhill/gateway/wire_format.h
@@ -95,6 +95,14 @@
   virtual ReplicaAnswerInfo DecodeAnswer(
       const http1::AnswerHead& head) const = 0;
 
+  /// @param head Head of a caller's request.
+  /// @param time_left Until the deadline of the request.
+  /// @return The head with which another instance gets the request in place of
+  ///     this one.
+  virtual http1::RequestHead EncodeRelayedHead(
+      const http1::RequestHead& head,
+      absl::Duration time_left) const = 0;
+
   /// @param body Body of a successful answer to a prefill-only request.
   /// @return The handle of the KV cache that the engine keeps.
   virtual Result<std::string> DecodeCacheHandle(
