--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -186,6 +186,8 @@
 }
 
 void Exchange::OnCallerCaughtUp() {
+  if (this->relay != nullptr)
+    return this->relay->Resume();
   if (this->current == nullptr || !this->current->IsPaused() ||
       !this->current->IsPrepared())
     return;
@@ -327,8 +329,10 @@
                                    forward::AttemptOutcome outcome) {
   const std::shared_ptr<forward::Replica>& failed = send.Target();
   if (outcome == forward::AttemptOutcome::kNotSent) {
-    if (!send.WasConnected())
+    if (!send.WasConnected()) {
       this->context.on_refused_connection(*failed);
+      this->context.on_connect_failed(*failed);
+    }
     return;
   }
   if (outcome != forward::AttemptOutcome::kBroken)
