soak: replicas are silent beside planned work

The users saw requests cut beside changes of the configuration and SIGHUP while a replica was silent for 1.4 s (rule LOST). The soak had silent replicas beside releases and faults only, for 1 s; beside planned work no request was moved to another replica for silence.

Change: beside planned work a replica is silent for 1 to 1.5 s every 1.5 s, and another one refuses requests meanwhile. Drawn apart, so that the other faults of a seed stay the same.

--- a/programs/gateway_soak.cc
+++ b/programs/gateway_soak.cc
@@ -57,8 +57,10 @@
 /// Before the first restart, in which the processes spend the retries that the
 /// requests before this part allow.
 constexpr absl::Duration kBeforeRestarts = absl::Milliseconds(2500);
-/// For which a sound replica may be silent.
+/// For which a sound replica may be silent. Beside planned work also a little
+/// longer, as the users' replicas are.
 constexpr absl::Duration kSilence = absl::Seconds(1);
+constexpr absl::Duration kLongSilence = absl::Milliseconds(1500);
 /// The last requests end.
 constexpr absl::Duration kTail = absl::Seconds(7);
 constexpr std::chrono::milliseconds kTick(5);
@@ -156,6 +158,7 @@
       add({this->planned_from + at, kPlannedLength, kind,
            this->random.UniformInt(0, 1000)});
     }
+    this->PlanSilences(add);
     this->calm_from = this->planned_from + kPlannedWork + kAfterPlannedWork;
     SeededRandom limit_random(absl::GetFlag(FLAGS_seed) + 2);
     if (limit_random.UniformInt(0, 1) == 0) {
@@ -169,6 +172,24 @@
                      [](const Step& a, const Step& b) { return a.at < b.at; });
   }
 
+  /// Replicas that are silent beside planned work, and others that refuse what
+  /// comes to them instead. Drawn apart, so that the other faults of a seed
+  /// stay the same.
+  template <typename Add>
+  void PlanSilences(const Add& add) {
+    SeededRandom silence_random(absl::GetFlag(FLAGS_seed) + 7);
+    absl::Duration end = this->planned_from + kPlannedWork;
+    for (absl::Duration at = this->planned_from; at < end; at += kLongSilence) {
+      size_t target = silence_random.UniformInt(0, 1000);
+      add({at,
+           kSilence +
+               (kLongSilence - kSilence) * silence_random.UniformDouble(),
+           FaultKind::kReplicaPauses, target});
+      add({at + kSilence / 2, kSilence, FaultKind::kReplicaCloses,
+           target + silence_random.UniformInt(1, 3)});
+    }
+  }
+
   /// Drawn apart, so that the other faults of a seed stay the same.
   template <typename Add>
   void PlanReleases(absl::Duration faults, const Add& add) {
