--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -151,19 +151,27 @@
                              Rounded(entry.first_event.slope)});
   }
   std::string bytes;
-  json::to_msgpack(
-      json::array({kFormatVersion, message.instance, message.incarnation,
-                   message.sequence, engine_loads, cached_prefixes,
-                   message.engines_changing_role, crashes,
-                   message.table_versions, message.partial, engine_speeds,
-                   message.unreachable_replicas,
-                   EncodedAge(message.store_answer_age), message.store_lost,
-                   EncodePromptParts(message.prompt_parts),
-                   EncodeLimits(message.replica_limits),
-                   EncodedAge(message.may_poll_in),
-                   EncodeLeaving(message.leaving_replicas),
-                   message.availability_zone, message.cut_off_services}),
-      bytes);
+  json::to_msgpack(json::array({kFormatVersion,
+                                message.instance,
+                                message.incarnation,
+                                message.sequence,
+                                engine_loads,
+                                cached_prefixes,
+                                message.engines_changing_role,
+                                crashes,
+                                message.table_versions,
+                                message.partial,
+                                engine_speeds,
+                                message.unreachable_replicas,
+                                EncodedAge(message.store_answer_age),
+                                message.store_lost,
+                                EncodePromptParts(message.prompt_parts),
+                                EncodeLimits(message.replica_limits),
+                                EncodedAge(message.may_poll_in),
+                                EncodeLeaving(message.leaving_replicas),
+                                message.availability_zone,
+                                message.cut_off_services}),
+                   bytes);
   return bytes;
 }
 
