gateway: parts of prompts stay quarantined over a restart of all instances

Change: parts have a row of the control table, as requests have. An instance that has taken an entry over, and whose own quarantine of the part a whole answer has ended, removes the entry, so that no instance that starts later quarantines the part again. An entry is taken over once, and a part that has been in the row is not written again by an instance that has not heard of the answer yet.

--- a/cranberryhill/forward/prompt_part_quarantine.cc
+++ b/cranberryhill/forward/prompt_part_quarantine.cc
@@ -236,12 +236,8 @@
   absl::Time sent_at = this->peer_clocks.OwnTime(sender, report.sent_at);
   for (uint64_t part : report.sound)
     this->SetSound(part, false);
-  for (const QuarantinedPart& entry : report.quarantined) {
-    if (!this->IsSound(entry.part))
-      this->Quarantine(entry.part, std::min(entry.remaining, kQuarantineTime));
-    else if (this->sound_parts[entry.part].own)
-      this->Dispute(entry.part);
-  }
+  for (const QuarantinedPart& entry : report.quarantined)
+    this->Restore(entry);
   for (const PartCrash& entry : report.crashes) {
     this->AddCrash(entry.part, {{entry.engine, sent_at - entry.age}, false},
                    entry.position);
@@ -249,6 +245,23 @@
   return this->QuarantineSuspects();
 }
 
+std::vector<QuarantinedPart> PromptPartQuarantine::Quarantined() const {
+  std::vector<QuarantinedPart> parts;
+  absl::Time now = this->clock.Now();
+  for (const auto& [part, until] : this->quarantined) {
+    if (now < until)
+      parts.push_back({part, until - now});
+  }
+  return parts;
+}
+
+void PromptPartQuarantine::Restore(const QuarantinedPart& part) {
+  if (!this->IsSound(part.part))
+    this->Quarantine(part.part, std::min(part.remaining, kQuarantineTime));
+  else if (this->sound_parts[part.part].own)
+    this->Dispute(part.part);
+}
+
 void PromptPartQuarantine::RemoveExpired() {
   absl::Time now = this->clock.Now();
   absl::erase_if(this->quarantined,
--- a/cranberryhill/forward/prompt_part_quarantine.h
+++ b/cranberryhill/forward/prompt_part_quarantine.h
@@ -97,6 +97,14 @@
   /// @return The parts that are quarantined because of it.
   std::vector<uint64_t> Merge(const PromptPartReport& report, uint64_t sender);
 
+  /// @return All parts that are quarantined now, in no order.
+  std::vector<QuarantinedPart> Quarantined() const;
+
+  /// Quarantines a part that an instance had quarantined before, unless it has
+  /// proved to be sound lately.
+  /// @param part More than the usual time counts as the usual time.
+  void Restore(const QuarantinedPart& part);
+
   size_t QuarantinedCount() const { return this->quarantined.size(); }
 
  private:
--- a/cranberryhill/gateway/gateway_quarantines.h
+++ b/cranberryhill/gateway/gateway_quarantines.h
@@ -14,6 +14,7 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
+#include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/delay_timer.h"
 #include "cranberryhill/gateway/event_log.h"
@@ -38,15 +39,31 @@
   const Clock& clock;
 };
 
+/// Parts of prompts that crash replicas.
+class PartQuarantineList : public QuarantineList {
+ public:
+  /// @param quarantine Must outlive this object.
+  explicit PartQuarantineList(forward::PromptPartQuarantine& quarantine)
+      : quarantine(quarantine) {}
+
+  std::vector<QuarantinedItem> Items() const override;
+  void Restore(const QuarantinedItem& item) override;
+
+ private:
+  forward::PromptPartQuarantine& quarantine;
+};
+
 /// Not thread-safe.
 class GatewayQuarantines : public QuarantineFleet {
  public:
-  /// @param request_timer Used for writes.
+  /// @param request_timer, part_timer Used for writes.
   /// All references must outlive this object.
   GatewayQuarantines(ControlTable& control_table,
                      const PeerLink& peer_link,
                      CrashQuarantine& crash_quarantine,
+                     forward::PromptPartQuarantine& prompt_part_quarantine,
                      std::unique_ptr<DelayTimer> request_timer,
+                     std::unique_ptr<DelayTimer> part_timer,
                      EventLog& log,
                      const Clock& clock,
                      Random& random);
@@ -68,7 +85,9 @@
   ControlTable& control_table;
   const PeerLink& peer_link;
   RequestQuarantineList request_list;
+  PartQuarantineList part_list;
   QuarantineStore requests;
+  QuarantineStore parts;
 };
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/quarantine_store.cc
+++ b/cranberryhill/gateway/quarantine_store.cc
@@ -26,6 +26,9 @@
 /// one: it has expired here, and a peer that learned of it later still names
 /// it.
 constexpr absl::Duration kSameQuarantineTime = absl::Seconds(5);
+/// An entry that ends so soon is not removed: it may only have ended here
+/// before, by a clock that is faster than that of the store.
+constexpr absl::Duration kMinTimeOfCleared = absl::Seconds(5);
 
 Result<uint64_t> DecodeId(const std::string& text) {
   uint64_t id = 0;
@@ -38,6 +41,7 @@
 }  // namespace
 
 QuarantineStore::QuarantineStore(std::string key,
+                                 QuarantineEnd end,
                                  QuarantineList& list,
                                  QuarantineFleet& fleet,
                                  std::unique_ptr<DelayTimer> timer,
@@ -45,6 +49,7 @@
                                  const Clock& clock,
                                  Random& random)
     : key(std::move(key)),
+      end(end),
       list(list),
       fleet(fleet),
       timer(std::move(timer)),
@@ -153,14 +158,31 @@
   });
 }
 
-/// @return True if the row lacks something.
+/// @param items Of the list.
+/// @return True if the entry, which the list has got, has been found sound.
+bool QuarantineStore::IsCleared(
+    const Entry& entry,
+    const std::vector<QuarantinedItem>& items) const {
+  return this->end == QuarantineEnd::kTimeOrSoundAnswer &&
+         this->restored.contains(entry.id) &&
+         entry.until - this->store_time > kMinTimeOfCleared &&
+         std::none_of(items.begin(), items.end(), [&entry](const auto& item) {
+           return item.id == entry.id;
+         });
+}
+
+/// @return True if the row has to say something else.
 bool QuarantineStore::HasWork() const {
   if (this->is_other_format)
     return false;
   std::vector<QuarantinedItem> items = this->list.Items();
-  return std::any_of(items.begin(), items.end(), [this](const auto& item) {
-    return !this->written.contains(item.id);
-  });
+  bool lacks_item = std::any_of(
+      items.begin(), items.end(),
+      [this](const auto& item) { return !this->written.contains(item.id); });
+  return lacks_item || std::any_of(this->entries.begin(), this->entries.end(),
+                                   [&](const Entry& entry) {
+                                     return this->IsCleared(entry, items);
+                                   });
 }
 
 void QuarantineStore::Tick() {
@@ -184,8 +206,12 @@
 }
 
 std::vector<QuarantineStore::Entry> QuarantineStore::WantedEntries() const {
+  std::vector<QuarantinedItem> items = this->list.Items();
   std::vector<Entry> wanted = this->entries;
-  for (const QuarantinedItem& item : this->list.Items()) {
+  std::erase_if(wanted, [&](const Entry& entry) {
+    return this->IsCleared(entry, items);
+  });
+  for (const QuarantinedItem& item : items) {
     if (!this->written.contains(item.id)) {
       wanted.push_back(
           {item.id,
--- a/cranberryhill/gateway/quarantine_store.h
+++ b/cranberryhill/gateway/quarantine_store.h
@@ -10,9 +10,9 @@
 //   store.Tick();     // Some times a second.
 //
 // The instances learn of a quarantine from each other; the row is read by those
-// that start. It is written only when something becomes quarantined. Entries
-// end by the steady clock of the store, as clocks of instances are not
-// comparable.
+// that start. It is written only when something becomes quarantined, or is
+// found sound. Entries end by the steady clock of the store, as clocks of
+// instances are not comparable.
 
 #include <cstddef>
 #include <cstdint>
@@ -35,6 +35,14 @@
 /// The usual time of a quarantine.
 inline constexpr absl::Duration kLongestQuarantine = absl::Minutes(10);
 
+/// What ends the quarantine of an item.
+enum class QuarantineEnd {
+  kTime,
+  /// An instance may also find the item sound, and tells its peers. It then
+  /// removes the entry, so that no instance that starts later takes it over.
+  kTimeOrSoundAnswer,
+};
+
 struct QuarantinedItem {
   uint64_t id = 0;  ///< The same on all instances.
   absl::Duration remaining;
@@ -84,6 +92,7 @@
   /// @param key Of the row.
   /// @param list, fleet, log, clock, random Must outlive this object.
   QuarantineStore(std::string key,
+                  QuarantineEnd end,
                   QuarantineList& list,
                   QuarantineFleet& fleet,
                   std::unique_ptr<DelayTimer> timer,
@@ -96,7 +105,8 @@
   /// Takes over what the row says.
   void ReadRow();
 
-  /// Schedules a write if something here has not been in the row.
+  /// Schedules a write if something here has not been in the row, or the row
+  /// has something that has been found sound.
   void Tick();
 
  private:
@@ -109,12 +119,15 @@
   void Decode(const Row& found);
   void RestoreEntries();
   void UpdateWritten();
+  bool IsCleared(const Entry& entry,
+                 const std::vector<QuarantinedItem>& items) const;
   bool HasWork() const;
   std::vector<Entry> WantedEntries() const;
   void WriteRow();
   void OnCommitted(CommitState state);
 
   const std::string key;
+  const QuarantineEnd end;
   QuarantineList& list;
   QuarantineFleet& fleet;
   const std::unique_ptr<DelayTimer> timer;
--- a/cranberryhill/gateway/quarantine_store_test.cc
+++ b/cranberryhill/gateway/quarantine_store_test.cc
@@ -55,6 +55,7 @@
                 absl::Seconds(fleet.random.UniformInt(0, 1'000'000))),
           list(this->quarantine, this->clock),
           store(std::string(kKey),
+                QuarantineEnd::kTime,
                 this->list,
                 *this,
                 std::make_unique<VirtualTimer>(fleet.queue),
@@ -357,5 +358,92 @@
   BOOST_TEST(fleet.Refusing(kRequest) == fleet.size);
 }
 
+/// A list without an exchange between instances.
+struct PartList : QuarantineList {
+  std::vector<QuarantinedItem> Items() const override { return this->items; }
+  bool Has(uint64_t id) const {
+    return std::any_of(this->items.begin(), this->items.end(),
+                       [id](const auto& item) { return item.id == id; });
+  }
+  void Restore(const QuarantinedItem& item) override {
+    if (!this->is_sound && !this->Has(item.id))
+      this->items.push_back(item);
+  }
+
+  std::vector<QuarantinedItem> items;
+  bool is_sound = false;
+};
+
+/// The store of parts at a member of a fleet that writes no requests.
+struct PartMember {
+  explicit PartMember(Fleet& fleet)
+      : store(std::string(kKey),
+              QuarantineEnd::kTimeOrSoundAnswer,
+              this->list,
+              *fleet.members[0],
+              std::make_unique<VirtualTimer>(fleet.queue),
+              fleet.log,
+              fleet.members[0]->clock,
+              fleet.random) {}
+
+  PartList list;
+  QuarantineStore store;
+};
+
+void TickFor(Fleet& fleet,
+             std::vector<PartMember*> members,
+             absl::Duration time) {
+  for (absl::Duration t; t < time; t += absl::Milliseconds(250)) {
+    for (PartMember* member : members)
+      member->store.Tick();
+    fleet.RunFor(absl::Milliseconds(250));
+  }
+}
+
+// Guards against a part that is refused again although an answer has shown it
+// to be sound: at the instance that has seen it, and at one that starts later.
+BOOST_AUTO_TEST_CASE(part_that_is_cleared_does_not_come_back) {
+  Fleet fleet(1);
+  fleet.members[0]->store.Stop();
+  fleet.RunFor(absl::Seconds(1));
+  PartMember own(fleet);
+  PartMember peer(fleet);
+  own.list.items = {{1, kUsualTime}, {2, kUsualTime}};
+  TickFor(fleet, {&own, &peer}, absl::Seconds(3));
+  BOOST_TEST(peer.list.items.size() == 2U);
+  own.list.items.erase(own.list.items.begin());
+  TickFor(fleet, {&own, &peer}, absl::Seconds(3));
+  // The peer has not heard of the answer; it does not write the part again.
+  BOOST_TEST(peer.list.items.size() == 2U);
+  own.list.items.push_back({3, kUsualTime});
+  TickFor(fleet, {&own, &peer}, absl::Seconds(3));
+  BOOST_TEST(own.list.items.size() == 2U);
+  BOOST_TEST(!own.list.Has(1));
+  PartMember later(fleet);
+  TickFor(fleet, {&later}, absl::Seconds(3));
+  BOOST_TEST(later.list.items.size() == 2U);
+  BOOST_TEST(!later.list.Has(1));
+  size_t calls = fleet.calls;
+  TickFor(fleet, {&own, &peer, &later}, absl::Seconds(30));
+  BOOST_TEST(fleet.calls == calls);
+}
+
+// Guards against an entry that stays because the instance that knows the part
+// to be sound never takes it over.
+BOOST_AUTO_TEST_CASE(part_that_is_known_to_be_sound_is_removed) {
+  Fleet fleet(1);
+  fleet.members[0]->store.Stop();
+  fleet.RunFor(absl::Seconds(1));
+  PartMember own(fleet);
+  PartMember sound(fleet);
+  sound.list.is_sound = true;
+  own.list.items = {{1, kUsualTime}};
+  TickFor(fleet, {&own}, absl::Seconds(2));
+  TickFor(fleet, {&sound}, absl::Seconds(2));
+  PartMember later(fleet);
+  TickFor(fleet, {&later}, absl::Seconds(2));
+  BOOST_TEST(later.list.items.empty());
+}
+
 }  // namespace
 }  // namespace cranberryhill::gateway
