--- a/cranberryhill/forward/peer_load_sync_test.cc
+++ b/cranberryhill/forward/peer_load_sync_test.cc
@@ -199,5 +199,18 @@
   RC_ASSERT(!decoded.ok());
 }
 
+// Guards against requests that are relayed to peers that cannot serve them.
+BOOST_AUTO_TEST_CASE(zone_and_cut_off_services_are_decoded) {
+  LoadMessage message;
+  message.instance = "entry-1";
+  message.availability_zone = "b";
+  message.cut_off_services = {"desk", "lm"};
+  auto decoded =
+      Capture([&] { return DecodeLoadMessage(EncodeLoadMessage(message)); });
+  BOOST_REQUIRE(decoded.ok());
+  BOOST_TEST(decoded.value().availability_zone == "b");
+  BOOST_TEST((decoded.value().cut_off_services == message.cut_off_services));
+}
+
 }  // namespace
 }  // namespace cranberryhill::forward
