--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -114,11 +114,18 @@
   absl::Time role_changing_until = absl::InfinitePast();
   /// When the replica last sent something on any connection.
   absl::Time heard_at = absl::InfinitePast();
+  /// When a part of an answer last came, and when one last came after a long
+  /// silence to a request that was open all the while. See Reachability.
+  absl::Time answered_at = absl::InfinitePast();
+  absl::Time woke_at = absl::InfinitePast();
   /// The replica does not accept connections: it has lost power, or the network
   /// between it and this instance is down. See Reachability.
   bool unreachable = false;
   absl::Time unreachable_since;  ///< Start of the first probe that failed.
   bool probing = false;          ///< A probe connection is being opened.
+  /// Another process than the registered one answers under this id, so the
+  /// version of its software is not known.
+  bool process_differs = false;
   absl::Time probed_at = absl::InfinitePast();
   int failed_probes = 0;  ///< In a row.
   /// The replica has said in an answer, to this instance or to a peer, that it
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/gateway/exchange.cc
@@ -90,13 +90,7 @@
     return this->EndUnanswered(opening.reason,
                                std::max(kDefaultRetryAfter, opening.wait));
   }
-  // Callers of streams give up before their deadline if no event arrives.
-  absl::Duration useful_time = left;
-  if (this->is_engine_service && !this->stream_started) {
-    useful_time =
-        std::min(useful_time, this->route.CallerEventTimeout() -
-                                  (this->Now() - this->request.arrived));
-  }
+  absl::Duration useful_time = this->UsefulTime();
   if (choice.expected_first_byte > useful_time) {
     return this->EndUnanswered(
         "expected_too_late",
@@ -108,6 +102,16 @@
   this->SendTo(choice);
 }
 
+/// @return The time in which the first byte of an answer is of use.
+absl::Duration Exchange::UsefulTime() const {
+  absl::Duration left = this->TimeLeft();
+  // Callers of streams give up before their deadline if no event arrives.
+  if (!this->is_engine_service || this->stream_started)
+    return left;
+  return std::min(left, this->route.CallerEventTimeout() -
+                            (this->Now() - this->request.arrived));
+}
+
 /// Sends the request as chosen, or chooses again if a limited replica takes no
 /// further request now.
 void Exchange::SendTo(const forward::PlacementChoice& choice) {
@@ -116,7 +120,7 @@
   bool may_prefill = choice.prefill_engine != nullptr &&
                      (this->prefill_attempts == 0 ||
                       (this->prefill_attempts < kMaxPrefillAttempts &&
-                       this->context.retry_budget(this->service).HasRoom(2)));
+                       this->HasRoomForRetries(2)));
   const forward::Replica& target =
       may_prefill ? *choice.prefill_engine : *choice.replica;
   bool is_retry = may_prefill ? this->prefill_attempts > 0
@@ -133,8 +137,7 @@
       return this->SendToNextReplica();
     }
     // Other requests may have used the room that this one had before its wait.
-    if (is_retry && may_wait &&
-        !this->context.retry_budget(this->service).HasRoom()) {
+    if (is_retry && may_wait && !this->HasRoomForRetries()) {
       this->context.send_permits.Return(id);
       this->ReleaseCache();
       return this->EndUnanswered("retry_budget", kDefaultRetryAfter);
@@ -147,6 +150,34 @@
   });
 }
 
+/// @return True if the budget allows so many retries, the reserved one
+/// included.
+bool Exchange::HasRoomForRetries(int count) {
+  int more = count - (this->has_reserved_retry ? 1 : 0);
+  return more <= 0 || this->context.retry_budget(this->service).HasRoom(more);
+}
+
+/// Counts the next retry now.
+/// @return False if the budget has no room.
+bool Exchange::ReserveRetry() {
+  if (!this->HasRoomForRetries())
+    return false;
+  if (!std::exchange(this->has_reserved_retry, true))
+    this->context.retry_budget(this->service).OnRetry();
+  return true;
+}
+
+/// Counts a retry that is being sent, unless it was reserved.
+void Exchange::OnRetrySent() {
+  if (!std::exchange(this->has_reserved_retry, false))
+    this->context.retry_budget(this->service).OnRetry();
+}
+
+void Exchange::CancelReservedRetry() {
+  if (std::exchange(this->has_reserved_retry, false))
+    this->context.retry_budget(this->service).OnRetryCancelled();
+}
+
 /// @return True if the caller has events of this stream already.
 bool Exchange::HasBegun() const {
   return this->stream_started ||
@@ -167,7 +198,10 @@
 
 void Exchange::StartPrefill(const forward::PlacementChoice& choice) {
   if (this->prefill_attempts++ > 0)
-    this->context.retry_budget(this->service).OnRetry();
+    this->OnRetrySent();
+  // The run that follows.
+  if (!this->attempt_policy.replicas().empty())
+    this->ReserveRetry();
   this->phase = Phase::kPrefilling;
   this->context.metrics.CountDecision("prompt_read");
   ForwardFields fields;
@@ -192,7 +226,7 @@
     this->EndFormer();
   this->former_ends_at = this->Now() + kHandoverTime;
   if (!this->attempt_policy.replicas().empty())
-    this->context.retry_budget(this->service).OnRetry();
+    this->OnRetrySent();
   this->attempt_policy.OnSent(replica->entry.id);
   ForwardFields fields;
   fields.time_left = this->TimeLeft();
@@ -289,14 +323,77 @@
           .Add("load_age_ms", this->Now() - target.load_received_at)
           .Add("left_ms", fields.time_left)
           .Add("configuration", this->routes->configuration().version));
-  http1::RequestHead head =
-      this->context.wire.EncodeForwardedHead(this->request.head, fields);
   http1::SendOptions options{plan.connect_timeout,
                              this->request.head.method == "HEAD"};
   this->ArmTimer();
   auto self = this->shared_from_this();
-  this->current->Start(http1::SerializeRequest(head, this->request.body),
-                       options);
+  auto make_request = [this, fields] {
+    ForwardFields current = fields;
+    // Connecting and asking who answers may have taken some time.
+    current.time_left = std::min(fields.time_left, this->TimeLeft());
+    return http1::SerializeRequest(
+        this->context.wire.EncodeForwardedHead(this->request.head, current),
+        this->request.body);
+  };
+  bool needs_process = !plan.prefill_only && this->NeedsRegisteredProcess() &&
+                       target.entry.started_ms != 0;
+  if (!needs_process)
+    return this->current->Start(make_request(), options);
+  std::string id = target.entry.id;
+  bool asks = this->current->StartAtProcess(this->MakeProcessQuery(target),
+                                            make_request, options);
+  // The question counts as a request to a limited replica.
+  if (asks)
+    this->context.send_permits.OnSentWithoutPermit(id);
+}
+
+/// @return True if the software version of the replica that runs the request
+///     matters, because another one may have to go on with it.
+bool Exchange::NeedsRegisteredProcess() const {
+  return this->is_engine_service && this->route.resumable &&
+         this->route.kind == forward::RequestKind::kStream;
+}
+
+/// @return A query whose answer tells whether the process that the registry
+///     names is at the other end. The version of its software decides where the
+///     stream may go on.
+ReplicaSend::ProcessQuery Exchange::MakeProcessQuery(
+    const forward::Replica& target) {
+  http1::OutgoingRequest report =
+      this->context.wire.EncodeReportRequest(target.Address());
+  auto may_be_expected =
+      [this, replica = this->current->Target()](std::string_view body) {
+        auto status =
+            Capture([&] { return this->context.wire.DecodeReport(body); });
+        int64_t registered = replica->entry.started_ms;
+        int64_t found = status.ok() ? status.value().started_ms : 0;
+        // Some engines do not say when they started.
+        if (status.ok() && (found == 0 || found == registered))
+          return true;
+        replica->process_differs = status.ok();
+        this->context.metrics.CountDecision("replica_process_differs");
+        this->context.log.Write(
+            this->MakeLogEvent("replica_process_differs")
+                .Add("replica", replica->entry.id)
+                .Add("registered_start_ms", registered)
+                .Add("start_ms", found)
+                .Add("reason", status.ok() ? "" : status.error().ToString()));
+        return false;
+      };
+  return {http1::SerializeRequest(report.head, report.body), may_be_expected};
+}
+
+/// Called when a run of a stream is sent, later than it was decided on.
+bool Exchange::MaySend(ReplicaSend& send) {
+  const forward::Replica& target = *send.Target();
+  if (&send != this->current.get() || !this->TakesRequest(target) ||
+      !this->MayWriteStream(target) || this->TimeLeft() < kMinTimeForSend)
+    return false;
+  if (this->former != nullptr) {
+    this->former_ends_at = this->Now() + kHandoverTime;
+    this->ArmTimer();
+  }
+  return true;
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/gateway/exchange.h
@@ -117,6 +117,7 @@
   void OnSendEnd(ReplicaSend& send,
                  http1::AnswerEnd end,
                  std::string_view reason) override;
+  bool MaySend(ReplicaSend& send) override;
 
  private:
   /// Time limit for opening a connection to a replica. A replica in the same
@@ -132,8 +133,8 @@
   /// crash or are replaced are back after a second or more.
   static constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
   /// A former send is listened to for this long after the run at the next
-  /// replica was sent, which refuses it at once if at all. Two replicas must
-  /// not work on a stream for more than 400 ms.
+  /// replica was sent. Two replicas must not work on a stream for more than
+  /// 400 ms.
   static constexpr absl::Duration kHandoverTime = absl::Milliseconds(300);
 
   /// What the request does apart from listening to the former send.
@@ -142,6 +143,7 @@
     kFindingVersion,
     kAwaitingPermit,
     kAwaitingConnection,
+    kAwaitingRetry,
     kPrefilling,
     kRunning,
     kDone
@@ -163,6 +165,7 @@
 
   // exchange.cc: sends.
   void SendToNextReplica();
+  absl::Duration UsefulTime() const;
   void SendTo(const forward::PlacementChoice& choice);
   void StartPrefill(const forward::PlacementChoice& choice);
   void RunWithCache();
@@ -172,7 +175,13 @@
   void Send(std::shared_ptr<forward::Replica> replica,
             double prefill_tokens,
             const ForwardFields& fields);
+  bool NeedsRegisteredProcess() const;
+  ReplicaSend::ProcessQuery MakeProcessQuery(const forward::Replica& target);
   int Priority() const;
+  bool HasRoomForRetries(int count = 1);
+  bool ReserveRetry();
+  void OnRetrySent();
+  void CancelReservedRetry();
 
   // exchange_choice.cc: where a request may be sent.
   forward::PlacementChoice ChooseReplica();
@@ -198,7 +207,11 @@
   bool HasBegun() const;
   void FindStreamVersion();
   void OnStreamVersionFound(std::optional<std::string> version);
+  bool BeginsStream() const;
   void PrepareVersion(const std::shared_ptr<ReplicaSend>& send);
+  void OnNotRecorded(const ReplicaSend& send);
+  bool BeginAtRecordlessVersion();
+  void RetryRecord();
   void BindToSentVersion(const ReplicaSend& send);
   bool MayWriteStream(const forward::Replica& replica) const;
   bool IsOfUsableVersion(const forward::Replica& replica) const;
@@ -240,6 +253,7 @@
   void GoOnWith(const ReplicaSend& send);
   void StayWithFormer(std::string_view reason);
   void OnFormerEnd(http1::AnswerEnd end, std::string_view reason);
+  void EndHandover();
   void GiveUpFormer(std::string_view reason);
   void EndCurrent();
   void EndFormer();
@@ -302,11 +316,17 @@
   absl::Time former_ends_at = absl::InfiniteFuture();
   // The last replica that was left because nothing came from it.
   std::shared_ptr<forward::Replica> silent_replica;
+  // Number of events at which a former send was last kept because its replica
+  // had woken up. Kept once only: the send may be stuck on its own.
+  int64_t kept_after_events = -1;
   // Counts the returns to the former send. Permits that were asked for before
   // are not used.
   int returns = 0;
   bool move_is_due = false;  // A permit to leave the replica has arrived.
 
+  // The budget has counted the next send that is a retry. It may wait for a
+  // prefill or a permit, and others must not use the same room meanwhile.
+  bool has_reserved_retry = false;
   int prefill_attempts = 0;
   int denied_permits = 0;
   bool tried_uncached = false;  // A run without the cache was tried.
@@ -315,6 +335,9 @@
 
   // Software version that began the stream; unset before its first event.
   std::optional<std::string> stream_version;
+  // The record of the version of a send was not stored in time.
+  bool record_is_late = false;
+  absl::Time record_retry_at = absl::InfiniteFuture();
   bool stream_started = false;
   std::optional<std::string> last_event_id;  // Of the events passed on.
   int64_t event_count = 0;
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/gateway/exchange_answer.cc
@@ -69,7 +69,7 @@
 
 void Exchange::OnSendHead(ReplicaSend& send) {
   auto self = this->shared_from_this();
-  this->context.reachability.OnHeard(*send.Target());
+  this->context.reachability.OnAnswerPart(*send.Target(), send.SentAt());
   if (send.Info().load)
     this->context.replicas.OnLoadReport(*send.Target(), *send.Info().load);
   this->LearnFromHead(send);
@@ -105,7 +105,7 @@
 
 void Exchange::OnSendBody(ReplicaSend& send, std::string_view data) {
   auto self = this->shared_from_this();
-  this->context.reachability.OnHeard(*send.Target());
+  this->context.reachability.OnAnswerPart(*send.Target(), send.SentAt());
   if (send.RelaysEvents())
     return this->RelayEvents(send, data);
   send.RecordProgress();
@@ -137,11 +137,15 @@
   this->PassEventsOn(send, events, count);
 }
 
-/// Lets the events of a send pass.
-/// @param recorded False if its software version could not be recorded in time.
+/// Lets the events of a send pass, unless its software version must be recorded
+/// first.
+/// @param recorded False if it could not be recorded in time.
 void Exchange::OnPrepared(ReplicaSend& send, bool recorded) {
   auto self = this->shared_from_this();
   auto kept = send.shared_from_this();
+  if (!recorded && !this->context.stream_versions.MayBeginUnrecorded(
+                       this->service, send.SoftwareVersion()))
+    return this->OnNotRecorded(send);
   send.SetPrepared(true);
   std::string events = send.TakeHeldEvents();
   if (events.empty() || &send != this->current.get())
@@ -321,8 +325,11 @@
 void Exchange::RecordPossibleCrash(const ReplicaSend& send,
                                    forward::AttemptOutcome outcome) {
   const std::shared_ptr<forward::Replica>& failed = send.Target();
-  if (outcome == forward::AttemptOutcome::kNotSent)
-    return this->context.on_refused_connection(*failed);
+  if (outcome == forward::AttemptOutcome::kNotSent) {
+    if (!send.WasConnected())
+      this->context.on_refused_connection(*failed);
+    return;
+  }
   if (outcome != forward::AttemptOutcome::kBroken)
     return;
   bool had_begun =
@@ -401,7 +408,7 @@
     this->context.replicas.OnWrongInstance(failed);
   else if (outcome == forward::AttemptOutcome::kNotRun)
     this->context.replicas.OnRejected(failed);
-  else if (outcome == forward::AttemptOutcome::kNotSent)
+  else if (outcome == forward::AttemptOutcome::kNotSent && !send.WasConnected())
     this->context.replicas.OnUnreachable(failed);
   else
     this->context.replicas.OnFailure(failed);
@@ -416,13 +423,11 @@
   this->RecordFailure(*send, outcome);
   this->EndCurrent();
 
-  forward::WindowedRetryBudget& retry_budget =
-      this->context.retry_budget(this->service);
   // A request whose first send never reached a replica does not use the retry
   // budget when it is sent to another one.
   bool next_send_uses_budget = outcome != forward::AttemptOutcome::kNotSent ||
                                this->attempt_policy.replicas().size() > 1;
-  bool budget_left = (!next_send_uses_budget || retry_budget.HasRoom()) &&
+  bool budget_left = (!next_send_uses_budget || this->HasRoomForRetries()) &&
                      this->TimeLeft() > kMinTimeForSend;
   bool had_cache = !this->cache_handle.empty();
   if (had_cache && outcome == forward::AttemptOutcome::kNotRun && budget_left &&
@@ -455,6 +460,8 @@
     case forward::NextStep::kResume:
       if (outcome == forward::AttemptOutcome::kTimedOut)
         this->silent_replica = failed;
+      if (next_send_uses_budget)
+        this->ReserveRetry();
       return this->SendToNextReplica();
     case forward::NextStep::kRefuse:
       return this->EndUnanswered("not_run_by_replica", kDefaultRetryAfter);
--- a/cranberryhill/gateway/exchange_handover.cc
+++ b/cranberryhill/gateway/exchange_handover.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kOk = 200;
+/// Interval between checks whether the budget has room for a retry.
+constexpr absl::Duration kRetryCheckInterval = absl::Milliseconds(20);
 
 }  // namespace
 
@@ -27,6 +29,7 @@
           .Add("took_ms", this->Now() - this->current->SentAt())
           .Add("replica_silent_ms", this->current->ReplicaSilence())
           .Add("events", this->event_count));
+  this->ReserveRetry();
   this->context.replicas.OnFailure(*left);
   this->excluded_replicas.push_back(left->entry.id);
   this->former = std::move(this->current);
@@ -54,6 +57,7 @@
           .Add("events", this->event_count));
   this->EndCurrent();
   this->ReleaseCache();
+  this->CancelReservedRetry();
   ++this->returns;
   this->current = std::move(this->former);
   std::erase(this->excluded_replicas, this->current->Target()->entry.id);
@@ -92,6 +96,20 @@
   this->EndFormer();
 }
 
+/// Ends one of two sends when neither has made progress. The former replica
+/// certainly has the request, so it keeps it if it has woken up meanwhile.
+void Exchange::EndHandover() {
+  const ReplicaSend& send = *this->former;
+  // The next replica has not been sent anything yet.
+  if (this->current != nullptr && !this->current->HasSentRequest())
+    return this->EndSendWithoutProgress("successor_not_reached");
+  if (send.Target()->woke_at <= send.LastProgressAt() ||
+      this->kept_after_events == this->event_count)
+    return this->GiveUpFormer("no_sign");
+  this->kept_after_events = this->event_count;
+  this->StayWithFormer("replica_woke");
+}
+
 /// Ends the former send, at which the request may have run.
 void Exchange::GiveUpFormer(std::string_view reason) {
   this->context.log.Write(
@@ -100,7 +118,8 @@
           .Add("reason", reason)
           .Add("replica_silent_ms", this->former->ReplicaSilence()));
   if (!this->former->Plan().prefill_only) {
-    this->attempt_policy.OnGivenUp(forward::AttemptOutcome::kTimedOut);
+    if (this->former->HasSentRequest())
+      this->attempt_policy.OnGivenUp(forward::AttemptOutcome::kTimedOut);
     this->silent_replica = this->former->Target();
   }
   this->EndFormer();
@@ -119,7 +138,9 @@
 }
 
 /// Sends a request that no other replica has answered to the one that it has
-/// left for its silence, which may have been that of a sound replica.
+/// left for its silence, which may have been that of a sound replica. A stream
+/// that has begun waits until the retry budget has room and the replica takes
+/// requests again.
 /// @return False if it cannot be sent there.
 bool Exchange::ReturnToSilentReplica() {
   std::shared_ptr<forward::Replica> target =
@@ -128,13 +149,24 @@
   // of them.
   if (target == nullptr || this->TimeLeft() < kMinTimeForSend ||
       this->context.replica_limits.RateOf(target->entry.id) ||
-      !this->context.retry_budget(this->service).HasRoom() ||
       this->OutlastsShutdown())
     return false;
   auto open_replicas = this->OpenReplicas();
-  if (std::find(open_replicas.begin(), open_replicas.end(), target) ==
-      open_replicas.end())
+  bool is_open = std::find(open_replicas.begin(), open_replicas.end(),
+                           target) != open_replicas.end();
+  bool may_open = target->registered && !target->IsLeaving() &&
+                  !this->context.reachability.IsLost(*target);
+  if (!is_open && !may_open)
     return false;
+  if (!is_open || !this->HasRoomForRetries()) {
+    // A stream that has begun would be cut, though its replica may be sound.
+    if (!this->stream_started)
+      return false;
+    this->silent_replica = std::move(target);
+    this->phase = Phase::kAwaitingRetry;
+    this->ArmTimerAt(this->Now() + kRetryCheckInterval);
+    return true;
+  }
   if (this->RefuseIfItCrashesReplicas())
     return true;
   std::erase(this->excluded_replicas, target->entry.id);
--- a/cranberryhill/gateway/exchange_timing.cc
+++ b/cranberryhill/gateway/exchange_timing.cc
@@ -84,7 +84,7 @@
 }
 
 absl::Time Exchange::NextCheck() const {
-  absl::Time next = this->deadline;
+  absl::Time next = std::min(this->deadline, this->record_retry_at);
   if (this->former != nullptr)
     next = std::min(next, this->former_ends_at);
   // Nothing is read from the replica of a paused send, so its silence says
@@ -97,7 +97,7 @@
 /// @return True if the request may leave an unreachable replica: it can go on
 ///     elsewhere, or gets no answer from this replica any more.
 bool Exchange::MayLeaveSilentReplica() {
-  return this->context.retry_budget(this->service).HasRoom() &&
+  return this->HasRoomForRetries() &&
          (this->phase == Phase::kPrefilling ||
           (this->MayGoOnElsewhere() && this->HasAlternativeReplica()));
 }
@@ -134,7 +134,10 @@
 void Exchange::EndSendWithoutProgress(std::string_view reason) {
   if (this->current->Plan().prefill_only)
     return this->OnPrefillEnd(http1::AnswerEnd::kBroken, reason);
-  this->OnSendFailed(forward::AttemptOutcome::kTimedOut, reason);
+  this->OnSendFailed(this->current->HasSentRequest()
+                         ? forward::AttemptOutcome::kTimedOut
+                         : forward::AttemptOutcome::kNotSent,
+                     reason);
 }
 
 void Exchange::ArmTimer() {
@@ -167,8 +170,15 @@
     return this->OnDeadline();
   if (this->phase == Phase::kAwaitingConnection)
     return this->EndConnectionWait();
+  if (this->phase == Phase::kAwaitingRetry)
+    return this->EndUnanswered("retry_budget", absl::ZeroDuration());
+  if (now >= this->record_retry_at) {
+    this->RetryRecord();
+    if (this->phase == Phase::kDone)
+      return;
+  }
   if (this->former != nullptr && now >= this->former_ends_at)
-    this->GiveUpFormer("successor_runs");
+    this->EndHandover();
   // The next send arms the timer again.
   if (this->current == nullptr)
     return;
@@ -182,8 +192,7 @@
   // A prefill beside a former send is ended, as there is no third send.
   if (this->former != nullptr)
     return this->EndSendWithoutProgress("no progress");
-  if (!this->context.retry_budget(this->service).HasRoom() ||
-      !this->HasAlternativeReplica()) {
+  if (!this->HasRoomForRetries() || !this->HasAlternativeReplica()) {
     this->current->RecordProgress();
     return this->ArmTimer();
   }
--- a/cranberryhill/gateway/replica_send.h
+++ b/cranberryhill/gateway/replica_send.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -62,6 +63,10 @@
     virtual void OnSendEnd(ReplicaSend& send,
                            http1::AnswerEnd end,
                            std::string_view reason) = 0;
+    /// Called before the request goes to a process that has been asked who it
+    /// is, which may have taken a while.
+    /// @return False if the request is not to be sent there any more.
+    virtual bool MaySend(ReplicaSend& send) = 0;
   };
 
   struct Resources {
@@ -74,10 +79,29 @@
   /// Counts the request as outstanding at the replica.
   /// @param observer Must live until End().
   ReplicaSend(SendPlan plan, Resources resources, Observer& observer);
+  ~ReplicaSend() override;
+
+  /// Asks a process who it is.
+  struct ProcessQuery {
+    std::string request;  ///< Head and body.
+    /// @return False if the body of the answer cannot be read, or says that it
+    ///     comes from another process than the one that is meant.
+    std::function<bool(std::string_view body)> may_be_expected;
+  };
 
   /// @param request Head and body.
   void Start(std::string request, http1::SendOptions options);
 
+  /// Asks the process at the other end of the connection who it is, unless it
+  /// was asked before, and starts if it is not another one. A replica may
+  /// restart under its id, with other software, before the registry says so.
+  /// Ends as not connected otherwise.
+  /// @param make_request Makes the request, head and body, when it is sent.
+  /// @return True if the process is asked.
+  bool StartAtProcess(ProcessQuery query,
+                      std::function<std::string()> make_request,
+                      http1::SendOptions options);
+
   /// Removes the send from the replica's counters. The connection is returned
   /// to the pool if its answer is complete, and reset otherwise. The observer
   /// is not called again. A second call has no effect.
@@ -96,6 +120,12 @@
   const std::string& SoftwareVersion() const { return this->software_version; }
   absl::Time SentAt() const { return this->sent_at; }
 
+  /// @return True if a part of the request may have reached the replica.
+  bool HasSentRequest() const { return this->request_sent; }
+  /// @return True if the replica accepted the connection of a send that ended
+  ///     as not connected.
+  bool WasConnected() const { return this->connected; }
+
   bool HasHead() const { return this->has_head; }
   const http1::AnswerHead& Head() const { return this->head; }
   const ReplicaAnswerInfo& Info() const { return this->info; }
@@ -151,7 +181,11 @@
   absl::Duration ReplicaSilence() const;
 
  private:
+  class ProcessCheck;
+
   void RemoveQueuedTokens();
+  void OnProcessKnown();
+  void OnProcessUnknown(http1::AnswerEnd end, std::string_view reason);
 
   const SendPlan plan;
   const std::string software_version;
@@ -169,12 +203,15 @@
   std::string body;
   ByteAccount::Reservation kept_bytes;
   forward::EventSplitter events;
+  bool request_sent = false;
+  bool connected = false;
   bool has_head = false;
   bool relays_events = false;
   bool has_event = false;
   bool paused = false;
   bool prepared = true;
   int preparation = 0;
+  std::unique_ptr<ProcessCheck> process_check;
   std::string held_events;
   std::optional<std::pair<http1::AnswerEnd, std::string>> held_end;
 };
--- a/cranberryhill/gateway/stream_version_store.cc
+++ b/cranberryhill/gateway/stream_version_store.cc
@@ -38,6 +38,12 @@
 constexpr absl::Duration kFirstRowSpread = absl::Milliseconds(5);
 constexpr absl::Duration kServiceRowRetry = absl::Milliseconds(150);
 
+/// An instance that did not tick for this long has stood still. It takes a
+/// version for gone only when it has been awake for as long as entries of the
+/// registry may lapse.
+constexpr absl::Duration kStandstill = absl::Seconds(1);
+constexpr absl::Duration kLongestLapse = absl::Seconds(3);
+
 constexpr int kOk = 200;
 
 std::string ServiceRowKey(std::string_view service) {
@@ -60,6 +66,8 @@
       log(log),
       clock(clock),
       random(random),
+      ticked_at(clock.Now()),
+      awake_since(clock.Now()),
       recent(kMaxRecentStreams, clock),
       queue(clock),
       service_versions(clock),
@@ -93,27 +101,26 @@
                                    std::string_view attempt_id,
                                    std::string_view version,
                                    std::function<void(bool prepared)> done) {
-  // Nobody can name a stream without an id. An attempt that has been recorded
-  // at another version keeps a record, also at the base.
-  bool needs_record =
-      !attempt_id.empty() && (this->BaseVersion(service) != version ||
-                              this->queue.VersionOf(attempt_id).has_value());
+  // Nobody can name a stream without an id, and take-ups of one that cannot be
+  // stored are refused while there is a choice of versions. An attempt that has
+  // been recorded at another version keeps a record, also at the base.
+  bool needs_record = forward::StreamVersionQueue::CanStore(attempt_id) &&
+                      (this->BaseVersion(service) != version ||
+                       this->queue.VersionOf(attempt_id).has_value());
   if (!needs_record)
     return done(true);
   forward::StreamVersionRecord record{
       std::string(service), std::string(attempt_id), std::string(version)};
   if (!this->queue.Add(record)) {
     ++this->records_refused;
-    ++this->records_late;
+    ++this->late_count;
     return done(false);
   }
   if (this->queue.IsWritten(record))
     return done(true);
   this->WriteSoon();
-  if (!this->CanRecord()) {
-    ++this->records_late;
+  if (!this->CanRecord())
     return done(false);
-  }
   this->pending_streams.push_back({std::move(record),
                                    this->clock.Now() + kMaxPrepareTime,
                                    std::move(done)});
@@ -128,6 +135,25 @@
       {std::string(service), std::string(attempt_id), std::string(version)});
 }
 
+bool StoredStreamVersions::MayBeginUnrecorded(std::string_view service,
+                                              std::string_view version) {
+  auto base = this->BaseVersion(service);
+  if (!base)
+    return this->IsOnlyVersion(service, version);
+  // Where the base has gone, a take-up that takes the stream for one of the
+  // base finds no replica.
+  return *base == version ||
+         (this->clock.Now() - this->awake_since >= kLongestLapse &&
+          this->service_versions.IsGone(service, *base));
+}
+
+bool StoredStreamVersions::Withdraw(std::string_view attempt_id) {
+  std::erase_if(this->pending_streams, [&](const PendingStream& stream) {
+    return stream.record.attempt_id == attempt_id;
+  });
+  return this->queue.Withdraw(attempt_id);
+}
+
 bool StoredStreamVersions::NeedsNoRecord(std::string_view service,
                                          std::string_view version) {
   auto base = this->BaseVersion(service);
@@ -309,6 +335,10 @@
 }
 
 void StoredStreamVersions::Tick() {
+  // What was observed before the process stood still says nothing about now.
+  absl::Time now = this->clock.Now();
+  if (now - std::exchange(this->ticked_at, now) >= kStandstill)
+    this->awake_since = now;
   if (!this->fleet.IsRegistryCurrent())
     this->service_versions.OnRegistryOutdated();
   for (const std::string& service : this->service_versions.Services())
@@ -472,7 +502,7 @@
     bool is_written = this->queue.IsWritten(stream.record);
     if (!is_written && can_record && now < stream.deadline)
       return false;
-    this->records_late += is_written ? 0 : 1;
+    this->late_count += is_written ? 0 : 1;
     ready.emplace_back(std::move(stream.done), is_written);
     return true;
   });
