--- a/cranberryhill/gateway/quarantine_store_test.cc
+++ b/cranberryhill/gateway/quarantine_store_test.cc
@@ -391,7 +391,7 @@
 };
 
 void TickFor(Fleet& fleet,
-             std::vector<PartMember*> members,
+             const std::vector<PartMember*>& members,
              absl::Duration time) {
   for (absl::Duration t; t < time; t += absl::Milliseconds(250)) {
     for (PartMember* member : members)
--- a/cranberryhill/gateway/replica_send.cc
+++ b/cranberryhill/gateway/replica_send.cc
@@ -9,7 +9,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 /// The longest answer of a process that says who it is.
-constexpr size_t kMaxReportBytes = 64 * 1024;
+constexpr size_t kMaxReportBytes = 1 << 16;
 
 }  // namespace
 
