--- a/cranberryhill/gateway/connect_probe.cc
+++ b/cranberryhill/exchange/connect_probe.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/connect_probe.h"
+#include "cranberryhill/exchange/connect_probe.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/cranberryhill/gateway/connect_probe.h
+++ b/cranberryhill/exchange/connect_probe.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_CONNECT_PROBE_H_
-#define CRANBERRYHILL_GATEWAY_CONNECT_PROBE_H_
+#ifndef CRANBERRYHILL_EXCHANGE_CONNECT_PROBE_H_
+#define CRANBERRYHILL_EXCHANGE_CONNECT_PROBE_H_
 
 // Finds out whether a host answers, by opening a connection and closing it at
 // once.
@@ -27,4 +27,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_CONNECT_PROBE_H_
+#endif  // CRANBERRYHILL_EXCHANGE_CONNECT_PROBE_H_
--- a/cranberryhill/gateway/connection_pool.cc
+++ b/cranberryhill/exchange/connection_pool.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/connection_pool.h"
+#include "cranberryhill/exchange/connection_pool.h"
 
 #include <algorithm>
 #include <utility>
--- a/cranberryhill/gateway/connection_pool.h
+++ b/cranberryhill/exchange/connection_pool.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_CONNECTION_POOL_H_
-#define CRANBERRYHILL_GATEWAY_CONNECTION_POOL_H_
+#ifndef CRANBERRYHILL_EXCHANGE_CONNECTION_POOL_H_
+#define CRANBERRYHILL_EXCHANGE_CONNECTION_POOL_H_
 
 // Pool of persistent connections to replicas. Opening a connection costs the
 // replica time and replicas limit their number, so connections are reused until
@@ -65,4 +65,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_CONNECTION_POOL_H_
+#endif  // CRANBERRYHILL_EXCHANGE_CONNECTION_POOL_H_
--- a/cranberryhill/gateway/exchange.cc
+++ b/cranberryhill/exchange/exchange.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/exchange.h"
+#include "cranberryhill/exchange/exchange.h"
 
 #include <algorithm>
 #include <utility>
--- a/cranberryhill/gateway/exchange.h
+++ b/cranberryhill/exchange/exchange.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_EXCHANGE_H_
-#define CRANBERRYHILL_GATEWAY_EXCHANGE_H_
+#ifndef CRANBERRYHILL_EXCHANGE_EXCHANGE_H_
+#define CRANBERRYHILL_EXCHANGE_EXCHANGE_H_
 
 // Handles one request of a caller, from the last byte of the request to the
 // last byte of its answer. Sends it to replicas as decided by Placement and
@@ -23,6 +23,11 @@
 #include "cranberryhill/base/byte_account.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
+#include "cranberryhill/exchange/connection_pool.h"
+#include "cranberryhill/exchange/metrics.h"
+#include "cranberryhill/exchange/replica_send.h"
+#include "cranberryhill/exchange/shutdown_admission.h"
+#include "cranberryhill/exchange/wire_format.h"
 #include "cranberryhill/forward/attempt_policy.h"
 #include "cranberryhill/forward/configuration.h"
 #include "cranberryhill/forward/engine_speed.h"
@@ -36,17 +41,12 @@
 #include "cranberryhill/forward/replica_notices.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
-#include "cranberryhill/gateway/connection_pool.h"
-#include "cranberryhill/gateway/event_log.h"
-#include "cranberryhill/gateway/metrics.h"
-#include "cranberryhill/gateway/peer_relay.h"
-#include "cranberryhill/gateway/replica_send.h"
-#include "cranberryhill/gateway/send_permits.h"
-#include "cranberryhill/gateway/shutdown_admission.h"
-#include "cranberryhill/gateway/stream_versions.h"
-#include "cranberryhill/gateway/wire_format.h"
 #include "cranberryhill/http1/client.h"
 #include "cranberryhill/http1/server.h"
+#include "cranberryhill/peers/peer_relay.h"
+#include "cranberryhill/peers/send_permits.h"
+#include "cranberryhill/store/event_log.h"
+#include "cranberryhill/stream_versions/stream_versions.h"
 
 namespace cranberryhill::gateway {
 
@@ -390,4 +390,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_EXCHANGE_H_
+#endif  // CRANBERRYHILL_EXCHANGE_EXCHANGE_H_
--- a/cranberryhill/gateway/exchange_answer.cc
+++ b/cranberryhill/exchange/exchange_answer.cc
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "absl/strings/numbers.h"
-#include "cranberryhill/gateway/exchange.h"
-#include "cranberryhill/gateway/send_and_forget.h"
+#include "cranberryhill/exchange/exchange.h"
+#include "cranberryhill/store/send_and_forget.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/exchange_choice.cc
+++ b/cranberryhill/exchange/exchange_choice.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "cranberryhill/gateway/exchange.h"
+#include "cranberryhill/exchange/exchange.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/exchange_notices.cc
+++ b/cranberryhill/exchange/exchange_notices.cc
@@ -3,7 +3,7 @@
 
 #include <fmt/format.h>
 
-#include "cranberryhill/gateway/exchange.h"
+#include "cranberryhill/exchange/exchange.h"
 
 namespace cranberryhill::gateway {
 
--- a/cranberryhill/gateway/exchange_versions.cc
+++ b/cranberryhill/exchange/exchange_versions.cc
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cranberryhill/exchange/exchange.h"
 #include "cranberryhill/forward/lasting_versions.h"
-#include "cranberryhill/gateway/exchange.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/metrics.cc
+++ b/cranberryhill/exchange/metrics.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/metrics.h"
+#include "cranberryhill/exchange/metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/cranberryhill/gateway/metrics.h
+++ b/cranberryhill/exchange/metrics.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_METRICS_H_
-#define CRANBERRYHILL_GATEWAY_METRICS_H_
+#ifndef CRANBERRYHILL_EXCHANGE_METRICS_H_
+#define CRANBERRYHILL_EXCHANGE_METRICS_H_
 
 // Counters and latency histograms of a gateway, in the Prometheus text format.
 
@@ -63,4 +63,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_METRICS_H_
+#endif  // CRANBERRYHILL_EXCHANGE_METRICS_H_
--- a/cranberryhill/gateway/replica_send.cc
+++ b/cranberryhill/exchange/replica_send.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/replica_send.h"
+#include "cranberryhill/exchange/replica_send.h"
 
 #include <algorithm>
 #include <utility>
--- a/cranberryhill/gateway/replica_send.h
+++ b/cranberryhill/exchange/replica_send.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_REPLICA_SEND_H_
-#define CRANBERRYHILL_GATEWAY_REPLICA_SEND_H_
+#ifndef CRANBERRYHILL_EXCHANGE_REPLICA_SEND_H_
+#define CRANBERRYHILL_EXCHANGE_REPLICA_SEND_H_
 
 // One send of a request to one replica: its part of the replica's counters, its
 // connection, and what has arrived of the answer. A request owns its sends, so
@@ -22,11 +22,11 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/byte_account.h"
 #include "cranberryhill/base/clock.h"
+#include "cranberryhill/exchange/connection_pool.h"
+#include "cranberryhill/exchange/wire_format.h"
 #include "cranberryhill/forward/engine_speed.h"
 #include "cranberryhill/forward/event_splitter.h"
 #include "cranberryhill/forward/replica_set.h"
-#include "cranberryhill/gateway/connection_pool.h"
-#include "cranberryhill/gateway/wire_format.h"
 #include "cranberryhill/http1/client.h"
 
 namespace cranberryhill::gateway {
@@ -218,4 +218,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_REPLICA_SEND_H_
+#endif  // CRANBERRYHILL_EXCHANGE_REPLICA_SEND_H_
--- a/cranberryhill/gateway/shutdown_admission.h
+++ b/cranberryhill/exchange/shutdown_admission.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_SHUTDOWN_ADMISSION_H_
-#define CRANBERRYHILL_GATEWAY_SHUTDOWN_ADMISSION_H_
+#ifndef CRANBERRYHILL_EXCHANGE_SHUTDOWN_ADMISSION_H_
+#define CRANBERRYHILL_EXCHANGE_SHUTDOWN_ADMISSION_H_
 
 // Decides which requests an instance still sends to replicas while it shuts
 // down. A request that is refused comes back at another instance at once; one
@@ -62,4 +62,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_SHUTDOWN_ADMISSION_H_
+#endif  // CRANBERRYHILL_EXCHANGE_SHUTDOWN_ADMISSION_H_
--- a/cranberryhill/gateway/shutdown_admission_test.cc
+++ b/cranberryhill/exchange/shutdown_admission_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/shutdown_admission.h"
+#include "cranberryhill/exchange/shutdown_admission.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/cranberryhill/gateway/wire_format.h
+++ b/cranberryhill/exchange/wire_format.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_WIRE_FORMAT_H_
-#define CRANBERRYHILL_GATEWAY_WIRE_FORMAT_H_
+#ifndef CRANBERRYHILL_EXCHANGE_WIRE_FORMAT_H_
+#define CRANBERRYHILL_EXCHANGE_WIRE_FORMAT_H_
 
 // Interface for the headers and bodies that a deployment uses between callers,
 // the gateway and replicas. The gateway makes the decisions; an implementation
@@ -136,4 +136,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_WIRE_FORMAT_H_
+#endif  // CRANBERRYHILL_EXCHANGE_WIRE_FORMAT_H_
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -7,8 +7,8 @@
 #include <utility>
 
 #include "cranberryhill/forward/fleet_share.h"
-#include "cranberryhill/gateway/serial_http_client.h"
 #include "cranberryhill/http1/socket_options.h"
+#include "cranberryhill/store/serial_http_client.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/gateway_quarantines.h
+++ b/cranberryhill/gateway/gateway_quarantines.h
@@ -15,12 +15,12 @@
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/prompt_part_quarantine.h"
-#include "cranberryhill/gateway/control_table.h"
-#include "cranberryhill/gateway/delay_timer.h"
-#include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/peer_link.h"
-#include "cranberryhill/gateway/quarantine_store.h"
 #include "cranberryhill/request/crash_quarantine.h"
+#include "cranberryhill/store/control_table.h"
+#include "cranberryhill/store/delay_timer.h"
+#include "cranberryhill/store/event_log.h"
+#include "cranberryhill/store/quarantine_store.h"
 
 namespace cranberryhill::gateway {
 
--- a/cranberryhill/gateway/gateway_stream_version_fleet.h
+++ b/cranberryhill/gateway/gateway_stream_version_fleet.h
@@ -9,12 +9,12 @@
 #include <string_view>
 
 #include "absl/time/time.h"
-#include "cranberryhill/gateway/control_table.h"
 #include "cranberryhill/gateway/peer_link.h"
-#include "cranberryhill/gateway/service_row_reader.h"
-#include "cranberryhill/gateway/store_contact.h"
-#include "cranberryhill/gateway/stream_version_store.h"
-#include "cranberryhill/gateway/table_follower.h"
+#include "cranberryhill/store/control_table.h"
+#include "cranberryhill/store/service_row_reader.h"
+#include "cranberryhill/store/store_contact.h"
+#include "cranberryhill/store/table_follower.h"
+#include "cranberryhill/stream_versions/stream_version_store.h"
 
 namespace cranberryhill::gateway {
 
--- a/cranberryhill/gateway/order_dispatcher.cc
+++ b/cranberryhill/gateway/order_dispatcher.cc
@@ -5,8 +5,8 @@
 #include <optional>
 #include <utility>
 
-#include "cranberryhill/gateway/serial_http_client.h"
 #include "cranberryhill/http1/socket_options.h"
+#include "cranberryhill/store/serial_http_client.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/order_dispatcher.h
+++ b/cranberryhill/gateway/order_dispatcher.h
@@ -13,16 +13,16 @@
 
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
+#include "cranberryhill/exchange/wire_format.h"
 #include "cranberryhill/forward/configuration.h"
 #include "cranberryhill/forward/replica_notices.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/role_balancer.h"
-#include "cranberryhill/gateway/control_table.h"
-#include "cranberryhill/gateway/event_log.h"
-#include "cranberryhill/gateway/http_caller.h"
-#include "cranberryhill/gateway/send_permits.h"
-#include "cranberryhill/gateway/wire_format.h"
 #include "cranberryhill/lease/lease_manager.h"
+#include "cranberryhill/peers/send_permits.h"
+#include "cranberryhill/store/control_table.h"
+#include "cranberryhill/store/event_log.h"
+#include "cranberryhill/store/http_caller.h"
 
 namespace cranberryhill::gateway {
 
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -23,14 +23,14 @@
 #include "cranberryhill/forward/peer_load_sync.h"
 #include "cranberryhill/forward/prompt_part_quarantine.h"
 #include "cranberryhill/forward/replica_set.h"
-#include "cranberryhill/gateway/control_table.h"
-#include "cranberryhill/gateway/event_log.h"
 #include "cranberryhill/gateway/order_dispatcher.h"
-#include "cranberryhill/gateway/permit_message.h"
-#include "cranberryhill/gateway/row_message.h"
-#include "cranberryhill/gateway/send_permits.h"
 #include "cranberryhill/gateway/settings.h"
+#include "cranberryhill/peers/permit_message.h"
+#include "cranberryhill/peers/send_permits.h"
 #include "cranberryhill/request/crash_quarantine.h"
+#include "cranberryhill/store/control_table.h"
+#include "cranberryhill/store/event_log.h"
+#include "cranberryhill/store/row_message.h"
 
 namespace cranberryhill::gateway {
 
--- a/cranberryhill/gateway/peer_relay.cc
+++ b/cranberryhill/peers/peer_relay.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/peer_relay.h"
+#include "cranberryhill/peers/peer_relay.h"
 
 #include <utility>
 
--- a/cranberryhill/gateway/peer_relay.h
+++ b/cranberryhill/peers/peer_relay.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_PEER_RELAY_H_
-#define CRANBERRYHILL_GATEWAY_PEER_RELAY_H_
+#ifndef CRANBERRYHILL_PEERS_PEER_RELAY_H_
+#define CRANBERRYHILL_PEERS_PEER_RELAY_H_
 
 // One send of a caller's request to another instance, and what has arrived of
 // its answer. Each has a connection of its own: one that the peer closes as
@@ -84,4 +84,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_PEER_RELAY_H_
+#endif  // CRANBERRYHILL_PEERS_PEER_RELAY_H_
--- a/cranberryhill/gateway/permit_message.cc
+++ b/cranberryhill/peers/permit_message.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/permit_message.h"
+#include "cranberryhill/peers/permit_message.h"
 
 #include <cmath>
 #include <nlohmann/json.hpp>
--- a/cranberryhill/gateway/permit_message.h
+++ b/cranberryhill/peers/permit_message.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_PERMIT_MESSAGE_H_
-#define CRANBERRYHILL_GATEWAY_PERMIT_MESSAGE_H_
+#ifndef CRANBERRYHILL_PEERS_PERMIT_MESSAGE_H_
+#define CRANBERRYHILL_PEERS_PERMIT_MESSAGE_H_
 
 // Messages between instances about permits to send requests to replicas that
 // take a limited number per second.
@@ -43,4 +43,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_PERMIT_MESSAGE_H_
+#endif  // CRANBERRYHILL_PEERS_PERMIT_MESSAGE_H_
--- a/cranberryhill/gateway/send_permits.cc
+++ b/cranberryhill/peers/send_permits.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/send_permits.h"
+#include "cranberryhill/peers/send_permits.h"
 
 #include <algorithm>
 #include <utility>
--- a/cranberryhill/gateway/send_permits.h
+++ b/cranberryhill/peers/send_permits.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_SEND_PERMITS_H_
-#define CRANBERRYHILL_GATEWAY_SEND_PERMITS_H_
+#ifndef CRANBERRYHILL_PEERS_SEND_PERMITS_H_
+#define CRANBERRYHILL_PEERS_SEND_PERMITS_H_
 
 // Shares the few requests per second that a limited replica takes between the
 // instances. Each limited replica has one issuer, the instance that comes first
@@ -25,8 +25,8 @@
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/replica_limits.h"
-#include "cranberryhill/gateway/delay_timer.h"
-#include "cranberryhill/gateway/permit_message.h"
+#include "cranberryhill/peers/permit_message.h"
+#include "cranberryhill/store/delay_timer.h"
 
 namespace cranberryhill::gateway {
 
@@ -139,4 +139,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_SEND_PERMITS_H_
+#endif  // CRANBERRYHILL_PEERS_SEND_PERMITS_H_
--- a/cranberryhill/gateway/send_permits_fleet_test.cc
+++ b/cranberryhill/peers/send_permits_fleet_test.cc
@@ -11,8 +11,8 @@
 
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/peer_load_sync.h"
-#include "cranberryhill/gateway/send_permits.h"
-#include "cranberryhill/gateway/virtual_time_test.h"
+#include "cranberryhill/peers/send_permits.h"
+#include "cranberryhill/store/virtual_time_test.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/answer_deadline.h
+++ b/cranberryhill/store/answer_deadline.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_ANSWER_DEADLINE_H_
-#define CRANBERRYHILL_GATEWAY_ANSWER_DEADLINE_H_
+#ifndef CRANBERRYHILL_STORE_ANSWER_DEADLINE_H_
+#define CRANBERRYHILL_STORE_ANSWER_DEADLINE_H_
 
 // Decides how long an answer may take. The time to its beginning is limited,
 // and from then on the rate at which it arrives, so that a large answer on a
@@ -43,4 +43,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_ANSWER_DEADLINE_H_
+#endif  // CRANBERRYHILL_STORE_ANSWER_DEADLINE_H_
--- a/cranberryhill/gateway/answer_deadline_test.cc
+++ b/cranberryhill/store/answer_deadline_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/answer_deadline.h"
+#include "cranberryhill/store/answer_deadline.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/cranberryhill/gateway/control_table.cc
+++ b/cranberryhill/store/control_table.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/control_table.h"
+#include "cranberryhill/store/control_table.h"
 
 #include <utility>
 
--- a/cranberryhill/gateway/control_table.h
+++ b/cranberryhill/store/control_table.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_CONTROL_TABLE_H_
-#define CRANBERRYHILL_GATEWAY_CONTROL_TABLE_H_
+#ifndef CRANBERRYHILL_STORE_CONTROL_TABLE_H_
+#define CRANBERRYHILL_STORE_CONTROL_TABLE_H_
 
 // The gateway's own rows in the store: the addresses of the instances, the
 // lease for engine orders, the versions of services and what is quarantined.
@@ -15,9 +15,9 @@
 #include <string_view>
 #include <vector>
 
-#include "cranberryhill/gateway/delay_timer.h"
-#include "cranberryhill/gateway/serial_http_client.h"
-#include "cranberryhill/gateway/table_follower.h"
+#include "cranberryhill/store/delay_timer.h"
+#include "cranberryhill/store/serial_http_client.h"
+#include "cranberryhill/store/table_follower.h"
 #include "cranberryhill/table/table_service.h"
 
 namespace cranberryhill::gateway {
@@ -139,4 +139,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_CONTROL_TABLE_H_
+#endif  // CRANBERRYHILL_STORE_CONTROL_TABLE_H_
--- a/cranberryhill/gateway/delay_timer.cc
+++ b/cranberryhill/store/delay_timer.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/delay_timer.h"
+#include "cranberryhill/store/delay_timer.h"
 
 #include <utility>
 
--- a/cranberryhill/gateway/delay_timer.h
+++ b/cranberryhill/store/delay_timer.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_DELAY_TIMER_H_
-#define CRANBERRYHILL_GATEWAY_DELAY_TIMER_H_
+#ifndef CRANBERRYHILL_STORE_DELAY_TIMER_H_
+#define CRANBERRYHILL_STORE_DELAY_TIMER_H_
 
 // Calls a function once after a delay.
 
@@ -38,4 +38,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_DELAY_TIMER_H_
+#endif  // CRANBERRYHILL_STORE_DELAY_TIMER_H_
--- a/cranberryhill/gateway/event_log.h
+++ b/cranberryhill/store/event_log.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_EVENT_LOG_H_
-#define CRANBERRYHILL_GATEWAY_EVENT_LOG_H_
+#ifndef CRANBERRYHILL_STORE_EVENT_LOG_H_
+#define CRANBERRYHILL_STORE_EVENT_LOG_H_
 
 // Structured log lines on standard output: one for each decision that affects a
 // request or changes the state of the process.
@@ -81,4 +81,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_EVENT_LOG_H_
+#endif  // CRANBERRYHILL_STORE_EVENT_LOG_H_
--- a/cranberryhill/gateway/event_log_test.cc
+++ b/cranberryhill/store/event_log_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/store/event_log.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
--- a/cranberryhill/gateway/http_caller.h
+++ b/cranberryhill/store/http_caller.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_HTTP_CALLER_H_
-#define CRANBERRYHILL_GATEWAY_HTTP_CALLER_H_
+#ifndef CRANBERRYHILL_STORE_HTTP_CALLER_H_
+#define CRANBERRYHILL_STORE_HTTP_CALLER_H_
 
 // Interface for calls to one HTTP server, one at a time.
 
@@ -50,4 +50,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_HTTP_CALLER_H_
+#endif  // CRANBERRYHILL_STORE_HTTP_CALLER_H_
--- a/cranberryhill/gateway/quarantine_store.cc
+++ b/cranberryhill/store/quarantine_store.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/quarantine_store.h"
+#include "cranberryhill/store/quarantine_store.h"
 
 #include <fmt/format.h>
 
--- a/cranberryhill/gateway/quarantine_store.h
+++ b/cranberryhill/store/quarantine_store.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_QUARANTINE_STORE_H_
-#define CRANBERRYHILL_GATEWAY_QUARANTINE_STORE_H_
+#ifndef CRANBERRYHILL_STORE_QUARANTINE_STORE_H_
+#define CRANBERRYHILL_STORE_QUARANTINE_STORE_H_
 
 // Keeps what the instances have quarantined over a restart of all of them, in
 // one row of the store. Without it, each restart lets what crashes replicas
@@ -26,8 +26,8 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
-#include "cranberryhill/gateway/delay_timer.h"
-#include "cranberryhill/gateway/event_log.h"
+#include "cranberryhill/store/delay_timer.h"
+#include "cranberryhill/store/event_log.h"
 #include "cranberryhill/table/table_service.h"
 
 namespace cranberryhill::gateway {
@@ -153,4 +153,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_QUARANTINE_STORE_H_
+#endif  // CRANBERRYHILL_STORE_QUARANTINE_STORE_H_
--- a/cranberryhill/gateway/quarantine_store_test.cc
+++ b/cranberryhill/store/quarantine_store_test.cc
@@ -1,7 +1,7 @@
 // Simulates many instances that quarantine requests and are all ended at once,
 // on a virtual clock.
 
-#include "cranberryhill/gateway/quarantine_store.h"
+#include "cranberryhill/store/quarantine_store.h"
 
 #include <algorithm>
 #include <boost/test/data/test_case.hpp>
@@ -15,7 +15,7 @@
 
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/gateway/gateway_quarantines.h"
-#include "cranberryhill/gateway/virtual_time_test.h"
+#include "cranberryhill/store/virtual_time_test.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/row_message.cc
+++ b/cranberryhill/store/row_message.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/row_message.h"
+#include "cranberryhill/store/row_message.h"
 
 #include <algorithm>
 #include <cmath>
--- a/cranberryhill/gateway/row_message.h
+++ b/cranberryhill/store/row_message.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_ROW_MESSAGE_H_
-#define CRANBERRYHILL_GATEWAY_ROW_MESSAGE_H_
+#ifndef CRANBERRYHILL_STORE_ROW_MESSAGE_H_
+#define CRANBERRYHILL_STORE_ROW_MESSAGE_H_
 
 // Rows of a table that an instance has received from the store and passes on to
 // its peers, so that hundreds of instances need not all read each change from
@@ -13,7 +13,7 @@
 
 #include "cranberryhill/base/endpoint.h"
 #include "cranberryhill/base/result.h"
-#include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/store/store_codec.h"
 
 namespace cranberryhill::gateway {
 
@@ -74,4 +74,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_ROW_MESSAGE_H_
+#endif  // CRANBERRYHILL_STORE_ROW_MESSAGE_H_
--- a/cranberryhill/gateway/row_message_test.cc
+++ b/cranberryhill/store/row_message_test.cc
@@ -1,10 +1,10 @@
-#include "cranberryhill/gateway/row_message.h"
+#include "cranberryhill/store/row_message.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <string>
 
-#include "cranberryhill/gateway/table_versions.h"
+#include "cranberryhill/store/table_versions.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/send_and_forget.cc
+++ b/cranberryhill/store/send_and_forget.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/send_and_forget.h"
+#include "cranberryhill/store/send_and_forget.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
--- a/cranberryhill/gateway/send_and_forget.h
+++ b/cranberryhill/store/send_and_forget.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_SEND_AND_FORGET_H_
-#define CRANBERRYHILL_GATEWAY_SEND_AND_FORGET_H_
+#ifndef CRANBERRYHILL_STORE_SEND_AND_FORGET_H_
+#define CRANBERRYHILL_STORE_SEND_AND_FORGET_H_
 
 // Sends a request and ignores its answer.
 
@@ -21,4 +21,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_SEND_AND_FORGET_H_
+#endif  // CRANBERRYHILL_STORE_SEND_AND_FORGET_H_
--- a/cranberryhill/gateway/serial_http_client.cc
+++ b/cranberryhill/store/serial_http_client.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/serial_http_client.h"
+#include "cranberryhill/store/serial_http_client.h"
 
 #include <utility>
 
--- a/cranberryhill/gateway/serial_http_client.h
+++ b/cranberryhill/store/serial_http_client.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_SERIAL_HTTP_CLIENT_H_
-#define CRANBERRYHILL_GATEWAY_SERIAL_HTTP_CLIENT_H_
+#ifndef CRANBERRYHILL_STORE_SERIAL_HTTP_CLIENT_H_
+#define CRANBERRYHILL_STORE_SERIAL_HTTP_CLIENT_H_
 
 // HTTP client for one server. Makes one call at a time on a persistent
 // connection and returns the complete answer.
@@ -15,9 +15,9 @@
 
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
-#include "cranberryhill/gateway/answer_deadline.h"
-#include "cranberryhill/gateway/http_caller.h"
 #include "cranberryhill/http1/client.h"
+#include "cranberryhill/store/answer_deadline.h"
+#include "cranberryhill/store/http_caller.h"
 
 namespace cranberryhill::gateway {
 
@@ -66,4 +66,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_SERIAL_HTTP_CLIENT_H_
+#endif  // CRANBERRYHILL_STORE_SERIAL_HTTP_CLIENT_H_
--- a/cranberryhill/gateway/serial_http_client_test.cc
+++ b/cranberryhill/store/serial_http_client_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/serial_http_client.h"
+#include "cranberryhill/store/serial_http_client.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -9,7 +9,7 @@
 #include <optional>
 #include <string>
 
-#include "cranberryhill/gateway/send_and_forget.h"
+#include "cranberryhill/store/send_and_forget.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/service_row_reader.cc
+++ b/cranberryhill/store/service_row_reader.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/service_row_reader.h"
+#include "cranberryhill/store/service_row_reader.h"
 
 #include <algorithm>
 #include <iterator>
--- a/cranberryhill/gateway/service_row_reader.h
+++ b/cranberryhill/store/service_row_reader.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_SERVICE_ROW_READER_H_
-#define CRANBERRYHILL_GATEWAY_SERVICE_ROW_READER_H_
+#ifndef CRANBERRYHILL_STORE_SERVICE_ROW_READER_H_
+#define CRANBERRYHILL_STORE_SERVICE_ROW_READER_H_
 
 // Reads rows of the control table from the store itself, for decisions that
 // must not rest on a local copy of unknown age.
@@ -14,10 +14,10 @@
 
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
-#include "cranberryhill/gateway/delay_timer.h"
-#include "cranberryhill/gateway/event_log.h"
-#include "cranberryhill/gateway/http_caller.h"
-#include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/store/delay_timer.h"
+#include "cranberryhill/store/event_log.h"
+#include "cranberryhill/store/http_caller.h"
+#include "cranberryhill/store/store_codec.h"
 
 namespace cranberryhill::gateway {
 
@@ -80,4 +80,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_SERVICE_ROW_READER_H_
+#endif  // CRANBERRYHILL_STORE_SERVICE_ROW_READER_H_
--- a/cranberryhill/gateway/service_row_reader_test.cc
+++ b/cranberryhill/store/service_row_reader_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/service_row_reader.h"
+#include "cranberryhill/store/service_row_reader.h"
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "cranberryhill/gateway/virtual_row_store_test.h"
-#include "cranberryhill/gateway/virtual_time_test.h"
+#include "cranberryhill/store/virtual_row_store_test.h"
+#include "cranberryhill/store/virtual_time_test.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/store_codec.cc
+++ b/cranberryhill/store/store_codec.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/store/store_codec.h"
 
 namespace cranberryhill::gateway {
 
--- a/cranberryhill/gateway/store_codec.h
+++ b/cranberryhill/store/store_codec.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_STORE_CODEC_H_
-#define CRANBERRYHILL_GATEWAY_STORE_CODEC_H_
+#ifndef CRANBERRYHILL_STORE_STORE_CODEC_H_
+#define CRANBERRYHILL_STORE_STORE_CODEC_H_
 
 // Interface that encodes requests to a deployment's row store and decodes its
 // answers.
@@ -119,4 +119,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_STORE_CODEC_H_
+#endif  // CRANBERRYHILL_STORE_STORE_CODEC_H_
--- a/cranberryhill/gateway/store_contact.h
+++ b/cranberryhill/store/store_contact.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_STORE_CONTACT_H_
-#define CRANBERRYHILL_GATEWAY_STORE_CONTACT_H_
+#ifndef CRANBERRYHILL_STORE_STORE_CONTACT_H_
+#define CRANBERRYHILL_STORE_STORE_CONTACT_H_
 
 // Decides which instances poll the store, and whether this instance may rely on
 // its peers for changes. A few instances poll and pass rows on; the others
@@ -76,4 +76,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_STORE_CONTACT_H_
+#endif  // CRANBERRYHILL_STORE_STORE_CONTACT_H_
--- a/cranberryhill/gateway/store_contact_fleet_test.cc
+++ b/cranberryhill/store/store_contact_fleet_test.cc
@@ -12,11 +12,11 @@
 
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/peer_load_sync.h"
-#include "cranberryhill/gateway/row_message.h"
-#include "cranberryhill/gateway/store_contact.h"
-#include "cranberryhill/gateway/table_follower.h"
-#include "cranberryhill/gateway/virtual_store_test.h"
-#include "cranberryhill/gateway/virtual_time_test.h"
+#include "cranberryhill/store/row_message.h"
+#include "cranberryhill/store/store_contact.h"
+#include "cranberryhill/store/table_follower.h"
+#include "cranberryhill/store/virtual_store_test.h"
+#include "cranberryhill/store/virtual_time_test.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/store_contact_test.cc
+++ b/cranberryhill/store/store_contact_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/store_contact.h"
+#include "cranberryhill/store/store_contact.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/cranberryhill/gateway/table_follower.cc
+++ b/cranberryhill/store/table_follower.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/table_follower.h"
+#include "cranberryhill/store/table_follower.h"
 
 #include <algorithm>
 #include <cmath>
--- a/cranberryhill/gateway/table_follower.h
+++ b/cranberryhill/store/table_follower.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_TABLE_FOLLOWER_H_
-#define CRANBERRYHILL_GATEWAY_TABLE_FOLLOWER_H_
+#ifndef CRANBERRYHILL_STORE_TABLE_FOLLOWER_H_
+#define CRANBERRYHILL_STORE_TABLE_FOLLOWER_H_
 
 // Follows one table of the store: reads a snapshot, then long-polls for
 // changes, or applies the changes that peers pass on, and reads another
@@ -15,11 +15,11 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
-#include "cranberryhill/gateway/delay_timer.h"
-#include "cranberryhill/gateway/event_log.h"
-#include "cranberryhill/gateway/http_caller.h"
-#include "cranberryhill/gateway/store_codec.h"
-#include "cranberryhill/gateway/table_versions.h"
+#include "cranberryhill/store/delay_timer.h"
+#include "cranberryhill/store/event_log.h"
+#include "cranberryhill/store/http_caller.h"
+#include "cranberryhill/store/store_codec.h"
+#include "cranberryhill/store/table_versions.h"
 
 namespace cranberryhill::gateway {
 
@@ -197,4 +197,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_TABLE_FOLLOWER_H_
+#endif  // CRANBERRYHILL_STORE_TABLE_FOLLOWER_H_
--- a/cranberryhill/gateway/table_versions.cc
+++ b/cranberryhill/store/table_versions.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/table_versions.h"
+#include "cranberryhill/store/table_versions.h"
 
 #include <algorithm>
 #include <utility>
--- a/cranberryhill/gateway/table_versions.h
+++ b/cranberryhill/store/table_versions.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_TABLE_VERSIONS_H_
-#define CRANBERRYHILL_GATEWAY_TABLE_VERSIONS_H_
+#ifndef CRANBERRYHILL_STORE_TABLE_VERSIONS_H_
+#define CRANBERRYHILL_STORE_TABLE_VERSIONS_H_
 
 // Keeps track of how far an instance knows a table of the store, from its own
 // calls and from messages of peers. Messages may be lost, repeated or
@@ -10,7 +10,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/store/store_codec.h"
 
 namespace cranberryhill::gateway {
 
@@ -92,4 +92,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_TABLE_VERSIONS_H_
+#endif  // CRANBERRYHILL_STORE_TABLE_VERSIONS_H_
--- a/cranberryhill/gateway/table_versions_test.cc
+++ b/cranberryhill/store/table_versions_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/table_versions.h"
+#include "cranberryhill/store/table_versions.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
@@ -10,7 +10,7 @@
 #include <string>
 #include <tuple>
 
-#include "cranberryhill/gateway/row_message.h"
+#include "cranberryhill/store/row_message.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/virtual_row_store_test.h
+++ b/cranberryhill/store/virtual_row_store_test.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_VIRTUAL_ROW_STORE_TEST_H_
-#define CRANBERRYHILL_GATEWAY_VIRTUAL_ROW_STORE_TEST_H_
+#ifndef CRANBERRYHILL_STORE_VIRTUAL_ROW_STORE_TEST_H_
+#define CRANBERRYHILL_STORE_VIRTUAL_ROW_STORE_TEST_H_
 
 // A store with the rows of one table, on a virtual clock, for tests that
 // simulate many instances.
@@ -15,9 +15,9 @@
 #include <utility>
 #include <vector>
 
-#include "cranberryhill/gateway/http_caller.h"
-#include "cranberryhill/gateway/virtual_store_test.h"
-#include "cranberryhill/gateway/virtual_time_test.h"
+#include "cranberryhill/store/http_caller.h"
+#include "cranberryhill/store/virtual_store_test.h"
+#include "cranberryhill/store/virtual_time_test.h"
 
 namespace cranberryhill::gateway {
 
@@ -245,4 +245,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_VIRTUAL_ROW_STORE_TEST_H_
+#endif  // CRANBERRYHILL_STORE_VIRTUAL_ROW_STORE_TEST_H_
--- a/cranberryhill/gateway/virtual_store_test.h
+++ b/cranberryhill/store/virtual_store_test.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_VIRTUAL_STORE_TEST_H_
-#define CRANBERRYHILL_GATEWAY_VIRTUAL_STORE_TEST_H_
+#ifndef CRANBERRYHILL_STORE_VIRTUAL_STORE_TEST_H_
+#define CRANBERRYHILL_STORE_VIRTUAL_STORE_TEST_H_
 
 // A store with one row, on a virtual clock, for tests that simulate many
 // instances.
@@ -14,9 +14,9 @@
 #include <utility>
 #include <vector>
 
-#include "cranberryhill/gateway/http_caller.h"
-#include "cranberryhill/gateway/store_codec.h"
-#include "cranberryhill/gateway/virtual_time_test.h"
+#include "cranberryhill/store/http_caller.h"
+#include "cranberryhill/store/store_codec.h"
+#include "cranberryhill/store/virtual_time_test.h"
 
 namespace cranberryhill::gateway {
 
@@ -199,4 +199,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_VIRTUAL_STORE_TEST_H_
+#endif  // CRANBERRYHILL_STORE_VIRTUAL_STORE_TEST_H_
--- a/cranberryhill/gateway/virtual_time_test.h
+++ b/cranberryhill/store/virtual_time_test.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_VIRTUAL_TIME_TEST_H_
-#define CRANBERRYHILL_GATEWAY_VIRTUAL_TIME_TEST_H_
+#ifndef CRANBERRYHILL_STORE_VIRTUAL_TIME_TEST_H_
+#define CRANBERRYHILL_STORE_VIRTUAL_TIME_TEST_H_
 
 // A queue of events on a virtual clock, for tests that simulate many instances.
 
@@ -10,7 +10,7 @@
 
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
-#include "cranberryhill/gateway/delay_timer.h"
+#include "cranberryhill/store/delay_timer.h"
 
 namespace cranberryhill::gateway {
 
@@ -62,4 +62,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_VIRTUAL_TIME_TEST_H_
+#endif  // CRANBERRYHILL_STORE_VIRTUAL_TIME_TEST_H_
--- a/cranberryhill/gateway/stream_version_finder.cc
+++ b/cranberryhill/stream_versions/stream_version_finder.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/stream_version_finder.h"
+#include "cranberryhill/stream_versions/stream_version_finder.h"
 
 #include <algorithm>
 #include <utility>
--- a/cranberryhill/gateway/stream_version_finder.h
+++ b/cranberryhill/stream_versions/stream_version_finder.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_STREAM_VERSION_FINDER_H_
-#define CRANBERRYHILL_GATEWAY_STREAM_VERSION_FINDER_H_
+#ifndef CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSION_FINDER_H_
+#define CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSION_FINDER_H_
 
 // Looks up the software versions of single streams in the store. The row of a
 // stream is written before its first event is passed on.
@@ -17,10 +17,10 @@
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/stream_version_records.h"
-#include "cranberryhill/gateway/delay_timer.h"
-#include "cranberryhill/gateway/event_log.h"
-#include "cranberryhill/gateway/http_caller.h"
-#include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/store/delay_timer.h"
+#include "cranberryhill/store/event_log.h"
+#include "cranberryhill/store/http_caller.h"
+#include "cranberryhill/store/store_codec.h"
 
 namespace cranberryhill::gateway {
 
@@ -96,4 +96,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_STREAM_VERSION_FINDER_H_
+#endif  // CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSION_FINDER_H_
--- a/cranberryhill/gateway/stream_version_store.cc
+++ b/cranberryhill/stream_versions/stream_version_store.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/stream_version_store.h"
+#include "cranberryhill/stream_versions/stream_version_store.h"
 
 #include <fmt/format.h>
 
--- a/cranberryhill/gateway/stream_version_store.h
+++ b/cranberryhill/stream_versions/stream_version_store.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_STREAM_VERSION_STORE_H_
-#define CRANBERRYHILL_GATEWAY_STREAM_VERSION_STORE_H_
+#ifndef CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSION_STORE_H_
+#define CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSION_STORE_H_
 
 // Finds the software versions of streams, also those of other instances and
 // those that began before all instances were restarted at once.
@@ -25,14 +25,14 @@
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/stream_version_queue.h"
 #include "cranberryhill/forward/stream_version_records.h"
-#include "cranberryhill/gateway/delay_timer.h"
-#include "cranberryhill/gateway/event_log.h"
-#include "cranberryhill/gateway/http_caller.h"
-#include "cranberryhill/gateway/service_row_reader.h"
-#include "cranberryhill/gateway/store_codec.h"
-#include "cranberryhill/gateway/stream_version_finder.h"
-#include "cranberryhill/gateway/stream_version_sweeper.h"
-#include "cranberryhill/gateway/stream_versions.h"
+#include "cranberryhill/store/delay_timer.h"
+#include "cranberryhill/store/event_log.h"
+#include "cranberryhill/store/http_caller.h"
+#include "cranberryhill/store/service_row_reader.h"
+#include "cranberryhill/store/store_codec.h"
+#include "cranberryhill/stream_versions/stream_version_finder.h"
+#include "cranberryhill/stream_versions/stream_version_sweeper.h"
+#include "cranberryhill/stream_versions/stream_versions.h"
 #include "cranberryhill/table/table_service.h"
 
 namespace cranberryhill::gateway {
@@ -224,4 +224,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_STREAM_VERSION_STORE_H_
+#endif  // CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSION_STORE_H_
--- a/cranberryhill/gateway/stream_version_store_fleet_test.cc
+++ b/cranberryhill/stream_versions/stream_version_store_fleet_test.cc
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "cranberryhill/base/random.h"
-#include "cranberryhill/gateway/stream_version_store.h"
-#include "cranberryhill/gateway/virtual_row_store_test.h"
-#include "cranberryhill/gateway/virtual_time_test.h"
+#include "cranberryhill/store/virtual_row_store_test.h"
+#include "cranberryhill/store/virtual_time_test.h"
+#include "cranberryhill/stream_versions/stream_version_store.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/stream_version_store_test.cc
+++ b/cranberryhill/stream_versions/stream_version_store_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/stream_version_store.h"
+#include "cranberryhill/stream_versions/stream_version_store.h"
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "cranberryhill/base/random.h"
-#include "cranberryhill/gateway/virtual_row_store_test.h"
-#include "cranberryhill/gateway/virtual_time_test.h"
+#include "cranberryhill/store/virtual_row_store_test.h"
+#include "cranberryhill/store/virtual_time_test.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/stream_version_sweeper.h
+++ b/cranberryhill/stream_versions/stream_version_sweeper.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_STREAM_VERSION_SWEEPER_H_
-#define CRANBERRYHILL_GATEWAY_STREAM_VERSION_SWEEPER_H_
+#ifndef CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSION_SWEEPER_H_
+#define CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSION_SWEEPER_H_
 
 // Removes rows of streams that their instances have left in the store, because
 // they ended first or because a write was performed late. All instances take
@@ -16,9 +16,9 @@
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/forward/stream_version_records.h"
-#include "cranberryhill/gateway/event_log.h"
-#include "cranberryhill/gateway/http_caller.h"
-#include "cranberryhill/gateway/store_codec.h"
+#include "cranberryhill/store/event_log.h"
+#include "cranberryhill/store/http_caller.h"
+#include "cranberryhill/store/store_codec.h"
 
 namespace cranberryhill::gateway {
 
@@ -72,4 +72,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_STREAM_VERSION_SWEEPER_H_
+#endif  // CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSION_SWEEPER_H_
--- a/cranberryhill/gateway/stream_version_sweeper_test.cc
+++ b/cranberryhill/stream_versions/stream_version_sweeper_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/gateway/stream_version_sweeper.h"
+#include "cranberryhill/stream_versions/stream_version_sweeper.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "cranberryhill/base/random.h"
-#include "cranberryhill/gateway/virtual_row_store_test.h"
-#include "cranberryhill/gateway/virtual_time_test.h"
+#include "cranberryhill/store/virtual_row_store_test.h"
+#include "cranberryhill/store/virtual_time_test.h"
 
 namespace cranberryhill::gateway {
 namespace {
--- a/cranberryhill/gateway/stream_versions.h
+++ b/cranberryhill/stream_versions/stream_versions.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_GATEWAY_STREAM_VERSIONS_H_
-#define CRANBERRYHILL_GATEWAY_STREAM_VERSIONS_H_
+#ifndef CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSIONS_H_
+#define CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSIONS_H_
 
 // Knows at which software version of its service each stream began. A stream
 // may go on only at replicas of that version.
@@ -64,4 +64,4 @@
 
 }  // namespace cranberryhill::gateway
 
-#endif  // CRANBERRYHILL_GATEWAY_STREAM_VERSIONS_H_
+#endif  // CRANBERRYHILL_STREAM_VERSIONS_STREAM_VERSIONS_H_
--- a/fuzz/gateway_peer_fuzz.cc
+++ b/fuzz/gateway_peer_fuzz.cc
@@ -3,8 +3,8 @@
 // parses again.
 
 #include "cranberryhill/forward/peer_load_sync.h"
-#include "cranberryhill/gateway/permit_message.h"
-#include "cranberryhill/gateway/row_message.h"
+#include "cranberryhill/peers/permit_message.h"
+#include "cranberryhill/store/row_message.h"
 #include "fuzz/check.h"
 
 namespace cranberryhill {
