--- a/cranberryhill/exchange/wire_format.h
+++ b/cranberryhill/exchange/wire_format.h
@@ -29,6 +29,9 @@
   std::string host;
   std::optional<absl::Duration> time_left;
   forward::PromptDescription prompt;  ///< Empty if not for an engine.
+  /// Name of the customer that the request's key belongs to. The gateway fills
+  /// it in; empty for requests without a key.
+  std::string customer;
 };
 
 /// Header fields that the gateway adds to a request to a replica.
--- a/cranberryhill/forward/configuration.h
+++ b/cranberryhill/forward/configuration.h
@@ -7,7 +7,10 @@
 //   RouteTable table(configuration);
 //   const Route* route = table.Match("desk.example", "/orders/17?full=1");
 
+#include <array>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +48,8 @@
   int max_replicas = 1;
   /// True when another replica can continue a stream after a given event.
   bool resumable = false;
+  /// True when requests need no key of a customer.
+  bool allow_anonymous = false;
   std::vector<WeightedService> services;
 
   /// @return How long callers wait for the first event of a stream, or for the
@@ -63,11 +68,35 @@
   int64_t kv_capacity_tokens = 0;
 };
 
+/// How many replicas of a service may be ordered, and what they cost.
+struct ScalingConfig {
+  int min_replicas = 0;  ///< In each availability zone, of both kinds together.
+  int max_replicas = 0;  ///< In each availability zone, of both kinds together.
+  /// Time from the order of a replica until it serves.
+  absl::Duration boot_time = absl::ZeroDuration();
+  /// Price of a spot replica, as a share of the price of another replica.
+  double spot_price = 1;
+  /// Price of a replica per second, by availability zone.
+  std::map<std::string, double, std::less<>> zone_prices;
+};
+
 struct ServiceConfig {
   std::string name;
   /// Connections that one replica accepts from all gateway instances together.
   int max_connections = 0;
   std::optional<EngineConfig> engine;
+  /// Unset when the number of replicas is not the gateway's to decide.
+  std::optional<ScalingConfig> scaling;
+};
+
+/// Hash of a customer's API key. Keys themselves are not kept.
+using ApiKeyHash = std::array<uint64_t, 2>;
+
+struct Customer {
+  std::string name;
+  std::vector<ApiKeyHash> key_hashes;
+  /// Replaces the priority of routes; 0 is the most urgent.
+  std::optional<int> priority;
 };
 
 /// Limits on the size of callers' requests and on the time they may take.
@@ -83,6 +112,8 @@
   std::vector<Route> routes;
   std::vector<ServiceConfig> services;
   CallerLimits limits;
+  /// Unset when requests carry no keys.
+  std::optional<std::vector<Customer>> customers;
 };
 
 /// Immutable index of one configuration.
