Keys of customers

The configuration of a deployment may give customers API keys. They were not read: keys reached replicas, a customer that a caller named itself was passed on, and requests with keys that had been taken away ran.

A request is now checked against the configuration in force when it arrives. One without a valid key gets 401, unless its route needs none. Replicas and other instances get the customer's name in place of the key. Keys are hashed where they are read; configuration rows that are sent to peers contain hashes.

--- a/cranberryhill/base/hash.cc
+++ b/cranberryhill/base/hash.cc
@@ -9,9 +9,14 @@
   return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
-std::string StableDigest(std::string_view bytes) {
+std::array<uint64_t, 2> StableHash128(std::string_view bytes) {
   XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
-  return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
+  return {hash.high64, hash.low64};
+}
+
+std::string StableDigest(std::string_view bytes) {
+  auto [high, low] = StableHash128(bytes);
+  return fmt::format("{:016x}{:016x}", high, low);
 }
 
 }  // namespace cranberryhill
--- a/cranberryhill/base/hash.h
+++ b/cranberryhill/base/hash.h
@@ -3,6 +3,7 @@
 
 // Hashes that are equal on all instances and in all builds (xxh3).
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -12,6 +13,9 @@
 /// @return The xxh3 hash of `bytes` with `seed`.
 uint64_t StableHash(std::string_view bytes, uint64_t seed = 0);
 
+/// @return The 128-bit xxh3 hash of `bytes`, high half first.
+std::array<uint64_t, 2> StableHash128(std::string_view bytes);
+
 /// @return The 128-bit xxh3 hash of `bytes` as 32 hexadecimal digits.
 std::string StableDigest(std::string_view bytes);
 
--- a/cranberryhill/exchange/exchange.cc
+++ b/cranberryhill/exchange/exchange.cc
@@ -184,6 +184,12 @@
     this->context.retry_budget(this->service).OnRetryCancelled();
 }
 
+/// @return What replicas and other instances get to know of the customer.
+CustomerFields Exchange::ShownCustomer() const {
+  return {this->routes->configuration().customers.has_value(),
+          this->caller_request.customer};
+}
+
 /// @return True if the caller has events of this stream already.
 bool Exchange::HasBegun() const {
   return this->stream_started ||
@@ -326,6 +332,8 @@
                static_cast<int64_t>(
                    this->caller_request.prompt.max_output_tokens))
           .Add("lane", forward::PrefillLaneName(plan.lane))
+          .Add("customer", this->caller_request.customer)
+          .Add("priority", this->caller_request.priority)
           .Add("expected_ms", plan.expected_first_byte)
           .Add("load_age_ms", this->Now() - target.load_received_at)
           .Add("left_ms", fields.time_left)
@@ -338,6 +346,7 @@
     ForwardFields current = fields;
     // Connecting and asking who answers may have taken some time.
     current.time_left = std::min(fields.time_left, this->TimeLeft());
+    current.customer = this->ShownCustomer();
     return http1::SerializeRequest(
         this->context.wire.EncodeForwardedHead(this->request.head, current),
         this->request.body);
--- a/cranberryhill/exchange/exchange.h
+++ b/cranberryhill/exchange/exchange.h
@@ -322,6 +322,7 @@
                     this->context.shutdown_admission.requests_end_at()) -
            this->Now();
   }
+  CustomerFields ShownCustomer() const;
   LogEvent MakeLogEvent(std::string_view name) const;
 
   ExchangeContext& context;
--- a/cranberryhill/exchange/exchange_relay.cc
+++ b/cranberryhill/exchange/exchange_relay.cc
@@ -87,9 +87,10 @@
   http1::SendOptions options{kConnectTimeout,
                              this->request.head.method == "HEAD"};
   this->relay->Start(
-      http1::SerializeRequest(this->context.wire.EncodeRelayedHead(
-                                  this->request.head, this->TimeLeft()),
-                              this->request.body),
+      http1::SerializeRequest(
+          this->context.wire.EncodeRelayedHead(
+              this->request.head, this->TimeLeft(), this->ShownCustomer()),
+          this->request.body),
       options);
   return true;
 }
--- a/cranberryhill/exchange/wire_format.h
+++ b/cranberryhill/exchange/wire_format.h
@@ -13,6 +13,7 @@
 #include "absl/time/time.h"
 #include "cranberryhill/base/engine_role.h"
 #include "cranberryhill/base/result.h"
+#include "cranberryhill/customers/key_index.h"
 #include "cranberryhill/forward/prompt.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/http1/message.h"
@@ -29,9 +30,20 @@
   std::string host;
   std::optional<absl::Duration> time_left;
   forward::PromptDescription prompt;  ///< Empty if not for an engine.
+  customers::Credentials credentials;
   /// Name of the customer that the request's key belongs to. The gateway fills
   /// it in; empty for requests without a key.
   std::string customer;
+  /// The customer's priority, or the one of the route. The gateway fills it in.
+  int priority = 0;
+};
+
+/// What a request shows of its customer beyond the gateway.
+struct CustomerFields {
+  /// The gateway has authenticated the request: the credentials that its caller
+  /// sent are removed.
+  bool is_authenticated = false;
+  std::string customer;  ///< Empty for requests without a key.
 };
 
 /// Header fields that the gateway adds to a request to a replica.
@@ -42,6 +54,7 @@
   bool prefill_only = false;    ///< Run only the prefill and keep its KV cache.
   std::string cache_source;     ///< Where the KV cache of the prompt is kept.
   std::optional<std::string> resume_after_event_id;  ///< Last event relayed.
+  CustomerFields customer;
 };
 
 /// What the status and headers of a replica's answer say.
@@ -100,11 +113,13 @@
 
   /// @param head Head of a caller's request.
   /// @param time_left Until the deadline of the request.
+  /// @param customer Named to the other instance in place of the credentials.
   /// @return The head with which another instance gets the request in place of
   ///     this one.
   virtual http1::RequestHead EncodeRelayedHead(
       const http1::RequestHead& head,
-      absl::Duration time_left) const = 0;
+      absl::Duration time_left,
+      const CustomerFields& customer) const = 0;
 
   /// @param body Body of a successful answer to a prefill-only request.
   /// @return The handle of the KV cache that the engine keeps.
@@ -135,6 +150,10 @@
   virtual http1::AnswerHead MakeGatewayAnswer(
       int status,
       std::optional<absl::Duration> retry_after) const = 0;
+
+  /// @return The head of the answer to a request whose credentials are missing,
+  ///     malformed or unknown.
+  virtual http1::AnswerHead MakeUnauthorizedAnswer() const = 0;
 };
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -354,6 +354,8 @@
                          "");
     return nullptr;
   }
+  if (!this->Authenticate(*route, origin, caller_request.value(), *responder))
+    return nullptr;
   if (origin == RequestOrigin::kPeer) {
     this->metrics.CountDecision("relayed_request");
     this->log.Write(LogEvent("relayed_request")
@@ -367,6 +369,55 @@
   return exchange;
 }
 
+/// Fills in the customer and the priority of a request.
+/// @return False if the request has been answered, because its credentials are
+///     not valid or cannot be checked.
+bool Gateway::Authenticate(const forward::Route& route,
+                           RequestOrigin origin,
+                           CallerRequest& request,
+                           http1::Responder& responder) {
+  request.priority = route.priority;
+  if (!this->keys->is_enabled())
+    return true;
+  auto end = [&](std::string_view outcome, std::string_view reason,
+                 http1::AnswerHead head) {
+    this->metrics.CountOutcome(outcome);
+    this->log.Write(
+        LogEvent("request_ended")
+            .Add("request", request.attempt_id)
+            .Add("route", route.name)
+            .Add("outcome", outcome)
+            .Add("reason", reason)
+            .Add("status", head.status)
+            .Add("configuration", this->routes->configuration().version));
+    responder.SendWhole(std::move(head), "");
+    return false;
+  };
+  bool has_key = request.credentials.kind == customers::Credentials::Kind::kKey;
+  if (has_key && !this->MayUseKeys()) {
+    return end("refused", "keys_may_be_revoked",
+               this->wire.MakeGatewayAnswer(kUnavailable, kRetryAfterNotReady));
+  }
+  customers::Authentication result =
+      origin == RequestOrigin::kPeer
+          ? this->keys->AuthenticateRelayed(request.credentials,
+                                            route.allow_anonymous)
+          : this->keys->Authenticate(request.credentials,
+                                     route.allow_anonymous);
+  if (result.status == customers::AuthenticationStatus::kRejected)
+    return end("unauthorized", "key", this->wire.MakeUnauthorizedAnswer());
+  request.customer = std::move(result.customer);
+  request.priority = result.priority.value_or(route.priority);
+  return true;
+}
+
+/// @return False if keys may have been revoked for longer than the operators
+///     allow an instance not to know of it.
+bool Gateway::MayUseKeys() const {
+  return !this->settings.revocation_limit ||
+         this->store_contact.Age() <= *this->settings.revocation_limit;
+}
+
 void Gateway::OnMalformed(int status, std::string_view reason) {
   this->metrics.CountOutcome("malformed");
   this->log.Write(LogEvent("request_malformed")
@@ -438,8 +489,16 @@
                        uint64_t after,
                        const std::vector<StoreRow>& rows) {
   size_t rank = this->StoreRank();
-  if (this->store_contact.IsPoller(rank))
-    this->peer_link.SendRows(table, era, after, rows, rank);
+  if (!this->store_contact.IsPoller(rank))
+    return;
+  if (table != StoreTable::kConfiguration)
+    return this->peer_link.SendRows(table, era, after, rows, rank);
+  std::vector<StoreRow> shared_rows = rows;
+  for (StoreRow& row : shared_rows) {
+    if (this->codec.IsConfiguration(row) && !row.removed)
+      row.value = this->codec.WithoutKeys(row.value);
+  }
+  this->peer_link.SendRows(table, era, after, shared_rows, rank);
 }
 
 void Gateway::OnStoreCall(StoreTable /*table*/, bool answered) {
@@ -544,12 +603,17 @@
     this->RetryBudgetFor(service.name);
   }
   this->routes = std::make_shared<const forward::RouteTable>(configuration);
+  this->keys = std::make_shared<const customers::KeyIndex>(configuration);
   this->UpdateConnectionShares();
   this->log.Write(
       LogEvent("configuration_in_force")
           .Add("version", version)
           .Add("replaced", current)
-          .Add("routes", static_cast<int64_t>(configuration->routes.size())));
+          .Add("routes", static_cast<int64_t>(configuration->routes.size()))
+          .Add("customers",
+               configuration->customers
+                   ? static_cast<int64_t>(configuration->customers->size())
+                   : 0));
 }
 
 void Gateway::ApplyReplica(const StoreRow& row) {
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "cranberryhill/base/clock.h"
 #include "cranberryhill/base/random.h"
 #include "cranberryhill/base/result.h"
+#include "cranberryhill/customers/key_index.h"
 #include "cranberryhill/exchange/connect_probe.h"
 #include "cranberryhill/exchange/connection_pool.h"
 #include "cranberryhill/exchange/exchange.h"
@@ -156,6 +157,11 @@
       http1::IncomingRequest request,
       std::shared_ptr<http1::Responder> responder,
       RequestOrigin origin);
+  bool Authenticate(const forward::Route& route,
+                    RequestOrigin origin,
+                    CallerRequest& request,
+                    http1::Responder& responder);
+  bool MayUseKeys() const;
   std::vector<std::string> CutOffServices() const;
   void OnConnectFailed(forward::Replica& replica);
   void ProbeCutOffServices();
@@ -214,6 +220,8 @@
   GatewayMetrics metrics;
   ExchangeContext exchange_context;
   std::shared_ptr<const forward::RouteTable> routes;
+  // Built from the configuration of `routes`.
+  std::shared_ptr<const customers::KeyIndex> keys;
   absl::flat_hash_map<std::string,
                       std::unique_ptr<forward::WindowedRetryBudget>>
       retry_budgets;
--- a/cranberryhill/gateway/settings.cc
+++ b/cranberryhill/gateway/settings.cc
@@ -68,6 +68,10 @@
       ReadSeconds(reader, "retry_window_s", settings.retry_bounds.window));
   BOOST_LEAF_ASSIGN(settings.retry_slack,
                     reader.Double("retry_slack", {0, 1e6}, 0));
+  BOOST_LEAF_AUTO(revokes, reader.Bool("revoke_when_partitioned", false));
+  BOOST_LEAF_AUTO(revoke_ms, reader.Int("revoke_ms", {1, 3'600'000}, 5000));
+  if (revokes)
+    settings.revocation_limit = absl::Milliseconds(revoke_ms);
   BOOST_LEAF_AUTO(lines, reader.Int("log_lines_per_s", {1, 1'000'000},
                                     settings.log_lines_per_s));
   settings.log_lines_per_s = static_cast<int>(lines);
--- a/cranberryhill/gateway/settings.h
+++ b/cranberryhill/gateway/settings.h
@@ -4,6 +4,7 @@
 // Settings of a gateway process, read from JSON with comments and validated
 // when parsed.
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,6 +36,9 @@
   /// Retries allowed per window in addition to the ratio, divided among all
   /// instances.
   double retry_slack = 0;
+  /// Longest time without contact with the store, direct or through peers, in
+  /// which requests with keys are served; unset if they always are.
+  std::optional<absl::Duration> revocation_limit;
   int log_lines_per_s = 400;
   /// Memory of this process in megabytes. Bodies of requests and answers may
   /// together use a part of it.
--- a/cranberryhill/gateway/settings_test.cc
+++ b/cranberryhill/gateway/settings_test.cc
@@ -67,5 +67,17 @@
   }
 }
 
+// Guards against keys that are refused during a partition although the
+// operators have not asked for it, and the other way round.
+BOOST_AUTO_TEST_CASE(revocation_limit_needs_the_operators_wish) {
+  auto limit_of = [](std::string_view more) {
+    return ParseSettings(SettingsWith(more)).value().revocation_limit;
+  };
+  BOOST_TEST(!limit_of("").has_value());
+  BOOST_TEST(!limit_of(R"(,"revoke_ms":3000)").has_value());
+  BOOST_TEST((limit_of(R"(,"revoke_ms":3000,"revoke_when_partitioned":true)") ==
+              absl::Milliseconds(3000)));
+}
+
 }  // namespace
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/store/store_codec.h
+++ b/cranberryhill/store/store_codec.h
@@ -115,6 +115,11 @@
 
   virtual Result<forward::Configuration> DecodeConfiguration(
       std::string_view value) const = 0;
+
+  /// @return The value of a configuration row as other instances may get it,
+  ///     with hashes in place of keys; DecodeConfiguration() reads both. Empty
+  ///     if the value cannot be read.
+  virtual std::string WithoutKeys(std::string_view value) const = 0;
 };
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/store/virtual_store_test.h
+++ b/cranberryhill/store/virtual_store_test.h
@@ -105,6 +105,9 @@
       std::string_view) const override {
     return forward::Configuration{};
   }
+  std::string WithoutKeys(std::string_view value) const override {
+    return std::string(value);
+  }
 };
 
 /// Calls the store over a link that carries one byte after the other.
--- a/fuzz/platform_fuzz.cc
+++ b/fuzz/platform_fuzz.cc
@@ -46,6 +46,7 @@
   (void)Capture([&] { return codec.DecodePage(text); });
   (void)Capture([&] { return codec.DecodeReplica({"id", text, 1, false}); });
   (void)Capture([&] { return codec.DecodeConfiguration(text); });
+  codec.WithoutKeys(text);
   platform::PlatformWire wire;
   (void)Capture([&] { return wire.DecodeReport(text); });
   (void)Capture([&] { return wire.DecodeCacheHandle(text); });
