Usage reports and orders of replicas

A deployment may want to know how many requests of each customer ran in each window, and may let the gateway order replicas. Both were missing.

One instance at a time, the holder of a lease, makes these calls. Instances count and send cumulative counts to the holder, which fixes the counts of a window in the store before it reports them. The number of replicas follows the highest need of a longer time; most are spot replicas, with a reserve for the loss of all of one zone. The lease with a gap between two holders is one class now, also used for engine orders.

--- a/cranberryhill/calls/wall_clock.cc
+++ b/cranberryhill/base/wall_clock.cc
@@ -1,4 +1,4 @@
-#include "cranberryhill/calls/wall_clock.h"
+#include "cranberryhill/base/wall_clock.h"
 
 #include "absl/time/clock.h"
 
--- a/cranberryhill/calls/wall_clock.h
+++ b/cranberryhill/base/wall_clock.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYHILL_CALLS_WALL_CLOCK_H_
-#define CRANBERRYHILL_CALLS_WALL_CLOCK_H_
+#ifndef CRANBERRYHILL_BASE_WALL_CLOCK_H_
+#define CRANBERRYHILL_BASE_WALL_CLOCK_H_
 
 // The time of day. It may jump when the system adjusts its clock, so it serves
 // only for timestamps that are compared over hours or days.
@@ -19,4 +19,4 @@
 
 }  // namespace cranberryhill
 
-#endif  // CRANBERRYHILL_CALLS_WALL_CLOCK_H_
+#endif  // CRANBERRYHILL_BASE_WALL_CLOCK_H_
--- a/cranberryhill/exchange/exchange.cc
+++ b/cranberryhill/exchange/exchange.cc
@@ -67,6 +67,7 @@
 
 void Exchange::Start() {
   this->counted_at = this->context.retry_budget(this->service).OnRequest();
+  this->context.observer.OnArrived(this->service);
   if (!this->IsTakeUp())
     return this->SendToNextReplica();
   // The peer finds the version of the stream.
@@ -92,12 +93,14 @@
       return;
     if (this->stream_version)
       this->LogVersionCapacity();
+    this->context.observer.OnRefused(this->service);
     NextOpening opening = this->FindNextOpening();
     return this->EndUnanswered(opening.reason,
                                std::max(kDefaultRetryAfter, opening.wait));
   }
   absl::Duration useful_time = this->UsefulTime();
   if (choice.expected_first_byte > useful_time) {
+    this->context.observer.OnRefused(this->service);
     return this->EndUnanswered(
         "expected_too_late",
         std::max(kDefaultRetryAfter, choice.expected_first_byte - useful_time));
@@ -299,6 +302,8 @@
                        1.0 * this->caller_request.prompt.prompt_tokens,
                        replica->queued.TokensAhead(plan.lane) +
                            replica->peer_queued.TokensAhead(plan.lane)};
+  if (this->is_engine_service && prefill_tokens > 0)
+    this->context.observer.OnPrefill(this->service, plan.prefill_work);
   plan.chosen_at = this->choice.made_at;
   plan.expected_first_byte = this->choice.expected_first_byte;
   plan.first_byte_timeout = this->choice.first_byte_timeout;
--- a/cranberryhill/exchange/exchange.h
+++ b/cranberryhill/exchange/exchange.h
@@ -26,6 +26,7 @@
 #include "cranberryhill/exchange/connection_pool.h"
 #include "cranberryhill/exchange/metrics.h"
 #include "cranberryhill/exchange/replica_send.h"
+#include "cranberryhill/exchange/request_observer.h"
 #include "cranberryhill/exchange/shutdown_admission.h"
 #include "cranberryhill/exchange/wire_format.h"
 #include "cranberryhill/forward/attempt_policy.h"
@@ -98,6 +99,7 @@
       relay_endpoint;
   /// Called when a connection to a replica could not be opened.
   std::function<void(forward::Replica&)> on_connect_failed;
+  RequestObserver& observer;
 };
 
 class Exchange : public http1::ActiveRequest,
@@ -260,6 +262,7 @@
   bool HasTooLargeBody(const ReplicaSend& send) const;
   void OnAnswerTooLarge(ReplicaSend& send, bool replica_is_at_fault);
   void LearnFromFirstEvent(const ReplicaSend& send);
+  void RecordBegan();
   absl::Duration TookAtUsualSpeed(const ReplicaSend& send) const;
   void RecordPossibleCrash(const ReplicaSend& send,
                            forward::AttemptOutcome outcome);
@@ -381,6 +384,7 @@
   // The record of the version of a send was not stored in time.
   bool record_is_late = false;
   absl::Time record_retry_at = absl::InfiniteFuture();
+  bool has_begun_to_run = false;  // The observer knows.
   bool stream_started = false;
   std::optional<std::string> last_event_id;  // Of the events passed on.
   int64_t event_count = 0;
--- a/cranberryhill/exchange/exchange_answer.cc
+++ b/cranberryhill/exchange/exchange_answer.cc
@@ -75,6 +75,9 @@
   this->LearnFromHead(send);
   send.SetRelaysEvents(!send.Plan().prefill_only && IsSuccess(send.Head()) &&
                        send.Info().is_signed && send.Info().is_event_stream);
+  bool answers_run = !send.Plan().prefill_only && !send.Info().not_run;
+  if (answers_run && !send.RelaysEvents())
+    this->RecordBegan();
   if (!send.RelaysEvents() && this->HasTooLargeBody(send))
     this->OnAnswerTooLarge(send, true);
 }
@@ -124,6 +127,7 @@
   // then has stalled.
   if (events.empty())
     return;
+  this->RecordBegan();
   this->GoOnWith(send);
   if (send.RecordEvent())
     this->prompt_read_by.push_back(send.Target()->entry.id);
@@ -137,6 +141,12 @@
   this->PassEventsOn(send, events, count);
 }
 
+/// Tells the observer once that a replica has begun to run the request.
+void Exchange::RecordBegan() {
+  if (!std::exchange(this->has_begun_to_run, true))
+    this->context.observer.OnBegan(this->caller_request.customer);
+}
+
 /// Lets the events of a send pass, unless its software version must be recorded
 /// first.
 /// @param recorded False if it could not be recorded in time.
--- a/cranberryhill/exchange/metrics.cc
+++ b/cranberryhill/exchange/metrics.cc
@@ -58,6 +58,10 @@
                         .Name("cranberryhill_retry_credit")
                         .Help("Retries that a service may send now")
                         .Register(this->registry)),
+      wanted_replicas(prometheus::BuildGauge()
+                          .Name("cranberryhill_wanted_replicas")
+                          .Help("Replicas that a service should have")
+                          .Register(this->registry)),
       first_byte(AddHistogram(this->registry,
                               "cranberryhill_first_byte_seconds",
                               "From the request to the first byte answered")),
@@ -105,6 +109,17 @@
       .Set(value);
 }
 
+void GatewayMetrics::SetWantedReplicas(std::string_view service,
+                                       std::string_view zone,
+                                       std::string_view kind,
+                                       double value) {
+  this->wanted_replicas
+      .Add({{"service", std::string(service)},
+            {"zone", std::string(zone)},
+            {"kind", std::string(kind)}})
+      .Set(value);
+}
+
 void GatewayMetrics::SetRetryCredit(std::string_view service, double credit) {
   this->retry_credits.Add({{"service", std::string(service)}}).Set(credit);
 }
--- a/cranberryhill/exchange/metrics.h
+++ b/cranberryhill/exchange/metrics.h
@@ -41,6 +41,12 @@
                       double value);
 
   /// Sets how many retries a service may send now.
+  /// Sets how many replicas of a kind a service should have in a zone.
+  void SetWantedReplicas(std::string_view service,
+                         std::string_view zone,
+                         std::string_view kind,
+                         double value);
+
   void SetRetryCredit(std::string_view service, double credit);
 
   /// @return All metrics in the Prometheus text format.
@@ -53,6 +59,7 @@
   prometheus::Family<prometheus::Gauge>& gauges;
   prometheus::Family<prometheus::Gauge>& engine_speeds;
   prometheus::Family<prometheus::Gauge>& retry_credits;
+  prometheus::Family<prometheus::Gauge>& wanted_replicas;
   prometheus::Histogram& first_byte;
   prometheus::Histogram& whole_answer;
   prometheus::Histogram& first_byte_error;
--- a/cranberryhill/forward/peer_load_sync.cc
+++ b/cranberryhill/forward/peer_load_sync.cc
@@ -386,6 +386,13 @@
   });
 }
 
+std::vector<std::string> PeerLoadSync::LivePeers() const {
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : this->peers_by_instance)
+    names.push_back(name);
+  return names;
+}
+
 std::string PeerLoadSync::OwnerOf(std::string_view key) const {
   uint64_t seed = StableHash(key);
   auto rank = [seed](std::string_view name) {
--- a/cranberryhill/forward/peer_load_sync.h
+++ b/cranberryhill/forward/peer_load_sync.h
@@ -144,6 +144,9 @@
   ///     last minute that are live.
   double LiveShare() const;
 
+  /// @return The names of the live peers.
+  std::vector<std::string> LivePeers() const;
+
   size_t peers() const { return this->peers_by_instance.size(); }  // NOLINT
 
  private:
--- a/cranberryhill/forward/replica_set.h
+++ b/cranberryhill/forward/replica_set.h
@@ -44,8 +44,6 @@
   /// Start time of the process; 0 if the registry does not have it.
   int64_t started_ms = 0;
   bool is_spot = false;  ///< Cheaper, and may be taken away at short notice.
-  /// Time from the entry's write until the replica is gone, if it names it.
-  std::optional<absl::Duration> leaves_in;
 };
 
 /// The load that a replica reports in an answer.
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -85,6 +85,8 @@
                  GatewaySettings settings,
                  const WireFormat& wire,
                  const StoreCodec& codec,
+                 const duties::DutyCodec& duty_codec,
+                 const Clock& wall_clock,
                  std::string_view readiness_path)
     : io(io),
       clock(clock),
@@ -149,9 +151,8 @@
           [this](std::string_view instance) {
             return this->peer_link.RelayEndpoint(instance);
           },
-          [this](forward::Replica& replica) {
-            this->OnConnectFailed(replica);
-          }},
+          [this](forward::Replica& replica) { this->OnConnectFailed(replica); },
+          this->duties},
       store_contact(clock),
       configuration_follower(StoreTable::kConfiguration,
                              this->MakeStoreClient(),
@@ -232,6 +233,7 @@
                   log,
                   clock,
                   random),
+      duties(this->settings, this->MakeDutyContext(duty_codec, wall_clock)),
       caller_server(io, clock, *this, {}, &this->body_bytes),
       relay_handler(*this),
       relay_server(io, clock, this->relay_handler, {}, &this->body_bytes),
@@ -293,6 +295,29 @@
       this->io, http1::TcpEndpoint(this->settings.store_address), this->clock);
 }
 
+DutyContext Gateway::MakeDutyContext(const duties::DutyCodec& duty_codec,
+                                     const Clock& wall_clock) {
+  return {this->peer_link,
+          this->peer_load_sync,
+          this->replicas,
+          this->engine_speeds,
+          this->control_table,
+          this->codec,
+          duty_codec,
+          this->log,
+          this->clock,
+          wall_clock,
+          this->random,
+          [this] { return this->MakeStoreClient(); },
+          [this]() -> std::unique_ptr<HttpCaller> {
+            boost::asio::ip::tcp::endpoint endpoint;
+            if (this->settings.duty_address.port != 0)
+              endpoint = http1::TcpEndpoint(this->settings.duty_address);
+            return std::make_unique<SerialHttpClient>(this->io, endpoint,
+                                                      this->clock);
+          }};
+}
+
 StoredStreamVersions::Channels Gateway::MakeStreamVersionChannels() const {
   StoredStreamVersions::Channels channels;
   channels.writer = this->MakeStoreClient();
@@ -563,6 +588,10 @@
       .OnPeerRows(message.era, message.after, message.up_to, message.rows);
 }
 
+void Gateway::OnPeerDutyMessage(std::string_view bytes) {
+  this->duties.OnMessage(bytes);
+}
+
 void Gateway::OnPeerPermit(const PermitMessage& message) {
   this->send_permits.OnMessage(message);
 }
@@ -886,8 +915,10 @@
     this->EndNotices();
     this->UpdateStreamVersions();
     this->quarantines.Tick();
-    if (this->ready())
+    if (this->ready()) {
       this->order_dispatcher.Tick(*this->routes, this->peer_load_sync.Rank());
+      this->duties.Tick(*this->routes);
+    }
     this->CheckShutdown();
     this->ScheduleMaintenance();
   });
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -5,7 +5,8 @@
 // callers and forwards them to replicas. All instances run the same program and
 // persist nothing locally; state that must survive a restart is in the store.
 //
-//   Gateway gateway(io, clock, random, log, settings, wire, codec, "/ready");
+//   Gateway gateway(io, clock, random, log, settings, wire, codec, duty_codec,
+//                   wall_clock, "/ready");
 //   BOOST_LEAF_CHECK(gateway.Start());
 //   io.run();
 
@@ -42,6 +43,7 @@
 #include "cranberryhill/forward/replica_notices.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
+#include "cranberryhill/gateway/gateway_duties.h"
 #include "cranberryhill/gateway/gateway_quarantines.h"
 #include "cranberryhill/gateway/gateway_stream_version_fleet.h"
 #include "cranberryhill/gateway/order_dispatcher.h"
@@ -67,6 +69,7 @@
                 public PeerLinkDelegate {
  public:
   /// All references must outlive this object.
+  /// @param wall_clock Time of day; only usage windows depend on it.
   /// @param readiness_path Path that the load balancer polls.
   Gateway(boost::asio::io_context& io,
           const Clock& clock,
@@ -75,6 +78,8 @@
           GatewaySettings settings,
           const WireFormat& wire,
           const StoreCodec& codec,
+          const duties::DutyCodec& duty_codec,
+          const Clock& wall_clock,
           std::string_view readiness_path);
   ~Gateway() override;
 
@@ -124,6 +129,7 @@
   void DescribeStoreContact(forward::LoadMessage& message) const override;
   void OnPeerStoreContact(const forward::LoadMessage& message) override;
   void OnPeerRows(const RowMessage& message) override;
+  void OnPeerDutyMessage(std::string_view bytes) override;
   void OnPeerPermit(const PermitMessage& message) override;
   std::vector<std::string> UnreachableReplicas() const override;
   void OnPeerUnreachable(std::span<const std::string> ids) override;
@@ -167,6 +173,8 @@
   void ProbeCutOffServices();
   void UpdateCutOffServices();
   std::unique_ptr<HttpCaller> MakeStoreClient() const;
+  DutyContext MakeDutyContext(const duties::DutyCodec& duty_codec,
+                              const Clock& wall_clock);
   StoredStreamVersions::Channels MakeStreamVersionChannels() const;
   void ApplyConfiguration(const StoreRow& row);
   void ApplyReplica(const StoreRow& row);
@@ -236,6 +244,7 @@
   GatewayStreamVersionFleet stream_version_fleet;
   StoredStreamVersions stream_versions;
   GatewayQuarantines quarantines;
+  GatewayDuties duties;
   http1::Server caller_server;
   RelayHandler relay_handler;
   http1::Server relay_server;
--- a/cranberryhill/gateway/gateway_pages.cc
+++ b/cranberryhill/gateway/gateway_pages.cc
@@ -113,6 +113,7 @@
                           this->configuration_follower.store_calls() +
                           this->control_table.store_calls() +
                           this->stream_versions.store_calls() +
+                          this->duties.store_calls() +
                           this->service_row_reader.reads()));
   this->metrics.SetGauge(
       "stream_versions_written",
@@ -129,6 +130,7 @@
                          static_cast<double>(this->stream_versions.unknown()));
   this->metrics.SetGauge(
       "orders", static_cast<double>(this->order_dispatcher.orders_sent()));
+  this->duties.AddTo(this->metrics);
   this->metrics.SetGauge("peers",
                          static_cast<double>(this->peer_load_sync.peers()));
   for (const auto& [service, retry_budget] : this->retry_budgets)
--- a/cranberryhill/gateway/order_dispatcher.cc
+++ b/cranberryhill/gateway/order_dispatcher.cc
@@ -12,49 +12,20 @@
 namespace {
 
 constexpr char kLeaseKey[] = "lease/orders";
-/// The lease is released when no order has been due for this long. Orders come
-/// in groups because the replicas of a service are replaced one after the
-/// other.
-constexpr absl::Duration kReleaseAfterIdle = absl::Seconds(4);
-/// The lease is acquired only while an order is due, so its term is short.
-constexpr absl::Duration kTerm = absl::Seconds(5);
-constexpr absl::Duration kRenewInterval = absl::Seconds(2);
-/// All instances detect at the same time that a role must change. Each waits
-/// for a random part of this time, so that one of them writes first and the
-/// others see its row.
-constexpr absl::Duration kAcquireJitter = absl::Seconds(1);
-/// Instances try to acquire the lease in groups of this size, in order of their
-/// ranks. Each group waits this much longer than the one before, so that it
-/// tries only if the earlier ones cannot reach the store: every failed attempt
-/// costs a call.
-constexpr size_t kCandidatesPerGroup = 3;
-constexpr absl::Duration kCandidateGroupDelay = absl::Seconds(5);
-constexpr size_t kMaxCandidateGroup = 5;
-constexpr absl::Duration kPollInterval = absl::Milliseconds(500);
-/// An order is sent only if the lease is valid for at least this long. An order
-/// arrives within this time or not at all: connecting times out after 300 ms
-/// and the request fits in one packet.
-constexpr absl::Duration kOrderDeliveryTime = absl::Seconds(1);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
 /// Timeout of one role change command. A suspended engine keeps its connections
 /// open without answering, and the next order must not wait for it.
 constexpr absl::Duration kCommandTimeout = absl::Seconds(2);
 
-constexpr uint64_t kFencingNumbersPerEra = 1'000'000;
-
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 
-/// @param era Of the store. A store that was restored may have lost rows with
-///     fencing numbers that were used; those of a new era are higher.
-LeaseSettings MakeLeaseSettings(const std::string& instance, uint64_t era) {
-  LeaseSettings settings;
+HandoverLeaseSettings MakeLeaseSettings(std::string instance,
+                                        absl::Duration handover_gap) {
+  HandoverLeaseSettings settings;
   settings.key = kLeaseKey;
-  settings.holder = instance;
-  settings.term = kTerm;
-  settings.renew_interval = kRenewInterval;
-  settings.poll_interval = kPollInterval;
-  settings.min_fencing_number = era * kFencingNumbersPerEra + 1;
+  settings.holder = std::move(instance);
+  settings.handover_gap = handover_gap;
   return settings;
 }
 
@@ -107,8 +78,8 @@
         [&] { return this->dispatcher.wire.DecodeReport(answer.body); });
     bool usable = answer.status == kOk && report.ok() && !report.value().busy;
     // Checks the lease again immediately before the order is sent.
-    auto grant = this->dispatcher.lease->Grant();
-    if (!usable || !grant || !this->dispatcher.MayOrder())
+    auto grant = this->dispatcher.lease.GrantToAct();
+    if (!usable || !grant)
       return this->End(answer, false, usable ? "lease_lost" : answer.reason);
     RoleOrder order{this->change.replica, this->change.role,
                     this->dispatcher.instance, grant->fencing_number,
@@ -176,72 +147,33 @@
                                  Random& random)
     : io(io),
       instance(std::move(instance)),
-      handover_gap(handover_gap),
       replicas(replicas),
       send_permits(send_permits),
       replica_notices(replica_notices),
       wire(wire),
       log(log),
       clock(clock),
-      random(random),
       table(table),
-      lease(std::make_unique<LeaseManager>(MakeLeaseSettings(this->instance, 0),
-                                           table,
-                                           clock,
-                                           random)),
-      needed_at(clock.Now()) {}
+      lease(MakeLeaseSettings(this->instance, handover_gap),
+            table,
+            clock,
+            random) {}
 
 OrderDispatcher::~OrderDispatcher() = default;
 
-bool OrderDispatcher::MayOrder() const {
-  auto grant = this->lease->Grant();
-  if (!grant)
-    return false;
-  absl::Time now = this->clock.Now();
-  return now - this->other_holder_ended_at >= this->handover_gap &&
-         grant->valid_until - now >= kOrderDeliveryTime;
-}
-
-void OrderDispatcher::ResetLease() {
-  this->lease = std::make_unique<LeaseManager>(
-      MakeLeaseSettings(this->instance, this->era), this->table, this->clock,
-      this->random);
-  this->holds_lease = false;
-}
-
-/// Gives up the lease when the store has been restored: its row may be lost,
-/// and so may be that of another holder.
-void OrderDispatcher::ObserveEra() {
-  if (this->table.era() == this->era)
-    return;
-  bool is_first = this->era == 0;
-  this->era = this->table.era();
-  this->ResetLease();
-  if (is_first)
-    return;
-  this->row_version = kAbsentVersion;
-  this->other_holder_ended_at = this->clock.Now() + kTerm;
-  this->log.Write(LogEvent("order_lease_reset").Add("era", this->era));
-}
-
-/// Records until when the previous lease holder may still send orders.
-void OrderDispatcher::ObserveLeaseRow() {
+/// Takes over what the control table says about the lease.
+void OrderDispatcher::ObserveLease() {
+  if (this->lease.ObserveEra(this->table.era())) {
+    this->log.Write(
+        LogEvent("order_lease_reset").Add("era", this->table.era()));
+  }
   auto row = this->table.rows().find(kLeaseKey);
-  if (row == this->table.rows().end() ||
-      row->second.version == this->row_version)
-    return;
-  this->row_version = row->second.version;
-  auto record = ParseLeaseRecord(row->second.value);
-  if (record.ok() && record.value().holder == this->instance)
-    return;
-  bool released = record.ok() && record.value().released;
-  this->other_holder_ended_at =
-      this->clock.Now() + (released ? absl::ZeroDuration() : kTerm);
+  if (row != this->table.rows().end())
+    this->lease.ObserveRow(row->second.version, row->second.value);
 }
 
 void OrderDispatcher::Tick(const forward::RouteTable& routes, size_t rank) {
-  this->ObserveEra();
-  this->ObserveLeaseRow();
+  this->ObserveLease();
   bool needed = false;
   for (const std::string& engine : this->ChangingEngines())
     this->replicas.OnRoleChanging(engine);
@@ -256,7 +188,7 @@
     if (!role_balancer.NeedsChange(engines))
       continue;
     needed = true;
-    if (!this->MayOrder())
+    if (!this->lease.GrantToAct())
       continue;
     while (auto change = role_balancer.NextChange(engines))
       this->StartRoleChange(service.name, *change);
@@ -265,39 +197,23 @@
 }
 
 /// Acquires the lease while orders are due and releases it some time
-/// afterwards, so that the next holder need not wait until it expires.
+/// afterwards.
 void OrderDispatcher::UpdateLease(bool needed, size_t rank) {
-  absl::Time now = this->clock.Now();
-  if (needed)
-    this->needed_at = now;
-  if (!needed) {
-    this->acquire_from = absl::InfiniteFuture();
-  } else if (this->acquire_from == absl::InfiniteFuture()) {
-    this->acquire_from = now + kAcquireJitter * this->random.UniformDouble() +
-                         kCandidateGroupDelay * static_cast<double>(std::min(
-                                                    rank / kCandidatesPerGroup,
-                                                    kMaxCandidateGroup));
-  }
-  bool unused = now - this->needed_at > kReleaseAfterIdle;
-  if (this->holds_lease && unused)
-    this->lease->Release();
-  if (this->holds_lease || now >= this->acquire_from)
-    this->lease->Tick();
-  if (this->lease->released()) {
-    this->ResetLease();
-    this->log.Write(LogEvent("order_lease_released"));
-    return;
-  }
-  auto grant = this->lease->Grant();
-  if (grant && !this->holds_lease) {
-    this->holds_lease = true;
-    this->log.Write(
-        LogEvent("order_lease_held")
-            .Add("fencing_token", grant->fencing_number)
-            .Add("others_quiet_ms", now - this->other_holder_ended_at));
-  } else if (!grant && this->holds_lease && !unused) {
-    this->holds_lease = false;
-    this->log.Write(LogEvent("order_lease_lost"));
+  switch (this->lease.Tick(needed, rank)) {
+    case LeaseChange::kNone:
+      return;
+    case LeaseChange::kReleased:
+      this->log.Write(LogEvent("order_lease_released"));
+      return;
+    case LeaseChange::kLost:
+      this->log.Write(LogEvent("order_lease_lost"));
+      return;
+    case LeaseChange::kAcquired:
+      this->log.Write(
+          LogEvent("order_lease_held")
+              .Add("fencing_token", this->lease.Grant()->fencing_number)
+              .Add("others_quiet_ms", this->lease.TimeSinceOtherHolder()));
+      return;
   }
 }
 
--- a/cranberryhill/gateway/order_dispatcher.h
+++ b/cranberryhill/gateway/order_dispatcher.h
@@ -18,7 +18,7 @@
 #include "cranberryhill/forward/replica_notices.h"
 #include "cranberryhill/forward/replica_set.h"
 #include "cranberryhill/forward/role_balancer.h"
-#include "cranberryhill/lease/lease_manager.h"
+#include "cranberryhill/lease/handover_lease.h"
 #include "cranberryhill/peers/send_permits.h"
 #include "cranberryhill/store/control_table.h"
 #include "cranberryhill/store/event_log.h"
@@ -57,10 +57,7 @@
  private:
   class RoleChangeCommand;
 
-  bool MayOrder() const;
-  void ObserveLeaseRow();
-  void ObserveEra();
-  void ResetLease();
+  void ObserveLease();
   void UpdateLease(bool needed, size_t rank);
   void StartRoleChange(const std::string& service,
                        const forward::RoleChange& change);
@@ -69,23 +66,14 @@
 
   boost::asio::io_context& io;
   const std::string instance;
-  const absl::Duration handover_gap;
   forward::ReplicaSet& replicas;
   SendPermits& send_permits;
   forward::ReplicaNotices& replica_notices;
   const WireFormat& wire;
   EventLog& log;
   const Clock& clock;
-  Random& random;
   ControlTable& table;
-  std::unique_ptr<LeaseManager> lease;
-  bool holds_lease = false;
-  absl::Time needed_at;  // When a change was last due.
-  uint64_t row_version = kAbsentVersion;
-  uint64_t era = 0;  // Of the control table.
-  // By this time the previous holder can no longer send orders.
-  absl::Time other_holder_ended_at = absl::InfinitePast();
-  absl::Time acquire_from = absl::InfiniteFuture();
+  HandoverLease lease;
   std::map<std::string, forward::RoleBalancer> role_balancers;
   std::map<RoleChangeCommand*, std::unique_ptr<RoleChangeCommand>> commands;
   uint64_t order_count = 0;
--- a/cranberryhill/gateway/peer_link.cc
+++ b/cranberryhill/gateway/peer_link.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "cranberryhill/base/hash.h"
+#include "cranberryhill/duties/duty_message.h"
 
 namespace cranberryhill::gateway {
 namespace {
@@ -185,6 +186,8 @@
       return log_unreadable(permit.error());
     return this->delegate.OnPeerPermit(permit.value());
   }
+  if (duties::IsDutyReport(bytes) || duties::IsDutyNotice(bytes))
+    return this->delegate.OnPeerDutyMessage(bytes);
   auto decoded = Capture([&] { return forward::DecodeLoadMessage(bytes); });
   if (!decoded.ok())
     return log_unreadable(decoded.error());
@@ -262,9 +265,14 @@
 
 void PeerLink::SendPermitMessage(std::string_view instance,
                                  const PermitMessage& message) {
+  this->SendToInstance(instance, EncodePermitMessage(message));
+}
+
+void PeerLink::SendToInstance(std::string_view instance,
+                              std::string_view bytes) {
   auto found = this->endpoint_by_instance.find(instance);
   if (found != this->endpoint_by_instance.end())
-    this->SendTo(EncodePermitMessage(message), found->second);
+    this->SendTo(bytes, found->second);
 }
 
 void PeerLink::SendPartialUpdateSoon() {
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -51,6 +51,9 @@
   /// Called with rows that a peer has received from the store.
   virtual void OnPeerRows(const RowMessage& message) = 0;
 
+  /// Called with a message about the duties of one instance for all.
+  virtual void OnPeerDutyMessage(std::string_view bytes) = 0;
+
   /// Called with a message about permits.
   virtual void OnPeerPermit(const PermitMessage& message) = 0;
 
@@ -111,6 +114,12 @@
   void SendPermitMessage(std::string_view instance,
                          const PermitMessage& message) override;
 
+  /// Sends a message to a live instance, if its address is known.
+  void SendToInstance(std::string_view instance, std::string_view bytes);
+
+  /// Sends a message to all peers.
+  void SendToPeers(std::string_view bytes);
+
   /// @return The address at which the live instance accepts the requests of its
   ///     peers, if it is known.
   std::optional<boost::asio::ip::tcp::endpoint> RelayEndpoint(
@@ -124,7 +133,6 @@
   void SendFullUpdate();
   void SendPartialUpdate();
   void Send(const forward::LoadMessage& message);
-  void SendToPeers(std::string_view bytes);
   void SendTo(std::string_view bytes,
               const boost::asio::ip::udp::endpoint& peer);
   void ForwardRows(RowMessage message);
--- a/cranberryhill/gateway/settings.cc
+++ b/cranberryhill/gateway/settings.cc
@@ -49,6 +49,14 @@
                     ReadAddress(reader, "peer_address", ""));
   BOOST_LEAF_ASSIGN(settings.store_address,
                     ReadAddress(reader, "store_address"));
+  BOOST_LEAF_ASSIGN(settings.duty_address,
+                    ReadAddress(reader, "duty_address", ""));
+  if (json.contains("usage_window_s")) {
+    BOOST_LEAF_ASSIGN(settings.usage_window,
+                      ReadSeconds(reader, "usage_window_s", absl::Seconds(5)));
+  }
+  BOOST_LEAF_ASSIGN(settings.usage_late,
+                    ReadSeconds(reader, "usage_late_s", settings.usage_late));
   BOOST_LEAF_ASSIGN(settings.shutdown_time,
                     ReadSeconds(reader, "shutdown_s", settings.shutdown_time));
   BOOST_LEAF_AUTO(
--- a/cranberryhill/gateway/settings.h
+++ b/cranberryhill/gateway/settings.h
@@ -27,6 +27,12 @@
   Endpoint peer_address;  ///< Receives datagrams of other instances; port 0 if
                           ///< not configured.
   Endpoint store_address;
+  /// Takes the calls that one instance makes for all; port 0 if there is none.
+  Endpoint duty_address;
+  /// Length of the windows in which usage is reported; unset if it is not.
+  std::optional<absl::Duration> usage_window;
+  /// Time after the end of a window by which its usage must be reported.
+  absl::Duration usage_late = absl::Seconds(10);
   absl::Duration shutdown_time = absl::Seconds(8);
   /// Minimum time between the orders of two lease holders.
   absl::Duration order_handover_gap = absl::Seconds(3);
--- a/cranberryhill/lease/handover_lease.cc
+++ b/cranberryhill/lease/handover_lease.cc
@@ -88,6 +88,7 @@
   auto record = ParseLeaseRecord(value);
   if (!record.ok())
     return this->ObserveForeignRecord({});
+  this->observed_nonce = record.value().nonce;
   if (record.value().holder != this->settings.holder)
     this->ObserveForeignRecord(record.value());
 }
--- /dev/null
+++ b/cranberryhill/scaling/replica_planner.cc
@@ -0,0 +1,331 @@
+#include "cranberryhill/scaling/replica_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+namespace cranberryhill::scaling {
+namespace {
+
+/// Share of the replicas' capacity that is used. At one half, a request waits
+/// on average about as long as another one takes (the wait in an M/M/1 queue),
+/// and half as much load again finds room without a new replica.
+constexpr double kTargetUtilization = 0.5;
+/// Part of the replicas that the demand needs that cannot be taken away, so
+/// that a service goes on, slowly, when the platform takes all the others.
+constexpr double kOnDemandShare = 0.25;
+/// The number of replicas follows the highest need within this many times the
+/// time that a replica takes to start, and at least within the time below: a
+/// replica that is given back too early is missing for one such time.
+constexpr double kLookBackBootTimes = 3;
+constexpr absl::Duration kMinLookBack = absl::Seconds(12);
+/// The part of the surplus that is given back at once, and the pause before the
+/// next part, in boot times.
+constexpr double kShrinkStep = 0.34;
+constexpr double kShrinkPauseBootTimes = 0.5;
+/// Fewer replicas than this share are not worth a call to give them back.
+constexpr double kMinShrinkShare = 0.08;
+/// Growth by less would cost a call each second while the demand rises.
+constexpr double kSmallestGrowth = 1.08;
+/// Refusals of more than this share of the requests show that the need is
+/// higher than the work that was served says.
+constexpr double kNotableRefusals = 0.01;
+constexpr double kGrowthWhenRefusing = 1.25;
+/// A kind of replicas is not asked for again for so long after the platform had
+/// none. It takes them away for about ten seconds.
+constexpr absl::Duration kUnavailableFor = absl::Seconds(8);
+/// Replicas of one kind are given back when this share of those of the other
+/// kind that replace them serve.
+constexpr double kMostlyThere = 0.9;
+/// An order is repeated if it has not been met after this many boot times.
+constexpr double kRepeatAfterBootTimes = 3;
+constexpr absl::Duration kMinRepeatInterval = absl::Seconds(6);
+/// Weight of a new observation in the moving average of the arrivals.
+constexpr double kArrivalsWeight = 0.1;
+/// A service of engines with roles needs one of each role in a zone.
+constexpr int kMinReplicasPerZone = 2;
+
+constexpr ReplicaKind kKinds[] = {ReplicaKind::kOnDemand, ReplicaKind::kSpot};
+
+int Sum(const ZoneCounts& counts, ReplicaKind kind) {
+  int sum = 0;
+  for (const auto& [zone, count] : counts)
+    sum += count.Of(kind);
+  return sum;
+}
+
+int Total(const ZoneCounts& counts) {
+  return Sum(counts, ReplicaKind::kOnDemand) + Sum(counts, ReplicaKind::kSpot);
+}
+
+}  // namespace
+
+ReplicaPlanner::ReplicaPlanner(forward::ScalingConfig config,
+                               const Clock& clock)
+    : config(std::move(config)), clock(clock) {}
+
+void ReplicaPlanner::SetConfig(forward::ScalingConfig config) {
+  this->config = std::move(config);
+}
+
+bool ReplicaPlanner::IsAvailable(const std::string& zone,
+                                 ReplicaKind kind) const {
+  auto found = this->unavailable_until.find({zone, kind});
+  return found == this->unavailable_until.end() ||
+         found->second <= this->clock.Now();
+}
+
+void ReplicaPlanner::Observe(const ServiceObservation& observation) {
+  // A kind that vanishes from a zone has been taken away there.
+  for (const auto& [zone, before] : this->last.registered) {
+    auto now = observation.registered.find(zone);
+    int spot = now == observation.registered.end() ? 0 : now->second.spot;
+    if (before.spot > 0 && spot == 0 && this->wanted_counts[zone].spot > 0) {
+      this->unavailable_until[{zone, ReplicaKind::kSpot}] =
+          this->clock.Now() + kUnavailableFor;
+    }
+  }
+  this->last = observation;
+  for (const auto& [zone, price] : this->config.zone_prices) {
+    auto arrived = observation.arrivals.find(zone);
+    double arrivals =
+        arrived == observation.arrivals.end() ? 0 : arrived->second;
+    double& average = this->arrivals_by_zone[zone];
+    average += kArrivalsWeight * (arrivals - average);
+  }
+  this->UpdateNeed(observation);
+  std::vector<Target> unavailable = this->Unavailable();
+  if (this->planned_total == this->wanted_total &&
+      unavailable == this->wanted_without)
+    return;
+  this->wanted_total = this->planned_total;
+  this->wanted_without = std::move(unavailable);
+  this->wanted_counts = this->Plan(this->planned_total);
+}
+
+ReplicaCounts ReplicaPlanner::Registered(const std::string& zone) const {
+  auto found = this->last.registered.find(zone);
+  return found == this->last.registered.end() ? ReplicaCounts{} : found->second;
+}
+
+std::vector<ReplicaPlanner::Target> ReplicaPlanner::Unavailable() const {
+  std::vector<Target> targets;
+  for (const auto& [target, until] : this->unavailable_until) {
+    if (until > this->clock.Now())
+      targets.push_back(target);
+  }
+  return targets;
+}
+
+/// Updates how many replicas the demand needs.
+void ReplicaPlanner::UpdateNeed(const ServiceObservation& observation) {
+  absl::Time now = this->clock.Now();
+  int registered = Total(observation.registered);
+  if (this->planned_total == 0) {
+    // Some of the spot replicas are the reserve for the loss of others.
+    double zones = std::max<double>(2, this->config.zone_prices.size());
+    int spot = Sum(observation.registered, ReplicaKind::kSpot);
+    this->planned_total =
+        registered - static_cast<int>(std::floor(spot / zones));
+  }
+  if (!observation.load_is_known)
+    return;
+  this->load_known_since = std::min(this->load_known_since, now);
+  double need = observation.busy_replicas / kTargetUtilization;
+  if (observation.refused_share > kNotableRefusals)
+    need = std::max(need, kGrowthWhenRefusing * registered);
+  this->needs.push_back({now, need});
+  absl::Duration look_back =
+      std::max(kMinLookBack, this->config.boot_time * kLookBackBootTimes);
+  while (this->needs.front().at < now - look_back)
+    this->needs.pop_front();
+  int needed = this->NeededReplicas();
+  if (needed >= this->planned_total) {
+    if (needed > this->planned_total) {
+      this->planned_total = std::max(
+          needed,
+          static_cast<int>(std::ceil(this->planned_total * kSmallestGrowth)));
+    }
+    return;
+  }
+  int surplus = this->planned_total - needed;
+  if (now - this->load_known_since < look_back ||
+      now - this->shrunk_at < this->config.boot_time * kShrinkPauseBootTimes ||
+      surplus < kMinShrinkShare * this->planned_total)
+    return;
+  this->shrunk_at = now;
+  this->planned_total -=
+      std::max(1, static_cast<int>(std::ceil(surplus * kShrinkStep)));
+}
+
+/// @return The highest need within the time that is looked back.
+int ReplicaPlanner::NeededReplicas() const {
+  double highest = 0;
+  for (const Need& need : this->needs)
+    highest = std::max(highest, need.replicas);
+  int zones = static_cast<int>(this->config.zone_prices.size());
+  return std::max(static_cast<int>(std::ceil(highest)),
+                  kMinReplicasPerZone * zones);
+}
+
+/// @return The share of the replicas that each zone should have, by the
+///     requests that arrive there.
+std::map<std::string, double> ReplicaPlanner::ZoneShares() const {
+  std::map<std::string, double> shares;
+  double sum = 0;
+  for (const auto& [zone, price] : this->config.zone_prices) {
+    auto found = this->arrivals_by_zone.find(zone);
+    shares[zone] = found == this->arrivals_by_zone.end() ? 0 : found->second;
+    sum += shares[zone];
+  }
+  for (auto& [zone, share] : shares) {
+    share = sum > 0
+                ? share / sum
+                : 1.0 / static_cast<double>(this->config.zone_prices.size());
+  }
+  return shares;
+}
+
+/// Adds so many replicas of a kind to the plan, by the shares of the zones that
+/// have room.
+void ReplicaPlanner::Distribute(int count,
+                                ReplicaKind kind,
+                                PlanZones zones,
+                                ZoneCounts& plan) const {
+  std::map<std::string, double> shares = this->ZoneShares();
+  std::map<std::string, double> missing;
+  for (const auto& [zone, share] : shares) {
+    if (zones == PlanZones::kAll || this->IsAvailable(zone, kind))
+      missing[zone] = share * count;
+  }
+  // One after the other to the zone that lacks most of its share.
+  for (int i = 0; i < count; ++i) {
+    auto best = missing.end();
+    for (auto zone = missing.begin(); zone != missing.end(); ++zone) {
+      bool has_room = plan[zone->first].Total() < this->config.max_replicas;
+      if (has_room && (best == missing.end() || zone->second > best->second))
+        best = zone;
+    }
+    if (best == missing.end())
+      return;
+    best->second -= 1;
+    ++plan[best->first].Of(kind);
+  }
+}
+
+/// @return How many of the planned replicas there are or can be had now.
+int ReplicaPlanner::ObtainableReplicas(const ZoneCounts& plan) const {
+  int sum = 0;
+  for (const auto& [zone, counts] : plan) {
+    for (ReplicaKind kind : kKinds) {
+      int count = counts.Of(kind);
+      sum += this->IsAvailable(zone, kind)
+                 ? count
+                 : std::min(count, this->Registered(zone).Of(kind));
+    }
+  }
+  return sum;
+}
+
+/// @return The counts at which the loss of all spot replicas of one zone leaves
+///     `needed` replicas.
+ZoneCounts ReplicaPlanner::Plan(int needed) const {
+  ZoneCounts plan;
+  int zones = static_cast<int>(this->config.zone_prices.size());
+  // With one zone, all spot replicas may be lost at once.
+  double with_reserve =
+      zones > 1 ? static_cast<double>(zones) / (zones - 1) : 0;
+  bool spot_pays = zones > 1 && this->config.spot_price * with_reserve < 1;
+  int on_demand = needed;
+  if (spot_pays) {
+    on_demand = std::min(
+        needed,
+        std::max(zones, static_cast<int>(std::ceil(needed * kOnDemandShare))));
+  }
+  this->Distribute(on_demand, ReplicaKind::kOnDemand, PlanZones::kAll, plan);
+  if (spot_pays) {
+    int spot = static_cast<int>(std::ceil((needed - on_demand) * with_reserve));
+    this->Distribute(spot, ReplicaKind::kSpot, PlanZones::kAll, plan);
+  }
+  for (const auto& [zone, price] : this->config.zone_prices) {
+    ReplicaCounts& counts = plan[zone];
+    counts.on_demand += std::max(0, this->config.min_replicas - counts.Total());
+  }
+  // While some cannot be had, others take their place as far as the present
+  // demand needs them; there is no reserve then.
+  for (ReplicaKind kind : {ReplicaKind::kSpot, ReplicaKind::kOnDemand}) {
+    int missing = needed - this->ObtainableReplicas(plan);
+    if (missing > 0 && (spot_pays || kind == ReplicaKind::kOnDemand))
+      this->Distribute(missing, kind, PlanZones::kAvailable, plan);
+  }
+  return plan;
+}
+
+/// @return What to order now on the way to `target`: replicas are given back
+///     only when those that replace them serve, and both kinds together must
+///     not exceed the limit of the zone.
+ReplicaCounts ReplicaPlanner::NextStep(const std::string& zone,
+                                       const ReplicaCounts& target) const {
+  ReplicaCounts registered = this->Registered(zone);
+  ReplicaCounts step = target;
+  for (ReplicaKind kind : kKinds) {
+    ReplicaKind other = kind == ReplicaKind::kSpot ? ReplicaKind::kOnDemand
+                                                   : ReplicaKind::kSpot;
+    // A few may be missing because they have crashed.
+    bool others_are_missing =
+        registered.Of(other) < kMostlyThere * target.Of(other);
+    if (others_are_missing)
+      step.Of(kind) = std::max(target.Of(kind), registered.Of(kind));
+  }
+  for (ReplicaKind kind : kKinds) {
+    // Those that would have to start wait for room.
+    int excess = std::max(0, step.Total() - this->config.max_replicas);
+    int growth = std::max(0, step.Of(kind) - registered.Of(kind));
+    step.Of(kind) -= std::min(growth, excess);
+  }
+  return step;
+}
+
+std::vector<ReplicaOrder> ReplicaPlanner::DueOrders() {
+  std::vector<ReplicaOrder> due;
+  absl::Time now = this->clock.Now();
+  absl::Duration repeat_after = std::max(
+      kMinRepeatInterval, this->config.boot_time * kRepeatAfterBootTimes);
+  for (const auto& [zone, target] : this->wanted_counts) {
+    ReplicaCounts step = this->NextStep(zone, target);
+    ReplicaCounts registered = this->Registered(zone);
+    for (ReplicaKind kind : kKinds) {
+      int count = step.Of(kind);
+      auto known = this->ordered.find({zone, kind});
+      bool grows = count > registered.Of(kind);
+      if (grows && !this->IsAvailable(zone, kind))
+        continue;
+      bool is_new = known == this->ordered.end() ? count != registered.Of(kind)
+                                                 : count != known->second.count;
+      bool is_unmet = known != this->ordered.end() &&
+                      count != registered.Of(kind) &&
+                      now - known->second.at >= repeat_after;
+      if (is_new || is_unmet)
+        due.push_back({zone, kind, count});
+    }
+  }
+  return due;
+}
+
+void ReplicaPlanner::OnAccepted(const ReplicaOrder& order) {
+  this->ordered[{order.zone, order.kind}] = {order.count, this->clock.Now()};
+}
+
+void ReplicaPlanner::OnUnavailable(const ReplicaOrder& order) {
+  this->unavailable_until[{order.zone, order.kind}] =
+      this->clock.Now() + kUnavailableFor;
+  this->ordered.erase({order.zone, order.kind});
+}
+
+void ReplicaPlanner::OnFailed(const ReplicaOrder& order) {
+  // It may have taken effect; it is sent again, as it is absolute.
+  this->ordered.erase({order.zone, order.kind});
+}
+
+}  // namespace cranberryhill::scaling
--- a/cranberryhill/store/store_codec.cc
+++ b/cranberryhill/store/store_codec.cc
@@ -12,6 +12,8 @@
       return "control";
     case StoreTable::kStreamVersions:
       return "stream_versions";
+    case StoreTable::kDuties:
+      return "duties";
   }
   return "unknown";
 }
--- a/cranberryhill/store/store_codec.h
+++ b/cranberryhill/store/store_codec.h
@@ -26,6 +26,8 @@
                     ///< engine orders and the versions of services.
   kStreamVersions,  ///< Written by the gateway: the versions at which streams
                     ///< began.
+  kDuties,          ///< Written by the gateway: the lease for calls that one
+                    ///< instance makes for all, and what it has decided.
 };
 
 /// Where rows are kept. The store performs the transactions of one part of a
--- /dev/null
+++ b/cranberryhill/usage/usage_collector.cc
@@ -0,0 +1,84 @@
+#include "cranberryhill/usage/usage_collector.h"
+
+#include <algorithm>
+
+namespace cranberryhill::usage {
+
+bool UsageCollector::ProcessCounts::IsComplete() const {
+  uint64_t sum = 0;
+  for (const auto& [customer, count] : this->counts)
+    sum += count;
+  return this->is_final && sum >= this->total;
+}
+
+void UsageCollector::Merge(std::string_view instance,
+                           uint64_t incarnation,
+                           int64_t first_window,
+                           std::span<const WindowCounts> merged) {
+  this->first_windows[std::string(instance)] = first_window;
+  for (const WindowCounts& window : merged) {
+    if (window.window <= this->decided)
+      continue;
+    ProcessCounts& process =
+        this->windows[window.window][{std::string(instance), incarnation}];
+    process.is_final = process.is_final || window.is_final;
+    process.total = std::max(process.total, window.total);
+    for (const auto& [customer, count] : window.counts) {
+      uint64_t& known = process.counts[customer];
+      known = std::max(known, count);
+    }
+  }
+}
+
+WindowState UsageCollector::StateOf(int64_t window,
+                                    absl::Time true_time,
+                                    std::span<const std::string> live) const {
+  absl::Time end = EndOf(window, this->settings.window_length);
+  if (true_time < end)
+    return WindowState::kOpen;
+  bool waits = true_time < end + this->settings.longest_wait;
+  auto found = this->windows.find(window);
+  if (found == this->windows.end())
+    return waits ? WindowState::kOpen : WindowState::kUnknown;
+  bool has_all =
+      std::all_of(live.begin(), live.end(), [&](const std::string& instance) {
+        return this->HasAllOf(instance, window, found->second);
+      });
+  return has_all || !waits ? WindowState::kReady : WindowState::kOpen;
+}
+
+bool UsageCollector::HasAllOf(const std::string& instance,
+                              int64_t window,
+                              const Processes& processes) const {
+  auto started = this->first_windows.find(instance);
+  if (started != this->first_windows.end() && started->second > window)
+    return true;
+  // Of a process that has been replaced by another one nothing more will come.
+  for (auto process = processes.lower_bound({instance, 0});
+       process != processes.end() && process->first.first == instance;
+       ++process) {
+    if (process->second.IsComplete())
+      return true;
+  }
+  return false;
+}
+
+CustomerCounts UsageCollector::Sum(int64_t window) const {
+  CustomerCounts sum;
+  auto found = this->windows.find(window);
+  if (found == this->windows.end())
+    return sum;
+  for (const auto& [process, counted] : found->second) {
+    for (const auto& [customer, count] : counted.counts)
+      sum[customer] += count;
+  }
+  return sum;
+}
+
+void UsageCollector::OnDecided(int64_t window) {
+  this->decided = std::max(this->decided, window);
+  this->windows.erase(this->windows.begin(),
+                      this->windows.upper_bound(this->decided));
+}
+
+}  // namespace cranberryhill::usage
--- a/programs/cranberryhill_gateway.cc
+++ b/programs/cranberryhill_gateway.cc
@@ -14,7 +14,9 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "cranberryhill/base/log.h"
+#include "cranberryhill/base/wall_clock.h"
 #include "cranberryhill/gateway/gateway.h"
+#include "platform/duty_codec.h"
 #include "platform/names.h"
 #include "platform/store_codec.h"
 #include "platform/wire.h"
@@ -75,8 +77,10 @@
   StdoutEventLog log(clock, settings.log_lines_per_s);
   platform::PlatformWire wire;
   platform::PlatformStoreCodec codec(EndpointText(settings.store_address));
+  platform::PlatformDutyCodec duty_codec(EndpointText(settings.duty_address));
+  WallClock wall_clock;
   Gateway gateway(io, clock, random, log, std::move(settings), wire, codec,
-                  platform::kReadinessPath);
+                  duty_codec, wall_clock, platform::kReadinessPath);
   auto started = Capture([&]() -> Result<bool> {
     BOOST_LEAF_CHECK(gateway.Start());
     return true;
