Answers that are no answers

A status outside of 100 to 599 was passed on with the replica's signature, as 0, 99 or as it was. It is handled like bytes that are not HTTP now, by all readers.

A part of an answer without a length counted as whole when the connection was reset during the request and the write was the first to see it: the read then found an orderly end. The outcome of the write decides now.

--- a/cranberryhill/blocking_http/http_response_reader.cc
+++ b/cranberryhill/blocking_http/http_response_reader.cc
@@ -60,7 +60,7 @@
       std::from_chars(line.data() + kStatusBegin, line.data() + kStatusEnd,
                       status)
               .ptr != line.data() + kStatusEnd ||
-      status < 100) {
+      status < 100 || status > 599) {
     return Malformed(line, "must start with an HTTP/1 status line");
   }
   this->response.status = status;
--- a/cranberryhill/blocking_http/http_response_reader_test.cc
+++ b/cranberryhill/blocking_http/http_response_reader_test.cc
@@ -73,5 +73,15 @@
               }).ok());
 }
 
+// Guards against a response whose status the protocol does not have.
+BOOST_AUTO_TEST_CASE(StatusesOutsideOfTheProtocolAreMalformed) {
+  for (const char* status : {"000", "099", "600", "999"}) {
+    HttpResponseReader reader(1000);
+    std::string response =
+        std::string("HTTP/1.1 ") + status + " OK\r\nContent-Length: 0\r\n\r\n";
+    BOOST_TEST(!Capture([&] { return reader.Append(response); }).ok(), status);
+  }
+}
+
 }  // namespace
 }  // namespace cranberryhill
--- a/cranberryhill/http1/answer_reader.cc
+++ b/cranberryhill/http1/answer_reader.cc
@@ -17,6 +17,9 @@
 /// Limit on the bytes of a part of an answer that is not complete: the head,
 /// the head of a chunk or the trailer. Body bytes are passed on as they arrive.
 constexpr size_t kMaxIncompleteBytes = 64 << 10;
+/// Statuses of the protocol. Bytes with another one are no answer.
+constexpr int kLowestStatus = 100;
+constexpr int kHighestStatus = 599;
 /// Limit on the interim answers before one answer.
 constexpr int kMaxInterimAnswers = 16;
 
@@ -46,7 +49,11 @@
   void on_response_impl(int code,
                         BeastView reason,
                         int /*version*/,
-                        error_code&) override {
+                        error_code& error) override {
+    if (code < kLowestStatus || code > kHighestStatus) {
+      error = http::error::bad_status;
+      return;
+    }
     this->head.status = code;
     this->head.reason = std::string(View(reason));
   }
--- a/cranberryhill/http1/answer_reader_test.cc
+++ b/cranberryhill/http1/answer_reader_test.cc
@@ -201,5 +201,25 @@
       (Read("\x01\x02garbage\r\n\r\n", 100, false).state == State::kFailed));
 }
 
+// Guards against an answer whose status the protocol does not have, which a
+// caller would get as it is.
+BOOST_AUTO_TEST_CASE(status_outside_of_the_protocol_is_no_answer) {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    std::string answer = std::string("HTTP/1.1 ") + status +
+                         " OK\r\nContent-Length: 5\r\n\r\nhello";
+    for (size_t piece : {size_t{1}, answer.size()}) {
+      Outcome outcome = Read(answer, piece, false);
+      BOOST_TEST((outcome.state == State::kFailed), status);
+      BOOST_TEST(outcome.status == AnswerHead{}.status);
+      BOOST_TEST(outcome.body.empty());
+    }
+  }
+  for (const char* status : {"200", "299", "404", "599"}) {
+    std::string answer = std::string("HTTP/1.1 ") + status +
+                         " OK\r\nContent-Length: 5\r\n\r\nhello";
+    BOOST_TEST((Read(answer, 7, false).state == State::kDone), status);
+  }
+}
+
 }  // namespace
 }  // namespace cranberryhill::http1
--- a/cranberryhill/http1/client.cc
+++ b/cranberryhill/http1/client.cc
@@ -93,6 +93,8 @@
   this->handler = &handler;
   this->foreign_answers = 0;
   this->written = false;
+  this->write_failed = false;
+  this->ended_by_server = false;
   this->NewReader();
   if (this->state == State::kNew)
     return this->Connect(options.connect_timeout);
@@ -140,9 +142,12 @@
                         // An answer sent before the request was read may still
                         // arrive; the read reports the end of the connection.
                         self->clean = false;
+                        self->write_failed = true;
                       }
                       if (self->handler == nullptr || !error)
                         std::string().swap(self->request);
+                      if (self->ended_by_server)
+                        self->OnEndOfAnswer();
                     });
 }
 
@@ -189,12 +194,26 @@
     if (this->handler == nullptr)
       return;
     if (this->reader->state() == AnswerReader::State::kDone &&
-        !this->sink->foreign)
-      return this->Finish(AnswerEnd::kComplete, "");
+        !this->sink->foreign) {
+      this->ended_by_server = true;
+      return this->OnEndOfAnswer();
+    }
   }
   this->Finish(AnswerEnd::kBroken, error.message());
 }
 
+/// Ends an answer that has no length when the server has ended the connection.
+/// A reset looks like an orderly end if the write was the first to see it, so
+/// the outcome of the write decides.
+void ClientConnection::OnEndOfAnswer() {
+  if (this->handler == nullptr || (!this->written && !this->write_failed))
+    return;
+  if (this->written)
+    return this->Finish(AnswerEnd::kComplete, "");
+  this->Finish(AnswerEnd::kBroken,
+               "the connection was reset during the request");
+}
+
 void ClientConnection::OnBytes(std::string_view data) {
   // Bytes nobody asked for: a late extra answer.
   if (this->state != State::kBusy)
--- a/cranberryhill/http1/client.h
+++ b/cranberryhill/http1/client.h
@@ -107,6 +107,7 @@
   void OnReadable();
   void OnBytes(std::string_view data);
   void OnReadFailed(const boost::system::error_code& error);
+  void OnEndOfAnswer();
   void NewReader();
   void OnAnswerDone();
   void Finish(AnswerEnd end, std::string_view reason);
@@ -128,6 +129,8 @@
   bool reading = false;
   bool paused = false;
   bool written = false;
+  bool write_failed = false;
+  bool ended_by_server = false;  // Its end of the connection was read.
   bool clean = true;
   bool peer_verified = false;
 };
--- a/cranberryhill/http1/connection_test.cc
+++ b/cranberryhill/http1/connection_test.cc
@@ -1,5 +1,6 @@
 // Server and client connections over loopback.
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -401,5 +402,88 @@
   this->RunUntil([&] { return !link->Reusable(); });
 }
 
+/// A server that answers without a length before it has read a long request.
+struct EarlyAnswer {
+  explicit EarlyAnswer(boost::asio::io_context& io)
+      : acceptor(io, {boost::asio::ip::make_address(kIp), 0}), socket(io) {
+    this->acceptor.async_accept(this->socket,
+                                [this](boost::system::error_code error) {
+                                  if (!error)
+                                    this->Answer();
+                                });
+  }
+
+  void Answer() {
+    boost::asio::write(
+        this->socket,
+        boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+  }
+
+  void Reset() {
+    this->socket.set_option(tcp::socket::linger(true, 0));
+    this->socket.close();
+  }
+
+  /// Ends the answer in order and reads the rest of the request.
+  void EndAnswer() {
+    this->socket.shutdown(tcp::socket::shutdown_send);
+    this->ReadOn();
+  }
+
+  void ReadOn() {
+    this->socket.async_read_some(
+        boost::asio::buffer(this->buffer),
+        [this](boost::system::error_code error, size_t) {
+          if (!error)
+            this->ReadOn();
+        });
+  }
+
+  tcp::acceptor acceptor;
+  tcp::socket socket;
+  std::array<char, 65536> buffer{};
+};
+
+/// A request that does not fit into the buffers of a connection.
+std::string LongRequest() {
+  constexpr size_t kBodyBytes = 32 << 20;
+  RequestHead head;
+  head.method = "POST";
+  head.target = "/";
+  head.headers.Add("Host", "h");
+  return SerializeRequest(head, std::string(kBodyBytes, 'x'));
+}
+
+// Guards against a part of an answer that counts as whole because the write of
+// the request was the first to see that the connection had been reset.
+BOOST_FIXTURE_TEST_CASE(answer_reset_during_the_request_is_not_complete,
+                        Fixture) {
+  EarlyAnswer replica(this->io);
+  auto connection =
+      ClientConnection::Create(this->io, replica.acceptor.local_endpoint());
+  Collected answer;
+  connection->Send(LongRequest(), {}, answer);
+  this->RunUntil([&] { return answer.body == "part"; });
+  replica.Reset();
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST((answer.end == AnswerEnd::kBroken));
+}
+
+// Guards against an answer that is lost because it ended, in order, before its
+// request had been read.
+BOOST_FIXTURE_TEST_CASE(answer_that_ends_during_the_request_is_complete,
+                        Fixture) {
+  EarlyAnswer replica(this->io);
+  auto connection =
+      ClientConnection::Create(this->io, replica.acceptor.local_endpoint());
+  Collected answer;
+  connection->Send(LongRequest(), {}, answer);
+  this->RunUntil([&] { return answer.body == "part"; });
+  replica.EndAnswer();
+  this->RunUntil([&] { return answer.end.has_value(); });
+  BOOST_TEST((answer.end == AnswerEnd::kComplete));
+  BOOST_TEST(!connection->Reusable());
+}
+
 }  // namespace
 }  // namespace cranberryhill::http1
--- a/cranberryhill/http2/http2_client.cc
+++ b/cranberryhill/http2/http2_client.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+constexpr int kHighestStatus = 599;
 
 class ClientSession;
 
@@ -193,6 +194,9 @@
   if (header.name == ":status") {
     std::string_view text = header.value;
     std::from_chars(text.data(), text.data() + text.size(), this->status);
+    // Without a status of the protocol there is no answer.
+    if (this->status > kHighestStatus)
+      this->status = 0;
   } else if (header.name[0] != ':') {
     this->headers.push_back(std::move(header));
   }
