--- a/cranberryhill/scaling/replica_planner.cc
+++ b/cranberryhill/scaling/replica_planner.cc
@@ -32,9 +32,10 @@
 /// higher than the work that was served says.
 constexpr double kNotableRefusals = 0.01;
 constexpr double kGrowthWhenRefusing = 1.25;
-/// A kind of replicas is not asked for again for so long after the platform had
-/// none. It takes them away for about ten seconds.
-constexpr absl::Duration kUnavailableFor = absl::Seconds(8);
+/// The platform takes spot replicas away for about ten seconds, so they are not
+/// asked for again for so long, and then in short intervals.
+constexpr absl::Duration kTakenAwayFor = absl::Seconds(8);
+constexpr absl::Duration kUnavailableFor = absl::Seconds(3);
 /// Replicas of one kind are given back when this share of those of the other
 /// kind that replace them serve.
 constexpr double kMostlyThere = 0.9;
@@ -83,7 +84,7 @@
     int spot = now == observation.registered.end() ? 0 : now->second.spot;
     if (before.spot > 0 && spot == 0 && this->wanted_counts[zone].spot > 0) {
       this->unavailable_until[{zone, ReplicaKind::kSpot}] =
-          this->clock.Now() + kUnavailableFor;
+          this->clock.Now() + kTakenAwayFor;
     }
   }
   this->last = observation;
