Plan replicas only when the fleet is known; refusals do not multiply them

A plan now waits until the number of registered replicas has settled, and refusals raise it at most to 1.5 times what the work needs.

--- a/cranberryhill/gateway/gateway_duties.cc
+++ b/cranberryhill/gateway/gateway_duties.cc
@@ -345,7 +345,19 @@
               .try_emplace(service.name, *service.scaling, this->context.clock)
               .first->second;
       planner.SetConfig(*service.scaling);
-      planner.Observe(this->Observe(service, changes[service.name], elapsed));
+      scaling::ServiceObservation observation =
+          this->Observe(service, changes[service.name], elapsed);
+      int needed_before = planner.needed();
+      planner.Observe(observation);
+      if (planner.needed() == needed_before)
+        continue;
+      this->context.log.Write(
+          LogEvent("replicas_planned")
+              .Add("service", service.name)
+              .Add("needed", planner.needed())
+              .Add("needed_before", needed_before)
+              .Add("busy", observation.busy_replicas)
+              .Add("refused_share", observation.refused_share));
     }
   }
   this->SendNextOrder();
--- a/cranberryhill/scaling/replica_planner.cc
+++ b/cranberryhill/scaling/replica_planner.cc
@@ -32,6 +32,13 @@
 /// higher than the work that was served says.
 constexpr double kNotableRefusals = 0.01;
 constexpr double kGrowthWhenRefusing = 1.25;
+/// Requests are also refused while replicas crash or change their roles. Many
+/// more replicas than the work needs would not help then.
+constexpr double kMaxGrowthOverWork = 1.5;
+constexpr double kRefusalBootTimes = 2;
+/// A plan is made when the number of registered replicas has not changed for so
+/// long: when a deployment starts, its replicas register within some seconds.
+constexpr absl::Duration kSettleTime = absl::Seconds(3);
 /// The platform takes spot replicas away for about ten seconds, so they are not
 /// asked for again for so long, and then in short intervals.
 constexpr absl::Duration kTakenAwayFor = absl::Seconds(8);
@@ -96,6 +103,8 @@
     average += kArrivalsWeight * (arrivals - average);
   }
   this->UpdateNeed(observation);
+  if (this->planned_total == 0)
+    return;
   std::vector<Target> unavailable = this->Unavailable();
   if (this->planned_total == this->wanted_total &&
       unavailable == this->wanted_without)
@@ -119,23 +128,40 @@
   return targets;
 }
 
+/// @return True if the number of registered replicas has stayed the same.
+bool ReplicaPlanner::IsSettled(const ServiceObservation& observation) {
+  int total = Total(observation.registered);
+  absl::Time now = this->clock.Now();
+  if (total == 0 || std::exchange(this->first_total, total) != total)
+    this->first_total_since = now;
+  return total > 0 && now - this->first_total_since >= kSettleTime;
+}
+
 /// Updates how many replicas the demand needs.
 void ReplicaPlanner::UpdateNeed(const ServiceObservation& observation) {
   absl::Time now = this->clock.Now();
-  int registered = Total(observation.registered);
   if (this->planned_total == 0) {
+    if (!this->IsSettled(observation))
+      return;
     // Some of the spot replicas are the reserve for the loss of others.
-    double zones = std::max<double>(2, this->config.zone_prices.size());
+    double zones = std::max<double>(
+        2, static_cast<double>(this->config.zone_prices.size()));
     int spot = Sum(observation.registered, ReplicaKind::kSpot);
-    this->planned_total =
-        registered - static_cast<int>(std::floor(spot / zones));
+    this->planned_total = Total(observation.registered) -
+                          static_cast<int>(std::floor(spot / zones));
   }
   if (!observation.load_is_known)
     return;
   this->load_known_since = std::min(this->load_known_since, now);
   double need = observation.busy_replicas / kTargetUtilization;
-  if (observation.refused_share > kNotableRefusals)
-    need = std::max(need, kGrowthWhenRefusing * registered);
+  // The replicas that were added last must have had time to serve.
+  bool may_grow_further = now - this->grown_for_refusals_at >=
+                          this->config.boot_time * kRefusalBootTimes;
+  if (observation.refused_share > kNotableRefusals && may_grow_further) {
+    this->grown_for_refusals_at = now;
+    need = std::clamp(kGrowthWhenRefusing * this->planned_total, need,
+                      need * kMaxGrowthOverWork);
+  }
   this->needs.push_back({now, need});
   absl::Duration look_back =
       std::max(kMinLookBack, this->config.boot_time * kLookBackBootTimes);
--- a/cranberryhill/scaling/replica_planner.h
+++ b/cranberryhill/scaling/replica_planner.h
@@ -92,6 +92,9 @@
   /// The order has not been answered, or was refused for another reason.
   void OnFailed(const ReplicaOrder& order);
 
+  /// @return How many replicas the demand needs; 0 until the first plan.
+  int needed() const { return this->planned_total; }  // NOLINT
+
   /// @return The counts that are wanted, for logs and metrics.
   const ZoneCounts& wanted() const { return this->wanted_counts; }  // NOLINT
 
@@ -109,6 +112,7 @@
   bool IsAvailable(const std::string& zone, ReplicaKind kind) const;
   int NeededReplicas() const;
   std::map<std::string, double> ZoneShares() const;
+  bool IsSettled(const ServiceObservation& observation);
   void UpdateNeed(const ServiceObservation& observation);
   ZoneCounts Plan(int needed) const;
   /// Where replicas of a kind may be planned.
@@ -131,6 +135,9 @@
   std::deque<Need> needs;  // Within the time that is looked back.
   int planned_total = 0;   // Replicas that the present demand needs.
   absl::Time shrunk_at = absl::InfinitePast();
+  absl::Time grown_for_refusals_at = absl::InfinitePast();
+  int first_total = 0;  // Replicas registered when last counted before a plan.
+  absl::Time first_total_since;
   std::map<std::string, double> arrivals_by_zone;  // Moving average.
   ZoneCounts wanted_counts;
   // What `wanted_counts` were planned for. They stay the same while these do,
--- a/cranberryhill/scaling/replica_planner_test.cc
+++ b/cranberryhill/scaling/replica_planner_test.cc
@@ -157,6 +157,51 @@
   return planned.cost / unchanged.cost;
 }
 
+void ObserveUntilPlanned(ReplicaPlanner& planner,
+                         const ServiceObservation& observation,
+                         ManualClock& clock) {
+  while (planner.needed() == 0) {
+    planner.Observe(observation);
+    clock.Advance(absl::Seconds(1));
+  }
+}
+
+// Guards against a plan for the few replicas that have registered first when a
+// deployment starts.
+BOOST_AUTO_TEST_CASE(plan_waits_until_the_replicas_have_registered) {
+  ManualClock clock;
+  ReplicaPlanner planner(MakeConfig(), clock);
+  ServiceObservation observation;
+  for (int registered = 5; registered <= 35; registered += 10) {
+    for (const char* zone : {"a", "b", "c", "d"})
+      observation.registered[zone].on_demand = registered;
+    planner.Observe(observation);
+    BOOST_TEST(planner.DueOrders().empty());
+    clock.Advance(absl::Seconds(1));
+  }
+  ObserveUntilPlanned(planner, observation, clock);
+  BOOST_TEST(planner.needed() == 140);
+}
+
+// Guards against a number that multiplies within seconds because requests are
+// refused for other reasons than too few replicas.
+BOOST_AUTO_TEST_CASE(refusals_do_not_multiply_the_replicas) {
+  ManualClock clock;
+  ReplicaPlanner planner(MakeConfig(), clock);
+  ServiceObservation observation;
+  for (const char* zone : {"a", "b", "c", "d"})
+    observation.registered[zone].on_demand = 35;
+  ObserveUntilPlanned(planner, observation, clock);
+  observation.busy_replicas = 40;
+  observation.load_is_known = true;
+  observation.refused_share = 0.2;
+  for (int second = 0; second < 30; ++second) {
+    planner.Observe(observation);
+    clock.Advance(absl::Seconds(1));
+  }
+  BOOST_TEST(planner.needed() <= 140);
+}
+
 // Guards against replicas that are paid for and not needed, and against work
 // that is late because they were given back too early: load that swings by a
 // third within seconds, a burst, and a step.
@@ -256,7 +301,7 @@
   ServiceObservation observation;
   for (const auto& [zone, price] : config.zone_prices)
     observation.registered[zone].on_demand = 10;
-  planner.Observe(observation);
+  ObserveUntilPlanned(planner, observation, clock);
   for (const auto& [zone, counts] : planner.wanted())
     BOOST_TEST(counts.spot == 0);
   BOOST_TEST(planner.DueOrders().empty());
@@ -269,7 +314,7 @@
   ServiceObservation observation;
   for (const char* zone : {"a", "b", "c", "d"})
     observation.registered[zone].on_demand = 10;
-  planner.Observe(observation);
+  ObserveUntilPlanned(planner, observation, clock);
   std::vector<ReplicaOrder> due = planner.DueOrders();
   BOOST_REQUIRE(!due.empty());
   for (const ReplicaOrder& order : due)
