Raise the number of replicas step by step

Only the first send of a request counts now, the number grows by half in a boot time at most, and never beyond the room of all zones.

--- a/cranberryhill/exchange/exchange.cc
+++ b/cranberryhill/exchange/exchange.cc
@@ -302,7 +302,9 @@
                        1.0 * this->caller_request.prompt.prompt_tokens,
                        replica->queued.TokensAhead(plan.lane) +
                            replica->peer_queued.TokensAhead(plan.lane)};
-  if (this->is_engine_service && prefill_tokens > 0)
+  // What a request costs again after a failure is not asked for by callers.
+  bool is_first_send = this->used_connections.empty();
+  if (this->is_engine_service && is_first_send)
     this->context.observer.OnPrefill(this->service, plan.prefill_work);
   plan.chosen_at = this->choice.made_at;
   plan.expected_first_byte = this->choice.expected_first_byte;
--- a/cranberryhill/scaling/replica_planner.cc
+++ b/cranberryhill/scaling/replica_planner.cc
@@ -26,8 +26,11 @@
 constexpr double kShrinkPauseBootTimes = 0.5;
 /// Fewer replicas than this share are not worth a call to give them back.
 constexpr double kMinShrinkShare = 0.08;
-/// Growth by less would cost a call each second while the demand rises.
+/// Growth by less would cost a call each second while the demand rises. Growth
+/// by more within one boot time would follow work that is high for a moment,
+/// while new replicas fill their caches.
 constexpr double kSmallestGrowth = 1.08;
+constexpr double kLargestGrowth = 1.5;
 /// Refusals of more than this share of the requests show that the need is
 /// higher than the work that was served says.
 constexpr double kNotableRefusals = 0.01;
@@ -169,11 +172,8 @@
     this->needs.pop_front();
   int needed = this->NeededReplicas();
   if (needed >= this->planned_total) {
-    if (needed > this->planned_total) {
-      this->planned_total = std::max(
-          needed,
-          static_cast<int>(std::ceil(this->planned_total * kSmallestGrowth)));
-    }
+    if (needed > this->planned_total)
+      this->Grow(needed);
     return;
   }
   int surplus = this->planned_total - needed;
@@ -186,6 +186,24 @@
       std::max(1, static_cast<int>(std::ceil(surplus * kShrinkStep)));
 }
 
+/// Raises the number of replicas towards `needed`.
+void ReplicaPlanner::Grow(int needed) {
+  absl::Time now = this->clock.Now();
+  if (now - this->grown_at < this->config.boot_time)
+    return;
+  auto times = [this](double factor) {
+    return static_cast<int>(std::ceil(this->planned_total * factor));
+  };
+  int total = std::clamp(needed, times(kSmallestGrowth), times(kLargestGrowth));
+  int limit = this->config.max_replicas *
+              static_cast<int>(this->config.zone_prices.size());
+  total = std::min(total, limit);
+  if (total <= this->planned_total)
+    return;
+  this->planned_total = total;
+  this->grown_at = now;
+}
+
 /// @return The highest need within the time that is looked back.
 int ReplicaPlanner::NeededReplicas() const {
   double highest = 0;
--- a/cranberryhill/scaling/replica_planner.h
+++ b/cranberryhill/scaling/replica_planner.h
@@ -111,6 +111,7 @@
 
   bool IsAvailable(const std::string& zone, ReplicaKind kind) const;
   int NeededReplicas() const;
+  void Grow(int needed);
   std::map<std::string, double> ZoneShares() const;
   bool IsSettled(const ServiceObservation& observation);
   void UpdateNeed(const ServiceObservation& observation);
@@ -135,6 +136,7 @@
   std::deque<Need> needs;  // Within the time that is looked back.
   int planned_total = 0;   // Replicas that the present demand needs.
   absl::Time shrunk_at = absl::InfinitePast();
+  absl::Time grown_at = absl::InfinitePast();
   absl::Time grown_for_refusals_at = absl::InfinitePast();
   int first_total = 0;  // Replicas registered when last counted before a plan.
   absl::Time first_total_since;
--- a/cranberryhill/scaling/replica_planner_test.cc
+++ b/cranberryhill/scaling/replica_planner_test.cc
@@ -202,6 +202,22 @@
   BOOST_TEST(planner.needed() <= 140);
 }
 
+// Guards against on-demand replicas that take all the room of the zones, and
+// against a number that no zone has room for, while the work of requests is far
+// above what the fleet can have.
+BOOST_AUTO_TEST_CASE(extreme_need_is_met_step_by_step_and_mostly_by_spot) {
+  Fleet fleet(MakeConfig());
+  fleet.Run(5, Constant(40), true);
+  fleet.Run(3, Constant(600), true);
+  BOOST_TEST(fleet.planner.needed() <= 210);
+  fleet.Run(30, Constant(600), true);
+  BOOST_TEST(fleet.planner.needed() <= 280);
+  int spot = 0;
+  for (const auto& [zone, counts] : fleet.planner.wanted())
+    spot += counts.spot;
+  BOOST_TEST(spot >= 140);
+}
+
 // Guards against replicas that are paid for and not needed, and against work
 // that is late because they were given back too early: load that swings by a
 // third within seconds, a burst, and a step.
