A new holder waits for the reports of most instances

A window whose deadline has passed was decided at once with what had arrived, also by a holder that had just taken over. It waits for nine tenths of the live instances now, 6 s at most.

--- a/cranberryhill/duties/usage_reporter.cc
+++ b/cranberryhill/duties/usage_reporter.cc
@@ -18,6 +18,8 @@
 /// A window that could not be reported for this long is given up: billing has
 /// closed, and the row of the store has room for a limited number of windows.
 constexpr absl::Duration kLongestDelay = absl::Minutes(1);
+/// Instances report once a second; a new holder waits for them so long at most.
+constexpr absl::Duration kLongestWaitForReports = absl::Seconds(6);
 /// A row of the store has at most 64 KB.
 constexpr size_t kMaxRowBytes = 60'000;
 
@@ -68,12 +70,17 @@
   if (grant->fencing_number != this->fencing_number) {
     this->fencing_number = grant->fencing_number;
     this->Forget();
+    this->collector.ForgetReports();
   }
   if (this->table_call_active)
     return;
   if (!this->ledger)
     return this->Load(true_time, known_decided, era);
-  if (!this->DecideWindows(true_time, live))
+  // A new holder has the counts of few instances at first.
+  bool has_counts =
+      this->collector.HasReportsOfMost(live) ||
+      this->clock.Now() - grant->acquired_at >= kLongestWaitForReports;
+  if (!has_counts || !this->DecideWindows(true_time, live))
     this->SendNext(lease);
 }
 
--- a/cranberryhill/usage/usage_collector.cc
+++ b/cranberryhill/usage/usage_collector.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace cranberryhill::usage {
+namespace {
+
+/// Some instances may have just ended, or be cut off.
+constexpr double kMostInstances = 0.9;
+
+}  // namespace
 
 bool UsageCollector::ProcessCounts::IsComplete() const {
   uint64_t sum = 0;
@@ -16,6 +22,7 @@
                            int64_t first_window,
                            std::span<const WindowCounts> merged) {
   this->first_windows[std::string(instance)] = first_window;
+  this->reporters.emplace(instance);
   for (const WindowCounts& window : merged) {
     if (window.window <= this->decided)
       continue;
@@ -63,6 +70,14 @@
   return false;
 }
 
+bool UsageCollector::HasReportsOfMost(std::span<const std::string> live) const {
+  auto reported = std::count_if(
+      live.begin(), live.end(),
+      [this](const auto& name) { return this->reporters.contains(name); });
+  return static_cast<double>(reported) >=
+         kMostInstances * static_cast<double>(live.size());
+}
+
 CustomerCounts UsageCollector::Sum(int64_t window) const {
   CustomerCounts sum;
   auto found = this->windows.find(window);
--- a/cranberryhill/usage/usage_collector.h
+++ b/cranberryhill/usage/usage_collector.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -53,6 +54,13 @@
                       absl::Time true_time,
                       std::span<const std::string> live) const;
 
+  /// @return True if most of the live instances have sent counts since
+  ///     ForgetReports().
+  bool HasReportsOfMost(std::span<const std::string> live) const;
+
+  /// Forgets which instances have sent counts, but not the counts.
+  void ForgetReports() { this->reporters.clear(); }
+
   /// @return The sums over all processes.
   CustomerCounts Sum(int64_t window) const;
 
@@ -78,6 +86,7 @@
   const CollectorSettings settings;
   int64_t decided = -1;
   std::map<int64_t, Processes> windows;
+  std::set<std::string, std::less<>> reporters;  // Names of instances.
   // By instance, of its newest process.
   std::map<std::string, int64_t, std::less<>> first_windows;
 };
--- a/cranberryhill/usage/usage_test.cc
+++ b/cranberryhill/usage/usage_test.cc
@@ -104,6 +104,22 @@
       (collector.StateOf(kFirst + 5, At(60), live) == WindowState::kUnknown));
 }
 
+// Guards against windows that a new holder decides with the counts of the few
+// instances that have reported to it by then.
+BOOST_AUTO_TEST_CASE(reports_of_most_live_instances_are_needed) {
+  UsageCollector collector(kSettings);
+  std::vector<std::string> live;
+  for (int i = 0; i < 10; ++i)
+    live.push_back("entry-" + std::to_string(i));
+  for (int i = 0; i < 9; ++i) {
+    BOOST_TEST(!collector.HasReportsOfMost(live));
+    collector.Merge(live[i], 1, kFirst, {});
+  }
+  BOOST_TEST(collector.HasReportsOfMost(live));
+  collector.ForgetReports();
+  BOOST_TEST(!collector.HasReportsOfMost(live));
+}
+
 // Guards against sums that change with the order, the loss or the repetition of
 // messages, and against the counts of a process that was restarted.
 RC_BOOST_PROP(sum_does_not_depend_on_order_and_repetition,
