Soak with gateways of two builds

Instances are upgraded one after the other, and no run had gateways of two builds side by side. Customers then have keys and usage is reported; settings that only the present build has are left out of those of the other one. Checked in addition: no key and no wrong customer reaches a replica through the present build, each window is reported in one form only, by one holder at a time, and no more than ran. Runs without the flag send what they sent before.

--- a/programs/gateway_soak.cc
+++ b/programs/gateway_soak.cc
@@ -19,6 +19,15 @@
 #include "soak/schedule.h"
 
 ABSL_FLAG(std::string, gateway, "", "Path of cranberryhill-gateway");
+ABSL_FLAG(std::string,
+          other_gateway,
+          "",
+          "Path of the gateway of another build, from which the gateways are "
+          "upgraded one after the other; empty: all run the same program");
+ABSL_FLAG(bool,
+          rollback,
+          false,
+          "The gateways are taken back to --other_gateway instead");
 ABSL_FLAG(std::string, directory, "", "For settings files and logs; made anew");
 ABSL_FLAG(uint64_t, seed, 1, "Decides on faults and requests");
 ABSL_FLAG(uint64_t, gateways, 4, "Processes");
@@ -168,6 +177,8 @@
     }
     this->PlanReleases(faults, add);
     this->PlanRestarts(add);
+    if (!absl::GetFlag(FLAGS_other_gateway).empty())
+      this->PlanSwitches(add);
     std::stable_sort(this->steps.begin(), this->steps.end(),
                      [](const Step& a, const Step& b) { return a.at < b.at; });
   }
@@ -272,6 +283,20 @@
       series(kind, 2, 6);
   }
 
+  /// The gateways change their program one after the other, evenly over the
+  /// whole run, so that both builds run in each of its parts.
+  template <typename Add>
+  void PlanSwitches(const Add& add) {
+    SeededRandom switch_random(absl::GetFlag(FLAGS_seed) + 8);
+    size_t first = switch_random.UniformInt(0, 1000);
+    auto gap =
+        this->restarts_end / static_cast<int64_t>(this->fleet.gateways());
+    for (size_t i = 0; i < this->fleet.gateways(); ++i) {
+      add({gap / 2 + gap * static_cast<int64_t>(i), kRestartLength,
+           FaultKind::kSwitchProgram, first + i});
+    }
+  }
+
   void Tick() {
     absl::Duration now = this->clock.Now() - this->began;
     while (this->next_step < this->steps.size() &&
@@ -323,6 +348,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   FleetOptions options;
   options.binary = absl::GetFlag(FLAGS_gateway);
+  options.other_binary = absl::GetFlag(FLAGS_other_gateway);
+  options.rollback = absl::GetFlag(FLAGS_rollback);
   options.directory = absl::GetFlag(FLAGS_directory);
   options.gateways = absl::GetFlag(FLAGS_gateways);
   if (options.binary.empty() || options.directory.empty()) {
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -186,6 +186,12 @@
   head.headers.Add(platform::kAttemptId, id);
   head.headers.Add(platform::kTimeLeftMs,
                    std::to_string(absl::ToInt64Milliseconds(time_left)));
+  if (this->fleet.UsesKeys()) {
+    head.headers.Add(
+        platform::kAuthorization,
+        fmt::format("{} {}", platform::kKeyScheme, KeyOf(CustomerOf(id))));
+    head.headers.Add(platform::kCustomer, "forged");
+  }
   std::string resumes;
   int first_event = 1;
   if (taken_up != nullptr) {
@@ -215,7 +221,8 @@
       crashes_engine,
       kind.stream,
       resumes,
-      time_left};
+      time_left,
+      this->fleet.UsesKeys() ? std::string(CustomerOf(id)) : std::string()};
   this->ledger.OnSent(std::move(sent));
   if (kind.stream) {
     uint64_t shared = this->random.UniformInt(1, 20);
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sys/wait.h>
 
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <map>
@@ -55,6 +56,9 @@
 constexpr uint16_t kPortsPerGateway = 3;
 constexpr std::string_view kLongBody = "0123456789abcdef";
 constexpr std::string_view kVersionField = "event: ";
+constexpr std::array<std::string_view, 3> kCustomers = {"addis", "oslo",
+                                                        "lima"};
+constexpr int kUsageWindowSeconds = 5;
 /// An engine that breaks off streams does so after this many events.
 constexpr int kEventsBeforeCut = 2;
 
@@ -107,6 +111,14 @@
 
 }  // namespace
 
+std::string_view CustomerOf(std::string_view id) {
+  return kCustomers.at(StableHash(id) % kCustomers.size());
+}
+
+std::string KeyOf(std::string_view customer) {
+  return fmt::format("key-{}", customer);
+}
+
 std::string ExpectedBody(std::string_view id, bool stream, int first_event) {
   std::string body;
   if (stream) {
@@ -179,14 +191,15 @@
   if (!started)
     return false;
   this->Configure();
+  if (this->UsesKeys() && !this->StartUsageServer())
+    return false;
   for (size_t i = 0; i < this->options.gateways; ++i) {
     if (!this->AddMember(i))
       return false;
   }
   for (const auto& member : this->members) {
-    if (!member->process->Start())
+    if (!this->StartMember(*member))
       return false;
-    member->started_at = this->clock.Now();
   }
   return true;
 }
@@ -249,16 +262,60 @@
       {"retry_slack", this->options.retry_slack},
       {"log_lines_per_s", 2000},
   };
-  std::string path =
-      fmt::format("{}/{}.json", this->options.directory, member->id);
-  std::ofstream(path) << settings.dump(2) << "\n";
+  auto write = [&](std::string_view suffix) {
+    std::string path = fmt::format("{}/{}{}.json", this->options.directory,
+                                   member->id, suffix);
+    std::ofstream(path) << settings.dump(2) << "\n";
+    return path;
+  };
+  // The other build refuses settings that it does not know, so it gets the
+  // common ones only.
+  member->other_program = {this->options.other_binary, write("-other")};
+  if (this->usage_server != nullptr) {
+    settings["duty_address"] = address(this->usage_server->port());
+    settings["usage_window_s"] = kUsageWindowSeconds;
+  }
+  member->present_program = {this->options.binary, write("")};
+  member->starts_other = this->UsesKeys() && !this->options.rollback;
   member->process = std::make_unique<GatewayProcess>(
-      this->options.binary, path,
-      fmt::format("{}/{}.log", this->options.directory, member->id));
+      "", "", fmt::format("{}/{}.log", this->options.directory, member->id));
   this->members.push_back(std::move(member));
   return true;
 }
 
+bool Fleet::StartUsageServer() {
+  this->usage_handler.work =
+      [this](const http1::IncomingRequest& request,
+             const std::shared_ptr<http1::Responder>& responder) {
+        this->usage_handler.requests.clear();
+        json report = json::parse(request.body);
+        std::map<std::string, int64_t> counts = report["counts"];
+        const http1::HeaderList& headers = request.head.headers;
+        uint64_t token = 0;
+        (void)absl::SimpleAtoi(
+            std::string(headers.Find(platform::kFencingToken).value_or("")),
+            &token);
+        this->ledger.OnUsage(
+            report["window-number"], counts,
+            std::string(headers.Find(platform::kDutyHolder).value_or("")),
+            token, this->clock.Now());
+        responder->SendWhole({200, "", {}}, "");
+      };
+  this->usage_server = std::make_unique<http1::Server>(
+      this->io, this->clock, this->usage_handler, http1::ServerLimits{});
+  return Listen(*this->usage_server);
+}
+
+bool Fleet::StartMember(Member& member) {
+  const Member::Program& program =
+      member.starts_other ? member.other_program : member.present_program;
+  member.process->SetProgram(program.binary, program.settings);
+  member.runs_other = member.starts_other;
+  member.switch_pending = false;
+  member.started_at = this->clock.Now();
+  return member.process->Start();
+}
+
 uint16_t Fleet::CallerPort(size_t gateway) const {
   return this->members.at(gateway)->callers->port();
 }
@@ -311,6 +368,12 @@
         {{"name", kEngines},
          {"health-path", "/health"},
          {"engine", {{"slots", 24}, {"kv-capacity-tokens", 1000000}}}}}}};
+  if (this->UsesKeys()) {
+    for (std::string_view customer : kCustomers) {
+      configuration["tenants"].push_back(
+          {{"name", customer}, {"api-keys", {KeyOf(customer)}}});
+    }
+  }
   this->store.Set("op", "config", configuration.dump());
 }
 
@@ -361,6 +424,7 @@
     this->RecordLimitedArrival(server, *sent);
     this->CheckNotices(server, *sent);
     this->RecordTimeLeft(server, *sent, headers);
+    this->CheckCustomer(*sent, headers);
   }
   refuses = refuses || server.closed;
   if (refuses || !reads_only)
@@ -506,6 +570,27 @@
                               now - server.link_disturbed_at > kCalm);
 }
 
+/// Checks what the present build does with keys. The other one may not know
+/// them and then passes them on.
+void Fleet::CheckCustomer(const SentRequest& sent,
+                          const http1::HeaderList& headers) {
+  const Member& member = *this->members[sent.gateway];
+  // A request that is older than the process was sent to an earlier one.
+  if (!this->UsesKeys() || member.runs_other || sent.at < member.started_at)
+    return;
+  std::string_view customer = CustomerOf(sent.id);
+  if (headers.Find(platform::kAuthorization)) {
+    this->ledger.OnViolation(fmt::format(
+        "key: a replica got the key of {} through {}", sent.id, member.id));
+  }
+  auto named = headers.Find(platform::kCustomer);
+  if (named != customer) {
+    this->ledger.OnViolation(
+        fmt::format("customer: a replica got {} of {} through {} as one of {}",
+                    sent.id, customer, member.id, named.value_or("nobody")));
+  }
+}
+
 bool Fleet::IsCalm(const Member& member) const {
   absl::Time now = this->clock.Now();
   return now - member.started_at > kCalm &&
@@ -627,6 +712,7 @@
     case FaultKind::kStreamsBreak:
     case FaultKind::kTerminateAll:
     case FaultKind::kHangUpAll:
+    case FaultKind::kSwitchProgram:
       return nullptr;
     case FaultKind::kKill:
     case FaultKind::kPause:
@@ -669,6 +755,12 @@
     case FaultKind::kTerminate:
     case FaultKind::kHangUp:
       return this->ApplyToProcess(member, fault.kind, begins);
+    case FaultKind::kSwitchProgram:
+      if (begins) {
+        member.starts_other = this->options.rollback;
+        member.switch_pending = true;
+      }
+      return;
     case FaultKind::kCutOff:
     case FaultKind::kCutOffInbound:
     case FaultKind::kCutOffOutbound:
@@ -729,10 +821,21 @@
   }
 }
 
+bool Fleet::HasHandlers(const Member& member) const {
+  return member.process->running() &&
+         this->clock.Now() - member.started_at > kHandlersSet;
+}
+
+/// Tells a process to stop if it is to be restarted with another program and
+/// has not been told yet.
+void Fleet::SwitchWhenReady(Member& member) {
+  if (member.switch_pending && member.told_to_stop_at == absl::InfiniteFuture())
+    this->ApplyToProcess(member, FaultKind::kTerminate, true);
+}
+
 void Fleet::ApplyToProcess(Member& member, FaultKind kind, bool begins) {
   GatewayProcess& process = *member.process;
-  bool has_handlers =
-      process.running() && this->clock.Now() - member.started_at > kHandlersSet;
+  bool has_handlers = this->HasHandlers(member);
   if (kind == FaultKind::kPause) {
     process.Signal(begins ? SIGSTOP : SIGCONT);
   } else if (kind == FaultKind::kKill && begins) {
@@ -875,10 +978,10 @@
       }
       member->may_end = false;
       member->told_to_stop_at = absl::InfiniteFuture();
-      member->started_at = now;
-      if (!member->process->Start())
+      if (!this->StartMember(*member))
         this->ledger.OnViolation("the gateway cannot be started");
     }
+    this->SwitchWhenReady(*member);
     if (now - member->told_to_stop_at > kLongestStop) {
       this->ledger.OnViolation(
           fmt::format("stop: {} still runs {} after SIGTERM", member->id,
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -29,8 +29,10 @@
 namespace cranberryhill::soak {
 
 struct FleetOptions {
-  std::string binary;     ///< The gateway program.
-  std::string directory;  ///< For settings files and logs; must exist.
+  std::string binary;        ///< The gateway program.
+  std::string other_binary;  ///< That of the other build; empty: none.
+  bool rollback = false;     ///< Gateways begin with `binary`, not with it.
+  std::string directory;     ///< For settings files and logs; must exist.
   size_t gateways = 4;
   double retry_slack = 40;
 };
@@ -49,6 +51,12 @@
 /// Idle limit of callers' connections, as configured.
 inline constexpr absl::Duration kIdleLimit = absl::Seconds(15);
 
+/// @return The customer who sends the request, if customers have keys.
+std::string_view CustomerOf(std::string_view id);
+
+/// @return The API key of a customer.
+std::string KeyOf(std::string_view customer);
+
 /// @param first_event Streams begin with it.
 /// @return The whole answer to a request: its body or its events, without the
 ///     versions of the replicas that wrote them.
@@ -99,6 +107,9 @@
   /// @return True while connections of callers break in the middle of streams.
   bool BreaksStreams() const { return this->breaking_streams > 0; }
 
+  /// @return True if the configuration has customers with keys.
+  bool UsesKeys() const { return !this->options.other_binary.empty(); }
+
   /// @return True while the replicas of this service fail many requests.
   bool Fails(std::string_view service) const {
     return this->failing_services.contains(service);
@@ -131,6 +142,9 @@
                  std::string_view service,
                  std::string_view stage);
   bool AddMember(size_t index);
+  bool StartUsageServer();
+  bool StartMember(Member& member);
+  void CheckCustomer(const SentRequest& sent, const http1::HeaderList& headers);
   void MakeSpare(Server& server);
   void Configure();
   void WriteConfiguration();
@@ -168,6 +182,8 @@
   void Apply(const Fault& fault, bool begins);
   void ChangeRoles();
   void ApplyToProcess(Member& member, FaultKind kind, bool begins);
+  bool HasHandlers(const Member& member) const;
+  void SwitchWhenReady(Member& member);
   void ApplyToReplica(Server& server, FaultKind kind, bool begins);
   void ApplyToReplicaLink(Server& server, FaultKind kind, bool begins);
   void ApplyToStore(FaultKind kind, bool begins);
@@ -195,8 +211,10 @@
   PeerProxy peers;
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<std::unique_ptr<Member>> members;
-  Disturbance shared;  // Of the store and of replicas.
-  int version = 0;     // Of the configuration.
+  platform::FakeReplica usage_handler;
+  std::unique_ptr<http1::Server> usage_server;  // Null without other_binary.
+  Disturbance shared;                           // Of the store and of replicas.
+  int version = 0;                              // Of the configuration.
   int store_outages = 0;
   int crashing_parts = 0;
   int breaking_streams = 0;
--- a/soak/fleet_members.h
+++ b/soak/fleet_members.h
@@ -60,6 +60,11 @@
 };
 
 struct Fleet::Member {
+  struct Program {
+    std::string binary;
+    std::string settings;  ///< Path of the file.
+  };
+
   std::string id;
   std::unique_ptr<GatewayProcess> process;
   std::unique_ptr<LinkProxy> callers;
@@ -70,6 +75,11 @@
   absl::Time started_at;
   bool may_end = false;  // It was killed or told to stop.
   absl::Time told_to_stop_at = absl::InfiniteFuture();
+  Program present_program;
+  Program other_program;
+  bool starts_other = false;    // The next start is of the other program.
+  bool runs_other = false;      // The running process is of the other program.
+  bool switch_pending = false;  // To be restarted with the next program.
 };
 
 }  // namespace cranberryhill::soak
--- a/soak/gateway_process.h
+++ b/soak/gateway_process.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace cranberryhill::soak {
 
@@ -24,6 +25,12 @@
   GatewayProcess(const GatewayProcess&) = delete;
   GatewayProcess& operator=(const GatewayProcess&) = delete;
 
+  /// Takes effect at the next start.
+  void SetProgram(std::string binary, std::string settings) {  // NOLINT
+    this->binary = std::move(binary);
+    this->settings = std::move(settings);
+  }
+
   /// @return False when the process cannot be started.
   bool Start();
 
@@ -36,8 +43,8 @@
   bool running() const { return this->pid > 0; }  // NOLINT
 
  private:
-  const std::string binary;
-  const std::string settings;
+  std::string binary;
+  std::string settings;
   const std::string log;
   pid_t pid = 0;
 };
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -223,6 +223,59 @@
   }
 }
 
+void Ledger::OnUsage(int64_t window,
+                     const CustomerCounts& counts,
+                     const std::string& holder,
+                     uint64_t fencing_token,
+                     absl::Time now) {
+  auto [first, is_new] = this->usage.emplace(window, counts);
+  if (!is_new && first->second != counts) {
+    this->OnViolation(fmt::format("usage: window {} was reported as {} and {}",
+                                  window, first->second, counts));
+  }
+  this->usage_calls.push_back({window, holder, fencing_token, now});
+}
+
+CustomerCounts Ledger::ReportedUsage() const {
+  CustomerCounts sums;
+  for (const auto& [window, counts] : this->usage) {
+    for (const auto& [customer, count] : counts)
+      sums[customer] += count;
+  }
+  return sums;
+}
+
+/// Fewer may be reported than ran: a build that does not count may have served
+/// them.
+void Ledger::CheckUsage(std::vector<std::string>& out) const {
+  CustomerCounts ran;
+  for (const auto& [id, request] : this->requests) {
+    bool runs =
+        std::any_of(request.arrivals.begin(), request.arrivals.end(),
+                    [](const Arrival& arrival) { return arrival.runs; });
+    ran[request.sent.customer] += runs ? 1 : 0;
+  }
+  for (const auto& [customer, count] : this->ReportedUsage()) {
+    if (count > ran[customer]) {
+      out.push_back(
+          fmt::format("usage: {} requests of {} were reported, {} ran", count,
+                      customer, ran[customer]));
+    }
+  }
+  for (size_t i = 1; i < this->usage_calls.size(); ++i) {
+    const UsageCall& before = this->usage_calls[i - 1];
+    const UsageCall& call = this->usage_calls[i];
+    if (call.holder != before.holder &&
+        (call.fencing_token <= before.fencing_token ||
+         call.at - before.at < this->bounds.lease_time)) {
+      out.push_back(fmt::format(
+          "one: usage was reported by {} and {} {} apart, tokens {} and {}",
+          before.holder, call.holder, absl::FormatDuration(call.at - before.at),
+          before.fencing_token, call.fencing_token));
+    }
+  }
+}
+
 Ledger::TimeLeftCounts Ledger::CountTimeLeft() const {
   TimeLeftCounts counts;
   for (const auto& [id, request] : this->requests) {
@@ -375,6 +428,7 @@
     this->CheckRequest(request, out);
   this->CheckRetries(&out);
   this->CheckOrders(out);
+  this->CheckUsage(out);
   this->CheckTimeLeft(out);
   this->CheckRecovery(out);
   this->CheckCrashingRequests(out);
@@ -402,6 +456,13 @@
   size_t orders = 0;
   for (const auto& [replica, list] : this->orders)
     orders += list.size();
+  if (!this->usage_calls.empty()) {
+    int64_t reported = 0;
+    for (const auto& [customer, count] : this->ReportedUsage())
+      reported += count;
+    line += fmt::format(" usage_windows={} usage_calls={} usage={}",
+                        this->usage.size(), this->usage_calls.size(), reported);
+  }
   StreamCounts streams = this->CheckTakeUps(nullptr);
   TimeLeftCounts time_left = this->CountTimeLeft();
   return line + fmt::format(
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -11,6 +11,7 @@
 //   for (const std::string& line : ledger.Violations()) ...
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -41,6 +42,7 @@
   /// it up again.
   std::string resumes = {};
   absl::Duration time_left = absl::InfiniteDuration();
+  std::string customer = {};  ///< Empty if customers have no keys.
 
   const std::string& stream_id() const {  // NOLINT
     return this->resumes.empty() ? this->id : this->resumes;
@@ -100,6 +102,9 @@
   double going_on_part = 0.5;
 };
 
+/// Numbers of requests by customer.
+using CustomerCounts = std::map<std::string, int64_t>;
+
 /// Not thread-safe.
 class Ledger {
  public:
@@ -156,6 +161,13 @@
                         absl::Time now,
                         bool binding);
 
+  /// The number of requests of each customer in a window was reported.
+  void OnUsage(int64_t window,
+               const CustomerCounts& counts,
+               const std::string& holder,
+               uint64_t fencing_token,
+               absl::Time now);
+
   /// Records a broken promise that was seen elsewhere.
   void OnViolation(std::string text) { this->seen.push_back(std::move(text)); }
 
@@ -199,6 +211,12 @@
     double counted = 0;
     double beyond = 0;
   };
+  struct UsageCall {
+    int64_t window = 0;
+    std::string holder;
+    uint64_t fencing_token = 0;
+    absl::Time at;
+  };
   struct Order {
     std::string holder;
     uint64_t fencing_token = 0;
@@ -209,6 +227,8 @@
                     std::vector<std::string>& out) const;
   double CheckRetries(std::vector<std::string>* out) const;
   void CheckOrders(std::vector<std::string>& out) const;
+  void CheckUsage(std::vector<std::string>& out) const;
+  CustomerCounts ReportedUsage() const;
   TimeLeftCounts CountTimeLeft() const;
   void CheckTimeLeft(std::vector<std::string>& out) const;
   void CheckRecovery(std::vector<std::string>& out) const;
@@ -220,6 +240,8 @@
   const LedgerBounds bounds;
   std::map<std::string, Request, std::less<>> requests;
   std::map<std::string, std::vector<Order>, std::less<>> orders;
+  std::map<int64_t, CustomerCounts> usage;  // By window, as first reported.
+  std::vector<UsageCall> usage_calls;
   std::vector<absl::Time> crashes;
   std::vector<absl::Time> crashing_arrivals;  // From calm gateways.
   std::map<std::string, std::deque<absl::Time>, std::less<>> limited_arrivals;
--- a/soak/ledger_test.cc
+++ b/soak/ledger_test.cc
@@ -127,6 +127,38 @@
   BOOST_TEST(this->BrokenIs("recover"));
 }
 
+BOOST_FIXTURE_TEST_CASE(two_reports_of_a_window_are_found, Fixture) {
+  this->ledger.OnUsage(7, {}, "entry-1", 1, this->now);
+  this->ledger.OnUsage(7, {}, "entry-1", 1, this->now);
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->ledger.OnUsage(7, {{"oslo", 0}}, "entry-1", 1, this->now);
+  BOOST_TEST(this->BrokenIs("usage"));
+}
+
+BOOST_FIXTURE_TEST_CASE(usage_that_did_not_run_is_found, Fixture) {
+  for (const char* id : {"a", "b"}) {
+    SentRequest request{id, "desk", "whole", true, 1, this->now};
+    request.customer = "oslo";
+    this->ledger.OnSent(std::move(request));
+  }
+  this->Arrive("a");
+  this->Arrive("b", false);
+  this->ledger.OnUsage(7, {{"oslo", 1}}, "entry-1", 1, this->now);
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->ledger.OnUsage(8, {{"oslo", 1}}, "entry-1", 1, this->now);
+  BOOST_TEST(this->BrokenIs("usage"));
+}
+
+BOOST_FIXTURE_TEST_CASE(usage_reports_of_two_holders_are_found, Fixture) {
+  this->ledger.OnUsage(7, {}, "entry-1", 1, this->now);
+  this->now += absl::Milliseconds(3001);
+  this->ledger.OnUsage(8, {}, "entry-2", 2, this->now);
+  BOOST_TEST(this->ledger.Violations().empty());
+  this->now += absl::Milliseconds(2900);
+  this->ledger.OnUsage(9, {}, "entry-1", 3, this->now);
+  BOOST_TEST(this->BrokenIs("one"));
+}
+
 BOOST_FIXTURE_TEST_CASE(orders_of_two_holders_are_found, Fixture) {
   this->ledger.OnOrder("lm-1", "entry-1", 2, this->now);
   this->ledger.OnOrder("lm-1", "entry-2", 3, this->now + absl::Seconds(4));
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -61,6 +61,7 @@
     "kill_all",
     "terminate_all",
     "hang_up_all",
+    "switch_program",
 };
 
 }  // namespace
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -60,8 +60,10 @@
   kKillAll,           ///< SIGKILL of all gateways, which start again at once.
   kTerminateAll,
   kHangUpAll,
+  kSwitchProgram,  ///< SIGTERM; starts again with the program of the other
+                   ///< build.
 };
-inline constexpr size_t kFaultKinds = 47;
+inline constexpr size_t kFaultKinds = 48;
 /// The kinds that DrawFaults() draws come first, so that later ones do not
 /// change what a seed means.
 inline constexpr size_t kDrawnFaultKinds = 25;
