--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -167,7 +167,7 @@
       random(random),
       ledger(ledger),
       options(std::move(options)),
-      peers(io) {}
+      peers(io, this->UsesKeys()) {}
 
 Fleet::~Fleet() = default;
 
--- a/soak/peer_proxy.cc
+++ b/soak/peer_proxy.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 
+#include "soak/link_proxy.h"
 #include "soak/soak_address.h"
 
 namespace cranberryhill::soak {
@@ -20,12 +21,14 @@
 
   const size_t from;
   const size_t to;
+  std::unique_ptr<LinkProxy> requests;  // Null unless they are relayed.
   udp::socket socket;
   udp::endpoint sender;
   std::array<char, 65536> buffer{};
 };
 
-PeerProxy::PeerProxy(boost::asio::io_context& io) : io(io) {}
+PeerProxy::PeerProxy(boost::asio::io_context& io, bool relays)
+    : io(io), relays(relays) {}
 
 PeerProxy::~PeerProxy() = default;
 
@@ -42,10 +45,15 @@
 bool PeerProxy::Open(size_t from, size_t to) {
   auto pipe = std::make_unique<Pipe>(this->io, from, to);
   error_code error;
-  udp::endpoint any_port(SoakAddress(), 0);
-  pipe->socket.open(any_port.protocol(), error);
+  udp::endpoint endpoint(SoakAddress(), 0);
+  if (this->relays) {
+    pipe->requests = std::make_unique<LinkProxy>(this->io, this->ports[to]);
+    // An instance takes the requests of its peers at its address for datagrams.
+    endpoint.port(pipe->requests->port());
+  }
+  pipe->socket.open(endpoint.protocol(), error);
   if (!error)
-    pipe->socket.bind(any_port, error);
+    pipe->socket.bind(endpoint, error);
   if (!error)
     pipe->socket.non_blocking(true, error);
   if (error)
@@ -55,6 +63,20 @@
   return true;
 }
 
+void PeerProxy::SetCut(size_t instance, PeerCut cut) {
+  this->cuts.at(instance) = cut;
+  for (const auto& pipe : this->pipes) {
+    if (pipe->requests == nullptr)
+      continue;
+    const PeerCut& from = this->cuts[pipe->from];
+    const PeerCut& to = this->cuts[pipe->to];
+    LinkState state;
+    state.holds_to_target = from.sent || to.received;
+    state.holds_from_target = to.sent || from.received;
+    pipe->requests->SetState(state);
+  }
+}
+
 std::string PeerProxy::Address(size_t from, size_t to) const {
   auto pipe = std::find_if(
       this->pipes.begin(), this->pipes.end(),
--- a/soak/peer_proxy.h
+++ b/soak/peer_proxy.h
@@ -1,8 +1,9 @@
 #ifndef SOAK_PEER_PROXY_H_
 #define SOAK_PEER_PROXY_H_
 
-// A proxy on loopback for the datagrams between gateways, which can cut one of
-// them off from the others, in one direction or both.
+// A proxy on loopback for the datagrams between gateways and, if wanted, for
+// the requests that they relay. It can cut one of them off from the others, in
+// one direction or both.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -24,7 +25,9 @@
 class PeerProxy {
  public:
   /// @param io Must outlive this object.
-  explicit PeerProxy(boost::asio::io_context& io);
+  /// @param relays Whether requests are passed on; otherwise their connections
+  ///     are refused.
+  PeerProxy(boost::asio::io_context& io, bool relays);
   ~PeerProxy();
 
   /// Adds the next instance.
@@ -32,7 +35,7 @@
   /// @return False when no socket can be opened.
   bool Add(uint16_t port);
 
-  void SetCut(size_t instance, PeerCut cut) { this->cuts.at(instance) = cut; }
+  void SetCut(size_t instance, PeerCut cut);
 
   size_t instances() const { return this->ports.size(); }  // NOLINT
 
@@ -48,6 +51,7 @@
   void Forward(const Pipe& pipe, size_t bytes);
 
   boost::asio::io_context& io;
+  const bool relays;
   std::vector<uint16_t> ports;
   std::vector<PeerCut> cuts;
   std::vector<std::unique_ptr<Pipe>> pipes;
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -133,6 +133,14 @@
       entry["tombstone"] = true;
     list.push_back(std::move(entry));
   }
+  // The platform's feed names changes in their order, its reads rows by key.
+  if (removed) {
+    std::stable_sort(list.begin(), list.end(),
+                     [](const json& a, const json& b) {
+                       return a["row-version"].get<uint64_t>() <
+                              b["row-version"].get<uint64_t>();
+                     });
+  }
   return json{{"rows", list},
               {"has-more", false},
               {"row-version", this->version},
