Reason of a request that is relayed to a second peer

The line is written from relay_reason now.

reason_of_a_relay_is_kept_for_the_second_peer failed before and passes.

--- a/cranberryhill/exchange/exchange_relay.cc
+++ b/cranberryhill/exchange/exchange_relay.cc
@@ -71,12 +71,14 @@
   }
   this->phase = Phase::kRelaying;
   this->relayed_to.push_back(*peer);
+  // For the second peer, `reason` refers to relay_reason itself and is not
+  // valid afterwards.
   this->relay_reason = std::string(reason);
   this->relay_retry_after = retry_after;
   this->context.metrics.CountDecision("request_relayed");
   this->context.log.Write(this->MakeLogEvent("request_relayed")
                               .Add("peer", *peer)
-                              .Add("reason", reason)
+                              .Add("reason", this->relay_reason)
                               .Add("left_ms", this->TimeLeft()));
   PeerRelay::Resources resources{
       http1::ClientConnection::Create(this->context.io, *endpoint),
