Keep the gap after a released lease, also between two ticks

LeaseManager reads a released row and acquires the lease within one chain of calls. HandoverLease looked at the last read record once per tick, found its own one there, and let the new holder act at once instead of 3 s later. It now uses the last record that the manager has not written.

LeaseManager also repeated a write without any pause while its outcome was unknown and the row stayed free: with a table that answers at once, it overflowed the stack.

--- a/cranberryhill/lease/handover_lease.cc
+++ b/cranberryhill/lease/handover_lease.cc
@@ -94,7 +94,7 @@
 }
 
 void HandoverLease::ObserveRecordOfLease() {
-  const auto& record = this->lease->last_record();
+  const auto& record = this->lease->last_foreign_record();
   if (!record || record->holder == this->settings.holder ||
       record->nonce == this->observed_nonce)
     return;
--- a/cranberryhill/lease/lease_manager.cc
+++ b/cranberryhill/lease/lease_manager.cc
@@ -44,6 +44,10 @@
   return this->last_read_record;
 }
 
+const std::optional<LeaseRecord>& LeaseManager::last_foreign_record() const {
+  return this->foreign_record;
+}
+
 bool LeaseManager::released() const {
   return this->release_complete;
 }
@@ -140,6 +144,7 @@
   if (write != nullptr) {
     this->HandleOwnRow(*row, SentWrite(*write));
   } else {
+    this->foreign_record = this->last_read_record;
     this->HandleForeignRow(row);
   }
 }
@@ -183,7 +188,8 @@
   this->ScheduleAfter(this->own_settings.poll_interval);
   if (this->release_requested) {
     this->release_complete = true;
-  } else if (row == nullptr || this->MayTakeOver()) {
+  } else if ((row == nullptr || this->MayTakeOver()) &&
+             !this->WroteRecently()) {
     uint64_t highest =
         this->last_read_record ? this->last_read_record->fencing_number : 0;
     this->Write(std::max(highest + 1, this->own_settings.min_fencing_number),
@@ -191,6 +197,14 @@
   }
 }
 
+/// @return True if the last write is so recent that it may still take effect,
+///     and that the next one would only add to the load of the table.
+bool LeaseManager::WroteRecently() const {
+  return !this->recent_writes.empty() &&
+         this->clock.Now() - this->recent_writes.back().sent_at <
+             kMinWriteInterval;
+}
+
 bool LeaseManager::MayTakeOver() const {
   if (this->last_read_record->released)
     return true;
--- a/cranberryhill/lease/lease_manager.h
+++ b/cranberryhill/lease/lease_manager.h
@@ -95,6 +95,11 @@
   /// @return The lease record as last read, or nothing before the first read.
   const std::optional<LeaseRecord>& last_record() const;  // NOLINT
 
+  /// @return The last record read that this manager has not written. Unlike
+  ///     last_record(), it still names the former holder when the lease was
+  ///     acquired right after the read.
+  const std::optional<LeaseRecord>& last_foreign_record() const;  // NOLINT
+
   const LeaseSettings& settings() const;  // NOLINT
 
  private:
@@ -115,6 +120,7 @@
   void Write(uint64_t fencing_number, bool release);
   void OnCommit(uint64_t sent_call_id, const CommitOutcome& outcome);
   bool MayTakeOver() const;
+  bool WroteRecently() const;
   const SentWrite* FindWrite(const std::string& nonce) const;
   std::string NewNonce();
   void ScheduleAfter(absl::Duration delay);
@@ -135,6 +141,7 @@
 
   std::deque<SentWrite> recent_writes;
   std::optional<LeaseRecord> last_read_record;
+  std::optional<LeaseRecord> foreign_record;
   uint64_t last_read_version = 0;
   /// When the current version of the row was first read.
   absl::Time version_first_read_at = absl::InfinitePast();
