Wait for counts of paused instances; bound the row of usage windows

A window was decided as soon as the live instances had completed it, although one that was paused or cut off for a moment had sent a part of its counts. Such an instance is now waited for too, until the longest wait is over.

The size of the row was checked before a window was added to it, so that two windows could make it too large for the store, whose refusal would have kept all windows from being reported. It is now checked with the window.

A window that the platform did not accept in time was counted and logged as given up on each tick until the next one was decided, and stayed in the row for as long. It is now removed at once and counted once. The number of waiting windows was wrong when the platform accepted one that had been given up.

Now usage_test and duties_test pass.

--- a/cranberryhill/duties/usage_reporter.cc
+++ b/cranberryhill/duties/usage_reporter.cc
@@ -41,8 +41,14 @@
       clock(clock) {}
 
 size_t UsageReporter::PendingWindows() const {
-  return this->ledger ? this->ledger->pending.size() - this->reported.size()
-                      : 0;
+  if (!this->ledger)
+    return 0;
+  // A window may have been given up before the platform has accepted it.
+  return static_cast<size_t>(
+      std::count_if(this->ledger->pending.begin(), this->ledger->pending.end(),
+                    [this](const usage::PendingWindow& entry) {
+                      return !this->reported.contains(entry.window);
+                    }));
 }
 
 /// Forgets the row, which has to be read again.
@@ -139,38 +145,54 @@
   usage::UsageLedger next = *this->ledger;
   for (int64_t window : this->reported)
     next.Remove(window);
-  while (next.pending.empty() ||
-         usage::EncodeUsageLedger(next).size() < kMaxRowBytes / 2) {
+  while (true) {
     int64_t window = next.decided + 1;
     usage::WindowState state = this->collector.StateOf(window, true_time, live);
     if (state == usage::WindowState::kOpen)
       break;
-    if (state == usage::WindowState::kReady) {
-      next.Decide(window, this->collector.Sum(window));
-    } else {
+    if (state == usage::WindowState::kUnknown) {
       next.GiveUp(window);
-      ++this->call_counts.given_up;
-      this->log.Write(LogEvent("usage_window_given_up")
-                          .Add("window", window)
-                          .Add("reason", "no_counts"));
+      this->RecordGivenUp(window, "no_counts", this->last_without_counts);
+      continue;
     }
+    usage::UsageLedger with_window = next;
+    with_window.Decide(window, this->collector.Sum(window));
+    // A single window is written whatever its size.
+    if (!next.pending.empty() &&
+        usage::EncodeUsageLedger(with_window).size() > kMaxRowBytes)
+      break;
+    next = std::move(with_window);
   }
   absl::Time oldest = true_time - kLongestDelay;
-  std::erase_if(next.pending, [&](const usage::PendingWindow& entry) {
-    if (usage::EndOf(entry.window, this->settings.window_length) > oldest)
-      return false;
-    ++this->call_counts.given_up;
-    this->log.Write(LogEvent("usage_window_given_up")
-                        .Add("window", entry.window)
-                        .Add("reason", "not_accepted_in_time"));
-    return true;
-  });
-  if (next.decided == this->ledger->decided)
+  size_t expired =
+      std::erase_if(next.pending, [&](const usage::PendingWindow& entry) {
+        if (usage::EndOf(entry.window, this->settings.window_length) > oldest)
+          return false;
+        this->RecordGivenUp(entry.window, "not_accepted_in_time",
+                            this->last_not_accepted);
+        return true;
+      });
+  if (next.decided == this->ledger->decided && expired == 0)
     return false;
   this->Write(std::move(next));
   return true;
 }
 
+/// Counts and logs a window that is not reported, once although the write of
+/// the row may fail and be repeated.
+/// @param last The last window that was given up for this reason.
+void UsageReporter::RecordGivenUp(int64_t window,
+                                  std::string_view reason,
+                                  int64_t& last) {
+  if (window <= last)
+    return;
+  last = window;
+  ++this->call_counts.given_up;
+  this->log.Write(LogEvent("usage_window_given_up")
+                      .Add("window", window)
+                      .Add("reason", reason));
+}
+
 void UsageReporter::Write(usage::UsageLedger next) {
   this->table_call_active = true;
   Transaction transaction;
--- a/cranberryhill/duties/usage_reporter.h
+++ b/cranberryhill/duties/usage_reporter.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "absl/time/time.h"
 #include "cranberryhill/base/clock.h"
@@ -84,7 +85,7 @@
   void Load(absl::Time true_time, int64_t known_decided, uint64_t era);
   void OnRead(const ReadOutcome& outcome);
   bool DecideWindows(absl::Time true_time, std::span<const std::string> live);
-  void GiveUpOldWindows(absl::Time true_time);
+  void RecordGivenUp(int64_t window, std::string_view reason, int64_t& last);
   void Write(usage::UsageLedger next);
   void SendNext(const HandoverLease& lease);
   void OnSent(int64_t window, const gateway::HttpResult& answer);
@@ -107,6 +108,9 @@
   int failures_in_a_row = 0;
   uint64_t fencing_number = 0;  // Of the lease under which `ledger` was read.
   std::set<int64_t> reported;   // Windows that are still pending in the row.
+  // The last windows that were given up for each of the two reasons.
+  int64_t last_without_counts = -1;
+  int64_t last_not_accepted = -1;
   UsageReporterCounts call_counts;
 };
 
--- a/cranberryhill/duties/usage_reporter_test.cc
+++ b/cranberryhill/duties/usage_reporter_test.cc
@@ -5,12 +5,14 @@
 
 #include <rapidcheck/boost_test.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cranberryhill/base/json.h"
@@ -356,6 +358,92 @@
     BOOST_TEST(fleet.platform.reports[window].size() == 1U);
 }
 
+// Guards against windows that are counted and logged as given up again and
+// again until the next one is decided.
+BOOST_AUTO_TEST_CASE(each_window_is_given_up_once) {
+  Fleet fleet;
+  fleet.RunFor(absl::Seconds(30));
+  fleet.platform.mode = Platform::Mode::kDown;
+  fleet.RunFor(absl::Seconds(100));
+  uint64_t given_up = 0;
+  for (const auto& process : fleet.processes)
+    given_up += process->reporter.counts().given_up;
+  BOOST_TEST(given_up >= 6U);
+  BOOST_TEST(given_up <= 9U);
+}
+
+// Guards against a row that is too large for the store when windows wait for
+// the platform: its write would fail for as long as they wait.
+BOOST_AUTO_TEST_CASE(waiting_windows_fit_into_a_row) {
+  constexpr size_t kRowBytes = 65'536;
+  Fleet fleet;
+  fleet.RunFor(absl::Seconds(30));
+  fleet.platform.mode = Platform::Mode::kDown;
+  size_t largest = 0;
+  for (int customers : {2000, 3500}) {
+    for (int i = 0; i < customers; ++i) {
+      fleet.processes[0]->counter.Count("customer" + std::to_string(1000 + i),
+                                        fleet.clock.Now());
+    }
+    for (int step = 0; step < 40; ++step) {
+      fleet.Step();
+      for (const Row& row : fleet.rows.Read({"usage/windows"}))
+        largest = std::max(largest, row.value.size());
+    }
+  }
+  BOOST_TEST(largest > kRowBytes / 3);
+  BOOST_TEST(largest < kRowBytes);
+}
+
+// Guards against a number of waiting windows that is wrong, or below zero, when
+// the platform accepts a window that has been given up meanwhile.
+BOOST_AUTO_TEST_CASE(late_acceptance_does_not_hide_waiting_windows) {
+  class LateCaller : public gateway::HttpCaller {
+   public:
+    void Call(const http1::OutgoingRequest&,
+              absl::Duration,
+              Callback done) override {
+      this->done = std::move(done);
+    }
+    void Cancel() override {}
+    bool IsReceiving() const override { return false; }
+    size_t received_bytes() const override { return 0; }  // NOLINT
+
+    Callback done;
+  };
+  ManualClock clock(absl::UnixEpoch() + absl::Seconds(1'000'000));
+  TableRows rows;
+  MemoryTable table(rows);
+  SeededRandom random(1);
+  LateCaller caller;
+  JsonDutyCodec codec;
+  NullLog log;
+  HandoverLease lease(LeaseOf("a"), table, clock, random);
+  usage::UsageCounter counter(kWindow);
+  usage::UsageCollector collector({kWindow, absl::Seconds(6)});
+  UsageReporter reporter({"a", kWindow}, table, caller, codec, collector, log,
+                         clock);
+  const std::vector<std::string> live{"a"};
+  auto run_for = [&](absl::Duration duration) {
+    for (absl::Time end = clock.Now() + duration; clock.Now() < end;) {
+      clock.Advance(kStep);
+      lease.Tick(true, 0);
+      auto windows = counter.Undecided(clock.Now());
+      collector.Merge("a", 1, windows.front().window, windows);
+      reporter.Tick(lease, clock.Now(), live, -1, 1);
+      counter.OnDecided(reporter.decided().value_or(-1));
+    }
+  };
+  run_for(absl::Seconds(92));
+  BOOST_REQUIRE(caller.done);
+  size_t waiting = reporter.PendingWindows();
+  BOOST_TEST(waiting > 5U);
+  gateway::HttpResult accepted;
+  accepted.status = 200;
+  std::exchange(caller.done, nullptr)(accepted);
+  BOOST_TEST(reporter.PendingWindows() == waiting);
+}
+
 // Guards against messages that are misread, and against one that is too large
 // for a datagram.
 BOOST_AUTO_TEST_CASE(duty_report_survives_its_messages) {
--- a/cranberryhill/usage/usage_collector.cc
+++ b/cranberryhill/usage/usage_collector.cc
@@ -40,10 +40,16 @@
   auto found = this->windows.find(window);
   if (found == this->windows.end())
     return waits ? WindowState::kOpen : WindowState::kUnknown;
-  bool has_all =
-      std::all_of(live.begin(), live.end(), [&](const std::string& instance) {
-        return this->HasAllOf(instance, window, found->second);
-      });
+  auto is_complete = [&](const std::string& instance) {
+    return this->HasAllOf(instance, window, found->second);
+  };
+  // An instance that has counts of the window may be paused or cut off for a
+  // moment rather than dead.
+  bool has_all = std::all_of(live.begin(), live.end(), is_complete) &&
+                 std::all_of(found->second.begin(), found->second.end(),
+                             [&](const auto& process) {
+                               return is_complete(process.first.first);
+                             });
   return has_all || !waits ? WindowState::kReady : WindowState::kOpen;
 }
 
--- a/cranberryhill/usage/usage_test.cc
+++ b/cranberryhill/usage/usage_test.cc
@@ -104,6 +104,21 @@
       (collector.StateOf(kFirst + 5, At(60), live) == WindowState::kUnknown));
 }
 
+// Guards against windows that are decided while an instance that has counts of
+// them is paused or cut off for a moment, and against waiting for the rest of a
+// process that has been replaced.
+BOOST_AUTO_TEST_CASE(instance_with_counts_is_waited_for) {
+  UsageCollector collector(kSettings);
+  const std::vector<std::string> live{"a"};
+  collector.Merge("a", 1, kFirst, Final(kFirst, {{"yard", 3}}));
+  WindowCounts begun{kFirst, false, 1, {{"yard", 1}}};
+  collector.Merge("b", 1, kFirst, std::vector{begun});
+  BOOST_TEST((collector.StateOf(kFirst, At(6), live) == WindowState::kOpen));
+  BOOST_TEST((collector.StateOf(kFirst, At(11), live) == WindowState::kReady));
+  collector.Merge("b", 2, kFirst + 1, {});
+  BOOST_TEST((collector.StateOf(kFirst, At(6), live) == WindowState::kReady));
+}
+
 // Guards against sums that change with the order, the loss or the repetition of
 // messages, and against the counts of a process that was restarted.
 RC_BOOST_PROP(sum_does_not_depend_on_order_and_repetition,
