Report usage of starting and stopping instances, and sooner after a start

- An instance that is stopped serves requests for seconds, but no longer sent what it had counted: GatewayDuties::Tick() was not called any more.
It is called until the end now; a stopping instance does not acquire the lease.
- A request in the first 250 ms of an instance was not counted, because the instance learned only with its first Tick() that there are customers.
- The era of the store was known only after the first call for the lease.
By then the row could be written with a fencing number of era 0; the instance dropped its lease and waited 5.5 s for it to expire.
The era of the control table is used until then.
- Plans and clock reports of a former holder are forgotten also when the store is restored.

--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -915,9 +915,11 @@
     this->EndNotices();
     this->UpdateStreamVersions();
     this->quarantines.Tick();
-    if (this->ready()) {
+    if (this->ready())
       this->order_dispatcher.Tick(*this->routes, this->peer_load_sync.Rank());
-      this->duties.Tick(*this->routes);
+    if (this->routes != nullptr && this->replica_follower.has_snapshot()) {
+      bool stopping = this->shutdown_started_at != absl::InfiniteFuture();
+      this->duties.Tick(*this->routes, stopping);
     }
     this->CheckShutdown();
     this->ScheduleMaintenance();
--- a/cranberryhill/gateway/gateway_duties.cc
+++ b/cranberryhill/gateway/gateway_duties.cc
@@ -97,13 +97,13 @@
   return this->fleet_time.Now(this->context.control_table.StoreTime());
 }
 
-void GatewayDuties::Tick(const forward::RouteTable& routes) {
+void GatewayDuties::Tick(const forward::RouteTable& routes, bool stopping) {
   this->counts_usage = this->ReportsUsage(routes);
   bool orders_replicas = this->has_platform_api && OrdersReplicas(routes);
   if (!this->counts_usage && !orders_replicas)
     return;
   absl::Time now = this->context.clock.Now();
-  this->UpdateLease();
+  this->UpdateLease(stopping);
   if (this->lease.holds() && now >= this->notice_due_at)
     this->SendNotice();
   if (now >= this->report_due_at)
@@ -116,15 +116,24 @@
     this->OrderReplicas(routes);
 }
 
-void GatewayDuties::UpdateLease() {
+/// @return The era of the store; 0 while it is not known. The table of duties
+///     names it only after the first call, which may already write a row.
+uint64_t GatewayDuties::Era() const {
+  uint64_t era = this->lease_table.era();
+  return era != 0 ? era : this->context.control_table.era();
+}
+
+void GatewayDuties::UpdateLease(bool stopping) {
   absl::Time now = this->context.clock.Now();
-  if (this->lease.ObserveEra(this->lease_table.era())) {
+  if (this->lease.ObserveEra(this->Era())) {
     this->context.log.Write(
-        LogEvent("duty_lease_reset").Add("era", this->lease_table.era()));
+        LogEvent("duty_lease_reset").Add("era", this->Era()));
+    this->ForgetHeldState();
   }
   bool holder_is_silent = now - this->holder_heard_at > kHolderSilence;
-  bool needed = this->lease.holds() ||
-                (now - this->started_at > kStartDelay && holder_is_silent);
+  bool needed =
+      !stopping && (this->lease.holds() ||
+                    (now - this->started_at > kStartDelay && holder_is_silent));
   switch (this->lease.Tick(needed, this->context.peer_load_sync.Rank())) {
     case LeaseChange::kNone:
       return;
@@ -293,7 +302,9 @@
 }
 
 void GatewayDuties::OnBegan(std::string_view customer) {
-  if (this->counts_usage && !customer.empty())
+  // Only a configuration with customers names one. It may be so new that
+  // Tick() has not seen it yet.
+  if (this->has_platform_api && this->usage_is_wanted && !customer.empty())
     this->counter.Count(customer, this->TrueTime());
 }
 
--- a/cranberryhill/gateway/gateway_duties.h
+++ b/cranberryhill/gateway/gateway_duties.h
@@ -69,7 +69,9 @@
 
   /// Does what is due. To be called several times a second.
   /// @param routes In force.
-  void Tick(const forward::RouteTable& routes);
+  /// @param stopping Whether the instance is being stopped. It still serves and
+  ///     counts requests, but does not acquire the lease any more.
+  void Tick(const forward::RouteTable& routes, bool stopping);
 
   /// Takes a message of a peer.
   void OnMessage(std::string_view bytes);
@@ -91,7 +93,8 @@
   bool ReportsUsage(const forward::RouteTable& routes) const;
   static bool OrdersReplicas(const forward::RouteTable& routes);
   absl::Time TrueTime() const;
-  void UpdateLease();
+  uint64_t Era() const;
+  void UpdateLease(bool stopping);
   void SendReport();
   void TakeReport(const duties::DutyReport& report);
   void TakeNotice(const duties::DutyNotice& notice);
