Faults of the replica planner under partial failures

A change of the configuration had no effect before the demand changed. On-demand replicas were ordered away while they started, as soon as spot replicas could be asked for again, so with boot times above 8 s they never came. Zones that were planned full of spot replicas had no room for substitutes; zones without room for two sets of replicas never finished the exchange. Substitutes were given back in one zone before the spot replicas of another one served. A moment with nearly all requests refused made the need unlimited, and all replicas stayed for long. A refused order for fewer replicas was repeated without a pause. A zone that is not configured lost its on-demand replicas after its spot replicas had gone. Part of a report that arrived before the demand made all requests of a process count as new.

Replicas are given back only as far as the fleet has more than it needs, and only while at least half of the demand is known; orders without an answer count for both of their possible outcomes.

--- a/cranberryhill/forward/configuration.h
+++ b/cranberryhill/forward/configuration.h
@@ -78,6 +78,8 @@
   double spot_price = 1;
   /// Price of a replica per second, by availability zone.
   std::map<std::string, double, std::less<>> zone_prices;
+
+  bool operator==(const ScalingConfig&) const = default;
 };
 
 struct ServiceConfig {
--- a/cranberryhill/scaling/demand_collector.cc
+++ b/cranberryhill/scaling/demand_collector.cc
@@ -32,10 +32,12 @@
   }
   process.heard_at = this->clock.Now();
   for (const ServiceDemand& entry : demand) {
+    // The first message may have been one without demand, of several.
+    bool is_first = !process.newest.contains(entry.service);
     ServiceDemand& newest = process.newest[entry.service];
     if (entry.arrived >= newest.arrived)
       newest = entry;
-    if (is_new)
+    if (is_first)
       process.taken[entry.service] = entry;
   }
 }
@@ -50,6 +52,7 @@
     for (const auto& [service, newest] : process.newest) {
       ServiceDemand& taken = process.taken[service];
       DemandChange& change = changes[service];
+      change.is_known = true;
       change.arrivals[newest.zone] +=
           static_cast<double>(newest.arrived - taken.arrived);
       change.refused += static_cast<double>(newest.refused - taken.refused);
--- a/cranberryhill/scaling/demand_collector.h
+++ b/cranberryhill/scaling/demand_collector.h
@@ -18,6 +18,7 @@
 
 /// What all callers have asked of a service since the last TakeChanges().
 struct DemandChange {
+  bool is_known = false;  ///< A process has told about the service.
   std::map<std::string, double, std::less<>> arrivals;  ///< By zone.
   double refused = 0;
   double work_ms = 0;
@@ -47,6 +48,10 @@
   ///     before its first message is left out.
   std::map<std::string, DemandChange> TakeChanges();
 
+  /// @return The number of instances that have lately told their demand, of any
+  ///     service or of none.
+  size_t instances() const { return this->processes.size(); }  // NOLINT
+
  private:
   struct Process {
     uint64_t incarnation = 0;
--- a/cranberryhill/scaling/replica_planner.cc
+++ b/cranberryhill/scaling/replica_planner.cc
@@ -56,6 +56,11 @@
   return sum;
 }
 
+ReplicaKind OtherKind(ReplicaKind kind) {
+  return kind == ReplicaKind::kSpot ? ReplicaKind::kOnDemand
+                                    : ReplicaKind::kSpot;
+}
+
 int Total(const ZoneCounts& counts) {
   return Sum(counts, ReplicaKind::kOnDemand) + Sum(counts, ReplicaKind::kSpot);
 }
@@ -67,7 +72,10 @@
     : config(std::move(config)), clock(clock) {}
 
 void ReplicaPlanner::SetConfig(forward::ScalingConfig config) {
+  if (config == this->config)
+    return;
   this->config = std::move(config);
+  this->must_plan = true;
 }
 
 bool ReplicaPlanner::IsAvailable(const std::string& zone,
@@ -79,15 +87,28 @@
 
 void ReplicaPlanner::Observe(const ServiceObservation& observation) {
   // A kind that vanishes from a zone has been taken away there.
-  for (const auto& [zone, before] : this->last.registered) {
+  for (const auto& [zone, wanted] : this->wanted_counts) {
     auto now = observation.registered.find(zone);
     int spot = now == observation.registered.end() ? 0 : now->second.spot;
-    if (before.spot > 0 && spot == 0 && this->wanted_counts[zone].spot > 0) {
+    if (this->Registered(zone).spot > 0 && spot == 0 && wanted.spot > 0) {
       this->unavailable_until[{zone, ReplicaKind::kSpot}] =
           this->clock.Now() + kTakenAwayFor;
+      this->ordered.erase({zone, ReplicaKind::kSpot});
     }
   }
+  for (auto& [target, order] : this->ordered) {
+    const auto& [zone, kind] = target;
+    auto now = observation.registered.find(zone);
+    // Replicas that come show that an order without an answer took effect.
+    if (now != observation.registered.end() &&
+        now->second.Of(kind) > this->Registered(zone).Of(kind))
+      order.lowest = order.count;
+  }
   this->last = observation;
+  // The number of replicas in other zones is not the planner's to decide.
+  std::erase_if(this->last.registered, [this](const auto& item) {
+    return !this->config.zone_prices.contains(item.first);
+  });
   for (const auto& [zone, price] : this->config.zone_prices) {
     auto arrived = observation.arrivals.find(zone);
     double arrivals =
@@ -95,11 +116,13 @@
     double& average = this->arrivals_by_zone[zone];
     average += kArrivalsWeight * (arrivals - average);
   }
-  this->UpdateNeed(observation);
+  this->UpdateNeed();
   std::vector<Target> unavailable = this->Unavailable();
-  if (this->planned_total == this->wanted_total &&
+  if (!this->must_plan && this->planned_total == this->wanted_total &&
       unavailable == this->wanted_without)
     return;
+  // Without any replica the registry has not been read yet.
+  this->must_plan = this->planned_total == 0;
   this->wanted_total = this->planned_total;
   this->wanted_without = std::move(unavailable);
   this->wanted_counts = this->Plan(this->planned_total);
@@ -120,7 +143,8 @@
 }
 
 /// Updates how many replicas the demand needs.
-void ReplicaPlanner::UpdateNeed(const ServiceObservation& observation) {
+void ReplicaPlanner::UpdateNeed() {
+  const ServiceObservation& observation = this->last;
   absl::Time now = this->clock.Now();
   int registered = Total(observation.registered);
   if (this->planned_total == 0) {
@@ -132,7 +156,9 @@
   }
   if (!observation.load_is_known)
     return;
-  this->load_known_since = std::min(this->load_known_since, now);
+  this->load_known_since = observation.load_is_complete
+                               ? std::min(this->load_known_since, now)
+                               : absl::InfiniteFuture();
   double need = observation.busy_replicas / kTargetUtilization;
   if (observation.refused_share > kNotableRefusals)
     need = std::max(need, kGrowthWhenRefusing * registered);
@@ -165,9 +191,12 @@
   double highest = 0;
   for (const Need& need : this->needs)
     highest = std::max(highest, need.replicas);
-  int zones = static_cast<int>(this->config.zone_prices.size());
-  return std::max(static_cast<int>(std::ceil(highest)),
-                  kMinReplicasPerZone * zones);
+  // More cannot be ordered, and a higher number would have to shrink for a long
+  // time before the first replica is given back.
+  auto zones = static_cast<double>(this->config.zone_prices.size());
+  highest = std::min(highest, zones * this->config.max_replicas);
+  return static_cast<int>(
+      std::ceil(std::max(highest, kMinReplicasPerZone * zones)));
 }
 
 /// @return The share of the replicas that each zone should have, by the
@@ -200,18 +229,26 @@
     if (zones == PlanZones::kAll || this->IsAvailable(zone, kind))
       missing[zone] = share * count;
   }
+  auto is_in_vain = [&](const std::string& zone, ReplicaKind other) {
+    return zones == PlanZones::kAvailable && !this->IsAvailable(zone, other) &&
+           plan[zone].Of(other) > this->Registered(zone).Of(other);
+  };
   // One after the other to the zone that lacks most of its share.
   for (int i = 0; i < count; ++i) {
     auto best = missing.end();
     for (auto zone = missing.begin(); zone != missing.end(); ++zone) {
-      bool has_room = plan[zone->first].Total() < this->config.max_replicas;
+      bool has_room = plan[zone->first].Total() < this->config.max_replicas ||
+                      is_in_vain(zone->first, OtherKind(kind));
       if (has_room && (best == missing.end() || zone->second > best->second))
         best = zone;
     }
     if (best == missing.end())
       return;
     best->second -= 1;
-    ++plan[best->first].Of(kind);
+    ReplicaCounts& counts = plan[best->first];
+    if (counts.Total() >= this->config.max_replicas)
+      --counts.Of(OtherKind(kind));
+    ++counts.Of(kind);
   }
 }
 
@@ -263,27 +300,74 @@
   return plan;
 }
 
+absl::Duration ReplicaPlanner::RepeatAfter() const {
+  return std::max(kMinRepeatInterval,
+                  this->config.boot_time * kRepeatAfterBootTimes);
+}
+
+/// @return The replicas that serve and are not known to be leaving.
+int ReplicaPlanner::Present(const std::string& zone, ReplicaKind kind) const {
+  int registered = this->Registered(zone).Of(kind);
+  auto known = this->ordered.find({zone, kind});
+  return known == this->ordered.end()
+             ? registered
+             : std::min(registered, known->second.count);
+}
+
+/// @return The replicas that serve and that no order has given back, whether or
+///     not it was answered.
+int ReplicaPlanner::Staying(const std::string& zone, ReplicaKind kind) const {
+  int registered = this->Registered(zone).Of(kind);
+  auto known = this->ordered.find({zone, kind});
+  return known == this->ordered.end()
+             ? registered
+             : std::min(registered, known->second.lowest);
+}
+
+/// @return The replicas that serve or have been ordered.
+int ReplicaPlanner::Requested(const std::string& zone, ReplicaKind kind) const {
+  int registered = this->Registered(zone).Of(kind);
+  auto known = this->ordered.find({zone, kind});
+  return known == this->ordered.end()
+             ? registered
+             : std::max(registered, known->second.count);
+}
+
+/// @return The replicas that serve or will within a few boot times.
+int ReplicaPlanner::Expected(const std::string& zone, ReplicaKind kind) const {
+  auto known = this->ordered.find({zone, kind});
+  bool is_due = known == this->ordered.end() ||
+                this->clock.Now() - known->second.at >= this->RepeatAfter();
+  return is_due ? this->Registered(zone).Of(kind) : known->second.count;
+}
+
 /// @return What to order now on the way to `target`: replicas are given back
 ///     only when those that replace them serve, and both kinds together must
 ///     not exceed the limit of the zone.
 ReplicaCounts ReplicaPlanner::NextStep(const std::string& zone,
                                        const ReplicaCounts& target) const {
   ReplicaCounts registered = this->Registered(zone);
+  ReplicaCounts expected;
+  for (ReplicaKind kind : kKinds)
+    expected.Of(kind) = this->Expected(zone, kind);
   ReplicaCounts step = target;
   for (ReplicaKind kind : kKinds) {
-    ReplicaKind other = kind == ReplicaKind::kSpot ? ReplicaKind::kOnDemand
-                                                   : ReplicaKind::kSpot;
+    int others = registered.Of(OtherKind(kind));
+    int kept = std::max(0, this->config.min_replicas - others);
     // A few may be missing because they have crashed.
-    bool others_are_missing =
-        registered.Of(other) < kMostlyThere * target.Of(other);
-    if (others_are_missing)
-      step.Of(kind) = std::max(target.Of(kind), registered.Of(kind));
+    if (others < kMostlyThere * target.Of(OtherKind(kind)))
+      kept = std::max(kept, target.Total() - others);
+    // Those that are starting are kept too: an order for fewer would end them.
+    kept = std::min(kept, std::max(expected.Of(kind), registered.Of(kind)));
+    step.Of(kind) = std::max(target.Of(kind), kept);
   }
-  for (ReplicaKind kind : kKinds) {
-    // Those that would have to start wait for room.
-    int excess = std::max(0, step.Total() - this->config.max_replicas);
-    int growth = std::max(0, step.Of(kind) - registered.Of(kind));
-    step.Of(kind) -= std::min(growth, excess);
+  // Those that have not been ordered wait for room first.
+  for (const ReplicaCounts& base : {expected, registered, target}) {
+    for (ReplicaKind kind : kKinds) {
+      int excess = std::max(0, step.Total() - this->config.max_replicas);
+      int growth = std::max(0, step.Of(kind) - base.Of(kind));
+      step.Of(kind) -= std::min(growth, excess);
+    }
   }
   return step;
 }
@@ -291,22 +375,44 @@
 std::vector<ReplicaOrder> ReplicaPlanner::DueOrders() {
   std::vector<ReplicaOrder> due;
   absl::Time now = this->clock.Now();
-  absl::Duration repeat_after = std::max(
-      kMinRepeatInterval, this->config.boot_time * kRepeatAfterBootTimes);
+  // What can be given back: a zone may replace what is missing in another one.
+  int surplus = -this->planned_total;
+  for (const auto& [zone, target] : this->wanted_counts) {
+    for (ReplicaKind kind : kKinds)
+      surplus += this->Staying(zone, kind);
+  }
   for (const auto& [zone, target] : this->wanted_counts) {
     ReplicaCounts step = this->NextStep(zone, target);
-    ReplicaCounts registered = this->Registered(zone);
+    ReplicaCounts requested;
+    ReplicaCounts present;
+    for (ReplicaKind kind : kKinds) {
+      requested.Of(kind) = this->Requested(zone, kind);
+      present.Of(kind) = this->Present(zone, kind);
+    }
     for (ReplicaKind kind : kKinds) {
+      if (!this->IsAvailable(zone, kind))
+        continue;
       int count = step.Of(kind);
+      int given_back = std::max(0, present.Of(kind) - count);
+      // `surplus` does not count these any more.
+      int in_doubt = present.Of(kind) - this->Staying(zone, kind);
+      int excess = std::max(0, present.Total() - this->config.max_replicas);
+      int allowed =
+          std::min(given_back, std::max({0, surplus + in_doubt, excess}));
+      count += given_back - allowed;
+      surplus -= std::max(0, allowed - in_doubt);
+      present.Of(kind) -= allowed;
+      // The other kind is ordered down first if it takes up the room.
+      int room = this->config.max_replicas - requested.Of(OtherKind(kind));
+      if (count > requested.Of(kind))
+        count = std::max(requested.Of(kind), std::min(count, room));
+      int registered = this->Registered(zone).Of(kind);
       auto known = this->ordered.find({zone, kind});
-      bool grows = count > registered.Of(kind);
-      if (grows && !this->IsAvailable(zone, kind))
-        continue;
-      bool is_new = known == this->ordered.end() ? count != registered.Of(kind)
-                                                 : count != known->second.count;
-      bool is_unmet = known != this->ordered.end() &&
-                      count != registered.Of(kind) &&
-                      now - known->second.at >= repeat_after;
+      bool is_known = known != this->ordered.end();
+      bool is_new = count != (is_known ? known->second.count : registered);
+      bool is_unmet = is_known && count != registered &&
+                      (!known->second.in_effect ||
+                       now - known->second.at >= this->RepeatAfter());
       if (is_new || is_unmet)
         due.push_back({zone, kind, count});
     }
@@ -315,18 +421,25 @@
 }
 
 void ReplicaPlanner::OnAccepted(const ReplicaOrder& order) {
-  this->ordered[{order.zone, order.kind}] = {order.count, this->clock.Now()};
+  this->ordered[{order.zone, order.kind}] = {order.count, this->clock.Now(),
+                                             order.count};
 }
 
 void ReplicaPlanner::OnUnavailable(const ReplicaOrder& order) {
   this->unavailable_until[{order.zone, order.kind}] =
       this->clock.Now() + kUnavailableFor;
-  this->ordered.erase({order.zone, order.kind});
+  auto known = this->ordered.find({order.zone, order.kind});
+  if (known != this->ordered.end())
+    known->second.in_effect = false;
 }
 
 void ReplicaPlanner::OnFailed(const ReplicaOrder& order) {
-  // It may have taken effect; it is sent again, as it is absolute.
-  this->ordered.erase({order.zone, order.kind});
+  // It may have taken effect or not; it is sent again, as it is absolute.
+  int requested = this->Requested(order.zone, order.kind);
+  int staying = this->Staying(order.zone, order.kind);
+  this->ordered[{order.zone, order.kind}] = {
+      std::max(requested, order.count), this->clock.Now(),
+      std::min(staying, order.count), false};
 }
 
 }  // namespace cranberryhill::scaling
--- a/cranberryhill/scaling/replica_planner.h
+++ b/cranberryhill/scaling/replica_planner.h
@@ -67,6 +67,10 @@
   /// False if `busy_replicas` is not known, for example before the speed of the
   /// replicas is.
   bool load_is_known = false;
+  /// False if a large part of the instances has not told its demand, for
+  /// example during a network partition: the demand is at least as high then,
+  /// and no replicas are given back because of it.
+  bool load_is_complete = true;
 };
 
 /// Not thread-safe.
@@ -103,13 +107,18 @@
   struct Ordered {
     int count = 0;
     absl::Time at;
+    /// Differs from `count` if the platform may go by either, because an order
+    /// was not answered.
+    int lowest = 0;
+    /// False if the last order was refused or not answered. It is sent again.
+    bool in_effect = true;
   };
   using Target = std::pair<std::string, ReplicaKind>;
 
   bool IsAvailable(const std::string& zone, ReplicaKind kind) const;
   int NeededReplicas() const;
   std::map<std::string, double> ZoneShares() const;
-  void UpdateNeed(const ServiceObservation& observation);
+  void UpdateNeed();
   ZoneCounts Plan(int needed) const;
   /// Where replicas of a kind may be planned.
   enum class PlanZones { kAll, kAvailable };
@@ -121,6 +130,11 @@
   int ObtainableReplicas(const ZoneCounts& plan) const;
   ReplicaCounts Registered(const std::string& zone) const;
   std::vector<Target> Unavailable() const;
+  absl::Duration RepeatAfter() const;
+  int Present(const std::string& zone, ReplicaKind kind) const;
+  int Staying(const std::string& zone, ReplicaKind kind) const;
+  int Requested(const std::string& zone, ReplicaKind kind) const;
+  int Expected(const std::string& zone, ReplicaKind kind) const;
   ReplicaCounts NextStep(const std::string& zone,
                          const ReplicaCounts& target) const;
 
@@ -136,6 +150,7 @@
   // What `wanted_counts` were planned for. They stay the same while these do,
   // because each change costs a call.
   int wanted_total = 0;
+  bool must_plan = false;              // The configuration has changed.
   std::vector<Target> wanted_without;  // Was not available.
   std::map<Target, Ordered> ordered;
   std::map<Target, absl::Time> unavailable_until;
