Engines without a role become prefill engines

The role balancer counted engines that registered without a role as decode engines, but took only those with the role "decode" for prefill. After half of a zone's engines had been exchanged for new ones, 9 of 44 prefilled in each zone, and it stayed so.

roles_survive_an_exchange_of_engines failed before (9 prefill engines where 20 or more are wanted, in all four zones); forward_test passes.

--- a/cranberryhill/forward/role_balancer.cc
+++ b/cranberryhill/forward/role_balancer.cc
@@ -185,7 +185,6 @@
     return std::nullopt;
   bool to_prefill =
       !version_is_due && counts.decode_engines > counts.WantedDecode();
-  EngineRole from = to_prefill ? EngineRole::kDecode : EngineRole::kPrefill;
   std::map<std::string_view, int> decode_engines_by_zone;
   for (const auto& engine : engines) {
     if (this->IsCapacity(*engine) &&
@@ -204,7 +203,9 @@
   };
   const Replica* best = nullptr;
   for (const auto& engine : engines) {
-    if (this->RoleAfterOrders(*engine) != from ||
+    // Engines that have registered without a role decode.
+    bool prefills = this->RoleAfterOrders(*engine) == EngineRole::kPrefill;
+    if (prefills == to_prefill ||
         this->pending_orders.contains(engine->entry.id) ||
         !this->IsCapacity(*engine))
       continue;
--- a/cranberryhill/forward/role_balancer_test.cc
+++ b/cranberryhill/forward/role_balancer_test.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "cranberryhill/forward/test_replicas.h"
 
@@ -205,5 +208,76 @@
   BOOST_TEST(RoleBalancer::WantedDecodeEngines(90, 3, 1) == 45U);
 }
 
+// Guards against a zone without engines of one role when on-demand engines are
+// exchanged for spot engines, which register without a role: the old ones that
+// are taken away may be those that decode.
+BOOST_FIXTURE_TEST_CASE(roles_survive_an_exchange_of_engines, Fixture) {
+  constexpr absl::Duration kTick = absl::Milliseconds(200);
+  constexpr absl::Duration kChangeTime = absl::Seconds(3);
+  const std::vector<std::string> zones{"a", "b", "c", "d"};
+  for (const std::string& zone : zones) {
+    this->Add(7, zone, EngineRole::kDecode);
+    this->Add(28, zone, EngineRole::kPrefill);
+  }
+  std::vector<std::pair<absl::Time, RoleChange>> changing;
+  auto count = [this](const std::string& zone, bool decodes) {
+    auto engines = this->Engines();
+    return std::count_if(
+        engines.begin(), engines.end(), [&](const auto& engine) {
+          bool is_prefill = engine->entry.role == EngineRole::kPrefill;
+          return engine->entry.availability_zone == zone &&
+                 is_prefill != decodes;
+        });
+  };
+  auto run = [&](absl::Duration time) {
+    absl::Time end = this->clock.Now() + time;
+    while (this->clock.Now() < end) {
+      this->clock.Advance(kTick);
+      for (const RoleChange& change : this->OrderAll())
+        changing.emplace_back(this->clock.Now() + kChangeTime, change);
+      std::erase_if(changing, [&](const auto& item) {
+        if (item.first > this->clock.Now())
+          return false;
+        if (auto engine = this->replicas.Find(item.second.replica)) {
+          ReplicaEntry entry = engine->entry;
+          entry.role = item.second.role;
+          this->replicas.Apply(entry);
+        }
+        return true;
+      });
+      for (const std::string& zone : zones)
+        BOOST_TEST(count(zone, true) >= 2);
+    }
+  };
+  run(absl::Seconds(2));
+  for (const std::string& zone : zones) {
+    for (int i = 0; i < 35; ++i) {
+      ReplicaEntry entry = MakeEntry("s" + std::to_string(this->next_id++),
+                                     zone, EngineRole::kDecode);
+      entry.role.reset();
+      entry.software_version = "v1";
+      this->replicas.Apply(entry);
+    }
+  }
+  // Those that register until the on-demand engines have been ordered away.
+  run(absl::Seconds(5));
+  for (const std::string& zone : zones) {
+    int left = 26;
+    for (EngineRole role : {EngineRole::kDecode, EngineRole::kPrefill}) {
+      for (const auto& engine : this->Engines()) {
+        const ReplicaEntry& entry = engine->entry;
+        if (entry.id.front() == 'e' && entry.availability_zone == zone &&
+            entry.role == role && left-- > 0)
+          this->replicas.Remove(std::string(entry.id));
+      }
+    }
+  }
+  run(absl::Seconds(40));
+  for (const std::string& zone : zones) {
+    BOOST_TEST(count(zone, true) >= 7);
+    BOOST_TEST(count(zone, false) >= 20);
+  }
+}
+
 }  // namespace
 }  // namespace cranberryhill::forward
