Faults of the holder that orders replicas

Orders for a service went on after its scaling had been removed. The first order that failed held up those of all other services. A service without arrivals counted as unknown and kept its replicas. A holder that reached the store but not its peers took its own demand for that of the fleet. A new holder lost its lease about 6 s after it had acquired it, because the lease table learned the era of the store only from its first answer.

--- a/cranberryhill/gateway/gateway_duties.cc
+++ b/cranberryhill/gateway/gateway_duties.cc
@@ -100,6 +100,8 @@
 void GatewayDuties::Tick(const forward::RouteTable& routes) {
   this->counts_usage = this->ReportsUsage(routes);
   bool orders_replicas = this->has_platform_api && OrdersReplicas(routes);
+  if (!orders_replicas)
+    this->planners.clear();
   if (!this->counts_usage && !orders_replicas)
     return;
   absl::Time now = this->context.clock.Now();
@@ -118,9 +120,12 @@
 
 void GatewayDuties::UpdateLease() {
   absl::Time now = this->context.clock.Now();
-  if (this->lease.ObserveEra(this->lease_table.era())) {
-    this->context.log.Write(
-        LogEvent("duty_lease_reset").Add("era", this->lease_table.era()));
+  // A lease that is acquired before the era is known is given up when it is,
+  // and the lease table knows it only from the answer to its first call.
+  uint64_t era =
+      std::max(this->lease_table.era(), this->context.control_table.era());
+  if (this->lease.ObserveEra(era)) {
+    this->context.log.Write(LogEvent("duty_lease_reset").Add("era", era));
   }
   bool holder_is_silent = now - this->holder_heard_at > kHolderSilence;
   bool needed = this->lease.holds() ||
@@ -323,21 +328,32 @@
   observation.busy_replicas =
       BusyReplicas(change, engines, elapsed, slots / std::max(1, replicas));
   std::vector<std::string> learned = this->context.engine_speeds.Services();
+  // Without arrivals, the service has been used before, and is not any more.
   observation.load_is_known =
-      arrived > 0 &&
+      change.is_known &&
       (!service.engine || std::find(learned.begin(), learned.end(),
                                     service.name) != learned.end());
+  // An instance that reaches the store but not its peers knows little of the
+  // demand.
+  observation.load_is_complete = 2 * this->demand_collector.instances() >=
+                                 this->context.peer_link.known_peers() + 1;
   return observation;
 }
 
 void GatewayDuties::OrderReplicas(const forward::RouteTable& routes) {
   absl::Time now = this->context.clock.Now();
+  const auto& services = routes.configuration().services;
+  std::erase_if(this->planners, [&services](const auto& item) {
+    return std::none_of(services.begin(), services.end(),
+                        [&item](const forward::ServiceConfig& service) {
+                          return service.name == item.first && service.scaling;
+                        });
+  });
   if (now - this->planned_at >= kPlanInterval) {
     absl::Duration elapsed = now - std::exchange(this->planned_at, now);
     std::map<std::string, scaling::DemandChange> changes =
         this->demand_collector.TakeChanges();
-    for (const forward::ServiceConfig& service :
-         routes.configuration().services) {
+    for (const forward::ServiceConfig& service : services) {
       if (!service.scaling)
         continue;
       auto& planner =
@@ -357,30 +373,33 @@
   if (this->order_active || !grant ||
       this->context.clock.Now() < this->order_retry_at)
     return;
+  std::vector<std::pair<std::string, scaling::ReplicaOrder>> due;
   for (auto& [service, planner] : this->planners) {
-    std::vector<scaling::ReplicaOrder> due = planner.DueOrders();
-    if (due.empty())
-      continue;
-    const scaling::ReplicaOrder& order = due.front();
-    duties::ReplicaCountOrder call{service, order.zone, order.count,
-                                   order.kind == scaling::ReplicaKind::kSpot};
-    this->order_active = true;
-    ++this->orders_sent;
-    this->context.log.Write(LogEvent("replicas_ordered")
-                                .Add("service", service)
-                                .Add("zone", order.zone)
-                                .Add("spot", call.spot)
-                                .Add("count", order.count)
-                                .Add("fencing_token", grant->fencing_number));
-    return this->order_client->Call(
-        this->context.duty_codec.EncodeReplicaCount(
-            {this->instance, grant->fencing_number}, call),
-        kOrderTimeout,
-        [this, service = service, order](const HttpResult& answer) {
-          this->order_active = false;
-          this->OnOrderAnswered(service, order, answer);
-        });
+    for (scaling::ReplicaOrder& order : planner.DueOrders())
+      due.emplace_back(service, std::move(order));
   }
+  if (due.empty())
+    return;
+  // An order that fails again and again must not hold up the others.
+  const auto& [service, order] = due[this->orders_failed_in_a_row % due.size()];
+  duties::ReplicaCountOrder call{service, order.zone, order.count,
+                                 order.kind == scaling::ReplicaKind::kSpot};
+  this->order_active = true;
+  ++this->orders_sent;
+  this->context.log.Write(LogEvent("replicas_ordered")
+                              .Add("service", service)
+                              .Add("zone", order.zone)
+                              .Add("spot", call.spot)
+                              .Add("count", order.count)
+                              .Add("fencing_token", grant->fencing_number));
+  this->order_client->Call(
+      this->context.duty_codec.EncodeReplicaCount(
+          {this->instance, grant->fencing_number}, call),
+      kOrderTimeout,
+      [this, service = service, order = order](const HttpResult& answer) {
+        this->order_active = false;
+        this->OnOrderAnswered(service, order, answer);
+      });
 }
 
 void GatewayDuties::OnOrderAnswered(const std::string& service,
@@ -399,16 +418,19 @@
     ++this->orders_unavailable;
   } else if (!accepted) {
     ++this->orders_failed;
+    ++this->orders_failed_in_a_row;
     this->order_retry_at = this->context.clock.Now() + kOrderRetryPause;
   }
   if (planner == this->planners.end())
     return;
-  if (accepted)
+  if (accepted) {
+    this->orders_failed_in_a_row = 0;
     planner->second.OnAccepted(order);
-  else if (answer.status == kConflict)
+  } else if (answer.status == kConflict) {
     planner->second.OnUnavailable(order);
-  else
+  } else {
     planner->second.OnFailed(order);
+  }
   this->SendNextOrder();
 }
 
--- a/cranberryhill/gateway/gateway_duties.h
+++ b/cranberryhill/gateway/gateway_duties.h
@@ -146,6 +146,7 @@
   int64_t known_decided = -1;
   std::map<std::string, ClockReport, std::less<>> clock_reports;
   bool order_active = false;
+  size_t orders_failed_in_a_row = 0;
   absl::Time order_retry_at = absl::InfinitePast();
   uint64_t orders_sent = 0;
   uint64_t orders_unavailable = 0;
--- a/cranberryhill/gateway/peer_link.h
+++ b/cranberryhill/gateway/peer_link.h
@@ -93,6 +93,10 @@
   /// @return kUnavailable when the address cannot be bound.
   Result<void> Start();
 
+  /// @return The number of peers in the control table, whether or not they can
+  ///     be reached.
+  size_t known_peers() const { return this->peer_endpoints.size(); }  // NOLINT
+
   /// Updates the list of peers from the rows of the control table.
   void UpdatePeers();
 
