End-to-end tests of invalid statuses

A replica answers with 000, 099 or 600, signed and with a length: an idempotent request is served by another replica, a non-idempotent one and a stream get 502. ClosingReplica can send any status for this.

--- a/standins/gateway_platform/closing_replica.cc
+++ b/standins/gateway_platform/closing_replica.cc
@@ -37,11 +37,10 @@
 class ClosingReplica::Connection
     : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(tcp::socket socket, const ClosingReplica& replica)
+  Connection(tcp::socket socket, ClosingReplica& replica)
       : socket(std::move(socket)),
         timer(this->socket.get_executor()),
-        content_type(replica.content_type),
-        body(replica.body),
+        replica(replica),
         end(replica.end) {}
 
   void Start() {
@@ -55,10 +54,16 @@
 
  private:
   void Answer(std::string_view request_head) {
-    this->answer = "HTTP/1.1 200 OK\r\nContent-Type: " + this->content_type +
+    ++this->replica.answer_count;
+    const std::string& body = this->replica.body;
+    std::string length;
+    if (this->replica.has_length)
+      length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    this->answer = "HTTP/1.1 " + this->replica.status +
+                   " OK\r\nContent-Type: " + this->replica.content_type +
                    "\r\n" + std::string(kAttemptId) + ": " +
                    IdIn(request_head) + "\r\n" + std::string(kSignature) +
-                   ": seal\r\n\r\n" + this->body;
+                   ": seal\r\n" + length + "\r\n" + body;
     asio::async_write(
         this->socket, asio::buffer(this->answer),
         [self = this->shared_from_this()](error_code, size_t) { self->End(); });
@@ -92,8 +97,7 @@
 
   tcp::socket socket;
   asio::steady_timer timer;
-  const std::string content_type;
-  const std::string body;
+  ClosingReplica& replica;  // Used only before the request is answered.
   const ConnectionEnd end;
   std::string received;
   std::string answer;
@@ -111,6 +115,11 @@
   this->Accept();
 }
 
+void ClosingReplica::UseStatus(std::string_view status) {
+  this->status = std::string(status);
+  this->has_length = true;
+}
+
 uint16_t ClosingReplica::port() const {
   return this->acceptor.local_endpoint().port();
 }
--- a/standins/gateway_platform/closing_replica.h
+++ b/standins/gateway_platform/closing_replica.h
@@ -1,8 +1,8 @@
 #ifndef STANDINS_GATEWAY_PLATFORM_CLOSING_REPLICA_H_
 #define STANDINS_GATEWAY_PLATFORM_CLOSING_REPLICA_H_
 
-// A replica of the users' platform whose answers have neither a length nor
-// chunks and end with their connection.
+// A replica of the users' platform whose answers end with their connection, and
+// have neither a length nor chunks, or a status that is not valid.
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -30,6 +30,11 @@
                  std::string_view body,
                  ConnectionEnd end);
 
+  /// Has the answers carry this text as their status, and a length.
+  void UseStatus(std::string_view status);
+
+  int answers() const { return this->answer_count; }  // NOLINT
+
   uint16_t port() const;  // NOLINT
 
  private:
@@ -41,6 +46,9 @@
   const std::string content_type;
   const std::string body;
   const ConnectionEnd end;
+  std::string status = "200";
+  bool has_length = false;
+  int answer_count = 0;
 };
 
 }  // namespace cranberryhill::platform
