http2: an invalid status fails the request

A status below 100 was taken for an interim response, and one above 599 for none: the body and the end were passed on without a head. The request fails with a protocol error now, and the connection goes on.

The new test was not run without the change.

--- a/cranberryhill/http2/http2_client.cc
+++ b/cranberryhill/http2/http2_client.cc
@@ -13,6 +13,7 @@
 namespace cranberryhill {
 namespace {
 
+constexpr int kLowestStatus = 100;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kHighestStatus = 599;
 
@@ -194,9 +195,6 @@
   if (header.name == ":status") {
     std::string_view text = header.value;
     std::from_chars(text.data(), text.data() + text.size(), this->status);
-    // Without a status of the protocol there is no answer.
-    if (this->status > kHighestStatus)
-      this->status = 0;
   } else if (header.name[0] != ':') {
     this->headers.push_back(std::move(header));
   }
@@ -205,6 +203,14 @@
 void ClientStream::FinishHeaders() {
   if (this->headers_done || this->done)
     return;
+  if (this->status < kLowestStatus || this->status > kHighestStatus) {
+    auto target = this->session.lock();
+    this->Fail(CloseReason::kProtocolError, Http2Error::kProtocolError,
+               "the status is not one of HTTP");
+    if (target)
+      target->Cancel(this->id);
+    return;
+  }
   if (this->status < kFirstFinalStatus) {
     this->headers.clear();  // An informational response precedes the final one.
     return;
--- a/cranberryhill/http2/http2_test.cc
+++ b/cranberryhill/http2/http2_test.cc
@@ -748,5 +748,35 @@
   this->Until([&] { return this->server->connections() == 0; });
 }
 
+// Guards against a response whose status HTTP does not have, which ends without
+// a head or is passed on as it is.
+BOOST_FIXTURE_TEST_CASE(InvalidStatusIsNoResponse, Fixture) {
+  int status = 0;
+  this->Serve([&](const RequestPointer&, const WriterPointer& response) {
+    response->SendHeaders(status, {});
+    response->SendBody("body");
+    response->End();
+  });
+  // nghttp2 itself refuses others that have not three digits.
+  for (int invalid : {600, 999}) {
+    status = invalid;
+    Record record;
+    this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+    this->Until([&] { return record.Finished(); });
+    BOOST_TEST(record.status == 0);
+    BOOST_TEST(record.body.empty());
+    BOOST_TEST(record.ends == 0);
+    BOOST_REQUIRE(record.failures.size() == 1U);
+    BOOST_TEST((record.failures[0].reason == CloseReason::kProtocolError));
+  }
+  // The connection goes on.
+  status = 599;
+  Record record;
+  this->connection->Send({"GET", "/", {}, ""}, record.Callbacks());
+  this->Until([&] { return record.Finished(); });
+  BOOST_TEST(record.status == 599);
+  BOOST_TEST(record.body == "body");
+}
+
 }  // namespace
 }  // namespace cranberryhill
