--- a/cranberryhill/duties/duty_message.h
+++ b/cranberryhill/duties/duty_message.h
@@ -37,7 +37,7 @@
 
 /// From the holder to all instances.
 struct DutyNotice {
-  std::string holder;
+  std::string holder;  ///< Empty if it has released the lease.
   uint64_t fencing_number = 0;
   int64_t decided = -1;  ///< Counts up to this window need not be kept.
   /// How far true time is ahead of the store's steady clock.
--- a/cranberryhill/gateway/gateway_duties.cc
+++ b/cranberryhill/gateway/gateway_duties.cc
@@ -131,6 +131,10 @@
         LogEvent("duty_lease_reset").Add("era", this->Era()));
     this->ForgetHeldState();
   }
+  if (stopping && this->lease.holds()) {
+    // The next holder need not wait until the lease has run out.
+    this->lease.Release();
+  }
   bool holder_is_silent = now - this->holder_heard_at > kHolderSilence;
   bool needed =
       !stopping && (this->lease.holds() ||
@@ -140,6 +144,7 @@
       return;
     case LeaseChange::kReleased:
       this->context.log.Write(LogEvent("duty_lease_released"));
+      this->SendReleaseNotice();
       return this->ForgetHeldState();
     case LeaseChange::kLost:
       this->context.log.Write(LogEvent("duty_lease_lost"));
@@ -227,7 +232,7 @@
     return;
   this->holder = notice.holder;
   this->holder_fencing_number = notice.fencing_number;
-  this->holder_heard_at = now;
+  this->holder_heard_at = notice.holder.empty() ? absl::InfinitePast() : now;
   this->known_decided = std::max(this->known_decided, notice.decided);
   this->counter.OnDecided(notice.decided);
   if (notice.clock_offset)
@@ -264,6 +269,15 @@
   this->context.peer_link.SendToPeers(duties::EncodeDutyNotice(notice));
 }
 
+/// Tells all instances that they need not wait for another notice.
+void GatewayDuties::SendReleaseNotice() {
+  duties::DutyNotice notice;
+  notice.fencing_number = this->holder_fencing_number;
+  notice.decided = this->known_decided;
+  this->TakeNotice(notice);
+  this->context.peer_link.SendToPeers(duties::EncodeDutyNotice(notice));
+}
+
 void GatewayDuties::ReportUsage() {
   // Windows that are decided too early lack counts.
   if (!this->fleet_time.has_offset())
--- a/cranberryhill/gateway/gateway_duties.h
+++ b/cranberryhill/gateway/gateway_duties.h
@@ -99,6 +99,7 @@
   void TakeReport(const duties::DutyReport& report);
   void TakeNotice(const duties::DutyNotice& notice);
   void SendNotice();
+  void SendReleaseNotice();
   std::optional<absl::Duration> FleetOffset() const;
   void ReportUsage();
   void OrderReplicas(const forward::RouteTable& routes);
--- a/cranberryhill/gateway/gateway_tables.cc
+++ b/cranberryhill/gateway/gateway_tables.cc
@@ -12,8 +12,9 @@
 constexpr size_t kProgressFields = 5;
 /// An answer of the store that is older than this says nothing to peers.
 constexpr absl::Duration kMaxReportedAge = absl::Seconds(3);
-/// For what an instance adds to the head of a request that it relays.
-constexpr uint32_t kRelayHeaderBytes = 64;
+/// For what an instance adds to the head of a request that it relays: the time
+/// left and the name of the customer.
+constexpr uint32_t kRelayHeaderBytes = 320;
 
 }  // namespace
 
--- a/cranberryhill/lease/handover_lease.cc
+++ b/cranberryhill/lease/handover_lease.cc
@@ -53,6 +53,13 @@
       MakeLeaseSettings(this->settings, this->era), this->table, this->clock,
       this->random);
   this->is_holder = false;
+  this->is_releasing = false;
+}
+
+void HandoverLease::Release() {
+  if (!this->is_holder || std::exchange(this->is_releasing, true))
+    return;
+  this->lease->Release();
 }
 
 std::optional<LeaseGrant> HandoverLease::GrantToAct() const {
@@ -129,7 +136,7 @@
     this->is_holder = true;
     return LeaseChange::kAcquired;
   }
-  if (!granted && this->is_holder && !unused) {
+  if (!granted && this->is_holder && !unused && !this->is_releasing) {
     this->is_holder = false;
     return LeaseChange::kLost;
   }
--- a/cranberryhill/lease/handover_lease.h
+++ b/cranberryhill/lease/handover_lease.h
@@ -60,6 +60,11 @@
   ///     low ranks try first.
   LeaseChange Tick(bool needed, size_t rank);
 
+  /// Ends the grant at once and releases the lease, if this instance holds it,
+  /// during further calls of Tick(). To be called before the process ends, when
+  /// no order is active.
+  void Release();
+
   /// Records a row of the lease that was read elsewhere.
   /// @param value Of the row.
   void ObserveRow(uint64_t version, std::string_view value);
@@ -95,6 +100,7 @@
   Random& random;
   std::unique_ptr<LeaseManager> lease;
   bool is_holder = false;
+  bool is_releasing = false;
   uint64_t era = 0;
   absl::Time needed_at;
   absl::Time acquire_from = absl::InfiniteFuture();
--- a/cranberryhill/lease/handover_lease_test.cc
+++ b/cranberryhill/lease/handover_lease_test.cc
@@ -212,6 +212,23 @@
   }
 }
 
+// Guards against a planned stop after which the next holder has to wait until
+// the lease has run out, and against orders after the release.
+BOOST_AUTO_TEST_CASE(lease_is_released_at_a_planned_stop) {
+  constexpr absl::Duration kTermAndGap = absl::Seconds(8);
+  Simulation simulation(true);
+  simulation.GiveLeaseToFirst();
+  simulation.instances[0]->needed = false;
+  simulation.instances[0]->lease.Release();
+  absl::Time released_at = simulation.clock.Now();
+  size_t sent = simulation.orders.size();
+  simulation.instances[1]->needed = true;
+  BOOST_TEST(simulation.ActsWithin(*simulation.instances[1], kTermAndGap));
+  BOOST_TEST((simulation.clock.Now() - released_at >= kGap));
+  BOOST_TEST((simulation.ShortestHandover() >= kGap));
+  BOOST_TEST((simulation.orders[sent].sender == simulation.instances[1].get()));
+}
+
 // Guards against a grant to act so shortly before the end of the lease that an
 // order would arrive when the next holder has it.
 BOOST_AUTO_TEST_CASE(last_order_arrives_before_the_lease_ends) {
