A holder's own renewals are no sign of the former holder

An instance that acquired the order lease after another one took each of its own renewals, which it also reads in the control table, for news of the former holder, and sent no order to engines.

own_renewals_do_not_keep_a_holder_from_acting failed before (0 of 20 seconds with an order); lease_test passes.

--- a/cranberryhill/lease/handover_lease.cc
+++ b/cranberryhill/lease/handover_lease.cc
@@ -95,9 +95,10 @@
   auto record = ParseLeaseRecord(value);
   if (!record.ok())
     return this->ObserveForeignRecord({});
+  if (record.value().holder == this->settings.holder)
+    return;
   this->observed_nonce = record.value().nonce;
-  if (record.value().holder != this->settings.holder)
-    this->ObserveForeignRecord(record.value());
+  this->ObserveForeignRecord(record.value());
 }
 
 void HandoverLease::ObserveRecordOfLease() {
--- a/cranberryhill/lease/handover_lease_test.cc
+++ b/cranberryhill/lease/handover_lease_test.cc
@@ -212,6 +212,26 @@
   }
 }
 
+// Guards against a holder that takes its own renewals, which it also reads
+// elsewhere, for a sign of the former holder, and never acts.
+BOOST_AUTO_TEST_CASE(own_renewals_do_not_keep_a_holder_from_acting) {
+  Simulation simulation(true);
+  simulation.GiveLeaseToFirst();
+  simulation.instances[0]->needed = false;
+  simulation.RunFor(absl::Seconds(6));
+  Instance& next = *simulation.instances[1];
+  next.needed = true;
+  size_t acted = 0;
+  for (int second = 0; second < 20; ++second) {
+    size_t sent = simulation.orders.size();
+    for (const Row& row : simulation.rows.Read({kKey}))
+      next.lease.ObserveRow(row.version, row.value);
+    simulation.RunFor(absl::Seconds(1));
+    acted += simulation.orders.size() > sent ? 1 : 0;
+  }
+  BOOST_TEST(acted >= 10U);
+}
+
 // Guards against a planned stop after which the next holder has to wait until
 // the lease has run out, and against orders after the release.
 BOOST_AUTO_TEST_CASE(lease_is_released_at_a_planned_stop) {
