--- a/cranberryhill/duties/duty_message.cc
+++ b/cranberryhill/duties/duty_message.cc
@@ -125,14 +125,14 @@
     begin_entry();
     for (const auto& [customer, count] : window.counts) {
       if (customers == kMaxCustomersPerMessage) {
-        message["usage"].push_back(std::move(entry));
+        message["usage"].push_back(entry);
         finish_message();
         begin_entry();
       }
       entry["counts"][customer] = count;
       ++customers;
     }
-    message["usage"].push_back(std::move(entry));
+    message["usage"].push_back(entry);
   }
   finish_message();
   return messages;
--- a/cranberryhill/duties/usage_reporter.cc
+++ b/cranberryhill/duties/usage_reporter.cc
@@ -205,8 +205,15 @@
   Transaction transaction;
   transaction.checks.push_back({kRowKey, this->row_version});
   transaction.puts.push_back({kRowKey, usage::EncodeUsageLedger(next)});
-  this->table.Commit(std::move(transaction), [this](const CommitOutcome&) {
+  this->table.Commit(std::move(transaction), [this, next = std::move(next)](
+                                                 const CommitOutcome& outcome) {
     this->table_call_active = false;
+    if (outcome.state == CommitState::kCommitted) {
+      this->log.Write(
+          LogEvent("usage_decided")
+              .Add("window", next.decided)
+              .Add("pending", static_cast<int64_t>(next.pending.size())));
+    }
     // The row says what has been decided, and has a new version.
     this->ForgetRow();
   });
--- a/cranberryhill/usage/usage_test.cc
+++ b/cranberryhill/usage/usage_test.cc
@@ -108,10 +108,10 @@
 // instances that have reported to it by then.
 BOOST_AUTO_TEST_CASE(reports_of_most_live_instances_are_needed) {
   UsageCollector collector(kSettings);
-  std::vector<std::string> live;
-  for (int i = 0; i < 10; ++i)
-    live.push_back("entry-" + std::to_string(i));
-  for (int i = 0; i < 9; ++i) {
+  std::vector<std::string> live(10);
+  for (size_t i = 0; i < live.size(); ++i)
+    live[i] = "entry-" + std::to_string(i);
+  for (size_t i = 0; i < 9; ++i) {
     BOOST_TEST(!collector.HasReportsOfMost(live));
     collector.Merge(live[i], 1, kFirst, {});
   }
