--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,5 @@
-"""An instance that the store turns away begins streams without a record because
-no replica of the base version is left; the base version comes back."""
+"""An instance that has just been added begins streams without a record at a
+former base version that has come back."""
 import asyncio
 import os
 import signal
@@ -8,8 +8,8 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from platform_2 import (HOST, Gateway, Replica, Store, CannotRun, call,  # noqa: E402
-                        configuration, run_case, stream_headers)
+from platform_2 import (Gateway, Replica, Store, CannotRun, call, configuration,  # noqa: E402
+                        run_case, stream_headers)
 
 STAGES = ["decode", "prefill"] * 4
 
@@ -49,14 +49,11 @@
 async def case(record, scratch, trouble, started):
     store = Store(record)
     await store.listen()
-    port = await store.listen_for("front-1")
     await store.put("op", "config", configuration())
     first = [Replica(store, record, f"i-a{n}", "v1", STAGES[n]) for n in range(8)]
     for replica in first:
         await replica.start()
-    gateways = [Gateway(record, scratch, store, "front-1",
-                        settings={"store_address": f"{HOST}:{port}"}),
-                Gateway(record, scratch, store, "front-2")]
+    gateways = [Gateway(record, scratch, store, f"front-{n}") for n in (1, 2)]
     started += gateways
     for gateway in gateways:
         gateway.start()
@@ -69,28 +66,32 @@
     record("release to v2 begins")
     second, leaving = await replace(store, record, first, "v2", [f"i-b{n}" for n in range(8)])
     await asyncio.gather(*leaving)
+    removed_at = time.monotonic()
     record("the last replica of v1 is gone")
 
-    await asyncio.sleep(4)
-    refused_from = time.monotonic()
-    if trouble:
-        store.refuses = lambda writer: writer.get_extra_info("sockname")[1] == port
-        record("store: turns front-1 away with 503")
-    await asyncio.sleep(1)
-    results, callers = [], []
-    for number in range(10):
-        callers.append(asyncio.create_task(ask(gateways, record, results, number)))
+    await asyncio.sleep(8)
+    added = Gateway(record, scratch, store, "front-3")
+    started.append(added)
+    added.start()
+    await added.await_ready()
+    while b"v2" not in (store.value("cranberryhill", "service-version/lm") or b""):
+        if time.monotonic() > removed_at + 19:
+            raise CannotRun("the base version has not changed")
         await asyncio.sleep(0.05)
-    await asyncio.sleep(0.3)
+    record("the base version is v2")
+
+    await asyncio.sleep(1)
     record("rollback to v1 begins")
     back = asyncio.create_task(
         replace(store, record, second, "v1", [f"i-c{n}" for n in range(8)]))
-    await asyncio.sleep(1.2)
+    await asyncio.sleep(2.6)
+    results, callers = [], []
+    for number in range(10):
+        callers.append(asyncio.create_task(ask([added, gateways[1]], record, results, number)))
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(0.5)
     if trouble:
-        gateways[0].signal(signal.SIGKILL)
-    await asyncio.sleep(1)
-    store.refuses = lambda writer: False
-    record(f"store: serves all again, after {time.monotonic() - refused_from:.1f} s")
+        added.signal(signal.SIGKILL)
     await asyncio.gather(*callers)
     await back
     mixed = sum(len(versions) > 1 for versions in results)
--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -30,18 +31,20 @@
 
 
 def free_ports(count):
-    """Returns ports that are free for TCP and UDP."""
+    """Returns ports that are free for TCP and UDP, below those that the system hands
+    out to connections, which could take them before a gateway does."""
     held, ports = [], []
     while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        tcp.bind((HOST, 0))
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held += [tcp, udp]
+        port = random.randrange(15000, 32000)
+        pair = [socket.socket(socket.AF_INET, kind)
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)]
+        held += pair
         try:
-            udp.bind((HOST, tcp.getsockname()[1]))
+            for one in pair:
+                one.bind((HOST, port))
         except OSError:
             continue
-        ports.append(tcp.getsockname()[1])
+        ports.append(port)
     for one in held:
         one.close()
     return ports
