Show that a restarted former holder orders beside another one

A process takes the first era of the store that it sees for no change, and skips a row of the lease with its own name. After a drill, an instance that starts again under the name of a former holder acts at once, while the holder whose row was lost has just given an order.

--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -140,6 +140,9 @@
         self.changed = asyncio.Condition()
         self.began = time.monotonic()
         self.refuses = lambda writer: False
+        self.away = False
+        self.era = 1
+        self.copy = None
 
     async def listen_for(self, machine):
         """Opens an address of its own for one machine, which can be turned away."""
@@ -165,8 +168,28 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def save_copy(self):
+        self.copy = (dict(self.rows), self.version)
+
+    async def drill(self, away_s, write_again):
+        """Is away for a moment and comes back from the copy; what the operator and
+        the replicas have written since is written again."""
+        self.away = True
+        self.record("store: away")
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(away_s)
+        self.rows, self.version = dict(self.copy[0]), self.copy[1]
+        self.changes = [row for row in self.changes if row["row-version"] <= self.version]
+        self.era += 1
+        self.away = False
+        await write_again()
+        self.record(f"store: back from the copy, era {self.era}")
+
     async def put(self, table, key, value):
         """Writes a row as the operator or a replica does; None removes it."""
+        if self.away:
+            return
         self.version += 1
         text = None
         if value is not None:
@@ -179,8 +202,10 @@
         return None if row is None else base64.b64decode(row["value"])
 
     async def handle(self, method, target, headers, body, reader, writer):
+        if self.away:
+            return writer.transport.abort()
         if self.refuses(writer):
-            writer.write(whole(503, {}))
+            writer.write(whole(503, {"Store-Era": self.era}))
             return
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
@@ -189,10 +214,13 @@
         if url.path == "/cranberryhill/rows-get":
             status, answer = 200, self._get(query)
         elif url.path == "/cranberryhill/rows-feed":
-            status, answer = 200, await self._feed(query)
+            if int(query["after"]) > self.version:
+                status = 410
+            else:
+                status, answer = 200, await self._feed(query)
         elif url.path == "/cranberryhill/rows-tx":
             status, answer = await self._transact(json.loads(body))
-        writer.write(whole(status, {"Content-Type": "application/json"},
+        writer.write(whole(status, {"Content-Type": "application/json", "Store-Era": self.era},
                            json.dumps(answer).encode()))
 
     def _get(self, query):
