Begin streams without a record only at a confirmed base version

Cause: the absence of a record means "the base", as the store's row says when a stream is taken up, while the stream began by the instance's own copy of that row. The copy may be 12 s old, and nothing limited its use: it was assumed that an old copy names a version without replicas, which a rollback brings back.

The simulation handed each change of the row on within 0.3 s, so that it could not show the fault; it keeps the pause of the control table now.

Why it works: the base changes only while the registry does not list it. A copy that the store has confirmed since the registry began to list the base without a break is therefore true for as long as the base stays listed. One read confirms it; until then streams have records. Nothing is read while the registry has listed one version only.

--- a/cranberryhill/forward/stream_version_records.cc
+++ b/cranberryhill/forward/stream_version_records.cc
@@ -122,21 +122,34 @@
 bool ServiceVersions::Observe(std::string_view service,
                               std::string_view version) {
   absl::Time now = this->clock.Now();
-  auto& versions = this->seen[std::string(service)];
-  auto [known, added] = versions.try_emplace(std::string(version), now);
-  bool is_new = added || now - known->second >= kStreamVersionLifetime;
-  known->second = now;
-  return is_new;
+  auto& versions = this->listings[std::string(service)];
+  auto [known, added] =
+      versions.try_emplace(std::string(version), Listing{now, now});
+  Listing& listing = known->second;
+  absl::Duration unseen = now - std::exchange(listing.last_seen, now);
+  if (unseen >= kGoneAfter)
+    listing.since = now;
+  return added || unseen >= kStreamVersionLifetime;
+}
+
+const ServiceVersions::Listing* ServiceVersions::Find(
+    std::string_view service,
+    std::string_view version) const {
+  auto versions = this->listings.find(service);
+  if (versions == this->listings.end())
+    return nullptr;
+  auto listing = versions->second.find(version);
+  return listing == versions->second.end() ? nullptr : &listing->second;
 }
 
 std::vector<std::string> ServiceVersions::VersionsOf(
     std::string_view service) const {
   std::vector<std::string> versions;
-  auto known = this->seen.find(service);
-  if (known == this->seen.end())
+  auto known = this->listings.find(service);
+  if (known == this->listings.end())
     return versions;
-  for (const auto& [version, last_seen] : known->second) {
-    if (this->clock.Now() - last_seen < kStreamVersionLifetime)
+  for (const auto& [version, listing] : known->second) {
+    if (this->clock.Now() - listing.last_seen < kStreamVersionLifetime)
       versions.push_back(version);
   }
   return versions;
@@ -144,27 +157,36 @@
 
 bool ServiceVersions::IsListed(std::string_view service,
                                std::string_view version) const {
-  auto versions = this->seen.find(service);
-  if (versions == this->seen.end())
-    return false;
-  auto last_seen = versions->second.find(std::string(version));
-  return last_seen != versions->second.end() &&
-         this->clock.Now() - last_seen->second <= kObservationInterval;
+  const Listing* listing = this->Find(service, version);
+  return listing != nullptr &&
+         this->clock.Now() - listing->last_seen <= kObservationInterval;
 }
 
 bool ServiceVersions::IsGone(std::string_view service,
                              std::string_view version) const {
-  auto versions = this->seen.find(service);
-  if (versions == this->seen.end())
+  if (!this->listings.contains(service))
     return false;
-  auto last_seen = versions->second.find(std::string(version));
-  return last_seen == versions->second.end() ||
-         this->clock.Now() - last_seen->second >= kGoneAfter;
+  const Listing* listing = this->Find(service, version);
+  return listing == nullptr ||
+         this->clock.Now() - listing->last_seen >= kGoneAfter;
+}
+
+bool ServiceVersions::KnowsAllVersions() const {
+  return this->current_since <= this->clock.Now() - kStreamVersionLifetime;
+}
+
+absl::Time ServiceVersions::ListedSince(std::string_view service,
+                                        std::string_view version) const {
+  const Listing* listing = this->Find(service, version);
+  if (listing == nullptr ||
+      this->clock.Now() - listing->last_seen >= kGoneAfter)
+    return absl::InfiniteFuture();
+  return std::max(listing->since, this->unbroken_since);
 }
 
 std::vector<std::string> ServiceVersions::Services() const {
   std::vector<std::string> services;
-  for (const auto& [service, versions] : this->seen)
+  for (const auto& [service, versions] : this->listings)
     services.push_back(service);
   return services;
 }
@@ -178,7 +200,7 @@
   if (versions.empty())
     return std::nullopt;
   absl::Time now = this->clock.Now();
-  bool knew_all_versions = this->current_since <= now - kStreamVersionLifetime;
+  bool knew_all_versions = this->KnowsAllVersions();
   // No stream is left that began, without a record, at a version that is not
   // known here.
   bool is_settled =
--- a/cranberryhill/forward/stream_version_records.h
+++ b/cranberryhill/forward/stream_version_records.h
@@ -107,7 +107,7 @@
  public:
   /// @param clock Must outlive this object.
   explicit ServiceVersions(const Clock& clock)
-      : clock(clock), current_since(clock.Now()) {}
+      : clock(clock), current_since(clock.Now()), unbroken_since(clock.Now()) {}
 
   /// Records that the registry lists a replica of this version.
   /// @return True if the version has not been seen lately.
@@ -116,6 +116,19 @@
   /// Records that the registry, as this instance knows it, may be out of date.
   void OnRegistryOutdated() { this->current_since = this->clock.Now(); }
 
+  /// Records that versions may have left the registry and come back unnoticed.
+  void OnListingsMissed() { this->unbroken_since = this->clock.Now(); }
+
+  /// @return True if all versions that the registry has listed within
+  ///     kStreamVersionLifetime are known.
+  bool KnowsAllVersions() const;
+
+  /// @return Since when the registry has listed the version without a break, as
+  ///     far as this instance knows; the infinite future if it does not list it
+  ///     or was not looked at lately.
+  absl::Time ListedSince(std::string_view service,
+                         std::string_view version) const;
+
   /// @return The versions seen within kStreamVersionLifetime, in their order.
   std::vector<std::string> VersionsOf(std::string_view service) const;
 
@@ -143,9 +156,20 @@
                                               uint64_t era) const;
 
  private:
+  /// When the registry listed a version.
+  struct Listing {
+    absl::Time since;  // Without a break of kGoneAfter or more.
+    absl::Time last_seen;
+  };
+
+  const Listing* Find(std::string_view service, std::string_view version) const;
+
   const Clock& clock;
   absl::Time current_since;
-  std::map<std::string, std::map<std::string, absl::Time>, std::less<>> seen;
+  absl::Time unbroken_since;
+  std::
+      map<std::string, std::map<std::string, Listing, std::less<>>, std::less<>>
+          listings;
 };
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
+++ b/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
@@ -30,12 +30,17 @@
 constexpr double kBrokenShare = 0.4;
 /// Share of the take-ups that reach the instance that is out of step.
 constexpr double kTakeUpsOutOfStep = 0.4;
+/// Share of the streams that begin there, so that large fleets show something.
+constexpr double kBegunOutOfStep = 0.3;
 /// How long replicas go on serving after they have left the registry.
 constexpr absl::Duration kDrainTime = absl::Seconds(5);
 /// What a caller's time leaves for the search.
 constexpr absl::Duration kCallersWait = absl::Milliseconds(1700);
 constexpr absl::Duration kMaxRegistryAge = absl::Seconds(3);
 constexpr absl::Duration kCallTimeout = absl::Seconds(1);
+/// Time in which an instance that has read a change of the service rows does
+/// not look at them again, unless it has a reason to.
+constexpr absl::Duration kRowPause = absl::Seconds(12);
 
 class NullLog : public EventLog {
  public:
@@ -107,6 +112,7 @@
 
   void Register(const std::string& service, const std::string& version) {
     this->registered[service].insert(version);
+    this->gone_at.erase(version);
     this->AnnounceRegistry();
   }
 
@@ -148,6 +154,32 @@
     }
   }
 
+  /// Replaces the version of the first service, and goes back to the old one
+  /// when another has become the base. One instance is disturbed in between.
+  void PlayRollback(const std::function<void(size_t instance)>& disturb) {
+    std::string service = this->services.front();
+    std::string old = *this->registered[service].begin();
+    this->Register(service, "new");
+    this->RunFor(absl::Seconds(5));
+    this->Withdraw(service, old);
+    this->RunFor(absl::Seconds(8));
+    this->out_of_step = this->random.UniformInt(0, this->size - 1);
+    this->begin_share = kBegunOutOfStep;
+    disturb(*this->out_of_step);
+    constexpr int kMaxSeconds = 60;
+    int seconds = 0;
+    while (!this->IsBase(service, "new") && ++seconds <= kMaxSeconds)
+      this->RunFor(absl::Seconds(1));
+    BOOST_REQUIRE(seconds <= kMaxSeconds);
+    this->Register(service, old);
+    this->RunFor(absl::Seconds(4));
+    this->Withdraw(service, "new");
+    this->RunFor(absl::Seconds(4));
+    this->out_of_step.reset();
+    this->begin_share = 0;
+    this->Settle();
+  }
+
   void CutOff(size_t instance, const Cut& cut, absl::Duration duration) {
     this->members[instance]->cut = cut;
     this->queue.Schedule(duration, [this, instance] {
@@ -241,6 +273,7 @@
   std::optional<Versions> restored_registry;
   std::optional<size_t> out_of_step;  // The instance that take-ups prefer.
   double take_up_share = 0;
+  double begin_share = 0;  // Of the streams, at that instance.
   absl::Duration commit_time = absl::Milliseconds(7);
   double streams_per_second = kStreamsPerSecond;
   Tally at_out_of_step;  // Begun in step and taken up at that instance.
@@ -325,6 +358,7 @@
     }
     /// The table reads the rows of another era as a whole.
     void RereadRows() {
+      this->EndRowPause();
       this->LearnSoon(absl::Milliseconds(10), absl::Milliseconds(300));
     }
     void LearnRegistry() {
@@ -337,12 +371,28 @@
       this->has_registry = true;
       this->ObserveRegistry();
     }
+    /// Peers do not pass these rows on.
     void LearnRows() {
-      if (this->is_dead || !this->HearsNews())
+      absl::Time now = this->fleet.queue.clock.Now();
+      if (this->is_dead || !this->HearsNews() || !this->ReachesStore() ||
+          now < this->row_pause_ends)
         return;
-      this->copy = this->fleet.service_rows;
+      auto is_same = [](const auto& known, const auto& stored) {
+        return known.first == stored.first &&
+               known.second.version == stored.second.version;
+      };
+      const auto& rows = this->fleet.service_rows;
+      bool is_news =
+          !this->copy || !std::equal(this->copy->begin(), this->copy->end(),
+                                     rows.begin(), rows.end(), is_same);
+      this->copy = rows;
       this->copy_era = this->fleet.store.era;
+      if (!is_news)
+        return;
+      this->row_pause_ends = now + kRowPause;
+      this->fleet.queue.Schedule(kRowPause, [this] { this->LearnRows(); });
     }
+    void EndRowPause() { this->row_pause_ends = absl::InfinitePast(); }
     void ObserveRegistry() {
       for (const auto& [service, registered] : this->view) {
         for (const std::string& version : registered)
@@ -410,8 +460,8 @@
     void RefreshServiceRows() override {
       this->fleet.queue.Schedule(
           absl::Milliseconds(this->fleet.random.UniformInt(5, 20)), [this] {
-            if (this->ReachesStore())
-              this->LearnRows();
+            this->EndRowPause();
+            this->LearnRows();
           });
     }
 
@@ -426,6 +476,7 @@
     Versions view;
     std::optional<std::map<std::string, Row>> copy;
     uint64_t copy_era = 0;  // Of the store.
+    absl::Time row_pause_ends = absl::InfinitePast();
     ServiceRowReader row_reader;
     StoredStreamVersions versions;
   };
@@ -535,16 +586,21 @@
     uint64_t current = 0;
   };
 
+  bool IsBase(const std::string& service, const std::string& version) const {
+    auto row = this->service_rows.find("service-version/" + service);
+    return row != this->service_rows.end() &&
+           row->second.value ==
+               forward::EncodeServiceVersion({version, this->store.era});
+  }
+
   bool IsSettled() const {
-    return std::all_of(
-        this->services.begin(), this->services.end(),
-        [this](const std::string& service) {
-          const std::set<std::string>& versions = this->registered.at(service);
-          auto row = this->service_rows.find("service-version/" + service);
-          return versions.size() == 1 && row != this->service_rows.end() &&
-                 row->second.value == forward::EncodeServiceVersion(
-                                          {*versions.begin(), this->store.era});
-        });
+    return std::all_of(this->services.begin(), this->services.end(),
+                       [this](const std::string& service) {
+                         const std::set<std::string>& versions =
+                             this->registered.at(service);
+                         return versions.size() == 1 &&
+                                this->IsBase(service, *versions.begin());
+                       });
   }
 
   std::unique_ptr<Member> MakeMember() {
@@ -601,7 +657,11 @@
         absl::Seconds(2 / this->streams_per_second) *
             this->random.UniformDouble(),
         [this] {
-          this->BeginStream(this->random.UniformInt(0, this->size - 1));
+          bool is_out = this->out_of_step &&
+                        this->random.UniformDouble() < this->begin_share;
+          this->BeginStream(is_out
+                                ? *this->out_of_step
+                                : this->random.UniformInt(0, this->size - 1));
           this->ScheduleStream();
         });
   }
@@ -890,6 +950,42 @@
   fleet.Check("restored store");
 }
 
+// Guards against an added instance that goes on by its first copy of the row
+// when the base has changed since and the former one has come back.
+BOOST_DATA_TEST_CASE(added_instance_begins_no_streams_at_a_former_base,
+                     data::make(kFleetSizes),
+                     instances) {
+  Fleet fleet(instances);
+  fleet.PlayRollback([&](size_t instance) { fleet.Restart(instance); });
+  fleet.Check("added before a rollback");
+}
+
+// Guards against the same copy at an instance that missed the change of the
+// base.
+BOOST_DATA_TEST_CASE(
+    instance_that_missed_a_change_begins_no_streams_at_a_former_base,
+    data::make(kFleetSizes) * data::make({false, true}),
+    instances,
+    hears_peers) {
+  Fleet fleet(instances);
+  fleet.PlayRollback([&](size_t instance) {
+    fleet.CutOff(instance, hears_peers ? kCutFromStore : kCutFromAll,
+                 absl::Seconds(30));
+  });
+  fleet.Check("cut before a rollback");
+}
+
+// Guards against streams that begin after a freeze by what was known before.
+BOOST_DATA_TEST_CASE(thawed_instance_begins_no_streams_at_a_former_base,
+                     data::make(kFleetSizes),
+                     instances) {
+  Fleet fleet(instances);
+  fleet.PlayRollback([&](size_t instance) {
+    fleet.Freeze(instance, absl::Seconds(12), absl::Milliseconds(600));
+  });
+  fleet.Check("frozen before a rollback");
+}
+
 // Guards against an instance that starts after a restore and learns only of the
 // version that the older copy of the registry lists.
 BOOST_DATA_TEST_CASE(instance_that_starts_after_a_restore_joins_no_versions,
--- a/cranberryhill/stream_versions/stream_version_store.cc
+++ b/cranberryhill/stream_versions/stream_version_store.cc
@@ -43,6 +43,17 @@
 /// registry may lapse.
 constexpr absl::Duration kStandstill = absl::Seconds(1);
 constexpr absl::Duration kLongestLapse = absl::Seconds(3);
+/// A version that an instance out of touch with the registry has seen there may
+/// have gone and another may have become the base after this time, less what
+/// callers need to take a stream up.
+constexpr absl::Duration kMaxRegistryOutage = absl::Seconds(3);
+/// The local copy of a row may be this much older than it looks: an answer of
+/// the store may take a moment to arrive. Another base follows much later.
+constexpr absl::Duration kMaxAnswerDelay = absl::Seconds(2);
+/// Time limit of a read that confirms the local copy of a row, and the pause
+/// after one that failed, as refused calls have a cost.
+constexpr absl::Duration kConfirmationTimeout = absl::Milliseconds(600);
+constexpr absl::Duration kConfirmationPause = absl::Seconds(3);
 
 constexpr int kOk = 200;
 
@@ -68,6 +79,7 @@
       random(random),
       ticked_at(clock.Now()),
       awake_since(clock.Now()),
+      registry_current_at(clock.Now()),
       recent(kMaxRecentStreams, clock),
       queue(clock),
       service_versions(clock),
@@ -105,7 +117,7 @@
   // stored are refused while there is a choice of versions. An attempt that has
   // been recorded at another version keeps a record, also at the base.
   bool needs_record = forward::StreamVersionQueue::CanStore(attempt_id) &&
-                      (this->BaseVersion(service) != version ||
+                      (this->RecordlessVersion(service) != version ||
                        this->queue.VersionOf(attempt_id).has_value());
   if (!needs_record)
     return done(true);
@@ -142,7 +154,7 @@
     return this->IsOnlyVersion(service, version);
   // Where the base has gone, a take-up that takes the stream for one of the
   // base finds no replica.
-  return *base == version ||
+  return this->RecordlessVersion(service) == version ||
          (this->clock.Now() - this->awake_since >= kLongestLapse &&
           this->service_versions.IsGone(service, *base));
 }
@@ -156,8 +168,8 @@
 
 bool StoredStreamVersions::NeedsNoRecord(std::string_view service,
                                          std::string_view version) {
-  auto base = this->BaseVersion(service);
-  return !base || *base == version;
+  auto recordless = this->RecordlessVersion(service);
+  return !recordless || *recordless == version;
 }
 
 bool StoredStreamVersions::CanRecord() const {
@@ -178,12 +190,14 @@
   this->fleet.ReadServiceRow(
       ServiceRowKey(service), wait,
       [this, service = std::string(service),
-       attempt_id = std::string(attempt_id), deadline, done = std::move(done)](
+       attempt_id = std::string(attempt_id), began_at = this->clock.Now(),
+       deadline, done = std::move(done)](
           const std::optional<ServiceRowReading>& reading) {
         if (!reading) {
           this->OnUnknown(service, attempt_id, "service_row_not_read");
           return done(std::nullopt);
         }
+        this->OnServiceRowRead(service, *reading, began_at);
         this->FindRecord(service, attempt_id, deadline, BaseVersionIn(*reading),
                          done);
       });
@@ -300,6 +314,7 @@
     }
   }
   row.since = this->clock.Now();
+  row.confirmed_at = row.since;
   if (row.value == previous)
     return &row;
   if (row.value && row.value->base) {
@@ -317,8 +332,7 @@
          row.value->era == this->fleet.StoreEra();
 }
 
-/// @return The version at which streams need no record, as far as this instance
-///     knows.
+/// @return The base version by the local copy of the row.
 std::optional<std::string> StoredStreamVersions::BaseVersion(
     std::string_view service) {
   this->UpdateServiceRow(service);
@@ -328,6 +342,75 @@
   return known->second.value->base;
 }
 
+/// @return The version at which streams may begin without a record. Nothing if
+///     there is none, or if the store has to confirm it first.
+std::optional<std::string> StoredStreamVersions::RecordlessVersion(
+    std::string_view service) {
+  auto base = this->BaseVersion(service);
+  if (!base)
+    return std::nullopt;
+  auto known = this->service_rows.find(service);
+  if (this->IsConfirmed(service, *base, known->second))
+    return base;
+  if (!this->service_versions.IsGone(service, *base))
+    this->ConfirmServiceRow(known->first, known->second);
+  // Without another version there is nothing to confuse the stream with.
+  return !this->CanRecord() && this->IsOnlyVersion(service, *base)
+             ? base
+             : std::nullopt;
+}
+
+/// @return True if the row has not come to name another base since the copy of
+///     it was read.
+bool StoredStreamVersions::IsConfirmed(std::string_view service,
+                                       std::string_view base,
+                                       const ServiceRow& row) const {
+  bool has_no_rival = this->service_versions.KnowsAllVersions() &&
+                      this->IsOnlyVersion(service, base);
+  return has_no_rival || row.confirmed_at + kMaxAnswerDelay >=
+                             this->service_versions.ListedSince(service, base);
+}
+
+/// Reads the row, unless that is in progress or has just failed.
+void StoredStreamVersions::ConfirmServiceRow(const std::string& service,
+                                             ServiceRow& row) {
+  if (this->clock.Now() < row.confirm_from)
+    return;
+  row.confirm_from = absl::InfiniteFuture();
+  this->fleet.ReadServiceRow(
+      ServiceRowKey(service), kConfirmationTimeout,
+      [this, service, began_at = this->clock.Now()](
+          const std::optional<ServiceRowReading>& reading) {
+        this->service_rows[service].confirm_from =
+            reading ? absl::InfinitePast()
+                    : this->clock.Now() + kConfirmationPause;
+        if (reading)
+          this->OnServiceRowRead(service, *reading, began_at);
+      });
+}
+
+/// Compares the local copy of the row with what the store has said.
+void StoredStreamVersions::OnServiceRowRead(std::string_view service,
+                                            const ServiceRowReading& reading,
+                                            absl::Time began_at) {
+  auto base = this->BaseVersion(service);
+  if (!base)
+    return;
+  ServiceRow& row = this->service_rows.find(service)->second;
+  if (BaseVersionIn(reading).version == base && reading.era == row.era) {
+    row.confirmed_at = std::max(row.confirmed_at, began_at);
+    return;
+  }
+  this->log.Write(
+      LogEvent("service_row_copy_outdated")
+          .Add("service", service)
+          .Add("base", *base)
+          .Add("row", reading.value.value_or(""))
+          .Add("era", reading.era)
+          .Add("confirmed_ms_ago", this->clock.Now() - row.confirmed_at));
+  this->fleet.RefreshServiceRows();
+}
+
 void StoredStreamVersions::OnRegistered(std::string_view service,
                                         std::string_view version) {
   if (this->service_versions.Observe(service, version))
@@ -339,8 +422,7 @@
   absl::Time now = this->clock.Now();
   if (now - std::exchange(this->ticked_at, now) >= kStandstill)
     this->awake_since = now;
-  if (!this->fleet.IsRegistryCurrent())
-    this->service_versions.OnRegistryOutdated();
+  this->ObserveRegistryAge();
   for (const std::string& service : this->service_versions.Services())
     this->Check(service);
   if (this->queue.HasWork())
@@ -350,6 +432,18 @@
     this->sweeper.Tick(*instances);
 }
 
+/// Notes when versions may have come and gone unnoticed.
+void StoredStreamVersions::ObserveRegistryAge() {
+  absl::Time now = this->clock.Now();
+  if (this->fleet.IsRegistryCurrent()) {
+    this->registry_current_at = now;
+    return;
+  }
+  this->service_versions.OnRegistryOutdated();
+  if (now - this->registry_current_at > kMaxRegistryOutage)
+    this->service_versions.OnListingsMissed();
+}
+
 /// Schedules a write of the service's row if it has to say something else.
 void StoredStreamVersions::Check(std::string_view service) {
   ServiceRow* row = this->UpdateServiceRow(service);
--- a/cranberryhill/stream_versions/stream_version_store.h
+++ b/cranberryhill/stream_versions/stream_version_store.h
@@ -9,6 +9,11 @@
 // event is passed on; one that begins at the base needs none. So a stream
 // without a record began at the base, whatever has become of the instance that
 // began it.
+//
+// A local copy of that row may name a former base whose replicas have come
+// back. A stream begins without a record only where the store has confirmed the
+// copy since the registry began to list the base without a break: the base
+// changes only when the registry does not list it.
 
 #include <cstdint>
 #include <functional>
@@ -143,6 +148,11 @@
     uint64_t version = kAbsentVersion;
     uint64_t era = 0;  // Of the store that has this version of the row.
     absl::Time since;  // When this value was first seen in this era.
+    /// The store had this value then, or later.
+    absl::Time confirmed_at = absl::InfinitePast();
+    /// When the store may be asked to confirm the value; the infinite future
+    /// while that is in progress.
+    absl::Time confirm_from = absl::InfinitePast();
     absl::Time write_at = absl::InfiniteFuture();
   };
 
@@ -163,6 +173,15 @@
   ServiceRow* UpdateServiceRow(std::string_view service);
   bool IsTrusted(const ServiceRow& row) const;
   std::optional<std::string> BaseVersion(std::string_view service);
+  std::optional<std::string> RecordlessVersion(std::string_view service);
+  bool IsConfirmed(std::string_view service,
+                   std::string_view base,
+                   const ServiceRow& row) const;
+  void ConfirmServiceRow(const std::string& service, ServiceRow& row);
+  void OnServiceRowRead(std::string_view service,
+                        const ServiceRowReading& reading,
+                        absl::Time began_at);
+  void ObserveRegistryAge();
   void Check(std::string_view service);
   void ArmServiceRowTimer();
   void WriteServiceRows();
@@ -199,6 +218,7 @@
   Random& random;
   absl::Time ticked_at;
   absl::Time awake_since;
+  absl::Time registry_current_at;  // When it was last known to be current.
   forward::RecentStreamVersions recent;
   forward::StreamVersionQueue queue;
   forward::ServiceVersions service_versions;
