Retire the base version of a service before another one follows

Cause: an instance that can store no record let streams begin at a new version when no replica of the base was left, as nothing could go on at the base. Later the base came back, or another version became the base, and the absence of a record meant that version.

Why it works: the row names no base from 2.2 s after the old one has gone, so that all streams have records, and a version becomes the base only after it has been listed for 15 s while there was none. Without a record a stream begins only at a version that is listed alone, which no other version can follow as the base while the stream lasts. An instance that the store turns away sends streams that need a record through a peer.

--- a/cranberryhill/exchange/exchange.cc
+++ b/cranberryhill/exchange/exchange.cc
@@ -105,6 +105,8 @@
         "expected_too_late",
         std::max(kDefaultRetryAfter, choice.expected_first_byte - useful_time));
   }
+  if (this->RelayForRecord(*choice.replica))
+    return;
   this->choice = {this->Now(), choice.expected_first_byte,
                   this->FirstByteTimeout(choice.expected_first_byte),
                   choice.lane};
--- a/cranberryhill/exchange/exchange.h
+++ b/cranberryhill/exchange/exchange.h
@@ -300,6 +300,7 @@
   // exchange_relay.cc: through another instance.
   bool MayRelay() const;
   bool RelayIfCutOff();
+  bool RelayForRecord(const forward::Replica& replica);
   bool RelayInsteadOfRefusal(std::string_view reason,
                              absl::Duration retry_after);
   bool Relay(std::string_view reason, absl::Duration retry_after);
--- a/cranberryhill/exchange/exchange_relay.cc
+++ b/cranberryhill/exchange/exchange_relay.cc
@@ -42,6 +42,15 @@
          this->Relay("cut_off", kDefaultRetryAfter);
 }
 
+/// Relays a stream that would begin at a version which it has to be recorded
+/// with, if the store turns this instance away and not its peers.
+bool Exchange::RelayForRecord(const forward::Replica& replica) {
+  return this->is_engine_service && this->BeginsStream() && this->MayRelay() &&
+         this->context.stream_versions.NeedsRecordOfPeer(
+             this->service, replica.entry.software_version) &&
+         this->Relay("record_not_stored", kDefaultRetryAfter);
+}
+
 /// Relays a request that no replica takes, if that may be due to connections
 /// that this instance cannot open.
 bool Exchange::RelayInsteadOfRefusal(std::string_view reason,
--- a/cranberryhill/exchange/exchange_versions.cc
+++ b/cranberryhill/exchange/exchange_versions.cc
@@ -59,9 +59,15 @@
       .Add("software_version", version.value_or(""))
       .Add("took_ms", this->Now() - this->request.arrived);
   this->context.log.Write(event);
-  if (!version)
+  if (!version) {
+    bool relayed =
+        this->context.stream_versions.IsTurnedAway() && this->MayRelay() &&
+        this->Relay("stream_version_unknown", kRetryAfterUnknownVersion);
+    if (relayed)
+      return;
     return this->EndUnanswered("stream_version_unknown",
                                kRetryAfterUnknownVersion);
+  }
   this->stream_version = std::move(version);
   this->SendToNextReplica();
 }
--- a/cranberryhill/forward/stream_version_records.cc
+++ b/cranberryhill/forward/stream_version_records.cc
@@ -17,8 +17,13 @@
 /// time.
 constexpr absl::Duration kObservationInterval = absl::Milliseconds(600);
 /// Entries that lapsed during an outage of the registry are back within two
-/// seconds of its end.
+/// seconds of its end. All instances take a base that has gone for one that
+/// counts no more before any of them counts on its being gone.
+constexpr absl::Duration kRetiredAfter = absl::Milliseconds(2200);
 constexpr absl::Duration kGoneAfter = absl::Seconds(3);
+/// Time without a listing that counts as a break. It is shorter than
+/// kRetiredAfter, because instances see the same change at different times.
+constexpr absl::Duration kListingBreak = absl::Milliseconds(1500);
 /// Eras up to this one may be those of a store that was never restored, as some
 /// stores count from one. A row that is missing there was never written.
 constexpr uint64_t kLastFirstStoreEra = 2;
@@ -127,8 +132,15 @@
       versions.try_emplace(std::string(version), Listing{now, now});
   Listing& listing = known->second;
   absl::Duration unseen = now - std::exchange(listing.last_seen, now);
-  if (unseen >= kGoneAfter)
+  if (added || unseen >= kListingBreak) {
     listing.since = now;
+    listing.after_others =
+        std::any_of(versions.begin(), versions.end(), [&](const auto& other) {
+          return other.first != version &&
+                 now - other.second.last_seen <= kObservationInterval &&
+                 now - other.second.since >= kListingBreak;
+        });
+  }
   return added || unseen >= kStreamVersionLifetime;
 }
 
@@ -179,11 +191,30 @@
                                         std::string_view version) const {
   const Listing* listing = this->Find(service, version);
   if (listing == nullptr ||
-      this->clock.Now() - listing->last_seen >= kGoneAfter)
+      this->clock.Now() - listing->last_seen >= kListingBreak)
     return absl::InfiniteFuture();
   return std::max(listing->since, this->unbroken_since);
 }
 
+bool ServiceVersions::IsListedAlone(std::string_view service,
+                                    std::string_view version) const {
+  if (!this->IsListed(service, version))
+    return false;
+  const auto& versions = this->listings.find(service)->second;
+  return std::all_of(versions.begin(), versions.end(), [&](const auto& other) {
+    return other.first == version || this->IsGone(service, other.first);
+  });
+}
+
+bool ServiceVersions::WasAwayLately(std::string_view service,
+                                    std::string_view version) const {
+  const Listing* listing = this->Find(service, version);
+  absl::Time now = this->clock.Now();
+  return listing == nullptr || now - listing->last_seen >= kListingBreak ||
+         (listing->after_others &&
+          now - listing->since < kStreamVersionLifetime);
+}
+
 std::vector<std::string> ServiceVersions::Services() const {
   std::vector<std::string> services;
   for (const auto& [service, versions] : this->listings)
@@ -200,6 +231,11 @@
   if (versions.empty())
     return std::nullopt;
   absl::Time now = this->clock.Now();
+  if (row != nullptr && row->base && row->era == era) {
+    return this->MustRetire(service, *row->base)
+               ? std::optional(ServiceVersionRow{std::nullopt, era})
+               : std::nullopt;
+  }
   bool knew_all_versions = this->KnowsAllVersions();
   // No stream is left that began, without a record, at a version that is not
   // known here.
@@ -208,8 +244,6 @@
   bool lists_base =
       row != nullptr && row->base &&
       std::find(versions.begin(), versions.end(), *row->base) != versions.end();
-  if (lists_base && row->era == era)
-    return std::nullopt;
   if (lists_base) {
     // Records may have been lost with the older copy of the store, unless there
     // were none.
@@ -220,10 +254,38 @@
     return may_confirm ? std::optional(ServiceVersionRow{row->base, era})
                        : std::nullopt;
   }
-  bool is_first_row = row == nullptr && era <= kLastFirstStoreEra;
-  return is_first_row || is_settled
-             ? std::optional(ServiceVersionRow{versions.front(), era})
-             : std::nullopt;
+  if (row == nullptr && era <= kLastFirstStoreEra)
+    return ServiceVersionRow{versions.front(), era};
+  auto next = is_settled ? this->NextBase(service) : std::nullopt;
+  return next ? std::optional(ServiceVersionRow{next, era}) : std::nullopt;
+}
+
+/// @return True if streams begin at other versions than the base only.
+bool ServiceVersions::MustRetire(std::string_view service,
+                                 std::string_view base) const {
+  absl::Time now = this->clock.Now();
+  const Listing* listing = this->Find(service, base);
+  bool has_gone =
+      now - this->current_since >= kRetiredAfter &&
+      (listing == nullptr || now - listing->last_seen >= kRetiredAfter);
+  if (!has_gone)
+    return false;
+  const auto& versions = this->listings.find(service)->second;
+  return std::any_of(versions.begin(), versions.end(), [&](const auto& other) {
+    return this->IsListed(service, other.first);
+  });
+}
+
+/// @return A version that has been listed for so long that no stream can have
+///     begun at another one because that was listed alone.
+std::optional<std::string> ServiceVersions::NextBase(
+    std::string_view service) const {
+  absl::Time latest = this->clock.Now() - kStreamVersionLifetime;
+  for (const std::string& version : this->VersionsOf(service)) {
+    if (this->ListedSince(service, version) <= latest)
+      return version;
+  }
+  return std::nullopt;
 }
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/stream_version_records.h
+++ b/cranberryhill/forward/stream_version_records.h
@@ -86,8 +86,9 @@
 
 /// The stored row of a service.
 struct ServiceVersionRow {
-  /// The version of all streams that have no record of their own. Nothing if
-  /// the row cannot be read; every stream has a record then.
+  /// The version of all streams that have no record of their own. Nothing while
+  /// the replicas of the last one have gone, or if the row cannot be read;
+  /// every stream has a record then.
   std::optional<std::string> base;
   /// Of the store when the row was written; 0 if the store names none. A row of
   /// another era has come back with an older copy of the store.
@@ -141,11 +142,21 @@
   ///     for a moment.
   bool IsGone(std::string_view service, std::string_view version) const;
 
+  /// @return True if the registry lists this version, and has listed no other
+  ///     one for some seconds.
+  bool IsListedAlone(std::string_view service, std::string_view version) const;
+
+  /// @return True if, within kStreamVersionLifetime, the registry listed other
+  ///     versions without this one.
+  bool WasAwayLately(std::string_view service, std::string_view version) const;
+
   std::vector<std::string> Services() const;
 
-  /// Decides what the stored row of a service must say. Another version becomes
-  /// the base when no stream without a record can be left: when the registry
-  /// has not listed the old base for kStreamVersionLifetime.
+  /// Decides what the stored row of a service must say. When the registry does
+  /// not list the base any more, there is no base. A version becomes the base
+  /// when no stream without a record can be left at another one: when there
+  /// has been no base, and the registry has listed the version, for
+  /// kStreamVersionLifetime.
   /// @param row What it says; null if there is none.
   /// @param row_since When this instance first saw it say so in this era.
   /// @param era Of the store.
@@ -158,10 +169,13 @@
  private:
   /// When the registry listed a version.
   struct Listing {
-    absl::Time since;  // Without a break of kGoneAfter or more.
+    absl::Time since;  // Without a break.
     absl::Time last_seen;
+    bool after_others = false;  // Others were listed alone before `since`.
   };
 
+  bool MustRetire(std::string_view service, std::string_view base) const;
+  std::optional<std::string> NextBase(std::string_view service) const;
   const Listing* Find(std::string_view service, std::string_view version) const;
 
   const Clock& clock;
--- a/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
+++ b/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
@@ -180,6 +180,34 @@
     this->Settle();
   }
 
+  /// Replaces the version of the first service. When the old one has gone, the
+  /// store turns one instance away, which is killed soon after `returning` has
+  /// joined.
+  /// @param base_changes Whether another version becomes the base meanwhile.
+  void PlayLostRecords(std::optional<std::string> returning,
+                       bool base_changes) {
+    std::string service = this->services.front();
+    std::string old = *this->registered[service].begin();
+    this->Register(service, "new");
+    this->RunFor(absl::Seconds(5));
+    this->Withdraw(service, old);
+    this->RunFor(absl::Seconds(base_changes ? 7 : 5));
+    size_t instance = this->random.UniformInt(0, this->size - 1);
+    this->out_of_step = instance;
+    this->begin_share = kBegunOutOfStep;
+    this->CutOff(instance, kCutFromStore, absl::Seconds(base_changes ? 14 : 4));
+    this->RunFor(absl::Seconds(1));
+    this->Register(service, returning.value_or(old));
+    this->RunFor(absl::Seconds(base_changes ? 12 : 1.2));
+    this->Restart(instance);
+    this->RunFor(absl::Seconds(4));
+    this->Withdraw(service, "new");
+    this->RunFor(absl::Seconds(4));
+    this->out_of_step.reset();
+    this->begin_share = 0;
+    this->Settle();
+  }
+
   void CutOff(size_t instance, const Cut& cut, absl::Duration duration) {
     this->members[instance]->cut = cut;
     this->queue.Schedule(duration, [this, instance] {
@@ -401,7 +429,8 @@
     }
     void Tick() {
       absl::Time now = this->fleet.queue.clock.Now();
-      if (this->ReachesStore() && now >= this->news_at)
+      // Peers say that they are in contact with the store.
+      if (this->HearsNews())
         this->heard_at = now;
       if (this->has_registry) {
         this->ObserveRegistry();
@@ -975,6 +1004,27 @@
   fleet.Check("cut before a rollback");
 }
 
+// Guards against a stream that began without a record, as no replica of the
+// base was left, and is taken for one of the base when that comes back.
+BOOST_DATA_TEST_CASE(unrecorded_stream_is_not_taken_for_one_of_the_old_base,
+                     data::make(kFleetSizes),
+                     instances) {
+  Fleet fleet(instances);
+  fleet.PlayLostRecords(std::nullopt, false);
+  fleet.Check("rollback after lost records");
+}
+
+// Guards against the same confusion with a version that becomes the base while
+// the store turns an instance away (soak seed 90004).
+BOOST_DATA_TEST_CASE(unrecorded_stream_is_not_taken_for_one_of_the_next_base,
+                     data::make(kFleetSizes) * data::make({"alpha", "omega"}),
+                     instances,
+                     next_version) {
+  Fleet fleet(instances);
+  fleet.PlayLostRecords(next_version, true);
+  fleet.Check("second release after lost records");
+}
+
 // Guards against streams that begin after a freeze by what was known before.
 BOOST_DATA_TEST_CASE(thawed_instance_begins_no_streams_at_a_former_base,
                      data::make(kFleetSizes),
--- a/cranberryhill/stream_versions/stream_version_store.cc
+++ b/cranberryhill/stream_versions/stream_version_store.cc
@@ -34,8 +34,9 @@
 /// Instances that find at the same time that a row has to be written spread
 /// their writes over this time per instance; one of them is enough.
 constexpr absl::Duration kServiceRowSpread = absl::Milliseconds(50);
-/// The same while there is no row: until then every stream needs a record.
-constexpr absl::Duration kFirstRowSpread = absl::Milliseconds(5);
+/// The same for a write that is urgent: without a row every stream needs a
+/// record, and without replicas of the base nothing can go on there.
+constexpr absl::Duration kUrgentRowSpread = absl::Milliseconds(5);
 constexpr absl::Duration kServiceRowRetry = absl::Milliseconds(150);
 
 /// An instance that did not tick for this long has stood still. It takes a
@@ -46,7 +47,7 @@
 /// A version that an instance out of touch with the registry has seen there may
 /// have gone and another may have become the base after this time, less what
 /// callers need to take a stream up.
-constexpr absl::Duration kMaxRegistryOutage = absl::Seconds(3);
+constexpr absl::Duration kMaxRegistryOutage = absl::Seconds(5);
 /// The local copy of a row may be this much older than it looks: an answer of
 /// the store may take a moment to arrive. Another base follows much later.
 constexpr absl::Duration kMaxAnswerDelay = absl::Seconds(2);
@@ -149,14 +150,20 @@
 
 bool StoredStreamVersions::MayBeginUnrecorded(std::string_view service,
                                               std::string_view version) {
+  if (this->RecordlessVersion(service) == version)
+    return true;
   auto base = this->BaseVersion(service);
-  if (!base)
+  bool is_retired = this->HasRetiredBase(service);
+  if (!base && !is_retired)
     return this->IsOnlyVersion(service, version);
-  // Where the base has gone, a take-up that takes the stream for one of the
-  // base finds no replica.
-  return this->RecordlessVersion(service) == version ||
-         (this->clock.Now() - this->awake_since >= kLongestLapse &&
-          this->service_versions.IsGone(service, *base));
+  // Another version becomes the base only after it has been listed for longer
+  // than a stream lasts that begins now, and the former one does not count when
+  // it comes back.
+  absl::Time now = this->clock.Now();
+  return (is_retired || this->service_versions.IsGone(service, *base)) &&
+         now - this->awake_since >= kLongestLapse &&
+         now - this->registry_current_at <= kMaxRegistryOutage &&
+         this->service_versions.IsListedAlone(service, version);
 }
 
 bool StoredStreamVersions::Withdraw(std::string_view attempt_id) {
@@ -175,7 +182,10 @@
 bool StoredStreamVersions::CanRecord() const {
   bool is_late = this->write_in_progress &&
                  this->clock.Now() - this->write_started_at > kMaxPrepareTime;
-  return this->failed_writes < kFailedWritesOfLostStore && !is_late;
+  // Without a write that is repeated, the next one tells.
+  bool is_retrying = this->write_in_progress || this->write_scheduled;
+  bool is_lost = is_retrying && this->failed_writes >= kFailedWritesOfLostStore;
+  return !is_lost && !is_late;
 }
 
 void StoredStreamVersions::Find(std::string_view service,
@@ -235,21 +245,41 @@
   if (this->recent.Contains(service, attempt_id))
     return done(this->recent.Find(service, attempt_id));
   // A store that was restored between the two reads may have lost the record.
-  // An instance that is cut off from the store may have begun the stream at
-  // another version when the base had gone; nothing could go on at the base.
-  if (lookup.has_no_row && base.version && lookup.era == base.era &&
-      this->service_versions.IsListed(service, *base.version)) {
+  auto version = lookup.has_no_row && lookup.era == base.era
+                     ? this->UnrecordedVersion(service, base)
+                     : std::nullopt;
+  if (version) {
     this->log.Write(LogEvent("stream_version_by_service_row")
                         .Add("service", service)
                         .Add("attempt", attempt_id)
-                        .Add("version", *base.version));
-    return done(base.version);
+                        .Add("version", *version));
+    return done(version);
   }
   this->OnUnknown(service, attempt_id,
                   lookup.has_no_row ? "no_record" : "record_not_read");
   done(std::nullopt);
 }
 
+/// @return The version at which a stream without a record began; nothing if
+///     there may be several.
+std::optional<std::string> StoredStreamVersions::UnrecordedVersion(
+    std::string_view service,
+    const BaseVersionReading& base) const {
+  if (base.is_retired) {
+    std::vector<std::string> versions =
+        this->service_versions.VersionsOf(service);
+    return versions.size() == 1 && this->service_versions.KnowsAllVersions()
+               ? std::optional(versions.front())
+               : std::nullopt;
+  }
+  // While the base was away, an instance that could not store records may have
+  // begun the stream at another version.
+  bool is_certain =
+      base.version && this->service_versions.IsListed(service, *base.version) &&
+      !this->service_versions.WasAwayLately(service, *base.version);
+  return is_certain ? base.version : std::nullopt;
+}
+
 void StoredStreamVersions::OnUnknown(std::string_view service,
                                      std::string_view attempt_id,
                                      std::string_view reason) {
@@ -270,8 +300,10 @@
   auto row =
       Capture([&] { return forward::DecodeServiceVersion(*reading.value); });
   // UpdateServiceRow() logs a row that cannot be read.
-  if (row.ok() && row.value().era == reading.era)
+  if (row.ok() && row.value().era == reading.era) {
     base.version = row.value().base;
+    base.is_retired = !base.version;
+  }
   return base;
 }
 
@@ -317,10 +349,11 @@
   row.confirmed_at = row.since;
   if (row.value == previous)
     return &row;
-  if (row.value && row.value->base) {
+  if (row.value) {
     this->log.Write(LogEvent("service_base_version")
                         .Add("service", service)
-                        .Add("version", *row.value->base));
+                        .Add("known", row.value->base.has_value())
+                        .Add("version", row.value->base.value_or("")));
   }
   return &row;
 }
@@ -342,6 +375,15 @@
   return known->second.value->base;
 }
 
+/// @return True if the local copy of the row says that the replicas of the last
+///     base have gone.
+bool StoredStreamVersions::HasRetiredBase(std::string_view service) const {
+  auto known = this->service_rows.find(service);
+  return known != this->service_rows.end() && known->second.value &&
+         !known->second.value->base &&
+         known->second.value->era == this->fleet.StoreEra();
+}
+
 /// @return The version at which streams may begin without a record. Nothing if
 ///     there is none, or if the store has to confirm it first.
 std::optional<std::string> StoredStreamVersions::RecordlessVersion(
@@ -367,8 +409,10 @@
                                        const ServiceRow& row) const {
   bool has_no_rival = this->service_versions.KnowsAllVersions() &&
                       this->IsOnlyVersion(service, base);
-  return has_no_rival || row.confirmed_at + kMaxAnswerDelay >=
-                             this->service_versions.ListedSince(service, base);
+  return has_no_rival ||
+         (!this->service_versions.WasAwayLately(service, base) &&
+          row.confirmed_at + kMaxAnswerDelay >=
+              this->service_versions.ListedSince(service, base));
 }
 
 /// Reads the row, unless that is in progress or has just failed.
@@ -458,7 +502,8 @@
   }
   if (row->write_at != absl::InfiniteFuture())
     return;
-  absl::Duration spread = row->value ? kServiceRowSpread : kFirstRowSpread;
+  absl::Duration spread =
+      row->value && to_write->base ? kServiceRowSpread : kUrgentRowSpread;
   spread *= static_cast<double>(this->fleet.InstanceCount().value_or(1));
   row->write_at = this->clock.Now() + spread * this->random.UniformDouble();
   // Another instance may have written it already.
--- a/cranberryhill/stream_versions/stream_version_store.h
+++ b/cranberryhill/stream_versions/stream_version_store.h
@@ -10,6 +10,10 @@
 // without a record began at the base, whatever has become of the instance that
 // began it.
 //
+// When the replicas of the base have gone, the row names none until another
+// version has taken over. An instance that cannot store records begins streams
+// without one only meanwhile, at a version that the registry lists alone.
+//
 // A local copy of that row may name a former base whose replicas have come
 // back. A stream begins without a record only where the store has confirmed the
 // copy since the registry began to list the base without a break: the base
@@ -111,6 +115,13 @@
   bool NeedsNoRecord(std::string_view service,
                      std::string_view version) override;
   bool CanRecord() const override;
+  bool IsTurnedAway() const override {
+    return !this->CanRecord() && this->fleet.IsRegistryCurrent();
+  }
+  bool NeedsRecordOfPeer(std::string_view service,
+                         std::string_view version) override {
+    return this->IsTurnedAway() && this->RecordlessVersion(service) != version;
+  }
   void Find(std::string_view service,
             std::string_view attempt_id,
             absl::Duration wait,
@@ -159,7 +170,8 @@
   /// The base version by a read of the store.
   struct BaseVersionReading {
     std::optional<std::string> version;
-    uint64_t era = 0;  // Of the store.
+    uint64_t era = 0;         // Of the store.
+    bool is_retired = false;  // The last base has no replicas any more.
   };
 
   /// A stream whose first event waits for its record.
@@ -173,6 +185,7 @@
   ServiceRow* UpdateServiceRow(std::string_view service);
   bool IsTrusted(const ServiceRow& row) const;
   std::optional<std::string> BaseVersion(std::string_view service);
+  bool HasRetiredBase(std::string_view service) const;
   std::optional<std::string> RecordlessVersion(std::string_view service);
   bool IsConfirmed(std::string_view service,
                    std::string_view base,
@@ -194,6 +207,9 @@
   void OnEraOf(const HttpResult& answer);
   static BaseVersionReading BaseVersionIn(const ServiceRowReading& reading);
   bool IsOnlyVersion(std::string_view service, std::string_view version) const;
+  std::optional<std::string> UnrecordedVersion(
+      std::string_view service,
+      const BaseVersionReading& base) const;
   void FindRecord(const std::string& service,
                   const std::string& attempt_id,
                   absl::Time deadline,
--- a/cranberryhill/stream_versions/stream_versions.h
+++ b/cranberryhill/stream_versions/stream_versions.h
@@ -53,6 +53,14 @@
   /// @return False while the store does not take records.
   virtual bool CanRecord() const = 0;
 
+  /// @return True if the store turns this instance away, but not its peers.
+  virtual bool IsTurnedAway() const = 0;
+
+  /// @return True if streams that begin at this version need a record, which
+  ///     another instance can have stored but this one cannot.
+  virtual bool NeedsRecordOfPeer(std::string_view service,
+                                 std::string_view version) = 0;
+
   /// Finds the software version at which the attempt began its stream. Calls
   /// `done` at once or within `wait`; with nothing if nobody knows.
   /// @param wait Longest time that the caller's request may wait.
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -166,6 +166,12 @@
   return page.dump();
 }
 
+bool FakeStore::RefusesWrite(const http1::IncomingRequest& request) const {
+  auto host = request.head.headers.Find("Host");
+  return this->refuses_writes ||
+         (!this->refusing_host.empty() && host == this->refusing_host);
+}
+
 std::shared_ptr<http1::ActiveRequest> FakeStore::OnRequest(
     http1::IncomingRequest request,
     std::shared_ptr<http1::Responder> responder) {
@@ -176,7 +182,7 @@
       !target.starts_with(kRowsGetPath) && !target.starts_with(kRowsFeedPath);
   if (this->is_silent) {
     this->unanswered.push_back(std::move(responder));
-  } else if (this->is_down || (this->refuses_writes && is_write)) {
+  } else if (this->is_down || (is_write && this->RefusesWrite(request))) {
     responder->SendWhole(this->Head(503), "");
   } else if (target.starts_with(kRowsGetPath)) {
     this->SendPage(responder,
--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -46,6 +46,9 @@
   /// Answers all writes with 503 while true.
   void SetRefusesWrites(bool refuses) { this->refuses_writes = refuses; }
 
+  /// Answers the writes of clients that call the store by this name with 503.
+  void RefuseWritesTo(std::string_view host) { this->refusing_host = host; }
+
   /// Holds back what lies beyond the first `bytes` of each page while set, as a
   /// slow link does; sends the rest when cleared.
   void HoldPagesAfter(std::optional<size_t> bytes);
@@ -127,6 +130,7 @@
                    uint64_t after,
                    bool removed) const;
   static RowKey KeyOf(const nlohmann::json& row);
+  bool RefusesWrite(const http1::IncomingRequest& request) const;
   void Put(RowKey key, std::optional<std::string> value);
   void Write(const std::string& body, http1::Responder& responder);
   void AnswerWatches();
@@ -150,6 +154,7 @@
   bool is_down = false;
   bool holds_watches = false;
   bool refuses_writes = false;
+  std::string refusing_host;
   bool is_silent = false;
   bool loses_answers = false;
 };
