Search each byte of an event a bounded number of times

The process answered nothing for up to 2.6 s at a time.

Cause: EventSplitter::Feed() searched the whole incomplete event again with each chunk, until it was 256 KB large. The bound limits what is kept, not the work.

Evidence: work_is_linear_in_the_bytes_however_they_are_split counts the bytes looked at.

Why it works: the splitter remembers how far it has searched and where the line in progress begins. The daemon's HttpResponseReader had the same fault in heads and chunk sizes and remembers both now, and connection fields of a head are looked up in a set. Lateness of the event loop is a histogram now, and a log line from 0.25 s on.

--- a/cranberryhill/blocking_http/http_response_reader.cc
+++ b/cranberryhill/blocking_http/http_response_reader.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 
 #include "absl/strings/ascii.h"
@@ -41,14 +42,14 @@
 }
 
 Result<bool> HttpResponseReader::ParseHead() {
-  size_t end = this->buffer.find(kHeadEnd);
+  size_t end = this->FindEnd(kHeadEnd);
   if (end == std::string::npos) {
     if (this->buffer.size() > kMaxHeadBytes)
       return Malformed("", "must have a header of at most 64 KiB");
     return false;
   }
   std::string head = this->buffer.substr(0, end + kLineEnd.size());
-  this->buffer.erase(0, end + kHeadEnd.size());
+  this->Drop(end + kHeadEnd.size());
   std::string_view rest = head;
   size_t line_end = rest.find(kLineEnd);
   std::string_view line = rest.substr(0, line_end);
@@ -124,26 +125,59 @@
 }
 
 Result<bool> HttpResponseReader::ParseChunks() {
-  while (true) {
-    size_t line_end = this->buffer.find(kLineEnd);
-    if (line_end == std::string::npos)
-      return false;
-    size_t size = 0;
-    const char* text = this->buffer.data();
-    auto parsed = std::from_chars(text, text + line_end, size, 16);
-    bool has_valid_end = parsed.ptr == text + line_end || *parsed.ptr == ';';
-    if (parsed.ec != std::errc() || !has_valid_end || size > this->max_bytes)
-      return Malformed(
-          this->buffer.substr(0, line_end),
-          "must be a hexadecimal chunk size within the body limit");
-    if (size == 0)
-      return true;
-    size_t start = line_end + kLineEnd.size();
-    if (this->buffer.size() < start + size + kLineEnd.size())
-      return false;
-    this->response.body.append(this->buffer, start, size);
-    this->buffer.erase(0, start + size + kLineEnd.size());
+  size_t begin = 0;  // Of what has not been parsed.
+  bool is_complete = false;
+  while (!is_complete) {
+    if (!this->chunk_size) {
+      size_t line_end = this->FindEnd(kLineEnd);
+      if (line_end == std::string::npos)
+        break;
+      std::string_view line =
+          std::string_view(this->buffer).substr(begin, line_end - begin);
+      BOOST_LEAF_ASSIGN(this->chunk_size, this->ParseChunkSize(line));
+      begin = line_end + kLineEnd.size();
+    }
+    size_t size = *this->chunk_size;
+    is_complete = size == 0;
+    if (this->buffer.size() - begin < size + kLineEnd.size())
+      break;
+    this->response.body.append(this->buffer, begin, size);
+    begin += size + kLineEnd.size();
+    this->searched = begin;
+    this->chunk_size.reset();
   }
+  this->Drop(begin);
+  return is_complete;
+}
+
+Result<size_t> HttpResponseReader::ParseChunkSize(std::string_view line) const {
+  size_t size = 0;
+  const char* end = line.data() + line.size();
+  auto parsed = std::from_chars(line.data(), end, size, 16);
+  bool has_valid_end = parsed.ptr == end || *parsed.ptr == ';';
+  if (parsed.ec != std::errc() || !has_valid_end || size > this->max_bytes)
+    return Malformed(line,
+                     "must be a hexadecimal chunk size within the body limit");
+  return size;
+}
+
+/// @return Where the next part that ends with `end` ends, without it; npos if
+///     its end has not been received.
+size_t HttpResponseReader::FindEnd(std::string_view end) {
+  size_t found = this->buffer.find(end, this->searched);
+  size_t scanned_to =
+      found == std::string::npos ? this->buffer.size() : found + end.size();
+  this->scanned += scanned_to - this->searched;
+  // The last bytes may be the beginning of `end`.
+  size_t kept = std::min(end.size() - 1, scanned_to - this->searched);
+  this->searched = found == std::string::npos ? scanned_to - kept : scanned_to;
+  return found;
+}
+
+/// Drops bytes that have been parsed.
+void HttpResponseReader::Drop(size_t bytes) {
+  this->buffer.erase(0, bytes);
+  this->searched -= std::min(this->searched, bytes);
 }
 
 }  // namespace cranberryhill
--- a/cranberryhill/blocking_http/http_response_reader.h
+++ b/cranberryhill/blocking_http/http_response_reader.h
@@ -7,6 +7,7 @@
 //   BOOST_LEAF_AUTO(complete, reader.Append(bytes));
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -45,6 +46,11 @@
 
   const HttpResponse& result() const { return this->response; }  // NOLINT
 
+  /// @return The number of bytes that were searched for the end of a part, each
+  ///     time counted. It is linear in the number of bytes received, however
+  ///     these are split.
+  size_t scanned_bytes() const { return this->scanned; }  // NOLINT
+
  private:
   enum class Framing { kLength, kChunked, kUntilClose };
 
@@ -52,10 +58,16 @@
   Result<void> ParseHeaderLine(std::string_view line);
   Result<bool> ParseBody();
   Result<bool> ParseChunks();
+  Result<size_t> ParseChunkSize(std::string_view line) const;
+  size_t FindEnd(std::string_view end);
+  void Drop(size_t bytes);
 
   const size_t max_bytes;
-  std::string buffer;  // Bytes received but not yet parsed.
+  std::string buffer;   // Bytes received but not yet parsed.
+  size_t searched = 0;  // No part of `buffer` ends before.
+  size_t scanned = 0;
   size_t received_bytes = 0;
+  std::optional<size_t> chunk_size;  // Of the chunk that is not complete.
   bool has_head = false;
   bool keep_alive = false;
   bool has_exact_length = false;
--- a/cranberryhill/blocking_http/http_response_reader_test.cc
+++ b/cranberryhill/blocking_http/http_response_reader_test.cc
@@ -40,6 +40,28 @@
   }
 }
 
+// Guards against a backend server that keeps an instance busy for longer with
+// each byte of a part that never ends.
+BOOST_AUTO_TEST_CASE(WorkIsLinearInTheBytesHoweverTheyAreSplit) {
+  constexpr size_t kMostScansOfAByte = 4;
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> endless = {
+      {"HTTP/1.1 200 OK\r\na: ", "x"}, {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+      {chunked + "4;", "x"},           {chunked, "0"},
+      {chunked, "1\r\na\r\n"},         {chunked + "fff0;x\r\n", "x"}};
+  for (const auto& [begin, repeated] : endless) {
+    for (size_t size : {size_t{4} << 10, size_t{60} << 10}) {
+      HttpResponseReader reader(1 << 20);
+      size_t fed = begin.size();
+      BOOST_TEST(Capture([&] { return reader.Append(begin); }).ok());
+      for (; fed < size; fed += repeated.size())
+        BOOST_TEST(Capture([&] { return reader.Append(repeated); }).ok());
+      BOOST_TEST(reader.scanned_bytes() <= kMostScansOfAByte * fed);
+    }
+  }
+}
+
 // Guards against responses whose end is recognized only if the bytes arrive in
 // certain packets.
 BOOST_AUTO_TEST_CASE(ResponsesAreParsedByteByByte) {
--- a/cranberryhill/exchange/metrics.cc
+++ b/cranberryhill/exchange/metrics.cc
@@ -11,6 +11,9 @@
 const prometheus::Histogram::BucketBoundaries kErrorBucketsSeconds{
     -1, -0.4, -0.2, -0.1, -0.05, -0.02, 0, 0.02, 0.05, 0.1, 0.2, 0.4, 1, 2};
 
+const prometheus::Histogram::BucketBoundaries kLoopDelayBucketsSeconds{
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+
 prometheus::Histogram& AddHistogram(
     prometheus::Registry& registry,
     const std::string& name,
@@ -72,7 +75,11 @@
           AddHistogram(this->registry,
                        "cranberryhill_first_byte_error_seconds",
                        "Actual minus expected time to the first event",
-                       kErrorBucketsSeconds)) {}
+                       kErrorBucketsSeconds)),
+      event_loop_delay(AddHistogram(this->registry,
+                                    "cranberryhill_event_loop_delay_seconds",
+                                    "How late a timer of the event loop fired",
+                                    kLoopDelayBucketsSeconds)) {}
 
 void GatewayMetrics::CountOutcome(std::string_view outcome) {
   GetOrAddCounter(this->outcomes, this->outcome_counters, "outcome", outcome)
@@ -97,6 +104,10 @@
   this->first_byte_error.Observe(absl::ToDoubleSeconds(error));
 }
 
+void GatewayMetrics::ObserveEventLoopDelay(absl::Duration delay) {
+  this->event_loop_delay.Observe(absl::ToDoubleSeconds(delay));
+}
+
 void GatewayMetrics::SetGauge(std::string_view name, double value) {
   this->gauges.Add({{"name", std::string(name)}}).Set(value);
 }
--- a/cranberryhill/exchange/metrics.h
+++ b/cranberryhill/exchange/metrics.h
@@ -33,6 +33,10 @@
   /// @param error Actual minus expected time to the first event.
   void ObserveFirstByteError(absl::Duration error);
 
+  /// @param delay How late a timer of the event loop fired, which is about what
+  ///     the turn of the loop took in which it was due.
+  void ObserveEventLoopDelay(absl::Duration delay);
+
   void SetGauge(std::string_view name, double value);
 
   /// Sets a learned figure of the engines of a service.
@@ -63,6 +67,7 @@
   prometheus::Histogram& first_byte;
   prometheus::Histogram& whole_answer;
   prometheus::Histogram& first_byte_error;
+  prometheus::Histogram& event_loop_delay;
   // A family takes a lock to look up labels; these maps cache the results.
   absl::flat_hash_map<std::string, prometheus::Counter*> outcome_counters;
   absl::flat_hash_map<std::string, prometheus::Counter*> decision_counters;
--- a/cranberryhill/forward/event_splitter.cc
+++ b/cranberryhill/forward/event_splitter.cc
@@ -3,25 +3,6 @@
 #include <algorithm>
 
 namespace cranberryhill::forward {
-namespace {
-
-/// @return The position after the blank line that ends the first event, or
-///     npos.
-size_t EndOfEvent(std::string_view text) {
-  size_t line_begin = 0;
-  while (true) {
-    size_t newline = text.find('\n', line_begin);
-    if (newline == std::string_view::npos)
-      return newline;
-    std::string_view content = text.substr(line_begin, newline - line_begin);
-    if (content.empty() || content == "\r")
-      return newline + 1;
-    line_begin = newline + 1;
-  }
-}
-
-}  // namespace
-
 std::string EventSplitter::Feed(std::string_view data) {
   // An event that is too large fails its stream, so the rest of it is not kept.
   if (this->too_large())
@@ -29,21 +10,40 @@
   this->buffer.append(data);
   size_t complete_bytes = 0;
   while (true) {
-    std::string_view unparsed =
-        std::string_view(this->buffer).substr(complete_bytes);
-    size_t end = EndOfEvent(unparsed);
-    if (end == std::string_view::npos)
+    size_t newline = this->buffer.find('\n', this->searched);
+    size_t searched_to =
+        newline == std::string::npos ? this->buffer.size() : newline + 1;
+    this->scanned += searched_to - this->searched;
+    this->searched = searched_to;
+    if (newline == std::string::npos)
       break;
-    this->ParseId(unparsed.substr(0, end));
+    std::string_view line =
+        std::string_view(this->buffer)
+            .substr(this->line_begin, newline - this->line_begin);
+    this->line_begin = newline + 1;
+    if (!line.empty() && line != "\r")
+      continue;
+    this->ParseId(
+        std::string_view(this->buffer)
+            .substr(complete_bytes, this->line_begin - complete_bytes));
     ++this->complete_events;
-    complete_bytes += end;
+    complete_bytes = this->line_begin;
   }
   std::string events = this->buffer.substr(0, complete_bytes);
   this->buffer.erase(0, complete_bytes);
+  this->line_begin -= complete_bytes;
+  this->searched -= complete_bytes;
   return events;
 }
 
+void EventSplitter::DropIncompleteEvent() {
+  this->buffer.clear();
+  this->line_begin = 0;
+  this->searched = 0;
+}
+
 void EventSplitter::ParseId(std::string_view event) {
+  this->scanned += event.size();
   while (!event.empty()) {
     size_t newline = std::min(event.find('\n'), event.size());
     std::string_view line = event.substr(0, newline);
--- a/cranberryhill/forward/event_splitter.h
+++ b/cranberryhill/forward/event_splitter.h
@@ -34,6 +34,10 @@
   /// @return The number of complete events so far.
   size_t event_count() const { return this->complete_events; }  // NOLINT
 
+  /// @return The number of bytes that were looked at, each time counted. It is
+  ///     linear in the number of bytes fed, however these are split.
+  size_t scanned_bytes() const { return this->scanned; }  // NOLINT
+
   /// @return True when the incomplete event is larger than any event may be.
   bool too_large() const {  // NOLINT
     return this->buffer.size() > kMaxEventBytes;
@@ -41,12 +45,15 @@
 
   /// Discards the incomplete event before the stream resumes at another
   /// replica.
-  void DropIncompleteEvent() { this->buffer.clear(); }
+  void DropIncompleteEvent();
 
  private:
   void ParseId(std::string_view event);
 
   std::string buffer;
+  size_t line_begin = 0;  // Of the line in `buffer` that is not complete.
+  size_t searched = 0;    // No line that is not complete ends before.
+  size_t scanned = 0;
   std::optional<std::string> last_id;
   size_t complete_events = 0;
 };
--- a/cranberryhill/forward/event_splitter_test.cc
+++ b/cranberryhill/forward/event_splitter_test.cc
@@ -23,6 +23,20 @@
   BOOST_TEST(!splitter.too_large());
 }
 
+// Guards against a stream that keeps the process busy for longer with each part
+// of an event that never ends.
+BOOST_AUTO_TEST_CASE(work_is_linear_in_the_bytes_however_they_are_split) {
+  for (std::string_view line : {"~\n", "~", "\r\n~", "id: 1\n", "\n", "\r\n"}) {
+    for (size_t size : {size_t{4} << 10, size_t{64} << 10}) {
+      EventSplitter splitter;
+      size_t fed = 0;
+      for (; fed < size; fed += line.size())
+        splitter.Feed(line);
+      BOOST_TEST(splitter.scanned_bytes() <= 2 * fed);
+    }
+  }
+}
+
 // Guards against events that are truncated, lost or duplicated when the bytes
 // of a stream arrive in different chunks than they were sent in.
 RC_BOOST_PROP(any_chunking_gives_the_same_events, ()) {
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kMaintenanceInterval(250);
+/// Callers wait no longer than this for an instance that has nothing to do.
+constexpr absl::Duration kLongLoopDelay = absl::Milliseconds(250);
 /// After the start of a shutdown, connections are accepted for this long,
 /// because the load balancer polls once a second and removes an instance only
 /// after two answers that are not 200.
@@ -510,11 +512,21 @@
   this->stream_versions.Tick();
 }
 
+/// Notes how long the event loop was busy when the maintenance was due.
+void Gateway::ObserveEventLoop() {
+  absl::Duration delay = absl::FromChrono(std::chrono::steady_clock::now() -
+                                          this->maintenance_timer.expiry());
+  this->metrics.ObserveEventLoopDelay(delay);
+  if (delay >= kLongLoopDelay)
+    this->log.Write(LogEvent("event_loop_was_busy").Add("delay_ms", delay));
+}
+
 void Gateway::ScheduleMaintenance() {
   this->maintenance_timer.expires_after(kMaintenanceInterval);
   this->maintenance_timer.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
+    this->ObserveEventLoop();
     this->connection_pool.CloseStale();
     this->replica_limits.Prune([this](std::string_view replica) {
       return this->replicas.IsForgotten(replica);
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -195,6 +195,7 @@
   forward::WindowedRetryBudget& RetryBudgetFor(std::string_view service);
   void UpdateStreamVersions();
   void ScheduleMaintenance();
+  void ObserveEventLoop();
   void CheckShutdown();
   void EndRequests();
   void ReportStopped();
--- a/cranberryhill/http1/message.cc
+++ b/cranberryhill/http1/message.cc
@@ -3,8 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <iterator>
+#include <string>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
@@ -27,13 +28,17 @@
     "Expect",
 };
 
-std::vector<std::string> ListedNames(const HeaderList& headers) {
-  std::vector<std::string> names;
+/// @return The names of the fields that concern the connection only, in lower
+///     case: a head may list as many names as it has fields.
+absl::flat_hash_set<std::string> ConnectionFields(const HeaderList& headers) {
+  absl::flat_hash_set<std::string> names;
+  for (std::string_view name : kConnectionFields)
+    names.insert(absl::AsciiStrToLower(ToAbsl(name)));
   for (const HeaderField& field : headers) {
     if (!EqualsIgnoreCase(field.name, "Connection"))
       continue;
     for (absl::string_view name : absl::StrSplit(field.value, ','))
-      names.emplace_back(absl::StripAsciiWhitespace(name));
+      names.insert(absl::AsciiStrToLower(absl::StripAsciiWhitespace(name)));
   }
   return names;
 }
@@ -82,14 +87,9 @@
 }
 
 void HeaderList::RemoveConnectionFields() {
-  std::vector<std::string> listed = ListedNames(*this);
-  std::erase_if(this->fields, [&listed](const HeaderField& field) {
-    auto same = [&field](std::string_view name) {
-      return EqualsIgnoreCase(field.name, name);
-    };
-    return std::any_of(std::begin(kConnectionFields),
-                       std::end(kConnectionFields), same) ||
-           std::any_of(listed.begin(), listed.end(), same);
+  absl::flat_hash_set<std::string> names = ConnectionFields(*this);
+  std::erase_if(this->fields, [&names](const HeaderField& field) {
+    return names.contains(absl::AsciiStrToLower(field.name));
   });
 }
 
