Judge which prompt part crashes engines by all known crashes

Cause: the verdict was taken once, from the crashes that had arrived by then. An instance with three crashes under the first part and two under the bad one quarantined the first part before its peer's report arrived, and dropped that report as explained. Peers and the store took it over.

Why it works: the quarantine is a function of the known crashes and is decided anew with each of them, so a report that arrives late corrects it. Where a later part may be the cause as well, the verdict is not stored, and one request without another suspect part tells.

--- a/cranberryhill/exchange/exchange.h
+++ b/cranberryhill/exchange/exchange.h
@@ -311,6 +311,8 @@
 
   // exchange_end.cc: how a request ends.
   bool RefuseIfItCrashesReplicas();
+  bool TakesTrial();
+  static std::string SharedPartsText(const forward::PromptDescription& prompt);
   bool OutlastsShutdown() const;
   void EndUnanswered(std::string_view reason, absl::Duration retry_after);
   void RelayWholeAnswer(ReplicaSend& send);
--- a/cranberryhill/exchange/exchange_answer.cc
+++ b/cranberryhill/exchange/exchange_answer.cc
@@ -33,9 +33,11 @@
 bool IsSuccess(const http1::AnswerHead& head) {
   return head.status >= 200 && head.status < 300;
 }
+}  // namespace
 
 /// @return The ids of the parts that the prompt shares with others, for logs.
-std::string SharedPartsText(const forward::PromptDescription& prompt) {
+std::string Exchange::SharedPartsText(
+    const forward::PromptDescription& prompt) {
   std::string text;
   for (size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
     if (i > 0)
@@ -45,8 +47,6 @@
   return text;
 }
 
-}  // namespace
-
 http1::AnswerMatch Exchange::MatchAnswer(const http1::AnswerHead& head,
                                          ReplicaAnswerInfo& info) {
   info = this->context.wire.DecodeAnswer(head);
--- a/cranberryhill/exchange/exchange_end.cc
+++ b/cranberryhill/exchange/exchange_end.cc
@@ -28,7 +28,7 @@
       CrashStatus::kQuarantined;
   bool part_crashes = this->context.prompt_part_quarantine.IsQuarantined(
       this->caller_request.prompt);
-  if (!crashes && !part_crashes)
+  if (!crashes && (!part_crashes || this->TakesTrial()))
     return false;
   this->may_be_relayed = false;
   this->EndUnanswered(
@@ -37,6 +37,19 @@
   return true;
 }
 
+/// @return True if the request is sent to tell whether a part of its prompt,
+///     which is quarantined, is sound.
+bool Exchange::TakesTrial() {
+  if (!this->context.prompt_part_quarantine.TakeTrial(
+          this->caller_request.prompt, this->context.peer_load_sync.Rank()))
+    return false;
+  this->context.metrics.CountDecision("prompt_part_tried");
+  this->context.log.Write(
+      this->MakeLogEvent("prompt_part_tried")
+          .Add("shared_parts", SharedPartsText(this->caller_request.prompt)));
+  return true;
+}
+
 /// @return True if the request has not run and is not to be sent to a replica,
 ///     because it may still run when the process ends.
 bool Exchange::OutlastsShutdown() const {
--- a/cranberryhill/forward/prompt_part_quarantine.h
+++ b/cranberryhill/forward/prompt_part_quarantine.h
@@ -13,12 +13,18 @@
 //
 // A part is quarantined after kCrashesToQuarantine crashes of engines that had
 // begun to answer a prompt with it, unless an answer to a prompt with it was
-// completed recently. A crash counts against one quarantined part only, so that
-// parts that were at the same engines by chance stay usable.
+// completed recently. A crash that one quarantined part explains does not count
+// against another one, so that parts that were at the same engines by chance
+// stay usable.
+//
+// What is quarantined follows from the crashes that are known, in whatever
+// order they became known: what a peer has seen can change it. Where a later
+// part of the same prompts may be the cause as well, one request is let through
+// to tell.
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -56,6 +62,9 @@
 struct QuarantinedPart {
   uint64_t part = 0;
   absl::Duration remaining;
+  /// False if the crashes known to this instance may have another cause. Such a
+  /// quarantine must not outlive the instances that can correct it.
+  bool is_certain = true;
 };
 
 /// What an instance tells its peers.
@@ -89,6 +98,14 @@
   /// @return True if answering the prompt is expected to crash engines.
   bool IsQuarantined(const PromptDescription& prompt) const;
 
+  /// Lets a prompt through although it is quarantined, to tell whether its part
+  /// is the cause of the crashes. The caller then sends it once.
+  /// @param rank Number of live instances that come before this one. The first
+  ///     one tries first, and the others if it has nothing to try.
+  /// @return False if it is certain that the prompt crashes engines, or another
+  ///     prompt is to tell.
+  bool TakeTrial(const PromptDescription& prompt, size_t rank);
+
   /// @return What to tell peers; bounded in size, the newest crashes first.
   PromptPartReport Report() const;
 
@@ -105,44 +122,58 @@
   /// @param part More than the usual time counts as the usual time.
   void Restore(const QuarantinedPart& part);
 
-  size_t QuarantinedCount() const { return this->quarantined.size(); }
+  size_t QuarantinedCount() const { return this->Quarantined().size(); }
 
  private:
   struct SuspectCrash {
     EngineCrash crash;
     bool own = false;  // This instance has seen it itself.
   };
+  /// The crashes at which prompts with a part were.
   struct Suspicion {
-    std::vector<SuspectCrash> crashes;
+    std::vector<SuspectCrash> crashes;  // In the order of their times.
     uint32_t position = 0;
-    absl::Time last_crash_at = absl::InfinitePast();
   };
   struct SoundPart {
     absl::Time until;
     bool own = false;  // This instance has seen the answer itself.
   };
+  /// A part that explains crashes by what is known here.
+  struct Verdict {
+    absl::Time until;
+    absl::Time found_at;
+    bool is_certain = false;
+    int trials = 0;
+    absl::Time tried_at = absl::InfinitePast();
+  };
+  using Crashes = std::vector<EngineCrash>;
+  using CrashesByPart = absl::flat_hash_map<uint64_t, Crashes>;
 
   void AddCrash(uint64_t part, const SuspectCrash& added, uint32_t position);
   void Dispute(uint64_t part);
   void SetSound(uint64_t part, bool own);
   bool IsSound(uint64_t part) const;
-  std::vector<uint64_t> QuarantineSuspects();
-  void Quarantine(uint64_t part, absl::Duration duration);
-  void ExplainCrashes(uint64_t part);
+  std::vector<uint64_t> Judge();
+  CrashesByPart UnexplainedCrashes() const;
+  std::optional<uint64_t> LikeliestCause(const CrashesByPart& crashes) const;
+  bool HasRival(uint64_t part, const Crashes& crashes) const;
+  void DropExplained(const CrashesByPart& unexplained);
+  bool IsActive(uint64_t part) const;
+  bool IsCertain(uint64_t part) const;
   void RemoveExpired();
 
   const Clock& clock;
   PeerClocks peer_clocks;
   absl::flat_hash_map<uint64_t, Suspicion> suspicions;  // By part.
-  // Until when, by part.
-  absl::flat_hash_map<uint64_t, absl::Time> quarantined;
+  absl::flat_hash_map<uint64_t, Verdict> verdicts;      // By part.
+  // Parts that others have quarantined; until when.
+  absl::flat_hash_map<uint64_t, absl::Time> adopted;
   absl::flat_hash_map<uint64_t, SoundPart> sound_parts;
   // Parts that peers suspect, or that were suspect here, to which this instance
   // has seen an answer; until when peers are told.
   absl::flat_hash_map<uint64_t, absl::Time> disputed_parts;
-  // Crashes that a quarantined part has caused, in the order of their
-  // discovery.
-  std::deque<EngineCrash> explained_crashes;
+  bool has_news = false;  // Since the last judgement.
+  absl::Time next_expiry = absl::InfinitePast();
 };
 
 }  // namespace cranberryhill::forward
--- a/cranberryhill/forward/prompt_part_quarantine_test.cc
+++ b/cranberryhill/forward/prompt_part_quarantine_test.cc
@@ -1,10 +1,12 @@
 #include "cranberryhill/forward/prompt_part_quarantine.h"
 
+#include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <utility>
 
 #include "cranberryhill/base/random.h"
@@ -174,6 +176,158 @@
   BOOST_TEST(!this->IsQuarantined(peer, {kOther}));
 }
 
+/// The crashes of one incident as two or three instances see them. A prompt
+/// with the crashing part was at each crash, but the first instance sent only
+/// two of these; sound prompts of it were at the third engine by chance.
+class Incident {
+ public:
+  struct Sighting {
+    size_t instance;
+    uint64_t engine;
+    std::vector<uint64_t> shared_parts;
+  };
+
+  explicit Incident(size_t instance_count) {
+    for (size_t i = 0; i < instance_count; ++i)
+      this->instances.push_back(
+          std::make_unique<PromptPartQuarantine>(this->clock));
+    this->sightings = {
+        {0, 1, {kFirst, kCrashing}}, {0, 2, {kFirst, kCrashing}},
+        {0, 3, {kFirst, 101}},       {0, 3, {kFirst, 102}},
+        {0, 3, {kFirst, 103}},       {1, 3, {kFirst, kCrashing}}};
+    if (instance_count > 2)
+      this->sightings.push_back({2, 2, {kFirst, 104}});
+  }
+
+  void See(const Sighting& sighting) {
+    this->instances[sighting.instance]->OnCrash(
+        {sighting.engine, this->clock.Now()},
+        std::vector{MakePrompt(sighting.shared_parts)});
+  }
+
+  void ExchangeReports() {
+    for (size_t from = 0; from < this->instances.size(); ++from) {
+      PromptPartReport report = this->instances[from]->Report();
+      for (size_t to = 0; to < this->instances.size(); ++to) {
+        if (to != from)
+          this->instances[to]->Merge(report, from);
+      }
+    }
+  }
+
+  /// @return True if all instances refuse the crashing part and no other one.
+  bool IsJudgedRight() const {
+    return std::all_of(this->instances.begin(), this->instances.end(),
+                       [](const auto& one) {
+                         return one->IsQuarantined(MakePrompt({kCrashing})) &&
+                                !one->IsQuarantined(MakePrompt({kFirst})) &&
+                                one->QuarantinedCount() == 1;
+                       });
+  }
+
+  ManualClock clock;
+  std::vector<std::unique_ptr<PromptPartQuarantine>> instances;
+  std::vector<Sighting> sightings;
+};
+
+// Guards against a verdict that depends on the order in which crashes and the
+// reports of peers arrive: the part that all prompts share is refused for
+// minutes if it is the first one with enough crashes.
+BOOST_DATA_TEST_CASE(order_of_arrival_does_not_change_the_verdict,
+                     boost::unit_test::data::make({2, 3}),
+                     instance_count) {
+  std::vector<Incident::Sighting> order = Incident(instance_count).sightings;
+  std::vector<size_t> indices(order.size());
+  std::iota(indices.begin(), indices.end(), 0);
+  int wrong = 0;
+  do {
+    // Whether reports are exchanged after the first sightings, as the bits say.
+    for (unsigned reports_after = 0;
+         reports_after<(1U << order.size()); reports_after += instance_count> 2
+             ? 13
+             : 1) {
+      Incident incident(instance_count);
+      for (size_t step = 0; step < indices.size(); ++step) {
+        incident.See(order[indices[step]]);
+        if ((reports_after >> step & 1) != 0)
+          incident.ExchangeReports();
+      }
+      incident.ExchangeReports();
+      incident.ExchangeReports();
+      wrong += incident.IsJudgedRight() ? 0 : 1;
+    }
+  } while (std::next_permutation(indices.begin(), indices.end()));
+  BOOST_TEST(wrong == 0);
+}
+
+// Guards against a wrong verdict that stays because the instance that could
+// correct it has ended, and refused requests prove nothing.
+BOOST_AUTO_TEST_CASE(trial_undoes_a_wrong_verdict) {
+  Incident incident(2);
+  PromptPartQuarantine& own = *incident.instances[0];
+  for (const Incident::Sighting& sighting : incident.sightings) {
+    if (sighting.instance == 0)
+      incident.See(sighting);
+  }
+  PromptDescription sound = MakePrompt({kFirst, 200});
+  BOOST_TEST(own.IsQuarantined(sound));
+  for (const QuarantinedPart& part : own.Quarantined())
+    BOOST_TEST(!part.is_certain);
+  // Peers may still report.
+  BOOST_TEST(!own.TakeTrial(sound, 0));
+  incident.clock.Advance(absl::Seconds(1));
+  // It has another suspect part.
+  BOOST_TEST(!own.TakeTrial(MakePrompt({kFirst, kCrashing}), 0));
+  BOOST_TEST(!own.TakeTrial(sound, 1));
+  BOOST_TEST(own.TakeTrial(sound, 0));
+  BOOST_TEST(!own.TakeTrial(sound, 0));
+  own.OnAnswered(sound);
+  BOOST_TEST(!own.IsQuarantined(sound));
+  incident.instances[1]->Merge(own.Report(), kOwn);
+  BOOST_TEST(!incident.instances[1]->IsQuarantined(sound));
+}
+
+// Guards against trials that go on although the part crashes engines.
+BOOST_FIXTURE_TEST_CASE(trial_that_crashes_an_engine_is_the_last, Fixture) {
+  for (uint64_t crash = 1; crash <= 3; ++crash)
+    this->Crash(own, crash, {kCrashing, 100 + crash});
+  this->clock.Advance(absl::Seconds(1));
+  PromptDescription prompt = MakePrompt({kCrashing, 200});
+  BOOST_TEST(own.TakeTrial(prompt, 0));
+  this->Crash(own, 4, {kCrashing, 200});
+  BOOST_TEST(own.IsQuarantined(prompt));
+  for (const QuarantinedPart& part : own.Quarantined())
+    BOOST_TEST(part.is_certain);
+  for (int second = 0; second < 60; ++second) {
+    this->clock.Advance(absl::Seconds(1));
+    BOOST_TEST(!own.TakeTrial(MakePrompt({kCrashing, 300}), 0));
+  }
+}
+
+// Guards against instances that prolong each other's quarantine by the time
+// that messages take.
+BOOST_FIXTURE_TEST_CASE(late_messages_do_not_prolong_a_quarantine, Fixture) {
+  for (uint64_t crash = 1; crash <= 3; ++crash)
+    this->Crash(own, crash, {kOther});
+  peer.Merge(own.Report(), kOwn);
+  own.Merge(peer.Report(), kPeer);
+  constexpr absl::Duration kInterval = absl::Milliseconds(500);
+  absl::Time end = this->clock.Now() + absl::Minutes(11);
+  while (this->clock.Now() < end) {
+    for (absl::Duration latency :
+         {absl::Milliseconds(5), absl::Milliseconds(450)}) {
+      PromptPartReport of_own = own.Report();
+      PromptPartReport of_peer = peer.Report();
+      this->clock.Advance(latency);
+      peer.Merge(of_own, kOwn);
+      own.Merge(of_peer, kPeer);
+      this->clock.Advance(kInterval - latency);
+    }
+  }
+  BOOST_TEST(!this->IsQuarantined(own, {kOther}));
+  BOOST_TEST(!this->IsQuarantined(peer, {kOther}));
+}
+
 // Guards against reports that do not fit into a datagram.
 BOOST_FIXTURE_TEST_CASE(report_is_bounded, Fixture) {
   for (uint64_t part = 100; part < 5000; ++part)
@@ -188,8 +342,17 @@
 /// ten is lost.
 class Fleet {
  public:
-  explicit Fleet(int instance_count)
-      : message_interval(absl::Milliseconds(std::max(60, 6 * instance_count))) {
+  /// @param first_parts Number of first parts, which prompts share.
+  /// @param crashes_from When prompts with the crashing part begin to come.
+  /// @param answer_time Until an answer tells that its prompt is sound.
+  Fleet(int instance_count,
+        int first_parts,
+        absl::Duration crashes_from,
+        absl::Duration answer_time)
+      : first_parts(first_parts),
+        crashes_from(crashes_from),
+        answer_time(answer_time),
+        message_interval(absl::Milliseconds(std::max(60, 6 * instance_count))) {
     for (int i = 0; i < instance_count; ++i)
       this->instances.push_back(
           std::make_unique<PromptPartQuarantine>(this->clock));
@@ -201,7 +364,7 @@
     for (absl::Duration at; at < kSimulatedTime; at += absl::Milliseconds(10))
       this->Schedule(at,
                      [this] { this->Send(this->DrawSoundPrompt(), false); });
-    for (absl::Duration at = absl::Seconds(3); at < kSimulatedTime;
+    for (absl::Duration at = this->crashes_from; at < kSimulatedTime;
          at += absl::Milliseconds(250)) {
       this->Schedule(at, [this] {
         this->Send({this->DrawFirstPart(), kCrashing}, true);
@@ -218,6 +381,9 @@
   int crashes = 0;
   int sent_too_late = 0;
   int sound_refused = 0;
+  // From two windows after the fifth crash, or the last one if there are fewer.
+  int sound_sent_late = 0;
+  int sound_refused_late = 0;
 
  private:
   using Event = std::pair<absl::Time, std::function<void()>>;
@@ -228,13 +394,11 @@
   };
 
   static constexpr int kEngines = 12;
-  static constexpr int kFirstParts = 4;
   static constexpr int kSecondParts = 300;
   static constexpr absl::Duration kSimulatedTime = absl::Seconds(40);
   static constexpr absl::Duration kRestartTime = absl::Seconds(4);
   static constexpr absl::Duration kQueueTime = absl::Milliseconds(20);
   static constexpr absl::Duration kFirstEventTime = absl::Milliseconds(40);
-  static constexpr absl::Duration kAnswerTime = absl::Milliseconds(500);
   /// Time in which a fact must be known to all instances.
   static constexpr absl::Duration kStableWindow = absl::Seconds(3);
 
@@ -245,7 +409,7 @@
   }
 
   uint64_t DrawFirstPart() {
-    return 100 + this->random.UniformInt(0, kFirstParts - 1);
+    return 100 + this->random.UniformInt(0, this->first_parts - 1);
   }
   std::vector<uint64_t> DrawSoundPrompt() {
     return {this->DrawFirstPart(),
@@ -270,8 +434,16 @@
   void Send(const std::vector<uint64_t>& shared_parts, bool crashes_engine) {
     size_t instance = this->random.UniformInt(0, this->instances.size() - 1);
     PromptDescription prompt = MakePrompt(shared_parts);
-    if (this->instances[instance]->IsQuarantined(prompt)) {
+    bool counts_as_late =
+        !crashes_engine &&
+        this->clock.Now() > this->counted_crash_at + 2 * kStableWindow;
+
+    this->sound_sent_late += counts_as_late ? 1 : 0;
+    PromptPartQuarantine& quarantine = *this->instances[instance];
+    if (quarantine.IsQuarantined(prompt) &&
+        !quarantine.TakeTrial(prompt, instance)) {
       this->sound_refused += crashes_engine ? 0 : 1;
+      this->sound_refused_late += counts_as_late ? 1 : 0;
       return;
     }
     if (crashes_engine &&
@@ -286,7 +458,7 @@
       if (this->engine_up_at[engine] != boot)
         return;
       this->running[engine][run] = {instance, prompt, this->clock.Now()};
-      this->Schedule(crashes_engine ? kFirstEventTime / 2 : kAnswerTime,
+      this->Schedule(crashes_engine ? kFirstEventTime / 2 : this->answer_time,
                      [=, this] { this->End(engine, run, crashes_engine); });
     });
   }
@@ -301,7 +473,9 @@
       return;
     }
     absl::Time now = this->clock.Now();
-    if (++this->crashes == 5)
+    if (++this->crashes <= 5)
+      this->counted_crash_at = now;
+    if (this->crashes == 5)
       this->fifth_crash_at = now;
     this->engine_up_at[engine] = now + kRestartTime;
     for (const auto& [id, broken] : std::exchange(this->running[engine], {})) {
@@ -315,6 +489,9 @@
     }
   }
 
+  const int first_parts;
+  const absl::Duration crashes_from;
+  const absl::Duration answer_time;
   const absl::Duration message_interval;
   ManualClock clock;
   SeededRandom random{17};
@@ -325,6 +502,8 @@
   uint64_t next_event = 0;
   uint64_t next_run = 0;
   absl::Time fifth_crash_at = absl::InfiniteFuture();
+  // The fifth, or the last one before.
+  absl::Time counted_crash_at = absl::InfiniteFuture();
 };
 
 // Guards against a crashing part that many instances go on sending, because
@@ -333,7 +512,9 @@
                      boost::unit_test::data::make({8, 60, 195}),
                      instance_count) {
   constexpr int kMaxSentTooLate = 3;
-  Fleet fleet(instance_count);
+  constexpr int kFirstParts = 4;
+  Fleet fleet(instance_count, kFirstParts, absl::Seconds(3),
+              absl::Milliseconds(500));
   fleet.Run();
   BOOST_TEST_MESSAGE(instance_count << " instances: " << fleet.crashes
                                     << " crashes");
@@ -342,5 +523,23 @@
   BOOST_TEST(fleet.sound_refused == 0);
 }
 
+// Guards against refusing all prompts of a route whose first part nobody has
+// seen answered yet, as after a restart of all instances.
+BOOST_DATA_TEST_CASE(fleet_serves_sound_prompts_that_share_their_first_part,
+                     boost::unit_test::data::make({8, 60, 195}),
+                     instance_count) {
+  constexpr int kMaxSentTooLate = 3;
+  Fleet fleet(instance_count, 1, absl::Milliseconds(100), absl::Seconds(8));
+  fleet.Run();
+  BOOST_TEST_MESSAGE(instance_count << " instances: " << fleet.crashes
+                                    << " crashes, " << fleet.sound_refused
+                                    << " sound prompts refused, "
+                                    << fleet.sound_refused_late << " of "
+                                    << fleet.sound_sent_late << " late");
+  BOOST_TEST(fleet.crashes > 0);
+  BOOST_TEST(fleet.sent_too_late <= kMaxSentTooLate);
+  BOOST_TEST(2 * fleet.sound_refused_late < fleet.sound_sent_late);
+}
+
 }  // namespace
 }  // namespace cranberryhill::forward
--- a/cranberryhill/gateway/gateway_quarantines.cc
+++ b/cranberryhill/gateway/gateway_quarantines.cc
@@ -19,7 +19,7 @@
 std::vector<QuarantinedItem> PartQuarantineList::Items() const {
   std::vector<QuarantinedItem> items;
   for (const forward::QuarantinedPart& part : this->quarantine.Quarantined())
-    items.push_back({part.part, part.remaining});
+    items.push_back({part.part, part.remaining, part.is_certain});
   return items;
 }
 
--- a/cranberryhill/gateway/quarantine_store_test.cc
+++ b/cranberryhill/gateway/quarantine_store_test.cc
@@ -428,6 +428,25 @@
   BOOST_TEST(fleet.calls == calls);
 }
 
+// Guards against a verdict that outlives all instances that could correct it.
+BOOST_AUTO_TEST_CASE(part_that_may_be_sound_is_not_stored) {
+  Fleet fleet(1);
+  fleet.members[0]->store.Stop();
+  fleet.RunFor(absl::Seconds(1));
+  PartMember own(fleet);
+  own.list.items = {{1, kUsualTime, false}, {2, kUsualTime, true}};
+  TickFor(fleet, {&own}, absl::Seconds(3));
+  PartMember later(fleet);
+  TickFor(fleet, {&later}, absl::Seconds(3));
+  BOOST_TEST(!later.list.Has(1));
+  BOOST_TEST(later.list.Has(2));
+  own.list.items[0].is_certain = true;
+  TickFor(fleet, {&own}, absl::Seconds(3));
+  PartMember last(fleet);
+  TickFor(fleet, {&last}, absl::Seconds(3));
+  BOOST_TEST(last.list.Has(1));
+}
+
 // Guards against an entry that stays because the instance that knows the part
 // to be sound never takes it over.
 BOOST_AUTO_TEST_CASE(part_that_is_known_to_be_sound_is_removed) {
--- a/cranberryhill/store/quarantine_store.cc
+++ b/cranberryhill/store/quarantine_store.cc
@@ -176,15 +176,19 @@
   if (this->is_other_format)
     return false;
   std::vector<QuarantinedItem> items = this->list.Items();
-  bool lacks_item = std::any_of(
-      items.begin(), items.end(),
-      [this](const auto& item) { return !this->written.contains(item.id); });
+  bool lacks_item =
+      std::any_of(items.begin(), items.end(),
+                  [this](const auto& item) { return this->MustAdd(item); });
   return lacks_item || std::any_of(this->entries.begin(), this->entries.end(),
                                    [&](const Entry& entry) {
                                      return this->IsCleared(entry, items);
                                    });
 }
 
+bool QuarantineStore::MustAdd(const QuarantinedItem& item) const {
+  return item.is_certain && !this->written.contains(item.id);
+}
+
 void QuarantineStore::Tick() {
   if (!this->UpdateRow())
     return;
@@ -212,7 +216,7 @@
     return this->IsCleared(entry, items);
   });
   for (const QuarantinedItem& item : items) {
-    if (!this->written.contains(item.id)) {
+    if (this->MustAdd(item)) {
       wanted.push_back(
           {item.id,
            this->store_time + std::min(item.remaining, kLongestQuarantine)});
@@ -242,7 +246,7 @@
   absl::Time now = this->clock.Now();
   std::vector<uint64_t> added;
   for (const QuarantinedItem& item : this->list.Items()) {
-    if (!this->written.contains(item.id))
+    if (this->MustAdd(item))
       added.push_back(item.id);
   }
   Transaction transaction;
--- a/cranberryhill/store/quarantine_store.h
+++ b/cranberryhill/store/quarantine_store.h
@@ -46,6 +46,9 @@
 struct QuarantinedItem {
   uint64_t id = 0;  ///< The same on all instances.
   absl::Duration remaining;
+  /// False for an item that may prove to be sound. It is not stored, as those
+  /// that restart could not know better.
+  bool is_certain = true;
 };
 
 /// What this instance has quarantined, of one kind.
@@ -122,6 +125,7 @@
   bool IsCleared(const Entry& entry,
                  const std::vector<QuarantinedItem>& items) const;
   bool HasWork() const;
+  bool MustAdd(const QuarantinedItem& item) const;
   std::vector<Entry> WantedEntries() const;
   void WriteRow();
   void OnCommitted(CommitState state);
