--- a/cranberryhill/blocking_http/http_response_reader_test.cc
+++ b/cranberryhill/blocking_http/http_response_reader_test.cc
@@ -50,13 +50,16 @@
       {"HTTP/1.1 200 OK\r\na: ", "x"}, {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
       {chunked + "4;", "x"},           {chunked, "0"},
       {chunked, "1\r\na\r\n"},         {chunked + "fff0;x\r\n", "x"}};
-  for (const auto& [begin, repeated] : endless) {
+  for (const auto& answer : endless) {
     for (size_t size : {size_t{4} << 10, size_t{60} << 10}) {
       HttpResponseReader reader(1 << 20);
-      size_t fed = begin.size();
-      BOOST_TEST(Capture([&] { return reader.Append(begin); }).ok());
-      for (; fed < size; fed += repeated.size())
-        BOOST_TEST(Capture([&] { return reader.Append(repeated); }).ok());
+      size_t fed = 0;
+      std::string next = answer.first;
+      while (fed < size) {
+        BOOST_TEST(Capture([&] { return reader.Append(next); }).ok());
+        fed += next.size();
+        next = answer.second;
+      }
       BOOST_TEST(reader.scanned_bytes() <= kMostScansOfAByte * fed);
     }
   }
--- a/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
+++ b/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
@@ -184,7 +184,7 @@
   /// store turns one instance away, which is killed soon after `returning` has
   /// joined.
   /// @param base_changes Whether another version becomes the base meanwhile.
-  void PlayLostRecords(std::optional<std::string> returning,
+  void PlayLostRecords(const std::optional<std::string>& returning,
                        bool base_changes) {
     std::string service = this->services.front();
     std::string old = *this->registered[service].begin();
