Have a restarted instance wait for a holder whose row may be lost

Cause: the first era that a process sees counted as no change of the era, and a record under its own name as its own.

Why it works: a process waits a term and the gap after the first row that it observes, as running instances do when the era changes. A holder whose row is lost cannot act for longer. Meanwhile it leaves the lease to instances that have been running.

--- a/cranberryhill/lease/handover_lease.cc
+++ b/cranberryhill/lease/handover_lease.cc
@@ -19,6 +19,8 @@
 constexpr size_t kMaxCandidateGroup = 5;
 
 constexpr uint64_t kFencingNumbersPerEra = 1'000'000;
+/// A store that names a later era may have been restored.
+constexpr uint64_t kFirstEra = 1;
 
 /// @param era Of the store. A store that was restored may have lost rows with
 ///     fencing numbers that were used; those of a new era are higher.
@@ -92,6 +94,12 @@
 void HandoverLease::ObserveRow(uint64_t version, std::string_view value) {
   if (std::exchange(this->observed_version, version) == version)
     return;
+  if (!std::exchange(this->has_observed_row, true) && this->era > kFirstEra) {
+    this->ObserveForeignRecord({});
+    // Others, which know whom they have seen acting, may act sooner.
+    this->may_acquire_from = this->other_holder_ended_at;
+    return;
+  }
   auto record = ParseLeaseRecord(value);
   if (!record.ok())
     return this->ObserveForeignRecord({});
@@ -125,7 +133,8 @@
   bool unused = now - this->needed_at > this->settings.release_after_idle;
   if (this->is_holder && unused)
     this->lease->Release();
-  if (this->is_holder || now >= this->acquire_from) {
+  bool may_try = now >= std::max(this->acquire_from, this->may_acquire_from);
+  if (this->is_holder || may_try) {
     this->lease->Tick();
     // Without a call just made, its last record may be older than a row that
     // was read elsewhere.
--- a/cranberryhill/lease/handover_lease.h
+++ b/cranberryhill/lease/handover_lease.h
@@ -65,7 +65,10 @@
   /// no order is active.
   void Release();
 
-  /// Records a row of the lease that was read elsewhere.
+  /// Records a row of the lease that was read elsewhere. The first one may have
+  /// come back with an older copy of the store shortly before this process
+  /// started, so that another holder's row is lost. This process then waits as
+  /// if it had seen that.
   /// @param value Of the row.
   void ObserveRow(uint64_t version, std::string_view value);
 
@@ -106,6 +109,9 @@
   absl::Time acquire_from = absl::InfiniteFuture();
   uint64_t observed_version = kAbsentVersion;
   std::string observed_nonce;
+  bool has_observed_row = false;
+  // The process does not try before to acquire the lease.
+  absl::Time may_acquire_from = absl::InfinitePast();
   // By this time the previous holder can no longer send orders.
   absl::Time other_holder_ended_at = absl::InfinitePast();
 };
--- a/cranberryhill/lease/handover_lease_test.cc
+++ b/cranberryhill/lease/handover_lease_test.cc
@@ -353,6 +353,40 @@
   }
 }
 
+// Guards against an instance that starts again under the name of a former
+// holder and goes by a row that came back with an older copy of the store,
+// while the holder whose row is lost still acts.
+BOOST_AUTO_TEST_CASE(restarted_holder_waits_for_one_whose_row_is_lost) {
+  for (bool deferred : {false, true}) {
+    Simulation simulation(deferred);
+    for (auto& instance : simulation.instances)
+      instance->era = 2;
+    simulation.GiveLeaseToFirst();
+    simulation.instances[0]->needed = false;
+    simulation.RunFor(absl::Seconds(10));
+    TableRows copy = simulation.rows;
+    simulation.instances[1]->needed = true;
+    BOOST_REQUIRE(
+        simulation.ActsWithin(*simulation.instances[1], absl::Seconds(10)));
+    simulation.rows = copy;
+    auto restarted =
+        std::make_unique<Instance>(simulation.rows, simulation.clock, 1);
+    restarted->table.SetDeferred(deferred);
+    restarted->era = 3;
+    restarted->lease.ObserveEra(restarted->era);
+    Row row = simulation.rows.Read({kKey}).front();
+    restarted->lease.ObserveRow(row.version, row.value);
+    simulation.orders.erase(simulation.orders.begin(),
+                            simulation.orders.end() - 1);
+    std::swap(simulation.instances[0], restarted);
+    // The other one does not reach the restored store.
+    simulation.instances[1]->table.SetFaults({.outage = true});
+    BOOST_TEST(
+        simulation.ActsWithin(*simulation.instances[0], absl::Seconds(15)));
+    BOOST_TEST((simulation.ShortestHandover() >= kGap));
+  }
+}
+
 // Guards against instances that all write the row at the same time when the
 // lease is needed: those with high ranks wait until the first ones have failed.
 BOOST_AUTO_TEST_CASE(high_ranks_try_later) {
