Test that no random history joins streams of two versions

Replicas of several software versions come, go and return while instances are cut off, frozen and restarted, and while the store is away or goes back to a copy.

--- a/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
+++ b/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
@@ -1,6 +1,9 @@
 // Simulates fleets in which one instance is cut off, stands still or starts
 // anew while replicas of a new software version join, on a virtual clock.
 
+#include <rapidcheck.h>
+#include <rapidcheck/boost_test.h>
+
 #include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -208,6 +211,83 @@
     this->Settle();
   }
 
+  /// Plays a history: versions come, go and return while instances are
+  /// disturbed, and the store is away or goes back to a copy.
+  /// @param events Each decides on one event and the time until the next one.
+  void PlayHistory(const std::vector<uint16_t>& events) {
+    const std::string service = this->services.front();
+    std::vector<std::string> withdrawn;
+    this->begin_share = kBegunOutOfStep;
+    this->take_up_share = kTakeUpsOutOfStep / 2;
+    this->out_of_step = 0;
+    auto copied_rows = this->store.rows;
+    auto copied_service_rows = this->service_rows;
+    for (uint16_t event : events) {
+      std::set<std::string>& listed = this->registered[service];
+      absl::Duration duration = absl::Seconds(1 + event / 16 % 8);
+      switch (event % 16) {
+        case 0:
+        case 1:
+          // Names in no order.
+          this->Register(service, "v" + std::to_string(event * 37 % 1000));
+          break;
+        case 2:
+        case 3:
+        case 4:
+          if (listed.size() > 1) {
+            withdrawn.push_back(event % 32 < 16 ? *listed.begin()
+                                                : *listed.rbegin());
+            this->Withdraw(service, withdrawn.back());
+          }
+          break;
+        case 5:
+        case 6:
+          if (!withdrawn.empty())
+            this->Register(service, withdrawn.back());
+          break;
+        case 7:
+          this->Disturb(event, [&](size_t instance) {
+            this->CutOff(instance, kCutFromStore, duration);
+          });
+          break;
+        case 8:
+          this->Disturb(event, [&](size_t instance) {
+            this->CutOff(instance, kCutFromAll, duration);
+          });
+          break;
+        case 9:
+          this->Disturb(event, [&](size_t instance) {
+            this->CutOff(instance, kAnswersLost, duration);
+          });
+          break;
+        case 10:
+          this->Disturb(event, [&](size_t instance) {
+            this->Freeze(instance, duration, absl::Milliseconds(300));
+          });
+          break;
+        case 11:
+        case 12:
+          this->Disturb(event,
+                        [&](size_t instance) { this->Restart(instance); });
+          break;
+        case 13:
+          copied_rows = this->store.rows;
+          copied_service_rows = this->service_rows;
+          break;
+        case 14:
+          this->Restore(copied_rows, copied_service_rows);
+          break;
+        default:
+          this->store.is_down = true;
+          this->queue.Schedule(duration,
+                               [this] { this->store.is_down = false; });
+          break;
+      }
+      this->RunFor(absl::Seconds(0.5 + event / 128 % 16));
+    }
+    this->RunFor(absl::Seconds(8));
+  }
+
   void CutOff(size_t instance, const Cut& cut, absl::Duration duration) {
     this->members[instance]->cut = cut;
     this->queue.Schedule(duration, [this, instance] {
@@ -262,6 +342,11 @@
     });
   }
 
+  size_t WrongCount() const {
+    return this->at_out_of_step.wrong + this->begun_out.wrong +
+           this->in_step.wrong;
+  }
+
   void Check(std::string_view name) {
     size_t take_ups = this->in_step.All() + this->at_out_of_step.All() +
                       this->begun_out.All();
@@ -615,6 +700,16 @@
     uint64_t current = 0;
   };
 
+  /// Disturbs an instance that is not disturbed yet.
+  void Disturb(uint16_t event, const std::function<void(size_t)>& disturb) {
+    size_t instance = event / 7 % this->size;
+    const Member& member = *this->members[instance];
+    if (member.is_frozen || !member.ReachesStore())
+      return;
+    this->out_of_step = instance;
+    disturb(instance);
+  }
+
   bool IsBase(const std::string& service, const std::string& version) const {
     auto row = this->service_rows.find("service-version/" + service);
     return row != this->service_rows.end() &&
@@ -1025,6 +1120,16 @@
   fleet.Check("second release after lost records");
 }
 
+// Guards against any other sequence of the events above that joins versions.
+RC_BOOST_PROP(histories_join_no_versions, ()) {
+  constexpr size_t kInstances = 8;
+  auto events = *rc::gen::container<std::vector<uint16_t>>(
+      16, rc::gen::inRange<uint16_t>(0, UINT16_MAX));
+  Fleet fleet(kInstances);
+  fleet.PlayHistory(events);
+  RC_ASSERT(fleet.WrongCount() == 0U);
+}
+
 // Guards against streams that begin after a freeze by what was known before.
 BOOST_DATA_TEST_CASE(thawed_instance_begins_no_streams_at_a_former_base,
                      data::make(kFleetSizes),
