--- a/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
+++ b/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck/boost_test.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <functional>
@@ -215,6 +216,7 @@
   /// disturbed, and the store is away or goes back to a copy.
   /// @param events Each decides on one event and the time until the next one.
   void PlayHistory(const std::vector<uint16_t>& events) {
+    constexpr std::array cuts = {kCutFromStore, kCutFromAll, kAnswersLost};
     const std::string service = this->services.front();
     std::vector<std::string> withdrawn;
     this->begin_share = kBegunOutOfStep;
@@ -246,18 +248,10 @@
             this->Register(service, withdrawn.back());
           break;
         case 7:
-          this->Disturb(event, [&](size_t instance) {
-            this->CutOff(instance, kCutFromStore, duration);
-          });
-          break;
         case 8:
-          this->Disturb(event, [&](size_t instance) {
-            this->CutOff(instance, kCutFromAll, duration);
-          });
-          break;
         case 9:
           this->Disturb(event, [&](size_t instance) {
-            this->CutOff(instance, kAnswersLost, duration);
+            this->CutOff(instance, cuts[event % cuts.size()], duration);
           });
           break;
         case 10:
