--- a/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
+++ b/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
@@ -216,7 +216,7 @@
   /// disturbed, and the store is away or goes back to a copy.
   /// @param events Each decides on one event and the time until the next one.
   void PlayHistory(const std::vector<uint16_t>& events) {
-    constexpr std::array cuts = {kCutFromStore, kCutFromAll, kAnswersLost};
+    constexpr std::array kCuts = {kCutFromStore, kCutFromAll, kAnswersLost};
     const std::string service = this->services.front();
     std::vector<std::string> withdrawn;
     this->begin_share = kBegunOutOfStep;
@@ -251,7 +251,7 @@
         case 8:
         case 9:
           this->Disturb(event, [&](size_t instance) {
-            this->CutOff(instance, cuts[event % cuts.size()], duration);
+            this->CutOff(instance, kCuts[event % kCuts.size()], duration);
           });
           break;
         case 10:
