--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 command -v python3 >/dev/null || { echo "python3 is missing"; exit 2; }
-for file in harness_3.py 1[1-5]/*.py; do
+for file in harness_3.py harness.py platform_2.py 1[1-5]/*.py; do
   python3 - "$file" <<'CHECK'
 import ast
 import sys
