Write records of streams on condition that their rows are unchanged

Cause: records were written whatever the row said. A stream was sent to a silent replica of v2 and then to one of v1. The store lost the answer to the first record, performed that write 2.5 s later, over the second record, and the take-up read v2.

Why the fix works: a record is written under the version at which its row was last seen, at first on condition that there is none. Any later write of the row changes its version, so an earlier one that comes late is refused. A refused write shows the rows as they are, and the record is written again from there; the first event waits for it as before. A row that has not changed does not count as written, as an earlier write with the same condition may still come.

The same confusion without a late write: an attempt that was recorded here and then relayed, or recorded by a peer, refused and passed to a second one. Such a request is refused as not run in place of being relayed.

--- a/cranberryhill/exchange/exchange.h
+++ b/cranberryhill/exchange/exchange.h
@@ -231,6 +231,7 @@
   void FindStreamVersion();
   void OnStreamVersionFound(std::optional<std::string> version);
   bool BeginsStream() const;
+  bool WithdrawRecord();
   void PrepareVersion(const std::shared_ptr<ReplicaSend>& send);
   void OnNotRecorded(const ReplicaSend& send);
   bool BeginAtRecordlessVersion();
--- a/cranberryhill/exchange/exchange_end.cc
+++ b/cranberryhill/exchange/exchange_end.cc
@@ -132,6 +132,11 @@
     this->responder->Abort();
     return this->Finish("cut", reason, kOk);
   }
+  // Without the time, the instance that relayed the request asks no other peer,
+  // which might begin the stream at another version than the record says.
+  if (retry_after && this->origin == RequestOrigin::kPeer &&
+      !this->WithdrawRecord())
+    retry_after.reset();
   this->responder->SendWhole(
       this->context.wire.MakeGatewayAnswer(status, retry_after), "");
   this->Finish(retry_after ? "refused" : "failed", reason, status);
--- a/cranberryhill/exchange/exchange_relay.cc
+++ b/cranberryhill/exchange/exchange_relay.cc
@@ -61,6 +61,15 @@
          this->Relay(reason, retry_after);
 }
 
+/// Drops the record of a stream that is to begin at another instance. What is
+/// stored here or may be stored yet would say another version than the peer's
+/// record, or than the base if the peer needs none.
+/// @return False if the store has a record, or may get one.
+bool Exchange::WithdrawRecord() {
+  return !this->BeginsStream() || this->context.stream_versions.Withdraw(
+                                      this->caller_request.attempt_id);
+}
+
 /// Sends the request to a peer.
 /// @param reason, retry_after For the refusal if no peer takes it.
 /// @return False if there is no peer.
@@ -71,7 +80,7 @@
       this->service, this->relayed_to,
       this->context.random.UniformInt(0, UINT64_MAX));
   auto endpoint = peer ? this->context.relay_endpoint(*peer) : std::nullopt;
-  if (!endpoint)
+  if (!endpoint || !this->WithdrawRecord())
     return false;
   // The peer counts the request.
   if (this->relayed_to.empty()) {
@@ -163,9 +172,12 @@
   }
   ReplicaAnswerInfo info = this->context.wire.DecodeAnswer(ended->Head());
   int status = ended->Head().status;
-  // An instance says so of requests that have not run only.
-  bool is_refusal =
-      status == kUnavailable && !info.is_signed && info.retry_after;
+  // An instance says so of requests that have not run only, and names a time if
+  // another one may have them.
+  bool is_refusal = status == kUnavailable && !info.is_signed;
+  if (is_refusal && !info.retry_after)
+    return this->EndNow(kUnavailable, "refused_by_peer",
+                        this->relay_retry_after);
   if (is_refusal && this->TimeLeft() >= kMinTimeForSend &&
       this->Relay(this->relay_reason, this->relay_retry_after))
     return;
--- a/cranberryhill/forward/stream_version_queue.cc
+++ b/cranberryhill/forward/stream_version_queue.cc
@@ -11,10 +11,11 @@
 constexpr size_t kMaxAttemptIdBytes = 128;
 /// Bounds what is kept while the store does not answer.
 constexpr size_t kMaxStreams = 20'000;
-/// A transaction of the store holds 100 rows. In a steady state as many are
-/// removed as are written.
-constexpr size_t kMaxRecordsPerWrite = 50;
-constexpr size_t kMaxRemovalsPerWrite = 50;
+/// A transaction of the store holds 100 entries. A record takes two of them,
+/// its row and the condition. In a steady state as many rows are removed as are
+/// written.
+constexpr size_t kMaxRecordsPerWrite = 33;
+constexpr size_t kMaxRemovalsPerWrite = 33;
 /// Rows that no later write removes are removed this much later.
 constexpr absl::Duration kRemovalDelay = absl::Seconds(15);
 
@@ -109,14 +110,14 @@
   // The newest streams first: the older ones are more likely to have ended.
   for (auto stream = this->streams.rbegin();
        stream != this->streams.rend() && this->waiting > 0 &&
-       write.records.size() < kMaxRecordsPerWrite;
+       write.puts.size() < kMaxRecordsPerWrite;
        ++stream) {
     if (stream->state != State::kWaiting ||
         !is_of_part(stream->record.attempt_id))
       continue;
     stream->state = State::kBeingWritten;
     --this->waiting;
-    write.records.push_back(stream->record);
+    write.puts.push_back({stream->record, stream->row_version});
   }
   absl::Time now = this->clock.Now();
   for (Removal& removal : this->removals) {
@@ -132,26 +133,61 @@
   return write;
 }
 
-void StreamVersionQueue::OnWriteEnded(StreamVersionWriteOutcome outcome) {
+void StreamVersionQueue::OnWritten(uint64_t row_version) {
   this->write_in_progress = false;
-  bool written = outcome == StreamVersionWriteOutcome::kWritten;
   for (Stream& stream : this->streams) {
     if (stream.state != State::kBeingWritten)
       continue;
-    bool changed = std::exchange(stream.changed_during_write, false);
-    bool is_stored = written && !changed;
-    stream.state = is_stored ? State::kWritten : State::kWaiting;
-    this->waiting += is_stored ? 0 : 1;
-    stream.may_be_stored |= outcome != StreamVersionWriteOutcome::kNotWritten;
+    stream.row_version = row_version;
+    stream.may_be_stored = true;
+    this->EndWrite(stream, !stream.changed_during_write);
   }
-  if (written) {
-    std::erase_if(this->removals,
-                  [](const Removal& removal) { return removal.in_progress; });
+  std::erase_if(this->removals,
+                [](const Removal& removal) { return removal.in_progress; });
+}
+
+void StreamVersionQueue::OnConflict(std::span<const StreamVersionRow> rows) {
+  this->write_in_progress = false;
+  absl::flat_hash_map<std::string_view, const StreamVersionRow*> found;
+  for (const StreamVersionRow& row : rows)
+    found[row.attempt_id] = &row;
+  for (Stream& stream : this->streams) {
+    if (stream.state != State::kBeingWritten)
+      continue;
+    auto known = found.find(stream.record.attempt_id);
+    const StreamVersionRow* row =
+        known == found.end() ? nullptr : known->second;
+    uint64_t row_version = row == nullptr ? 0 : row->row_version;
+    // An earlier write that expected the same version may still be performed,
+    // so a row that has not changed does not count as written.
+    bool has_changed =
+        std::exchange(stream.row_version, row_version) != row_version;
+    this->EndWrite(
+        stream, has_changed && row != nullptr && row->record == stream.record);
   }
   for (Removal& removal : this->removals)
     removal.in_progress = false;
 }
 
+void StreamVersionQueue::OnWriteFailed(StreamVersionWriteOutcome outcome) {
+  this->write_in_progress = false;
+  for (Stream& stream : this->streams) {
+    if (stream.state != State::kBeingWritten)
+      continue;
+    stream.may_be_stored |= outcome == StreamVersionWriteOutcome::kUnknown;
+    this->EndWrite(stream, false);
+  }
+  for (Removal& removal : this->removals)
+    removal.in_progress = false;
+}
+
+/// @param is_stored False to have the record written again.
+void StreamVersionQueue::EndWrite(Stream& stream, bool is_stored) {
+  stream.changed_during_write = false;
+  stream.state = is_stored ? State::kWritten : State::kWaiting;
+  this->waiting += is_stored ? 0 : 1;
+}
+
 void StreamVersionQueue::OnStoreRestored() {
   for (Stream& stream : this->streams) {
     if (stream.state == State::kWritten) {
--- a/cranberryhill/forward/stream_version_queue.h
+++ b/cranberryhill/forward/stream_version_queue.h
@@ -5,6 +5,10 @@
 // their rows are removed. Each stream has a row of its own, so that another
 // instance reads just the stream that it is asked for.
 //
+// A write whose answer was lost may be performed seconds later. Each row is
+// therefore written under the condition that it still is as it was found, so a
+// late write cannot replace a newer one.
+//
 //   StreamVersionQueue queue(clock);
 //   queue.Add(record);
 //   if (auto write = queue.StartWrite()) ...
@@ -13,6 +17,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,15 +29,30 @@
 
 namespace cranberryhill::forward {
 
-/// A write that is due, of at most 100 rows of one part of the store.
+/// A record and the row that it replaces.
+struct StreamVersionPut {
+  StreamVersionRecord record;
+  uint64_t expected_version = 0;  ///< Of the row; 0 if there must be none.
+
+  bool operator==(const StreamVersionPut&) const = default;
+};
+
+/// A row of the store, as the answer to a refused write shows it.
+struct StreamVersionRow {
+  std::string attempt_id;
+  uint64_t row_version = 0;
+  std::optional<StreamVersionRecord> record;  ///< Nothing if unreadable.
+};
+
+/// A write that is due, of rows of one part of the store. Its conditions, rows
+/// and removals together are at most 100.
 struct StreamVersionWrite {
   int part = 0;
-  std::vector<StreamVersionRecord> records;
+  std::vector<StreamVersionPut> puts;
   std::vector<std::string> removed_attempt_ids;
 };
 
 enum class StreamVersionWriteOutcome {
-  kWritten,
   kNotWritten,
   kUnknown,  ///< The write may take effect now, later or never.
 };
@@ -71,7 +91,17 @@
   ///     progress.
   std::optional<StreamVersionWrite> StartWrite();
 
-  void OnWriteEnded(StreamVersionWriteOutcome outcome);
+  /// Ends the write in progress, which the store has performed.
+  /// @param row_version Of the rows written.
+  void OnWritten(uint64_t row_version);
+
+  /// Ends the write in progress, which the store has refused because rows are
+  /// not as expected.
+  /// @param rows Those of the write that exist.
+  void OnConflict(std::span<const StreamVersionRow> rows);
+
+  /// Ends the write in progress in any other case.
+  void OnWriteFailed(StreamVersionWriteOutcome outcome);
 
   /// Has everything written again, because the store may have lost it.
   void OnStoreRestored();
@@ -93,6 +123,7 @@
     bool changed_during_write = false;
     /// The store may have a row of the stream.
     bool may_be_stored = false;
+    uint64_t row_version = 0;  // As last seen; 0 if there was no row.
   };
 
   struct Removal {
@@ -102,6 +133,7 @@
   };
 
   std::optional<int> NextPart() const;
+  void EndWrite(Stream& stream, bool is_stored);
 
   void EraseExpired();
 
--- a/cranberryhill/gateway/gateway_pages.cc
+++ b/cranberryhill/gateway/gateway_pages.cc
@@ -124,6 +124,9 @@
   this->metrics.SetGauge(
       "stream_versions_late",
       static_cast<double>(this->stream_versions.records_late()));
+  this->metrics.SetGauge(
+      "stream_version_conflicts",
+      static_cast<double>(this->stream_versions.write_conflicts()));
   this->metrics.SetGauge("stream_version_reads",
                          static_cast<double>(this->stream_versions.reads()));
   this->metrics.SetGauge("stream_versions_unknown",
--- a/cranberryhill/store/store_codec.h
+++ b/cranberryhill/store/store_codec.h
@@ -51,6 +51,16 @@
   bool removed = false;
 };
 
+/// A change of one row.
+struct RowUpdate {
+  std::string key;
+  std::string value;
+  bool is_removal = false;  ///< The value is not used.
+  /// The version that the row must have; 0 if it must not exist. Nothing if the
+  /// change is made whatever the version is.
+  std::optional<uint64_t> expected_version = std::nullopt;
+};
+
 struct StorePage {
   std::vector<StoreRow> rows;
   uint64_t version = 0;  ///< Version of the store when the page was read.
@@ -87,13 +97,13 @@
       std::string_view value,
       uint64_t expected_version) const = 0;
 
-  /// Encodes a write of rows that takes effect whatever their versions are,
-  /// for all of them or for none.
-  /// @param rows At most 100, and 500 KB of values. Those that are `removed`
-  ///     are removed; their values are not used. Versions are not used.
+  /// Encodes a transaction that makes all changes, or none if a row does not
+  /// have the version that is expected.
+  /// @param updates At most 100 together with their conditions, and 500 KB of
+  ///     values.
   virtual http1::OutgoingRequest EncodeUpdate(
       StorePlace place,
-      std::span<const StoreRow> rows) const = 0;
+      std::span<const RowUpdate> updates) const = 0;
 
   /// @param headers Of any answer of the store.
   /// @return The era of the store, a positive number that rises each time the
@@ -102,9 +112,11 @@
   virtual std::optional<uint64_t> DecodeEra(
       const http1::HeaderList& headers) const = 0;
 
+  /// Decodes a page, or the rows that a refused write has found. Of those, rows
+  /// that do not exist are missing or removed.
   virtual Result<StorePage> DecodePage(std::string_view body) const = 0;
 
-  /// @return The version of the row that the write created.
+  /// @return The version of the rows that the write created.
   virtual Result<uint64_t> DecodeWrite(std::string_view body) const = 0;
 
   /// @return kInvalidArgument for a row that does not describe a usable
--- a/cranberryhill/store/virtual_row_store_test.h
+++ b/cranberryhill/store/virtual_row_store_test.h
@@ -50,10 +50,14 @@
       }
       busy_until = start + kTransactionTime;
       this->longest_queue = std::max(this->longest_queue, start - now);
-      this->queue.Schedule(busy_until - now, [this, part, body, done] {
-        this->Update(part, body);
-        this->Answer({200, "{}", ""}, done);
-      });
+      absl::Duration delay =
+          this->delay_update ? this->delay_update(body) : absl::ZeroDuration();
+      this->queue.Schedule(busy_until - now + delay,
+                           [this, part, body, done, delay] {
+                             HttpResult answer = this->Update(part, body);
+                             if (delay == absl::ZeroDuration())
+                               this->Answer(std::move(answer), done);
+                           });
       return;
     }
     this->reads.push_back(now);
@@ -100,11 +104,15 @@
   double link_bytes_per_s = 10e6 / 8;
   bool is_down = false;    // Refuses all calls.
   bool is_silent = false;  // Answers no calls.
+  /// If set, called with each update. One with a delay is performed so much
+  /// later, if its conditions still hold, and is not answered.
+  std::function<absl::Duration(const std::string& body)> delay_update;
   std::map<std::string, std::string> rows;
   std::vector<absl::Time> reads;
   std::vector<absl::Time> writes;
   std::map<char, std::vector<absl::Time>> writes_by_part;
   size_t refused_writes = 0;
+  size_t conflicts = 0;
   size_t largest_write = 0;  // In bytes.
   absl::Duration longest_queue;
 
@@ -112,6 +120,7 @@
   static constexpr absl::Duration kTransactionTime = absl::Milliseconds(5);
   static constexpr absl::Duration kLinkTime = absl::Milliseconds(2);
   static constexpr size_t kRowsPerPage = 500;
+  static constexpr size_t kMaxEntries = 100;  // Of a transaction.
 
   void Answer(HttpResult answer, const Done& done) {
     answer.headers.Add("era", std::to_string(this->era));
@@ -123,18 +132,43 @@
                          [answer, done] { done(answer); });
   }
 
-  void Update(char part, const std::string& body) {
+  /// @param body Entries of the form [key, value], with the version that the
+  ///     row must have, if any, behind them. Without a value, the row is
+  ///     removed.
+  HttpResult Update(char part, const std::string& body) {
     this->largest_write = std::max(this->largest_write, body.size());
+    nlohmann::json updates = nlohmann::json::parse(body);
+    nlohmann::json current = nlohmann::json::array();
+    size_t entries = updates.size();
+    bool holds = true;
+    for (const auto& update : updates) {
+      if (update.size() < 3)
+        continue;
+      ++entries;
+      auto row = this->rows.find(part + update[0].get<std::string>());
+      bool exists = row != this->rows.end();
+      uint64_t found = exists ? this->row_versions.at(row->first) : 0;
+      holds = holds && found == update[2].get<uint64_t>();
+      if (exists)
+        current.push_back({update[0], row->second, found});
+    }
+    if (entries > kMaxEntries)
+      return {400, "", "too many entries"};
+    if (!holds) {
+      ++this->conflicts;
+      return {412, nlohmann::json({current, false, this->version}).dump(), ""};
+    }
     ++this->version;
-    for (const auto& row : nlohmann::json::parse(body)) {
-      std::string key = part + row[0].get<std::string>();
-      if (row.size() == 1) {
+    for (const auto& update : updates) {
+      std::string key = part + update[0].get<std::string>();
+      if (update[1].is_null()) {
         this->rows.erase(key);
         continue;
       }
-      this->rows[key] = row[1].get<std::string>();
+      this->rows[key] = update[1].get<std::string>();
       this->row_versions[key] = this->version;
     }
+    return {200, nlohmann::json(this->version).dump(), ""};
   }
 
   std::string Page(const std::string& from, size_t limit) const {
@@ -172,17 +206,24 @@
   }
   http1::OutgoingRequest EncodeUpdate(
       StorePlace place,
-      std::span<const StoreRow> rows) const override {
+      std::span<const RowUpdate> updates) const override {
     http1::OutgoingRequest request;
     request.head.target = "update " + std::to_string(place.part);
     nlohmann::json body = nlohmann::json::array();
-    for (const StoreRow& row : rows) {
-      body.push_back(row.removed ? nlohmann::json::array({row.key})
-                                 : nlohmann::json::array({row.key, row.value}));
+    for (const RowUpdate& update : updates) {
+      nlohmann::json entry = nlohmann::json::array({update.key, nullptr});
+      if (!update.is_removal)
+        entry[1] = update.value;
+      if (update.expected_version)
+        entry.push_back(*update.expected_version);
+      body.push_back(std::move(entry));
     }
     request.body = body.dump();
     return request;
   }
+  Result<uint64_t> DecodeWrite(std::string_view body) const override {
+    return nlohmann::json::parse(body).get<uint64_t>();
+  }
   Result<StorePage> DecodePage(std::string_view body) const override {
     nlohmann::json json = nlohmann::json::parse(body);
     StorePage page;
--- a/cranberryhill/store/virtual_store_test.h
+++ b/cranberryhill/store/virtual_store_test.h
@@ -75,7 +75,7 @@
                                      uint64_t) const override {
     return {};
   }
-  http1::OutgoingRequest EncodeUpdate(StorePlace, std::span<const StoreRow>)
+  http1::OutgoingRequest EncodeUpdate(StorePlace, std::span<const RowUpdate>)
       const override {
     return {};
   }
--- a/cranberryhill/stream_versions/stream_version_store.cc
+++ b/cranberryhill/stream_versions/stream_version_store.cc
@@ -57,6 +57,19 @@
 constexpr absl::Duration kConfirmationPause = absl::Seconds(3);
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kConflictStatus = 412;
+constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
+
+/// @return True if a write without a readable confirmation may have been
+///     performed, or may be performed later.
+bool MayHaveTakenEffect(const HttpResult& answer) {
+  bool was_refused =
+      answer.status == kUnavailable ||
+      (answer.status >= kBadRequest && answer.status < kServerError);
+  return answer.sent && !was_refused;
+}
 
 std::string ServiceRowKey(std::string_view service) {
   return fmt::format("service-version/{}", service);
@@ -587,51 +600,97 @@
   auto write = this->queue.StartWrite();
   if (!write)
     return;
-  std::vector<StoreRow> rows;
-  for (const forward::StreamVersionRecord& record : write->records)
-    rows.push_back({record.attempt_id, forward::EncodeStreamVersion(record)});
+  std::vector<RowUpdate> updates;
+  for (const forward::StreamVersionPut& put : write->puts) {
+    updates.push_back({put.record.attempt_id,
+                       forward::EncodeStreamVersion(put.record), false,
+                       put.expected_version});
+  }
   for (const std::string& attempt_id : write->removed_attempt_ids)
-    rows.push_back({attempt_id, "", 0, true});
+    updates.push_back({attempt_id, "", true});
   this->write_in_progress = true;
   this->write_started_at = this->clock.Now();
   ++this->write_count;
   this->writer->Call(
       this->codec.EncodeUpdate({StoreTable::kStreamVersions, write->part},
-                               rows),
+                               updates),
       std::min(kMaxWriteTimeout,
                kFirstWriteTimeout * std::pow(2, this->failed_writes)),
-      [this, records = write->records.size()](const HttpResult& answer) {
-        this->OnWritten(records, answer);
+      [this, records = write->puts.size()](const HttpResult& answer) {
+        this->OnWriteEnded(records, answer);
       });
 }
 
-void StoredStreamVersions::OnWritten(size_t records, const HttpResult& answer) {
+void StoredStreamVersions::OnWriteEnded(size_t records,
+                                        const HttpResult& answer) {
   this->write_in_progress = false;
-  bool written = answer.status == kOk;
-  bool unknown = answer.status == 0 && answer.sent;
-  this->queue.OnWriteEnded(
-      written   ? forward::StreamVersionWriteOutcome::kWritten
-      : unknown ? forward::StreamVersionWriteOutcome::kUnknown
-                : forward::StreamVersionWriteOutcome::kNotWritten);
-  this->OnEraOf(answer);
-  if (written) {
+  if (this->OnWritten(answer)) {
     this->records_written_count += records;
-    if (this->failed_writes > 0) {
-      this->log.Write(LogEvent("stream_versions_written_again")
-                          .Add("failed_writes", this->failed_writes)
-                          .Add("lost_records", this->records_lost()));
+    this->OnStoreAnswered();
+  } else if (this->OnConflict(answer)) {
+    ++this->conflict_count;
+    this->OnStoreAnswered();
+  } else {
+    this->queue.OnWriteFailed(
+        MayHaveTakenEffect(answer)
+            ? forward::StreamVersionWriteOutcome::kUnknown
+            : forward::StreamVersionWriteOutcome::kNotWritten);
+    if (++this->failed_writes == 1) {
+      this->log.Write(LogEvent("stream_versions_not_written")
+                          .Add("status", answer.status)
+                          .Add("reason", answer.reason));
     }
-    this->failed_writes = 0;
-  } else if (++this->failed_writes == 1) {
-    this->log.Write(LogEvent("stream_versions_not_written")
-                        .Add("status", answer.status)
-                        .Add("reason", answer.reason));
   }
+  this->OnEraOf(answer);
   this->BeginPreparedStreams();
   if (this->queue.HasWork())
     this->WriteSoon();
 }
 
+/// @return False if the store has not performed the write, as far as it is
+///     known.
+bool StoredStreamVersions::OnWritten(const HttpResult& answer) {
+  if (answer.status != kOk)
+    return false;
+  auto version = Capture([&] { return this->codec.DecodeWrite(answer.body); });
+  if (!version.ok())
+    return false;
+  this->queue.OnWritten(version.value());
+  return true;
+}
+
+/// @return False if the answer does not say which rows are not as expected.
+bool StoredStreamVersions::OnConflict(const HttpResult& answer) {
+  if (answer.status != kConflictStatus)
+    return false;
+  auto page = Capture([&] { return this->codec.DecodePage(answer.body); });
+  if (!page.ok())
+    return false;
+  std::vector<forward::StreamVersionRow> rows;
+  for (const StoreRow& row : page.value().rows) {
+    if (row.removed || row.version == 0)
+      continue;
+    auto record = Capture(
+        [&] { return forward::DecodeStreamVersion(row.key, row.value); });
+    rows.push_back({row.key, row.version,
+                    record.ok() ? std::optional(std::move(record.value()))
+                                : std::nullopt});
+  }
+  this->queue.OnConflict(rows);
+  this->log.Write(LogEvent("stream_version_rows_differ")
+                      .Add("rows", static_cast<int64_t>(rows.size())));
+  return true;
+}
+
+void StoredStreamVersions::OnStoreAnswered() {
+  if (this->failed_writes > 0) {
+    this->log.Write(LogEvent("stream_versions_written_again")
+                        .Add("failed_writes", this->failed_writes)
+                        .Add("lost_records", this->records_lost()));
+  }
+  this->failed_writes = 0;
+}
+
 /// Lets streams begin whose records are stored, or have waited for too long.
 void StoredStreamVersions::BeginPreparedStreams() {
   absl::Time now = this->clock.Now();
--- a/cranberryhill/stream_versions/stream_version_store.h
+++ b/cranberryhill/stream_versions/stream_version_store.h
@@ -144,7 +144,9 @@
     return this->records_refused + this->queue.expired_unwritten();
   }
   uint64_t records_late() const { return this->late_count; }  // NOLINT
-  uint64_t reads() const { return this->finder.reads(); }     // NOLINT
+  /// Writes that the store refused because rows were not as expected.
+  uint64_t write_conflicts() const { return this->conflict_count; }  // NOLINT
+  uint64_t reads() const { return this->finder.reads(); }            // NOLINT
   /// Streams that nobody knew.
   uint64_t unknown() const { return this->unknown_count; }  // NOLINT
   uint64_t store_calls() const {                            // NOLINT
@@ -202,7 +204,10 @@
 
   void WriteSoon();
   void Write();
-  void OnWritten(size_t records, const HttpResult& answer);
+  void OnWriteEnded(size_t records, const HttpResult& answer);
+  bool OnWritten(const HttpResult& answer);
+  bool OnConflict(const HttpResult& answer);
+  void OnStoreAnswered();
   void BeginPreparedStreams();
   void OnEraOf(const HttpResult& answer);
   static BaseVersionReading BaseVersionIn(const ServiceRowReading& reading);
@@ -256,6 +261,7 @@
   uint64_t late_count = 0;  // Not stored within the time that events wait.
   uint64_t unknown_count = 0;
   uint64_t write_count = 0;
+  uint64_t conflict_count = 0;
 };
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/stream_versions/stream_version_store_fleet_test.cc
+++ b/cranberryhill/stream_versions/stream_version_store_fleet_test.cc
@@ -141,7 +141,23 @@
 
   /// Has a share of the streams break off within their first second, and their
   /// callers take them up at another instance soon after.
-  void BreakStreams(double share) { this->broken_share = share; }
+  /// @param latest How long after their first event they do so at most.
+  void BreakStreams(double share, absl::Duration latest = absl::Seconds(1)) {
+    this->broken_share = share;
+    this->latest_break = latest;
+  }
+
+  /// Has a share of the requests go to a silent replica of another version
+  /// first, and a share of the writes be performed up to 6 s later, without an
+  /// answer.
+  void LoseWritesBesideSilentReplicas(double silent_share, double late_share) {
+    this->silent_share = silent_share;
+    this->store.delay_update = [this, late_share](const std::string&) {
+      return this->random.UniformDouble() < late_share
+                 ? absl::Seconds(1 + 5 * this->random.UniformDouble())
+                 : absl::ZeroDuration();
+    };
+  }
 
   void CheckCalls() const {
     for (const auto& [part, writes] : this->store.writes_by_part) {
@@ -339,9 +355,27 @@
     std::string attempt = "attempt-" + std::to_string(++this->attempts);
     const std::string& version =
         member.view[this->random.UniformInt(0, member.view.size() - 1)];
+    if (this->random.UniformDouble() < this->silent_share) {
+      const std::string& other =
+          member.view[this->random.UniformInt(0, member.view.size() - 1)];
+      member.versions.Prepare(kService, attempt, other, [](bool) {});
+      return member.After(absl::Milliseconds(this->random.UniformInt(20, 600)),
+                          [=, this, &member] {
+                            this->PrepareStream(member, attempt, version);
+                          });
+    }
+    this->PrepareStream(member, attempt, version);
+  }
+
+  void PrepareStream(Member& member,
+                     const std::string& attempt,
+                     const std::string& version) {
     absl::Time sent_at = this->queue.clock.Now();
     member.versions.Prepare(
-        kService, attempt, version, [=, this, &member](bool /*prepared*/) {
+        kService, attempt, version, [=, this, &member](bool prepared) {
+          // The event waits for its record otherwise, and the caller gives up.
+          if (!prepared && this->silent_share > 0)
+            return;
           this->longest_hold =
               std::max(this->longest_hold, this->queue.clock.Now() - sent_at);
           this->OnFirstEvent(member, attempt, version);
@@ -355,16 +389,20 @@
     member.versions.OnStreamBegan(kService, attempt, version);
     if (this->random.UniformDouble() >= this->broken_share)
       return;
-    this->queue.Schedule(absl::Milliseconds(this->random.UniformInt(50, 1000)),
-                         [this, attempt, version] {
-                           ++this->taken_up;
-                           this->Find(attempt, version, this->newer);
-                         });
+    this->queue.Schedule(
+        absl::Milliseconds(this->random.UniformInt(
+            50, absl::ToInt64Milliseconds(this->latest_break))),
+        [this, attempt, version] {
+          ++this->taken_up;
+          this->Find(attempt, version, this->newer);
+        });
   }
 
   const size_t size;
   const double streams_per_s;
   double broken_share = 0;
+  absl::Duration latest_break = absl::Seconds(1);
+  double silent_share = 0;
   NullLog log;
   VirtualRowCodec codec;
   std::vector<std::unique_ptr<Member>> members;
@@ -527,5 +565,28 @@
   fleet.CheckCalls();
 }
 
+// Guards against a late write that replaces a newer record before the stream is
+// taken up, also where it began at the base, and against calls that grow with
+// the conflicts (review/11).
+BOOST_DATA_TEST_CASE(late_writes_join_no_versions,
+                     boost::unit_test::data::make(kFleetSizes),
+                     instances) {
+  Fleet fleet(instances, {"v1"});
+  fleet.RunFor(absl::Seconds(40));
+  fleet.registered = {"v1", "v2"};
+  fleet.RunFor(absl::Seconds(5));
+  fleet.LoseWritesBesideSilentReplicas(0.3, 0.3);
+  fleet.BreakStreams(0.3, absl::Seconds(5));
+  fleet.RunFor(absl::Seconds(20));
+  fleet.BreakStreams(0);
+  fleet.RunFor(absl::Seconds(6));
+  BOOST_TEST(fleet.taken_up > 200);
+  BOOST_TEST(fleet.newer.wrong == 0);
+  BOOST_TEST(fleet.newer.FoundShare() > 0.5);
+  BOOST_TEST(fleet.store.conflicts > 0);
+  BOOST_TEST(fleet.store.conflicts < fleet.store.writes.size() / 2);
+  fleet.CheckCalls();
+}
+
 }  // namespace
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/stream_versions/stream_version_store_test.cc
+++ b/cranberryhill/stream_versions/stream_version_store_test.cc
@@ -119,5 +119,29 @@
   BOOST_TEST(this->versions.records_late() == 1U);
 }
 
+// Guards against a record whose write got no answer, is performed seconds later
+// and replaces the one of the version at which the stream began (review/11).
+BOOST_FIXTURE_TEST_CASE(late_write_does_not_replace_the_record_of_a_stream,
+                        Fixture) {
+  int updates = 0;
+  this->store.delay_update = [&updates](const std::string&) {
+    return ++updates == 1 ? absl::Seconds(2.5) : absl::ZeroDuration();
+  };
+  bool is_prepared = false;
+  this->versions.Prepare("lm", "attempt", "v2", [](bool) {});
+  this->queue.RunFor(absl::Milliseconds(400));
+  this->versions.Prepare("lm", "attempt", "v1",
+                         [&](bool prepared) { is_prepared = prepared; });
+  this->queue.RunFor(absl::Seconds(1));
+  BOOST_TEST(is_prepared);
+  BOOST_TEST(updates >= 2);
+  this->queue.RunFor(absl::Seconds(3));
+  BOOST_TEST_REQUIRE(this->store.rows.size() == 1U);
+  auto record =
+      forward::DecodeStreamVersion("attempt", this->store.rows.begin()->second);
+  BOOST_TEST_REQUIRE(record.has_value());
+  BOOST_TEST(record.value().version == "v1");
+}
+
 }  // namespace
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/stream_versions/stream_version_sweeper.cc
+++ b/cranberryhill/stream_versions/stream_version_sweeper.cc
@@ -88,10 +88,8 @@
                        : "";
   for (StoreRow& row : page->rows) {
     this->has_rows = true;
-    if (this->earlier_version && row.version <= *this->earlier_version) {
-      row.removed = true;
+    if (this->earlier_version && row.version <= *this->earlier_version)
       this->old_rows.push_back(std::move(row));
-    }
   }
   this->RemoveRows();
 }
@@ -104,13 +102,15 @@
     return this->ReadPage(this->next_key);
   }
   size_t count = std::min(this->old_rows.size(), kMaxRowsPerWrite);
-  std::vector<StoreRow> rows(
-      this->old_rows.end() - static_cast<std::ptrdiff_t>(count),
-      this->old_rows.end());
+  std::vector<RowUpdate> removals;
+  auto first = this->old_rows.end() - static_cast<std::ptrdiff_t>(count);
+  for (auto row = first; row != this->old_rows.end(); ++row)
+    removals.push_back({std::move(row->key), "", true});
   this->old_rows.resize(this->old_rows.size() - count);
   ++this->store_call_count;
   this->caller->Call(
-      this->codec.EncodeUpdate({StoreTable::kStreamVersions, this->part}, rows),
+      this->codec.EncodeUpdate({StoreTable::kStreamVersions, this->part},
+                               removals),
       kCallTimeout, [this, count](const HttpResult& answer) {
         this->log.Write(LogEvent("stream_version_rows_removed")
                             .Add("rows", static_cast<uint64_t>(count))
--- a/cranberryhill/stream_versions/stream_version_sweeper_test.cc
+++ b/cranberryhill/stream_versions/stream_version_sweeper_test.cc
@@ -29,7 +29,7 @@
 
   /// Writes rows and never removes them.
   void Write(int first, int count) {
-    std::vector<StoreRow> rows;
+    std::vector<RowUpdate> rows;
     for (int i = first; i < first + count; ++i)
       rows.push_back({"attempt-" + std::to_string(i), "value"});
     this->writer.Call(
