Bound the probes of replicas, and keep files for callers

Cause: while a service was cut off, each accepted probe started probes of all its other members. A service is cut off when no engine that can run requests is reached, so probes of prefill engines, which are accepted, went on without a pause until the process had all its files open. With none left, the accept loop tried again at once. Requests that were read late were sent on before the end of their connections was read.

An accepted probe has others probed only if its replica was in doubt before, and only those in doubt. Outgoing connections leave a quarter of the files to callers, the accept loop pauses for 20 ms after an error, and a request whose caller has closed the connection before it is read is dropped.

--- a/cranberryhill/exchange/connect_probe.cc
+++ b/cranberryhill/exchange/connect_probe.cc
@@ -1,10 +1,13 @@
 #include "cranberryhill/exchange/connect_probe.h"
 
 #include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <utility>
 
+#include "cranberryhill/http1/socket_options.h"
+
 namespace cranberryhill::gateway {
 namespace {
 
@@ -29,12 +32,23 @@
 
 }  // namespace
 
+void AsioProbeConnector::Connect(const forward::Replica& replica,
+                                 absl::Duration timeout,
+                                 std::function<void(ProbeResult)> done) {
+  ProbeConnection(this->io, http1::TcpEndpoint(replica.entry.endpoint), timeout,
+                  std::move(done));
+}
+
 void ProbeConnection(boost::asio::io_context& io,
                      const boost::asio::ip::tcp::endpoint& endpoint,
                      absl::Duration timeout,
                      std::function<void(ProbeResult)> done) {
   auto probe = std::make_shared<Probe>(io);
   probe->done = std::move(done);
+  if (http1::OpenOutgoing(probe->socket, endpoint)) {
+    return boost::asio::post(io,
+                             [probe] { probe->Finish(ProbeResult::kSilent); });
+  }
   probe->timer.expires_after(absl::ToChronoMilliseconds(timeout));
   probe->timer.async_wait([probe](error_code error) {
     if (!error)
--- a/cranberryhill/exchange/connect_probe.h
+++ b/cranberryhill/exchange/connect_probe.h
@@ -9,6 +9,7 @@
 #include <functional>
 
 #include "absl/time/time.h"
+#include "cranberryhill/forward/replica_set.h"
 
 namespace cranberryhill::gateway {
 
@@ -18,6 +19,30 @@
   kSilent,   ///< Neither within the timeout.
 };
 
+/// Opens connections that only tell whether a replica answers.
+class ProbeConnector {
+ public:
+  virtual ~ProbeConnector() = default;
+
+  /// @param done Called once, after this function has returned.
+  virtual void Connect(const forward::Replica& replica,
+                       absl::Duration timeout,
+                       std::function<void(ProbeResult)> done) = 0;
+};
+
+class AsioProbeConnector : public ProbeConnector {
+ public:
+  /// @param io Must outlive this object and its probes.
+  explicit AsioProbeConnector(boost::asio::io_context& io) : io(io) {}
+
+  void Connect(const forward::Replica& replica,
+               absl::Duration timeout,
+               std::function<void(ProbeResult)> done) override;
+
+ private:
+  boost::asio::io_context& io;
+};
+
 /// @param io Must outlive the probe.
 /// @param done Called once.
 void ProbeConnection(boost::asio::io_context& io,
--- a/cranberryhill/forward/reachability.cc
+++ b/cranberryhill/forward/reachability.cc
@@ -39,20 +39,19 @@
 constexpr absl::Duration kCutOffProbeInterval = absl::Milliseconds(500);
 constexpr size_t kCutOffProbes = 2;
 
-bool CanRun(const Replica& replica) {
+}  // namespace
+
+bool CanRunRequests(const Replica& replica) {
   return replica.entry.role != EngineRole::kPrefill;
 }
 
-/// @return True if nothing was heard from the replica since a connection to it
-///     could not be opened. A refusal of a probe counts as heard.
-bool CannotConnect(const Replica& replica) {
+// A refusal of a probe counts as heard.
+bool Reachability::IsInDoubt(const Replica& replica) const {
   return replica.unreachable ||
          (replica.connect_failed_at != absl::InfinitePast() &&
           replica.connect_failed_at >= replica.heard_at);
 }
 
-}  // namespace
-
 void Reachability::OnHeard(Replica& replica) {
   replica.heard_at = this->clock.Now();
   replica.unreachable = false;
@@ -188,9 +187,9 @@
     std::span<const std::shared_ptr<Replica>> members) const {
   bool any = false;
   for (const auto& replica : members) {
-    if (!CanRun(*replica))
+    if (!CanRunRequests(*replica))
       continue;
-    if (!CannotConnect(*replica))
+    if (!this->IsInDoubt(*replica))
       return false;
     any = true;
   }
@@ -203,10 +202,10 @@
   size_t all = 0;
   size_t failing = 0;
   for (const auto& replica : members) {
-    if (!CanRun(*replica))
+    if (!CanRunRequests(*replica))
       continue;
     ++all;
-    if (CannotConnect(*replica) ||
+    if (this->IsInDoubt(*replica) ||
         now - replica->connect_failed_at < kConnectFailureMemory)
       ++failing;
   }
@@ -242,7 +241,7 @@
   absl::Time now = this->clock.Now();
   std::vector<std::shared_ptr<Replica>> targets;
   for (const auto& replica : members) {
-    if (!CanRun(*replica))
+    if (!CanRunRequests(*replica))
       continue;
     if (now - replica->probed_at < kCutOffProbeInterval)
       return {};
--- a/cranberryhill/forward/reachability.h
+++ b/cranberryhill/forward/reachability.h
@@ -32,6 +32,11 @@
 /// its replica. Packets that were lost are resent within this time.
 inline constexpr absl::Duration kSilenceTolerance = absl::Milliseconds(250);
 
+/// @return True if the replica runs requests to their end; a prefill engine
+/// does
+///     not.
+bool CanRunRequests(const Replica& replica);
+
 /// Not thread-safe.
 class Reachability {
  public:
@@ -91,6 +96,10 @@
   /// Records that a connection to the replica could not be opened.
   void OnConnectFailed(Replica& replica);
 
+  /// @return True if the replica is unreachable, or a connection to it failed
+  ///     and nothing was heard from it since.
+  bool IsInDoubt(const Replica& replica) const;
+
   /// @param members All replicas of a service.
   /// @return True if this instance reaches none of those that can run requests:
   ///     each is unreachable, or a connection to it failed and nothing was
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -101,6 +101,14 @@
       engine_speeds(clock),
       placement(this->settings.availability_zone, this->engine_speeds),
       reachability(clock),
+      probe_connector(io),
+      replica_prober(this->reachability,
+                     this->replicas,
+                     this->probe_connector,
+                     *this,
+                     std::make_unique<AsioDelayTimer>(io),
+                     clock,
+                     random),
       relay_peers(this->settings.availability_zone, clock),
       connection_pool(io, clock),
       shutdown_admission(clock),
@@ -131,7 +139,7 @@
           },
           [this] { this->peer_link.SendPartialUpdateSoon(); },
           [this](const std::shared_ptr<forward::Replica>& replica) {
-            this->Probe(replica);
+            this->replica_prober.Probe(replica);
           },
           [this](const forward::Replica& replica) {
             this->OnRefusedConnection(replica);
@@ -140,7 +148,9 @@
           [this](std::string_view instance) {
             return this->peer_link.RelayEndpoint(instance);
           },
-          [this](forward::Replica& replica) { this->OnConnectFailed(replica); },
+          [this](forward::Replica& replica) {
+            this->replica_prober.OnConnectFailed(replica);
+          },
           this->duties},
       store_contact(clock),
       configuration_follower(StoreTable::kConfiguration,
@@ -533,8 +543,8 @@
     });
     this->send_permits.Prune();
     this->replicas.SettleAfterRestore();
-    this->ProbeUnreachable();
-    this->ProbeCutOffServices();
+    this->replica_prober.ProbeUnreachable();
+    this->replica_prober.ProbeCutOffServices(this->CutOffServices());
     this->UpdateCutOffServices();
     this->EndNotices();
     this->UpdateStreamVersions();
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -48,6 +48,7 @@
 #include "cranberryhill/gateway/gateway_stream_version_fleet.h"
 #include "cranberryhill/gateway/order_dispatcher.h"
 #include "cranberryhill/gateway/peer_link.h"
+#include "cranberryhill/gateway/replica_prober.h"
 #include "cranberryhill/gateway/settings.h"
 #include "cranberryhill/gateway/status_pages.h"
 #include "cranberryhill/http1/server.h"
@@ -66,7 +67,8 @@
 /// Not thread-safe: all calls are made on the thread that runs `io`.
 class Gateway : public http1::RequestHandler,
                 public TableObserver,
-                public PeerLinkDelegate {
+                public PeerLinkDelegate,
+                public ProbeObserver {
  public:
   /// All references must outlive this object.
   /// @param wall_clock Time of day; only usage windows depend on it.
@@ -136,6 +138,9 @@
   void DescribeReach(forward::LoadMessage& message) const override;
   void OnPeerReach(const forward::LoadMessage& message) override;
 
+  void OnProbeRefused(const forward::Replica& replica) override;
+  void OnReachChanged(forward::Replica& replica) override;
+
  private:
   /// Takes the requests that other instances relay.
   class RelayHandler : public http1::RequestHandler {
@@ -169,8 +174,6 @@
                     http1::Responder& responder);
   bool MayUseKeys() const;
   std::vector<std::string> CutOffServices() const;
-  void OnConnectFailed(forward::Replica& replica);
-  void ProbeCutOffServices();
   void UpdateCutOffServices();
   std::unique_ptr<HttpCaller> MakeStoreClient() const;
   DutyContext MakeDutyContext(const duties::DutyCodec& duty_codec,
@@ -184,11 +187,7 @@
   void UpdateRetryBudgets();
   void UpdateConnectionShares();
   void OnControlTableChanged();
-  void Probe(const std::shared_ptr<forward::Replica>& replica);
-  void OnProbeEnded(const std::shared_ptr<forward::Replica>& replica,
-                    ProbeResult result);
   void OnRefusedConnection(const forward::Replica& replica);
-  void ProbeUnreachable();
   void EndNotices();
   size_t StoreRank() const;
   TableFollower& FollowerOf(StoreTable table);
@@ -223,6 +222,8 @@
   forward::EngineSpeedModels engine_speeds;
   forward::Placement placement;
   forward::Reachability reachability;
+  AsioProbeConnector probe_connector;
+  ReplicaProber replica_prober;
   forward::RelayPeers relay_peers;
   ConnectionPool connection_pool;
   ShutdownAdmission shutdown_admission;
--- a/cranberryhill/gateway/gateway_pages.cc
+++ b/cranberryhill/gateway/gateway_pages.cc
@@ -124,6 +124,8 @@
   this->metrics.SetGauge(
       "stream_versions_late",
       static_cast<double>(this->stream_versions.records_late()));
+  this->metrics.SetGauge("replica_probes",
+                         static_cast<double>(this->replica_prober.started()));
   this->metrics.SetGauge(
       "stream_version_conflicts",
       static_cast<double>(this->stream_versions.write_conflicts()));
--- a/cranberryhill/gateway/gateway_reach.cc
+++ b/cranberryhill/gateway/gateway_reach.cc
@@ -6,55 +6,25 @@
 #include <utility>
 
 #include "cranberryhill/gateway/gateway.h"
-#include "cranberryhill/http1/socket_options.h"
 
 namespace cranberryhill::gateway {
-namespace {
 
-/// A replica in the same region accepts a connection within a few milliseconds.
-constexpr absl::Duration kProbeTimeout = absl::Milliseconds(250);
-
-}  // namespace
-
-void Gateway::Probe(const std::shared_ptr<forward::Replica>& replica) {
-  this->reachability.OnProbeStarted(*replica);
-  ProbeConnection(this->io, http1::TcpEndpoint(replica->entry.endpoint),
-                  kProbeTimeout, [this, replica](ProbeResult result) {
-                    this->OnProbeEnded(replica, result);
-                  });
+void Gateway::OnProbeRefused(const forward::Replica& replica) {
+  this->OnRefusedConnection(replica);
 }
 
-void Gateway::OnProbeEnded(const std::shared_ptr<forward::Replica>& replica,
-                           ProbeResult result) {
-  bool was_unreachable = replica->unreachable;
-  const std::string& service = replica->entry.service;
-  bool was_cut_off =
-      this->reachability.IsCutOff(this->replicas.Members(service));
-  this->reachability.OnProbeEnded(*replica, result != ProbeResult::kSilent);
-  if (result == ProbeResult::kRefused) {
-    this->OnRefusedConnection(*replica);
-    this->reachability.OnConnectFailed(*replica);
-  }
-  if (was_cut_off && result == ProbeResult::kAccepted) {
-    // One replica would get all requests until the others have been probed.
-    for (const auto& member : this->replicas.Members(service)) {
-      if (member != replica)
-        this->Probe(member);
-    }
-  }
-  if (replica->unreachable == was_unreachable)
-    return;
-  this->log.Write(LogEvent(replica->unreachable ? "replica_unreachable"
-                                                : "replica_reachable")
-                      .Add("replica", replica->entry.id)
-                      .Add("outstanding", replica->outstanding)
-                      .Add("silent_ms", this->clock.Now() - replica->heard_at));
-  if (!replica->unreachable)
+void Gateway::OnReachChanged(forward::Replica& replica) {
+  this->log.Write(LogEvent(replica.unreachable ? "replica_unreachable"
+                                               : "replica_reachable")
+                      .Add("replica", replica.entry.id)
+                      .Add("outstanding", replica.outstanding)
+                      .Add("silent_ms", this->clock.Now() - replica.heard_at));
+  if (!replica.unreachable)
     return;
   // Connections that were open before may stay silent for good, even
   // when the replica can be reached again.
-  this->connection_pool.CloseIdle(*replica);
-  this->replicas.OnUnreachable(*replica);
+  this->connection_pool.CloseIdle(replica);
+  this->replicas.OnUnreachable(replica);
 }
 
 void Gateway::OnRefusedConnection(const forward::Replica& replica) {
@@ -74,15 +44,6 @@
   }
 }
 
-/// Probes unreachable replicas again, so that they are used when they are back.
-void Gateway::ProbeUnreachable() {
-  for (const auto& replica : this->replicas.Registered()) {
-    if (!replica->WantsNoRequests(this->clock.Now()) &&
-        this->reachability.ShouldProbeAgain(*replica))
-      this->Probe(replica);
-  }
-}
-
 std::vector<std::string> Gateway::CutOffServices() const {
   std::vector<std::string> services;
   if (this->routes == nullptr)
@@ -94,23 +55,6 @@
   return services;
 }
 
-void Gateway::OnConnectFailed(forward::Replica& replica) {
-  this->reachability.OnConnectFailed(replica);
-  for (const auto& suspect : this->reachability.CutOffSuspects(
-           this->replicas.Members(replica.entry.service)))
-    this->Probe(suspect);
-}
-
-/// Finds out whether services can be reached again, also if no request comes.
-void Gateway::ProbeCutOffServices() {
-  for (const std::string& service : this->CutOffServices()) {
-    for (const auto& replica : this->reachability.CutOffProbeTargets(
-             this->replicas.Members(service),
-             this->random.UniformInt(0, UINT64_MAX)))
-      this->Probe(replica);
-  }
-}
-
 void Gateway::UpdateCutOffServices() {
   auto contains = [](const std::vector<std::string>& services,
                      const std::string& service) {
@@ -161,11 +105,7 @@
 }
 
 void Gateway::OnPeerUnreachable(std::span<const std::string> ids) {
-  for (const std::string& id : ids) {
-    auto replica = this->replicas.Find(id);
-    if (replica != nullptr && this->reachability.ShouldProbeForPeer(*replica))
-      this->Probe(replica);
-  }
+  this->replica_prober.OnPeerUnreachable(ids);
 }
 
 }  // namespace cranberryhill::gateway
--- a/cranberryhill/http1/client.cc
+++ b/cranberryhill/http1/client.cc
@@ -113,6 +113,12 @@
 void ClientConnection::Connect(absl::Duration timeout) {
   this->state = State::kConnecting;
   auto self = this->shared_from_this();
+  if (error_code error = OpenOutgoing(this->socket, this->endpoint)) {
+    return boost::asio::post(this->io, [self, error] {
+      if (self->state == State::kConnecting)
+        self->Finish(AnswerEnd::kNotConnected, error.message());
+    });
+  }
   this->connect_timer.expires_after(absl::ToChronoMilliseconds(timeout));
   this->connect_timer.async_wait([self](error_code error) {
     if (!error && self->state == State::kConnecting)
--- a/cranberryhill/http1/server.cc
+++ b/cranberryhill/http1/server.cc
@@ -30,6 +30,8 @@
 constexpr size_t kCopiesOfBody = 2;
 /// How often time limits of connections are checked.
 constexpr std::chrono::milliseconds kSweepInterval(250);
+/// Pause after a connection could not be accepted.
+constexpr std::chrono::milliseconds kAcceptPause(20);
 /// A connection closed with unread bytes is reset, which can destroy the
 /// answer on its way; after an answer that closes, bytes are read and dropped
 /// for this long.
@@ -319,7 +321,19 @@
     this->SendWhole({status, "", {}}, "");
   }
 
+  /// @return True if the caller has closed its connection behind the request. A
+  ///     request that was read late may have been given up meanwhile.
+  bool HasCallerLeft() {
+    char next = 0;
+    error_code error;
+    this->socket.receive(asio::buffer(&next, 1), tcp::socket::message_peek,
+                         error);
+    return error && error != asio::error::would_block;
+  }
+
   void Dispatch() {
+    if (this->HasCallerLeft())
+      return this->Close();
     IncomingRequest request{this->reader->TakeHead(), this->reader->TakeBody(),
                             this->request_began, std::move(this->body_bytes)};
     this->reader = nullptr;
@@ -468,7 +482,8 @@
       limits(limits),
       body_account(body_account),
       acceptor(io),
-      sweep_timer(io) {}
+      sweep_timer(io),
+      accept_timer(io) {}
 
 Server::~Server() {
   this->CloseAll();
@@ -537,6 +552,9 @@
   this->acceptor.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted || !this->acceptor.is_open())
       return;
+    // Such as no free file descriptor, which the next try would find as well.
+    if (error && error != asio::error::connection_aborted)
+      return this->AcceptLater();
     if (!error) {
       SetSocketOptions(socket);
       auto connection = std::make_shared<Connection>(*this, std::move(socket));
@@ -547,6 +565,14 @@
   });
 }
 
+void Server::AcceptLater() {
+  this->accept_timer.expires_after(kAcceptPause);
+  this->accept_timer.async_wait([this](error_code error) {
+    if (!error && this->acceptor.is_open())
+      this->Accept();
+  });
+}
+
 void Server::ScheduleSweep() {
   this->sweep_timer.expires_after(kSweepInterval);
   this->sweep_timer.async_wait([this](error_code error) {
--- a/cranberryhill/http1/server.h
+++ b/cranberryhill/http1/server.h
@@ -159,6 +159,7 @@
   class Connection;
 
   void Accept();
+  void AcceptLater();
   void ScheduleSweep();
   void Sweep();
 
@@ -169,6 +170,7 @@
   ByteAccount* const body_account;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer sweep_timer;
+  boost::asio::steady_timer accept_timer;
   std::unordered_set<std::shared_ptr<Connection>> connections;
   // Shared by all connections, so that an idle one holds no memory for its
   // next request.
--- a/cranberryhill/http1/server_limits_test.cc
+++ b/cranberryhill/http1/server_limits_test.cc
@@ -1,6 +1,9 @@
 // Limits of the server that change while connections are open.
 
+#include <sys/resource.h>
+
 #include <algorithm>
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -16,6 +19,7 @@
 
 #include "cranberryhill/http1/raw_caller_test.h"
 #include "cranberryhill/http1/server.h"
+#include "cranberryhill/http1/socket_options.h"
 
 namespace cranberryhill::http1 {
 namespace {
@@ -193,5 +197,79 @@
   BOOST_TEST(received.size() > kBodyBytes);
 }
 
+/// Lowers the number of files that the process may have open.
+class FileLimit {
+ public:
+  explicit FileLimit(rlim_t files) {
+    BOOST_REQUIRE(getrlimit(RLIMIT_NOFILE, &this->before) == 0);
+    rlimit lowered = this->before;
+    lowered.rlim_cur = files;
+    BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+  }
+  ~FileLimit() { setrlimit(RLIMIT_NOFILE, &this->before); }
+  FileLimit(const FileLimit&) = delete;
+  FileLimit& operator=(const FileLimit&) = delete;
+
+ private:
+  rlimit before{};
+};
+
+/// @return The number of the next file that is opened.
+rlim_t NextFile(boost::asio::io_context& io) {
+  tcp::socket socket(io, tcp::v4());
+  return static_cast<rlim_t>(socket.native_handle());
+}
+
+// Guards against an event loop that does nothing but try to accept while no
+// file is left, and against connections that are not accepted afterwards.
+BOOST_FIXTURE_TEST_CASE(accept_waits_for_a_free_file, Fixture) {
+  this->io.poll();
+  tcp::socket caller(this->io);
+  caller.connect(
+      tcp::endpoint(boost::asio::ip::make_address(kIp), this->server.port()));
+  {
+    FileLimit limit(NextFile(this->io));
+    // Checks of the time limits and tries to accept.
+    BOOST_TEST(this->io.run_for(std::chrono::milliseconds(400)) < 100U);
+    BOOST_TEST(this->server.OpenConnections() == 0U);
+  }
+  this->RunUntil([this] { return this->server.OpenConnections() == 1; });
+}
+
+// Guards against a request that is handled although its caller has closed the
+// connection before it was read.
+BOOST_FIXTURE_TEST_CASE(request_of_a_caller_that_has_left_is_dropped, Fixture) {
+  {
+    tcp::socket caller(this->io);
+    caller.connect(
+        tcp::endpoint(boost::asio::ip::make_address(kIp), this->server.port()));
+    boost::asio::write(caller, boost::asio::buffer(std::string(kGet)));
+  }
+  this->ConnectAndGet();
+  this->RunUntil([this] { return this->server.OpenConnections() <= 1; });
+  BOOST_TEST(this->handler.requests == 1U);
+}
+
+// Guards against outgoing connections that leave no file for those of callers.
+BOOST_FIXTURE_TEST_CASE(outgoing_connections_leave_files_to_callers, Fixture) {
+  tcp::endpoint endpoint(boost::asio::ip::make_address(kIp),
+                         this->server.port());
+  constexpr rlim_t kMore = 100;
+  FileLimit limit(4 * (NextFile(this->io) + kMore) / 3);
+  std::vector<std::unique_ptr<tcp::socket>> outgoing;
+  boost::system::error_code error;
+  while (!error && outgoing.size() < 2 * kMore) {
+    outgoing.push_back(std::make_unique<tcp::socket>(this->io));
+    error = OpenOutgoing(*outgoing.back(), endpoint);
+  }
+  BOOST_TEST((error == boost::asio::error::no_descriptors));
+  BOOST_TEST(outgoing.size() > kMore / 2);
+  BOOST_TEST(outgoing.size() < kMore + 2);
+  this->ConnectAndGet();
+  outgoing.clear();
+  tcp::socket again(this->io);
+  BOOST_TEST(!OpenOutgoing(again, endpoint));
+}
+
 }  // namespace
 }  // namespace cranberryhill::http1
--- a/cranberryhill/http1/socket_options.h
+++ b/cranberryhill/http1/socket_options.h
@@ -25,6 +25,13 @@
 /// @param endpoint From ParseEndpoint().
 boost::asio::ip::tcp::endpoint TcpEndpoint(const Endpoint& endpoint);
 
+/// Opens a socket for an outgoing connection. The last quarter of the files
+/// that the process may have open is kept for connections that callers open.
+/// @return no_descriptors if only those are left.
+boost::system::error_code OpenOutgoing(
+    boost::asio::ip::tcp::socket& socket,
+    const boost::asio::ip::tcp::endpoint& endpoint);
+
 /// Sets the options. Failures are ignored: the connection works without them,
 /// and a closed socket is reported by the next read.
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket);
