Take streams up at the service that began them

Streams at the base version went on, at the other service: their answers held events of two services.

Cause: the service of a take-up was picked by the weights of the newest configuration, and the record of the stream was looked up under that service.

Why the fix works: the record names the service, and the take-up goes there. Without a record it goes by the route table that was in force 15 s ago, which each instance keeps, so that needs no call. A take-up whose route does not lead to its service any more is refused: CONFIG forbids the old service, and what another one writes does not fit.

RecentStreamVersions finds a stream by its attempt alone. The test that a record is not taken for one of another service now checks that the service which it names is the right one.

--- a/cranberryhill/exchange/exchange.cc
+++ b/cranberryhill/exchange/exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cranberryhill/base/hash.h"
+#include "cranberryhill/forward/stream_version_records.h"
 
 namespace cranberryhill::gateway {
 namespace {
@@ -41,14 +42,7 @@
                                      this->request.body)),
       attempt_policy(route),
       timer(context.io) {
-  // A request that resumes a stream goes to the service that began it.
-  const std::string& stream = this->caller_request.resumed_attempt_id.empty()
-                                  ? this->caller_request.attempt_id
-                                  : this->caller_request.resumed_attempt_id;
-  this->service = std::string(forward::PickService(route, StableHash(stream)));
-  const forward::ServiceConfig* config =
-      this->routes->FindService(this->service);
-  this->is_engine_service = config != nullptr && config->engine.has_value();
+  this->SetService(this->FirstService());
   absl::Duration allowed = this->route.timeout;
   if (this->caller_request.time_left)
     allowed =
@@ -58,6 +52,30 @@
 
 Exchange::~Exchange() = default;
 
+/// @return The service of a new request, or the one at which a stream that is
+///     taken up began unless its record names another one.
+std::string Exchange::FirstService() const {
+  const std::string& stream = this->caller_request.resumed_attempt_id.empty()
+                                  ? this->caller_request.attempt_id
+                                  : this->caller_request.resumed_attempt_id;
+  if (this->IsTakeUp()) {
+    std::vector<std::string> picked =
+        this->context.route_history.PickedServices(
+            this->caller_request.host, this->request.head.target, stream,
+            forward::kStreamVersionLifetime);
+    if (!picked.empty())
+      return picked.front();
+  }
+  return std::string(forward::PickService(this->route, StableHash(stream)));
+}
+
+void Exchange::SetService(std::string service) {
+  this->service = std::move(service);
+  const forward::ServiceConfig* config =
+      this->routes->FindService(this->service);
+  this->is_engine_service = config != nullptr && config->engine.has_value();
+}
+
 LogEvent Exchange::MakeLogEvent(std::string_view name) const {
   LogEvent event(name);
   event.Add("request", this->caller_request.attempt_id)
@@ -67,11 +85,14 @@
 
 void Exchange::Start() {
   this->counted_at = this->context.retry_budget(this->service).OnRequest();
-  this->context.observer.OnArrived(this->service);
-  if (!this->IsTakeUp())
+  if (!this->IsTakeUp()) {
+    this->context.observer.OnArrived(this->service);
     return this->SendToNextReplica();
-  // The peer finds the version of the stream.
-  if (!this->RelayIfCutOff())
+  }
+  // The peer finds out where the stream began.
+  if (this->RelayIfCutOff())
+    this->context.observer.OnArrived(this->service);
+  else
     this->FindStreamVersion();
 }
 
--- a/cranberryhill/exchange/exchange.h
+++ b/cranberryhill/exchange/exchange.h
@@ -41,6 +41,7 @@
 #include "cranberryhill/forward/replica_limits.h"
 #include "cranberryhill/forward/replica_notices.h"
 #include "cranberryhill/forward/replica_set.h"
+#include "cranberryhill/forward/route_history.h"
 #include "cranberryhill/forward/windowed_retry_budget.h"
 #include "cranberryhill/http1/client.h"
 #include "cranberryhill/http1/server.h"
@@ -100,6 +101,7 @@
   /// Called when a connection to a replica could not be opened.
   std::function<void(forward::Replica&)> on_connect_failed;
   RequestObserver& observer;
+  const forward::RouteHistory& route_history;
 };
 
 class Exchange : public http1::ActiveRequest,
@@ -229,7 +231,10 @@
   bool IsTakeUp() const;
   bool HasBegun() const;
   void FindStreamVersion();
-  void OnStreamVersionFound(std::optional<std::string> version);
+  void OnStreamOriginFound(std::optional<StreamOrigin> origin);
+  std::string FirstService() const;
+  void SetService(std::string service);
+  RecordRule RuleOfRecord() const;
   bool BeginsStream() const;
   bool WithdrawRecord();
   void PrepareVersion(const std::shared_ptr<ReplicaSend>& send);
--- a/cranberryhill/exchange/exchange_versions.cc
+++ b/cranberryhill/exchange/exchange_versions.cc
@@ -40,26 +40,35 @@
   this->context.stream_versions.Find(
       this->service, this->caller_request.resumed_attempt_id,
       std::min(kMaxFindTime, this->TimeLeft() * kFindShare),
-      [weak = this->weak_from_this()](std::optional<std::string> version) {
+      [weak = this->weak_from_this()](std::optional<StreamOrigin> origin) {
         auto self = weak.lock();
         if (self == nullptr || self->phase != Phase::kFindingVersion)
           return;
         self->phase = Phase::kIdle;
-        self->OnStreamVersionFound(std::move(version));
+        self->OnStreamOriginFound(std::move(origin));
       });
 }
 
-void Exchange::OnStreamVersionFound(std::optional<std::string> version) {
-  this->context.metrics.CountDecision(version ? "stream_version_found"
-                                              : "stream_version_unknown");
+void Exchange::OnStreamOriginFound(std::optional<StreamOrigin> origin) {
+  this->context.metrics.CountDecision(origin ? "stream_version_found"
+                                             : "stream_version_unknown");
+  // A stream goes on nowhere if its route has moved: what another service
+  // writes does not fit to it.
+  bool may_go_on = origin && this->route.Allows(origin->service);
+  if (may_go_on && origin->service != this->service) {
+    this->context.retry_budget(this->service).OnRequestMoved(this->counted_at);
+    this->SetService(origin->service);
+    this->counted_at = this->context.retry_budget(this->service).OnRequest();
+  }
+  this->context.observer.OnArrived(this->service);
   LogEvent event = this->MakeLogEvent("stream_taken_up");
   event.Add("resumes", this->caller_request.resumed_attempt_id)
-      .Add("service", this->service)
-      .Add("version_known", version.has_value())
-      .Add("software_version", version.value_or(""))
+      .Add("service", origin ? origin->service : this->service)
+      .Add("version_known", origin.has_value())
+      .Add("software_version", origin ? origin->version : "")
       .Add("took_ms", this->Now() - this->request.arrived);
   this->context.log.Write(event);
-  if (!version) {
+  if (!origin) {
     bool relayed =
         this->context.stream_versions.IsTurnedAway() && this->MayRelay() &&
         this->Relay("stream_version_unknown", kRetryAfterUnknownVersion);
@@ -68,10 +77,27 @@
     return this->EndUnanswered("stream_version_unknown",
                                kRetryAfterUnknownVersion);
   }
-  this->stream_version = std::move(version);
+  if (!may_go_on) {
+    this->context.metrics.CountDecision("stream_service_not_allowed");
+    return this->EndUnanswered("stream_service_not_allowed",
+                               kDefaultRetryAfter);
+  }
+  this->stream_version = std::move(origin->version);
   this->SendToNextReplica();
 }
 
+/// @return Whether a stream that begins now needs a record also at the base:
+///     tables that were in force lately pick another service for it, and an
+///     instance that takes it up could not tell at which one it began.
+RecordRule Exchange::RuleOfRecord() const {
+  std::vector<std::string> picked = this->context.route_history.PickedServices(
+      this->caller_request.host, this->request.head.target,
+      this->caller_request.attempt_id, forward::RouteHistory::kSpan);
+  bool is_certain =
+      picked.empty() || (picked.size() == 1 && picked.front() == this->service);
+  return is_certain ? RecordRule::kAwayFromBase : RecordRule::kAlways;
+}
+
 /// @return True if the next first event decides at which version the stream
 ///     goes on.
 bool Exchange::BeginsStream() const {
@@ -87,6 +113,7 @@
   int preparation = send->AwaitPreparation();
   this->context.stream_versions.Prepare(
       this->service, this->caller_request.attempt_id, send->SoftwareVersion(),
+      this->RuleOfRecord(),
       [weak = this->weak_from_this(), weak_send = std::weak_ptr(send),
        preparation](bool recorded) {
         auto self = weak.lock();
@@ -176,7 +203,8 @@
     return;
   // The caller may name either attempt when it takes the stream up again.
   versions.Prepare(this->service, this->caller_request.attempt_id,
-                   send.SoftwareVersion(), [](bool) {});
+                   send.SoftwareVersion(), RecordRule::kAwayFromBase,
+                   [](bool) {});
   versions.OnStreamBegan(this->service, this->caller_request.resumed_attempt_id,
                          send.SoftwareVersion());
 }
--- a/cranberryhill/forward/configuration.cc
+++ b/cranberryhill/forward/configuration.cc
@@ -31,6 +31,20 @@
                    kEventTimeoutIntervals * this->target_event_interval});
 }
 
+bool Route::Allows(std::string_view service) const {
+  // PickService() picks the first service if none has a weight.
+  bool has_weights =
+      std::any_of(this->services.begin(), this->services.end(),
+                  [](const auto& candidate) { return candidate.weight > 0; });
+  if (!has_weights)
+    return !this->services.empty() && this->services.front().service == service;
+  return std::any_of(this->services.begin(), this->services.end(),
+                     [service](const auto& candidate) {
+                       return candidate.weight > 0 &&
+                              candidate.service == service;
+                     });
+}
+
 RouteTable::RouteTable(std::shared_ptr<const Configuration> configuration)
     : config(std::move(configuration)) {
   for (const Route& route : this->config->routes)
--- a/cranberryhill/forward/configuration.h
+++ b/cranberryhill/forward/configuration.h
@@ -32,6 +32,8 @@
 struct WeightedService {
   std::string service;
   uint32_t weight = 1;
+
+  bool operator==(const WeightedService&) const = default;
 };
 
 struct Route {
@@ -56,6 +58,9 @@
   ///     next one, before they close the connection.
   absl::Duration CallerEventTimeout() const;
 
+  /// @return True when requests of the route may run at the service.
+  bool Allows(std::string_view service) const;
+
   /// @return True when a request may run again after a run that failed.
   bool MayRepeat() const {
     return this->kind == RequestKind::kIdempotent ||
--- a/cranberryhill/forward/stream_version_queue_test.cc
+++ b/cranberryhill/forward/stream_version_queue_test.cc
@@ -260,8 +260,8 @@
       for (const auto& [id, row] : rows.by_attempt)
         recent->Add(*row.record);
       for (const auto& [id, version] : recorded) {
-        auto found = recent->Find(kService, id);
-        RC_ASSERT(!found || *found == version);
+        auto found = recent->Find(id);
+        RC_ASSERT(!found || found->version == version);
       }
     }
   });
--- a/cranberryhill/forward/stream_version_records.cc
+++ b/cranberryhill/forward/stream_version_records.cc
@@ -28,13 +28,6 @@
 /// stores count from one. A row that is missing there was never written.
 constexpr uint64_t kLastFirstStoreEra = 2;
 
-std::string KeyOf(std::string_view service, std::string_view attempt_id) {
-  std::string key(service);
-  key.push_back('\0');
-  key.append(attempt_id);
-  return key;
-}
-
 }  // namespace
 
 int StreamVersionPart(std::string_view attempt_id) {
@@ -43,35 +36,32 @@
 
 void RecentStreamVersions::Add(const StreamVersionRecord& record) {
   this->EraseExpired();
-  std::string key = KeyOf(record.service, record.attempt_id);
-  auto [known, added] = this->streams.try_emplace(key, Stream{record, false});
+  auto [known, added] =
+      this->streams.try_emplace(record.attempt_id, Stream{record, false});
   if (!added) {
-    known->second.contradicted |=
-        known->second.record.version != record.version;
+    known->second.contradicted |= known->second.record != record;
     return;
   }
   this->expiries.emplace_back(this->clock.Now() + kStreamVersionLifetime,
-                              std::move(key));
+                              record.attempt_id);
   if (this->streams.size() > this->max_streams) {
     this->streams.erase(this->expiries.front().second);
     this->expiries.pop_front();
   }
 }
 
-bool RecentStreamVersions::Contains(std::string_view service,
-                                    std::string_view attempt_id) {
+bool RecentStreamVersions::Contains(std::string_view attempt_id) {
   this->EraseExpired();
-  return this->streams.contains(KeyOf(service, attempt_id));
+  return this->streams.contains(std::string(attempt_id));
 }
 
-std::optional<std::string> RecentStreamVersions::Find(
-    std::string_view service,
+std::optional<StreamVersionRecord> RecentStreamVersions::Find(
     std::string_view attempt_id) {
   this->EraseExpired();
-  auto known = this->streams.find(KeyOf(service, attempt_id));
+  auto known = this->streams.find(std::string(attempt_id));
   if (known == this->streams.end() || known->second.contradicted)
     return std::nullopt;
-  return known->second.record.version;
+  return known->second.record;
 }
 
 void RecentStreamVersions::EraseExpired() {
--- a/cranberryhill/forward/stream_version_records.h
+++ b/cranberryhill/forward/stream_version_records.h
@@ -53,12 +53,11 @@
   void Add(const StreamVersionRecord& record);
 
   /// @return True if there is a record of the stream.
-  bool Contains(std::string_view service, std::string_view attempt_id);
+  bool Contains(std::string_view attempt_id);
 
-  /// @return The version at which the stream began. Nothing if it is not known,
-  ///     or if records contradict each other.
-  std::optional<std::string> Find(std::string_view service,
-                                  std::string_view attempt_id);
+  /// @return The record of the stream. Nothing if there is none, or if records
+  ///     contradict each other.
+  std::optional<StreamVersionRecord> Find(std::string_view attempt_id);
 
   size_t size() const { return this->streams.size(); }  // NOLINT
 
--- a/cranberryhill/forward/stream_version_records_test.cc
+++ b/cranberryhill/forward/stream_version_records_test.cc
@@ -41,10 +41,10 @@
   this->recent.Add(MakeRecord(1, "v1"));
   this->clock.Advance(absl::Seconds(14));
   this->recent.Add(MakeRecord(2, "v2"));
-  BOOST_TEST((this->recent.Find(kService, "attempt-1") == "v1"));
+  BOOST_TEST((this->recent.Find("attempt-1") == MakeRecord(1, "v1")));
   this->clock.Advance(absl::Seconds(2));
-  BOOST_TEST(!this->recent.Find(kService, "attempt-1"));
-  BOOST_TEST((this->recent.Find(kService, "attempt-2") == "v2"));
+  BOOST_TEST(!this->recent.Find("attempt-1"));
+  BOOST_TEST((this->recent.Find("attempt-2") == MakeRecord(2, "v2")));
   for (int attempt = 3; attempt < 1000; ++attempt)
     this->recent.Add(MakeRecord(attempt, "v1"));
   BOOST_TEST(this->recent.size() == 100);
@@ -55,12 +55,14 @@
 BOOST_FIXTURE_TEST_CASE(contradicting_records_tell_nothing, Fixture) {
   this->recent.Add(MakeRecord(1, "v1"));
   this->recent.Add(MakeRecord(1, "v1"));
-  BOOST_TEST((this->recent.Find(kService, "attempt-1") == "v1"));
+  BOOST_TEST((this->recent.Find("attempt-1") == MakeRecord(1, "v1")));
   this->recent.Add(MakeRecord(1, "v2"));
-  BOOST_TEST(!this->recent.Find(kService, "attempt-1"));
-  BOOST_TEST(this->recent.Contains(kService, "attempt-1"));
-  BOOST_TEST(!this->recent.Contains("other", "attempt-1"));
-  BOOST_TEST(!this->recent.Find("other", "attempt-1"));
+  BOOST_TEST(!this->recent.Find("attempt-1"));
+  BOOST_TEST(this->recent.Contains("attempt-1"));
+  BOOST_TEST(!this->recent.Contains("attempt-2"));
+  this->recent.Add(MakeRecord(2, "v1"));
+  this->recent.Add({"other", "attempt-2", "v1"});
+  BOOST_TEST(!this->recent.Find("attempt-2"));
 }
 
 // Guards against values that are read as something else than was written.
--- a/cranberryhill/gateway/gateway.cc
+++ b/cranberryhill/gateway/gateway.cc
@@ -151,7 +151,9 @@
           [this](forward::Replica& replica) {
             this->replica_prober.OnConnectFailed(replica);
           },
-          this->duties},
+          this->duties,
+          this->route_history},
+      route_history(clock),
       store_contact(clock),
       configuration_follower(StoreTable::kConfiguration,
                              this->MakeStoreClient(),
--- a/cranberryhill/gateway/gateway.h
+++ b/cranberryhill/gateway/gateway.h
@@ -230,6 +230,7 @@
   GatewayMetrics metrics;
   ExchangeContext exchange_context;
   std::shared_ptr<const forward::RouteTable> routes;
+  forward::RouteHistory route_history;
   // Built from the configuration of `routes`.
   std::shared_ptr<const customers::KeyIndex> keys;
   absl::flat_hash_map<std::string,
--- a/cranberryhill/gateway/gateway_tables.cc
+++ b/cranberryhill/gateway/gateway_tables.cc
@@ -191,6 +191,7 @@
     this->RetryBudgetFor(service.name);
   }
   this->routes = std::make_shared<const forward::RouteTable>(configuration);
+  this->route_history.Add(this->routes);
   this->keys = std::make_shared<const customers::KeyIndex>(configuration);
   this->UpdateConnectionShares();
   this->log.Write(
--- a/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
+++ b/cranberryhill/stream_versions/stream_version_out_of_step_test.cc
@@ -821,7 +821,7 @@
       return;
     std::string attempt = "attempt-" + std::to_string(++this->attempts);
     member.versions.Prepare(
-        service, attempt, *version,
+        service, attempt, *version, RecordRule::kAwayFromBase,
         [=, this, &member, version = *version](bool recorded) {
           this->late_records += recorded ? 0 : 1;
           if (recorded || member.versions.MayBeginUnrecorded(service, version))
@@ -842,7 +842,7 @@
         !member.versions.Withdraw(attempt))
       return;
     ++this->moved_to_base;
-    member.versions.Prepare(service, attempt, *base,
+    member.versions.Prepare(service, attempt, *base, RecordRule::kAwayFromBase,
                             [=, this, &member, version = *base](bool recorded) {
                               BOOST_TEST(recorded);
                               this->OnFirstEvent(instance, member, service,
@@ -879,11 +879,13 @@
     member.WhenAwake([=, &member, &tally] {
       member.versions.Find(
           service, attempt, kCallersWait,
-          [version, &tally](const std::optional<std::string>& found) {
+          [service, version, &tally](const std::optional<StreamOrigin>& found) {
             if (!found)
               ++tally.unknown;
             else
-              ++(*found == version ? tally.right : tally.wrong);
+              ++(found->service == service && found->version == version
+                     ? tally.right
+                     : tally.wrong);
           });
     });
   }
--- a/cranberryhill/stream_versions/stream_version_store.cc
+++ b/cranberryhill/stream_versions/stream_version_store.cc
@@ -126,12 +126,14 @@
 void StoredStreamVersions::Prepare(std::string_view service,
                                    std::string_view attempt_id,
                                    std::string_view version,
+                                   RecordRule rule,
                                    std::function<void(bool prepared)> done) {
   // Nobody can name a stream without an id, and take-ups of one that cannot be
   // stored are refused while there is a choice of versions. An attempt that has
   // been recorded at another version keeps a record, also at the base.
   bool needs_record = forward::StreamVersionQueue::CanStore(attempt_id) &&
-                      (this->RecordlessVersion(service) != version ||
+                      (rule == RecordRule::kAlways ||
+                       this->RecordlessVersion(service) != version ||
                        this->queue.VersionOf(attempt_id).has_value());
   if (!needs_record)
     return done(true);
@@ -205,8 +207,8 @@
                                 std::string_view attempt_id,
                                 absl::Duration wait,
                                 Callback done) {
-  if (this->recent.Contains(service, attempt_id))
-    return done(this->recent.Find(service, attempt_id));
+  if (this->recent.Contains(attempt_id))
+    return done(this->RecentOrigin(attempt_id));
   absl::Time deadline = this->clock.Now() + wait;
   // Another instance may have changed the row a moment ago, and this one may
   // not have run or been reached since.
@@ -226,6 +228,14 @@
       });
 }
 
+std::optional<StreamOrigin> StoredStreamVersions::RecentOrigin(
+    std::string_view attempt_id) {
+  auto record = this->recent.Find(attempt_id);
+  if (!record)
+    return std::nullopt;
+  return StreamOrigin{std::move(record->service), std::move(record->version)};
+}
+
 /// Looks the stream's record up.
 /// @param base Of the streams without a record.
 void StoredStreamVersions::FindRecord(const std::string& service,
@@ -255,8 +265,8 @@
                                         const Callback& done) {
   if (lookup.record)
     this->recent.Add(*lookup.record);
-  if (this->recent.Contains(service, attempt_id))
-    return done(this->recent.Find(service, attempt_id));
+  if (this->recent.Contains(attempt_id))
+    return done(this->RecentOrigin(attempt_id));
   // A store that was restored between the two reads may have lost the record.
   auto version = lookup.has_no_row && lookup.era == base.era
                      ? this->UnrecordedVersion(service, base)
@@ -266,7 +276,7 @@
                         .Add("service", service)
                         .Add("attempt", attempt_id)
                         .Add("version", *version));
-    return done(version);
+    return done(StreamOrigin{service, *version});
   }
   this->OnUnknown(service, attempt_id,
                   lookup.has_no_row ? "no_record" : "record_not_read");
--- a/cranberryhill/stream_versions/stream_version_store.h
+++ b/cranberryhill/stream_versions/stream_version_store.h
@@ -108,6 +108,7 @@
   void Prepare(std::string_view service,
                std::string_view attempt_id,
                std::string_view version,
+               RecordRule rule,
                std::function<void(bool prepared)> done) override;
   bool MayBeginUnrecorded(std::string_view service,
                           std::string_view version) override;
@@ -215,6 +216,7 @@
   std::optional<std::string> UnrecordedVersion(
       std::string_view service,
       const BaseVersionReading& base) const;
+  std::optional<StreamOrigin> RecentOrigin(std::string_view attempt_id);
   void FindRecord(const std::string& service,
                   const std::string& attempt_id,
                   absl::Time deadline,
--- a/cranberryhill/stream_versions/stream_version_store_fleet_test.cc
+++ b/cranberryhill/stream_versions/stream_version_store_fleet_test.cc
@@ -111,11 +111,12 @@
     absl::Time asked_at = this->queue.clock.Now();
     member.versions.Find(
         kService, attempt, kCallersWait,
-        [this, version, asked_at, &tally](std::optional<std::string> found) {
+        [this, version, asked_at,
+         &tally](const std::optional<StreamOrigin>& found) {
           this->longest_find =
               std::max(this->longest_find, this->queue.clock.Now() - asked_at);
           if (found) {
-            ++(*found == version ? tally.right : tally.wrong);
+            ++(found->version == version ? tally.right : tally.wrong);
             return;
           }
           ++tally.unknown;
@@ -358,7 +359,8 @@
     if (this->random.UniformDouble() < this->silent_share) {
       const std::string& other =
           member.view[this->random.UniformInt(0, member.view.size() - 1)];
-      member.versions.Prepare(kService, attempt, other, [](bool) {});
+      member.versions.Prepare(kService, attempt, other,
+                              RecordRule::kAwayFromBase, [](bool) {});
       return member.After(absl::Milliseconds(this->random.UniformInt(20, 600)),
                           [=, this, &member] {
                             this->PrepareStream(member, attempt, version);
@@ -372,7 +374,8 @@
                      const std::string& version) {
     absl::Time sent_at = this->queue.clock.Now();
     member.versions.Prepare(
-        kService, attempt, version, [=, this, &member](bool prepared) {
+        kService, attempt, version, RecordRule::kAwayFromBase,
+        [=, this, &member](bool prepared) {
           // The event waits for its record otherwise, and the caller gives up.
           if (!prepared && this->silent_share > 0)
             return;
--- a/cranberryhill/stream_versions/stream_version_store_test.cc
+++ b/cranberryhill/stream_versions/stream_version_store_test.cc
@@ -57,14 +57,15 @@
     return channels;
   }
 
-  /// @return The version, or "unknown".
+  /// @return The service and the version, or "unknown".
   std::string Find(std::string_view attempt_id,
                    std::string_view service = "lm") {
     std::string found = "not called";
-    this->versions.Find(service, attempt_id, absl::Seconds(3),
-                        [&found](const std::optional<std::string>& version) {
-                          found = version.value_or("unknown");
-                        });
+    this->versions.Find(
+        service, attempt_id, absl::Seconds(3),
+        [&found](const std::optional<StreamOrigin>& origin) {
+          found = origin ? origin->service + " " + origin->version : "unknown";
+        });
     this->queue.RunFor(absl::Seconds(3));
     return found;
   }
@@ -86,10 +87,10 @@
   this->versions.OnRegistered("lm", "v2");
   this->versions.OnStreamBegan("lm", "first", "v1");
   this->versions.OnStreamBegan("lm", "", "v1");
-  BOOST_TEST(this->Find("first") == "v1");
+  BOOST_TEST(this->Find("first") == "lm v1");
   BOOST_TEST(this->Find("second") == "unknown");
   BOOST_TEST(this->Find("") == "unknown");
-  BOOST_TEST(this->Find("first", "other") == "unknown");
+  BOOST_TEST(this->Find("first", "other") == "lm v1");
   BOOST_TEST(this->versions.records_lost() == 0U);
 }
 
@@ -99,7 +100,7 @@
   std::optional<bool> prepared;
   auto prepare = [&](std::string_view attempt_id) {
     prepared.reset();
-    this->versions.Prepare("lm", attempt_id, "v1",
+    this->versions.Prepare("lm", attempt_id, "v1", RecordRule::kAwayFromBase,
                            [&](bool is_prepared) { prepared = is_prepared; });
   };
   prepare("");
@@ -128,9 +129,10 @@
     return ++updates == 1 ? absl::Seconds(2.5) : absl::ZeroDuration();
   };
   bool is_prepared = false;
-  this->versions.Prepare("lm", "attempt", "v2", [](bool) {});
+  this->versions.Prepare("lm", "attempt", "v2", RecordRule::kAwayFromBase,
+                         [](bool) {});
   this->queue.RunFor(absl::Milliseconds(400));
-  this->versions.Prepare("lm", "attempt", "v1",
+  this->versions.Prepare("lm", "attempt", "v1", RecordRule::kAwayFromBase,
                          [&](bool prepared) { is_prepared = prepared; });
   this->queue.RunFor(absl::Seconds(1));
   BOOST_TEST(is_prepared);
--- a/cranberryhill/stream_versions/stream_versions.h
+++ b/cranberryhill/stream_versions/stream_versions.h
@@ -13,10 +13,23 @@
 
 namespace cranberryhill::gateway {
 
+/// Where a stream began.
+struct StreamOrigin {
+  std::string service;
+  std::string version;  ///< Of the software of the service's replicas.
+};
+
+/// Which streams need a record.
+enum class RecordRule {
+  kAwayFromBase,  ///< Those that begin at another version than the base.
+  kAlways,        ///< This one also at the base: other instances may take it
+                  ///< for one of another service.
+};
+
 /// Not thread-safe.
 class StreamVersions {
  public:
-  using Callback = std::function<void(std::optional<std::string> version)>;
+  using Callback = std::function<void(std::optional<StreamOrigin> origin)>;
 
   virtual ~StreamVersions() = default;
 
@@ -28,6 +41,7 @@
   virtual void Prepare(std::string_view service,
                        std::string_view attempt_id,
                        std::string_view version,
+                       RecordRule rule,
                        std::function<void(bool prepared)> done) = 0;
 
   /// @return True if a stream may begin at this version without a record: no
@@ -61,8 +75,9 @@
   virtual bool NeedsRecordOfPeer(std::string_view service,
                                  std::string_view version) = 0;
 
-  /// Finds the software version at which the attempt began its stream. Calls
-  /// `done` at once or within `wait`; with nothing if nobody knows.
+  /// Finds out where the attempt began its stream. Calls `done` at once or
+  /// within `wait`; with nothing if nobody knows.
+  /// @param service Where it began if it has no record.
   /// @param wait Longest time that the caller's request may wait.
   virtual void Find(std::string_view service,
                     std::string_view attempt_id,
--- a/standins/gateway_platform/fake_store.cc
+++ b/standins/gateway_platform/fake_store.cc
@@ -40,8 +40,10 @@
 
 void FakeStore::Set(std::string_view table,
                     std::string_view key,
-                    std::optional<std::string> value) {
-  this->Put({std::string(table), "", std::string(key)}, std::move(value));
+                    std::optional<std::string> value,
+                    std::string_view part) {
+  this->Put({std::string(table), std::string(part), std::string(key)},
+            std::move(value));
 }
 
 void FakeStore::Put(RowKey key, std::optional<std::string> value) {
--- a/standins/gateway_platform/fake_store.h
+++ b/standins/gateway_platform/fake_store.h
@@ -28,7 +28,8 @@
   /// @param value Text of the row; nothing removes it.
   void Set(std::string_view table,
            std::string_view key,
-           std::optional<std::string> value);
+           std::optional<std::string> value,
+           std::string_view part = "");
 
   /// Answers everything with 503 while true.
   void SetDown(bool down) { this->is_down = down; }
