--- a/cranberryhill/stream_versions/stream_version_sweeper.cc
+++ b/cranberryhill/stream_versions/stream_version_sweeper.cc
@@ -81,6 +81,10 @@
                         .Add("reason", reason));
     return this->End();
   }
+  // Versions of another era say nothing about the age of rows.
+  uint64_t era = this->codec.DecodeEra(answer.headers).value_or(0);
+  if (std::exchange(this->era, era) != era)
+    this->OnStoreRestored();
   if (!this->version)
     this->version = page->version;
   this->next_key = page->has_more && !page->rows.empty()
--- a/cranberryhill/stream_versions/stream_version_sweeper.h
+++ b/cranberryhill/stream_versions/stream_version_sweeper.h
@@ -62,6 +62,7 @@
   /// Version of the store at the earlier sweep: rows that are not newer are
   /// older than kMaxRowAge.
   std::optional<uint64_t> earlier_version;
+  uint64_t era = 0;                 // Of the store, as the last page named it.
   std::optional<uint64_t> version;  // When this sweep began.
   bool has_rows = false;
   std::vector<StoreRow> old_rows;
--- a/cranberryhill/stream_versions/stream_version_sweeper_test.cc
+++ b/cranberryhill/stream_versions/stream_version_sweeper_test.cc
@@ -73,5 +73,23 @@
   BOOST_TEST(this->store.rows.size() < kRows);
 }
 
+// Guards against new rows that are taken for old ones because the store has
+// come back from an older copy and gives versions out again.
+BOOST_FIXTURE_TEST_CASE(new_rows_of_a_restored_store_are_kept, Fixture) {
+  constexpr int kRestoredAt = 100;
+  constexpr int kEnd = 200;
+  constexpr int kYoungRows = 50;  // One is written each second.
+  for (int second = 0; second < kEnd; ++second) {
+    if (second == kRestoredAt)
+      this->store.Restore({});
+    this->Write(second, 1);
+    this->RunFor(absl::Seconds(0.9));
+    int written =
+        std::min({second + 1, kYoungRows,
+                  second < kRestoredAt ? kEnd : second - kRestoredAt + 1});
+    BOOST_TEST(static_cast<int>(this->store.rows.size()) >= written);
+  }
+}
+
 }  // namespace
 }  // namespace cranberryhill::gateway
